--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,14 @@
+//! Every decision of dotterelwheel, free of I/O.
+//!
+//! Invariants: nothing here opens a socket, reads a clock, spawns a task or keeps global state. The
+//! present time is an argument ([`time::Time`]), randomness is a `&mut fastrand::Rng` argument, and
+//! a decision returns typed values which the caller turns into I/O.
+//!
+//! API boundary: the processes, the tests and the measuring tools all drive these modules through
+//! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
+
+pub mod collections;
+pub mod ids;
+pub mod job;
+pub mod report;
+pub mod time;
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
