--- a/crates/decision/src/ids.rs
+++ b/crates/decision/src/ids.rs
@@ -1,14 +1,11 @@
 //! Identifiers shared by all decisions and messages.
 
-use std::sync::Arc;
-
 use derive_more::Display;
+pub use objects::Name;
+pub use objects::Priority;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A shared, immutable name of an object.
-pub type Name = Arc<str>;
-
 /// A 128-bit request identifier, printed as 32 hex digits.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -67,32 +64,3 @@
     /// The SHA-256 of the manifest, as `sha256:` and 64 hex digits.
     pub digest: String,
 }
-
-/// The priority class of a request, from the first served to the first shed.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Priority {
-    /// A person waits for the answer.
-    #[default]
-    #[display("interactive")]
-    Interactive,
-    /// A booking or an order.
-    #[display("booking")]
-    Booking,
-    /// Batch work that has to be done by its deadline.
-    #[display("overnight")]
-    Overnight,
-}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod collections;
 pub mod ids;
 pub mod job;
+pub mod permit;
 pub mod report;
 pub mod time;
