--- a/crates/objects/src/kinds.rs
+++ b/crates/objects/src/kinds.rs
@@ -170,7 +170,7 @@
 }
 
 /// A customer's workspace.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// The name.
     pub name: Name,
