--- /dev/null
+++ b/crates/objects/examples/publish_cost.rs
@@ -0,0 +1,157 @@
+//! Measures what a set of 26,000 adapters with 52,000 versions costs to read, publish and adopt.
+//!
+//! Run with `cargo run --release -p objects --example publish_cost`.
+
+use std::fmt::Write as _;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use objects::Manifest;
+use objects::ObjectSet;
+use objects::Snapshot;
+use objects::apply;
+use objects::changed_buckets;
+use objects::diff;
+use objects::load;
+use objects::rebase;
+use objects::validate;
+
+const WORKSPACES: usize = 400;
+const ADAPTERS: usize = 26_000;
+const ENDPOINTS: usize = 1_200;
+const MODELS: usize = 4;
+const ROUNDS: u32 = 5;
+const COPIES: i64 = 12;
+
+fn main() {
+    let text = set_text();
+    let loaded = load([("set.toml", &*text)]);
+    assert!(loaded.findings.is_empty(), "{}", loaded.findings[0]);
+    let set = loaded.set;
+    timed("parse and validate TOML", || load([("set.toml", &*text)]));
+    println!("objects: {}, TOML bytes: {}", set.len(), text.len());
+    timed("validate", || validate(&set, &Default::default()));
+    let old = timed("build snapshot", || Snapshot::build(&set, 0, "bench", 1));
+    let sizes = old.buckets.iter().map(Vec::len);
+    let total: usize = sizes.clone().sum();
+    println!("manifest bytes: {}", old.bytes.len());
+    println!(
+        "bucket bytes: {total}, largest {}",
+        sizes.max().unwrap_or(0)
+    );
+
+    let all: Vec<_> = old.buckets.iter().enumerate().collect();
+    let read = || ObjectSet::from_buckets(&old.manifest, &all).expect("snapshot is whole");
+    // Sets beyond what the allocator kept from the steps above grow the process.
+    let kept: Vec<_> = (0..COPIES).map(|_| read()).collect();
+    let before = resident_kb();
+    let more: Vec<_> = (0..COPIES).map(|_| read()).collect();
+    let grown = (resident_kb() - before) / COPIES;
+    println!("resident memory of one set: {grown} KB");
+    assert!(kept.iter().chain(&more).all(|adopted| *adopted == set));
+    timed("read whole snapshot", read);
+
+    let mut edited = set.clone();
+    withdraw(&mut edited, "adapter-00017@v1");
+    let new = Snapshot::build(&edited, 1, "bench", 2);
+    let changed = changed_buckets(&old.manifest, &new.manifest);
+    let bytes: usize = changed
+        .iter()
+        .map(|bucket| new.buckets[*bucket].len())
+        .sum();
+    println!(
+        "one change: {} bucket(s), {bytes} bytes, with manifest {}",
+        changed.len(),
+        bytes + new.bytes.len()
+    );
+    let fetched: Vec<_> = changed.iter().map(|b| (*b, &new.buckets[*b])).collect();
+    let update = || apply(&set, &old.manifest, &new.manifest, &fetched).expect("buckets match");
+    timed("apply one change", update);
+    let _ = timed("decode manifest", || {
+        Manifest::decode_checked(&new.bytes, new.digest)
+    });
+    timed("diff", || diff(&set, &edited));
+    timed("rebase one edit", || {
+        rebase(&set, &edited, &set).expect("no overlap")
+    });
+}
+
+fn withdraw(set: &mut ObjectSet, name: &str) {
+    let version = set.versions.get_mut(name).expect("version exists");
+    Arc::make_mut(version).withdrawn = true;
+}
+
+fn timed<T>(step: &str, mut run: impl FnMut() -> T) -> T {
+    let mut last = black_box(run());
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        last = black_box(run());
+    }
+    println!(
+        "{step}: {:.2} ms",
+        (start.elapsed() / ROUNDS).as_secs_f64() * 1e3
+    );
+    last
+}
+
+/// Returns the resident memory of this process from `/proc/self/status`, in KB.
+fn resident_kb() -> i64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+fn set_text() -> String {
+    let mut text = String::new();
+    for model in 0..MODELS {
+        let _ = writeln!(
+            text,
+            "[[model]]\nname = \"base-{model}\"\nbase = \"org/base-{model}\""
+        );
+    }
+    for workspace in 0..WORKSPACES {
+        let _ = writeln!(
+            text,
+            "[[workspace]]\nname = \"ws-{workspace:03}\"\nrate = 50\ninflight = 100"
+        );
+    }
+    for endpoint in 0..ENDPOINTS {
+        let _ = writeln!(
+            text,
+            "[[endpoint]]\nname = \"runner-{endpoint:04}\"\nmodel = \"base-{}\"\n\
+             region = \"region-{}\"\ndomain = \"domain-{:02}\"\nslots = 8\nbatch = 32\nqueue = 200",
+            endpoint % MODELS,
+            endpoint % 7,
+            endpoint % 28
+        );
+    }
+    for adapter in 0..ADAPTERS {
+        adapter_text(&mut text, adapter);
+    }
+    text
+}
+
+fn adapter_text(text: &mut String, adapter: usize) {
+    let workspace = adapter % WORKSPACES;
+    let name = format!("adapter-{adapter:05}");
+    let _ = writeln!(
+        text,
+        "[[adapter]]\nname = \"{name}\"\nmodel = \"base-{}\"\nworkspace = \"ws-{workspace:03}\"",
+        adapter % MODELS
+    );
+    for version in 1..=2 {
+        let _ = writeln!(
+            text,
+            "[[version]]\nadapter = \"{name}\"\nversion = \"v{version}\"\n\
+             weights = \"ws-{workspace:03}/{name}/{version}\"\ndigest = \"sha256:{:064x}\"",
+            adapter * 2 + version
+        );
+    }
+    let _ = writeln!(
+        text,
+        "[[route]]\nname = \"route-{adapter:05}\"\nworkspace = \"ws-{workspace:03}\"\n\
+         targets = [{{version = \"{name}@v2\", weight = 1}}]\ndeadline_ms = 30000"
+    );
+}
--- /dev/null
+++ b/crates/objects/src/fields.rs
@@ -0,0 +1,358 @@
+//! Typed reading of one TOML table, field by field.
+//!
+//! Readers return `None` after they have recorded a finding, so that all faults of an object are
+//! reported together. Readers of optional fields return `Some(None)` where the field is absent.
+
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
+use toml::Spanned;
+use toml::de::DeTable;
+use toml::de::DeValue;
+
+use crate::Name;
+use crate::finding::Code;
+use crate::finding::Finding;
+use crate::finding::Place;
+use crate::finding::Severity;
+use crate::finding::Source;
+use crate::ident::Kind;
+use crate::ident::ObjectKey;
+use crate::names;
+
+/// A file with the offsets of its lines.
+pub(crate) struct File {
+    name: Arc<str>,
+    starts: Vec<usize>,
+}
+
+impl File {
+    pub(crate) fn new(name: &str, text: &str) -> Self {
+        let breaks = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        File {
+            name: name.into(),
+            starts: breaks.map(|(offset, _)| offset + 1).collect(),
+        }
+    }
+
+    pub(crate) fn place(&self, offset: usize) -> Place {
+        let line = self.starts.partition_point(|start| *start <= offset) + 1;
+        Place {
+            file: self.name.clone(),
+            line: line as u32,
+        }
+    }
+}
+
+/// A table of one object that is being read.
+pub(crate) struct Fields<'a, 'i> {
+    file: &'a File,
+    table: &'a DeTable<'i>,
+    offset: usize,
+    kind: Kind,
+    object: Option<ObjectKey>,
+    known: Vec<&'static str>,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl<'a, 'i> Fields<'a, 'i> {
+    pub(crate) fn new(
+        file: &'a File,
+        kind: Kind,
+        table: &'a DeTable<'i>,
+        offset: usize,
+        findings: &'a mut Vec<Finding>,
+    ) -> Self {
+        Fields {
+            file,
+            table,
+            offset,
+            kind,
+            object: None,
+            known: Vec::new(),
+            findings,
+        }
+    }
+
+    /// Names the object in all further findings.
+    pub(crate) fn identify(&mut self, name: &str) {
+        self.object = Some(ObjectKey::new(self.kind, name));
+    }
+
+    pub(crate) fn object(&self) -> Option<&ObjectKey> {
+        self.object.as_ref()
+    }
+
+    pub(crate) fn has(&self, field: &str) -> bool {
+        self.table.get(field).is_some()
+    }
+
+    /// Returns where the object and its fields stand.
+    pub(crate) fn source(&self) -> Source {
+        let fields = self.table.iter().map(|(key, value)| {
+            let line = self.file.place(value.span().start).line;
+            (key.get_ref().to_string(), line)
+        });
+        Source {
+            place: self.file.place(self.offset),
+            fields: fields.collect(),
+        }
+    }
+
+    /// Records a finding at `offset` of the file.
+    pub(crate) fn report(&mut self, offset: usize, code: Code, message: String, fix: String) {
+        self.findings.push(Finding {
+            place: Some(self.file.place(offset)),
+            severity: Severity::Error,
+            code,
+            object: self.object.clone(),
+            message,
+            fix,
+        });
+    }
+
+    /// Marks a field as known without reading it and returns whether it is present.
+    pub(crate) fn skip(&mut self, field: &'static str) -> bool {
+        self.value(field).is_some()
+    }
+
+    /// Records a finding at a field.
+    pub(crate) fn report_field(&mut self, field: &str, code: Code, message: String, fix: String) {
+        let value = self.table.get(field);
+        let offset = value.map_or(self.offset, |value| value.span().start);
+        self.report(offset, code, message, fix);
+    }
+
+    /// Records a finding at the object's first line.
+    pub(crate) fn report_object(&mut self, code: Code, message: String, fix: String) {
+        self.report(self.offset, code, message, fix);
+    }
+
+    /// Reports the fields that no reader asked for.
+    pub(crate) fn finish(&mut self) {
+        let table = self.table;
+        for (key, _) in table {
+            let name = key.get_ref();
+            if self.known.iter().any(|known| known == name) {
+                continue;
+            }
+            let message = format!("unknown field {name:?}");
+            let fix = format!("remove it or use one of: {}", self.known.join(", "));
+            self.report(key.span().start, Code::Unknown, message, fix);
+        }
+    }
+
+    pub(crate) fn name(&mut self, field: &'static str) -> Option<Name> {
+        self.checked(field, names::check_name)
+    }
+
+    pub(crate) fn optional_name(&mut self, field: &'static str) -> Option<Option<Name>> {
+        self.optional(field, |fields| fields.name(field))
+    }
+
+    pub(crate) fn label(&mut self, field: &'static str) -> Option<Name> {
+        self.checked(field, names::check_label)
+    }
+
+    pub(crate) fn locator(&mut self, field: &'static str) -> Option<Name> {
+        self.checked(field, names::check_locator)
+    }
+
+    pub(crate) fn full_version(&mut self, field: &'static str) -> Option<Name> {
+        self.checked(field, names::check_full_version)
+    }
+
+    pub(crate) fn digest(&mut self, field: &'static str) -> Option<Name> {
+        self.checked(field, names::check_digest)
+    }
+
+    pub(crate) fn optional_digest(&mut self, field: &'static str) -> Option<Option<Name>> {
+        self.optional(field, |fields| fields.digest(field))
+    }
+
+    /// Reads one of `choices`, or the default where the field is absent.
+    pub(crate) fn choice<T: Copy + Default>(
+        &mut self,
+        field: &'static str,
+        choices: &[(&str, T)],
+    ) -> Option<T> {
+        let Some(value) = self.value(field) else {
+            return Some(T::default());
+        };
+        let text = value.get_ref().as_str();
+        if let Some((_, choice)) = choices.iter().find(|(name, _)| Some(*name) == text) {
+            return Some(*choice);
+        }
+        let names: Vec<_> = choices.iter().map(|(name, _)| *name).collect();
+        let message = format!("`{field}` has an unknown value");
+        let fix = format!("use one of: {}", names.join(", "));
+        self.report(value.span().start, Code::Form, message, fix);
+        None
+    }
+
+    pub(crate) fn flag(&mut self, field: &'static str, default: bool) -> Option<bool> {
+        let Some(value) = self.value(field) else {
+            return Some(default);
+        };
+        let flag = value.get_ref().as_bool();
+        if flag.is_none() {
+            self.wrong_type(field, value, "true or false");
+        }
+        flag
+    }
+
+    pub(crate) fn integer(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u32>,
+    ) -> Option<u32> {
+        let value = self.required(field)?;
+        let Some(integer) = value.get_ref().as_integer() else {
+            self.wrong_type(field, value, "a whole number");
+            return None;
+        };
+        let number = u32::from_str_radix(integer.as_str(), integer.radix()).ok();
+        let within = number.filter(|number| range.contains(number));
+        if within.is_none() {
+            self.out_of_range(field, value, range.start(), range.end());
+        }
+        within
+    }
+
+    pub(crate) fn optional_integer(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u32>,
+    ) -> Option<Option<u32>> {
+        self.optional(field, |fields| fields.integer(field, range))
+    }
+
+    pub(crate) fn number(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<f64>,
+    ) -> Option<f64> {
+        let value = self.required(field)?;
+        let number: Option<f64> = match value.get_ref() {
+            DeValue::Float(float) => float.as_str().parse().ok(),
+            DeValue::Integer(integer) if integer.radix() == 10 => integer.as_str().parse().ok(),
+            _ => {
+                self.wrong_type(field, value, "a number");
+                return None;
+            }
+        };
+        let within = number.filter(|number| range.contains(number));
+        if within.is_none() {
+            self.out_of_range(field, value, range.start(), range.end());
+        }
+        within
+    }
+
+    pub(crate) fn optional_number(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<f64>,
+    ) -> Option<Option<f64>> {
+        self.optional(field, |fields| fields.number(field, range))
+    }
+
+    /// Reads a list of tables, each with its own reader.
+    pub(crate) fn tables<T>(
+        &mut self,
+        field: &'static str,
+        mut read: impl FnMut(&mut Fields<'_, 'i>) -> Option<T>,
+    ) -> Option<Vec<T>> {
+        let value = self.required(field)?;
+        let Some(items) = value.get_ref().as_array() else {
+            self.wrong_type(field, value, "a list of tables");
+            return None;
+        };
+        let mut values = Some(Vec::new());
+        for item in items.iter() {
+            let Some(table) = item.get_ref().as_table() else {
+                self.wrong_type(field, item, "a list of tables");
+                values = None;
+                continue;
+            };
+            let offset = item.span().start;
+            let mut fields = Fields::new(self.file, self.kind, table, offset, self.findings);
+            fields.object = self.object.clone();
+            let read = read(&mut fields);
+            fields.finish();
+            match (&mut values, read) {
+                (Some(values), Some(read)) => values.push(read),
+                _ => values = None,
+            }
+        }
+        values
+    }
+
+    /// Reads a field with `read` if it is present.
+    pub(crate) fn optional<T>(
+        &mut self,
+        field: &'static str,
+        read: impl FnOnce(&mut Self) -> Option<T>,
+    ) -> Option<Option<T>> {
+        if self.has(field) {
+            return read(self).map(Some);
+        }
+        self.known.push(field);
+        Some(None)
+    }
+
+    fn checked(
+        &mut self,
+        field: &'static str,
+        check: fn(&str) -> Result<(), &'static str>,
+    ) -> Option<Name> {
+        let value = self.required(field)?;
+        let Some(text) = value.get_ref().as_str() else {
+            self.wrong_type(field, value, "a string");
+            return None;
+        };
+        if let Err(form) = check(text) {
+            let message = format!("`{field}` is not valid");
+            self.report(
+                value.span().start,
+                Code::Form,
+                message,
+                format!("use {form}"),
+            );
+            return None;
+        }
+        Some(text.into())
+    }
+
+    fn required(&mut self, field: &'static str) -> Option<&'a Spanned<DeValue<'i>>> {
+        let value = self.value(field);
+        if value.is_none() {
+            let message = format!("field `{field}` is missing");
+            self.report_object(Code::Missing, message, format!("add `{field} = ...`"));
+        }
+        value
+    }
+
+    fn value(&mut self, field: &'static str) -> Option<&'a Spanned<DeValue<'i>>> {
+        self.known.push(field);
+        self.table.get(field)
+    }
+
+    fn wrong_type(&mut self, field: &str, value: &Spanned<DeValue<'i>>, expected: &str) {
+        let found = value.get_ref().type_str();
+        let message = format!("`{field}` has the type {found}");
+        let fix = format!("write {expected}");
+        self.report(value.span().start, Code::Form, message, fix);
+    }
+
+    fn out_of_range<T: std::fmt::Display>(
+        &mut self,
+        field: &str,
+        value: &Spanned<DeValue<'i>>,
+        low: &T,
+        high: &T,
+    ) {
+        let message = format!("`{field}` is out of range");
+        let fix = format!("use a value from {low} to {high}");
+        self.report(value.span().start, Code::Range, message, fix);
+    }
+}
--- /dev/null
+++ b/crates/objects/src/ident.rs
@@ -0,0 +1,260 @@
+//! Identity of objects: kind and name, and an object of any kind.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Adapter;
+use crate::AdapterVersion;
+use crate::Endpoint;
+use crate::Model;
+use crate::Name;
+use crate::ObjectSet;
+use crate::Policy;
+use crate::Route;
+use crate::Service;
+use crate::Workspace;
+
+/// The name of the single policy object.
+pub const POLICY_NAME: &str = "policy";
+
+/// The kind of an object, named as its TOML table.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
+#[display("{}", self.as_str())]
+pub enum Kind {
+    /// [`Model`].
+    Model,
+    /// [`Adapter`].
+    Adapter,
+    /// [`AdapterVersion`].
+    Version,
+    /// [`Route`].
+    Route,
+    /// [`Endpoint`].
+    Endpoint,
+    /// [`Service`].
+    Service,
+    /// [`Workspace`].
+    Workspace,
+    /// [`Policy`].
+    Policy,
+}
+
+impl Kind {
+    /// All kinds in their order.
+    pub const ALL: [Kind; 8] = [
+        Kind::Model,
+        Kind::Adapter,
+        Kind::Version,
+        Kind::Route,
+        Kind::Endpoint,
+        Kind::Service,
+        Kind::Workspace,
+        Kind::Policy,
+    ];
+
+    /// Returns the name of the kind's TOML table.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Model => "model",
+            Kind::Adapter => "adapter",
+            Kind::Version => "version",
+            Kind::Route => "route",
+            Kind::Endpoint => "endpoint",
+            Kind::Service => "service",
+            Kind::Workspace => "workspace",
+            Kind::Policy => "policy",
+        }
+    }
+
+    /// Returns the kind whose TOML table is `table`.
+    pub fn from_table(table: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.as_str() == table)
+    }
+}
+
+/// The identity of an object within a set.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{kind} {name:?}")]
+pub struct ObjectKey {
+    /// The kind.
+    pub kind: Kind,
+    /// The name; for a version `adapter@version`.
+    pub name: Name,
+}
+
+impl ObjectKey {
+    /// Returns the key of the object `name` of `kind`.
+    pub fn new(kind: Kind, name: impl Into<Name>) -> Self {
+        ObjectKey {
+            kind,
+            name: name.into(),
+        }
+    }
+}
+
+/// An object of any kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Object {
+    /// A base model.
+    Model(Arc<Model>),
+    /// An adapter.
+    Adapter(Arc<Adapter>),
+    /// A version of an adapter.
+    Version(Arc<AdapterVersion>),
+    /// A route.
+    Route(Arc<Route>),
+    /// An endpoint.
+    Endpoint(Arc<Endpoint>),
+    /// A plain service.
+    Service(Arc<Service>),
+    /// A workspace.
+    Workspace(Arc<Workspace>),
+    /// The policy settings.
+    Policy(Arc<Policy>),
+}
+
+impl Object {
+    /// Returns the kind.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Object::Model(_) => Kind::Model,
+            Object::Adapter(_) => Kind::Adapter,
+            Object::Version(_) => Kind::Version,
+            Object::Route(_) => Kind::Route,
+            Object::Endpoint(_) => Kind::Endpoint,
+            Object::Service(_) => Kind::Service,
+            Object::Workspace(_) => Kind::Workspace,
+            Object::Policy(_) => Kind::Policy,
+        }
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> Name {
+        match self {
+            Object::Model(object) => object.name.clone(),
+            Object::Adapter(object) => object.name.clone(),
+            Object::Version(object) => object.name.clone(),
+            Object::Route(object) => object.name.clone(),
+            Object::Endpoint(object) => object.name.clone(),
+            Object::Service(object) => object.name.clone(),
+            Object::Workspace(object) => object.name.clone(),
+            Object::Policy(_) => POLICY_NAME.into(),
+        }
+    }
+
+    /// Returns the key.
+    pub fn key(&self) -> ObjectKey {
+        ObjectKey {
+            kind: self.kind(),
+            name: self.name(),
+        }
+    }
+}
+
+impl ObjectSet {
+    /// Returns all objects in the order of kind and name; the policy is always among them.
+    pub fn objects(&self) -> impl Iterator<Item = Object> {
+        let models = self.models.values().cloned().map(Object::Model);
+        let adapters = self.adapters.values().cloned().map(Object::Adapter);
+        let versions = self.versions.values().cloned().map(Object::Version);
+        let routes = self.routes.values().cloned().map(Object::Route);
+        let endpoints = self.endpoints.values().cloned().map(Object::Endpoint);
+        let services = self.services.values().cloned().map(Object::Service);
+        let workspaces = self.workspaces.values().cloned().map(Object::Workspace);
+        let policy = Object::Policy(Arc::new(self.policy.clone()));
+        models
+            .chain(adapters)
+            .chain(versions)
+            .chain(routes)
+            .chain(endpoints)
+            .chain(services)
+            .chain(workspaces)
+            .chain([policy])
+    }
+
+    /// Returns the number of objects without the policy.
+    pub fn len(&self) -> usize {
+        self.models.len()
+            + self.adapters.len()
+            + self.versions.len()
+            + self.routes.len()
+            + self.endpoints.len()
+            + self.services.len()
+            + self.workspaces.len()
+    }
+
+    /// Returns whether the set has no object other than the policy.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the object with `key`; the policy always exists.
+    pub fn get(&self, key: &ObjectKey) -> Option<Object> {
+        let name = &key.name;
+        match key.kind {
+            Kind::Model => self.models.get(name).cloned().map(Object::Model),
+            Kind::Adapter => self.adapters.get(name).cloned().map(Object::Adapter),
+            Kind::Version => self.versions.get(name).cloned().map(Object::Version),
+            Kind::Route => self.routes.get(name).cloned().map(Object::Route),
+            Kind::Endpoint => self.endpoints.get(name).cloned().map(Object::Endpoint),
+            Kind::Service => self.services.get(name).cloned().map(Object::Service),
+            Kind::Workspace => self.workspaces.get(name).cloned().map(Object::Workspace),
+            Kind::Policy => Some(Object::Policy(Arc::new(self.policy.clone()))),
+        }
+    }
+
+    /// Returns whether an object with this kind and name exists.
+    pub fn contains(&self, kind: Kind, name: &str) -> bool {
+        match kind {
+            Kind::Model => self.models.contains_key(name),
+            Kind::Adapter => self.adapters.contains_key(name),
+            Kind::Version => self.versions.contains_key(name),
+            Kind::Route => self.routes.contains_key(name),
+            Kind::Endpoint => self.endpoints.contains_key(name),
+            Kind::Service => self.services.contains_key(name),
+            Kind::Workspace => self.workspaces.contains_key(name),
+            Kind::Policy => name == POLICY_NAME,
+        }
+    }
+
+    /// Inserts an object in place of the one with the same key.
+    pub fn insert(&mut self, object: Object) {
+        match object {
+            Object::Model(object) => put(&mut self.models, &object.name.clone(), object),
+            Object::Adapter(object) => put(&mut self.adapters, &object.name.clone(), object),
+            Object::Version(object) => put(&mut self.versions, &object.name.clone(), object),
+            Object::Route(object) => put(&mut self.routes, &object.name.clone(), object),
+            Object::Endpoint(object) => put(&mut self.endpoints, &object.name.clone(), object),
+            Object::Service(object) => put(&mut self.services, &object.name.clone(), object),
+            Object::Workspace(object) => put(&mut self.workspaces, &object.name.clone(), object),
+            Object::Policy(object) => self.policy = Arc::unwrap_or_clone(object),
+        }
+    }
+
+    /// Removes the object with `key`; removing the policy restores its default.
+    pub fn remove(&mut self, key: &ObjectKey) {
+        let name = &key.name;
+        match key.kind {
+            Kind::Model => drop(self.models.remove(name)),
+            Kind::Adapter => drop(self.adapters.remove(name)),
+            Kind::Version => drop(self.versions.remove(name)),
+            Kind::Route => drop(self.routes.remove(name)),
+            Kind::Endpoint => drop(self.endpoints.remove(name)),
+            Kind::Service => drop(self.services.remove(name)),
+            Kind::Workspace => drop(self.workspaces.remove(name)),
+            Kind::Policy => self.policy = Policy::default(),
+        }
+    }
+}
+
+fn put<T>(map: &mut BTreeMap<Name, Arc<T>>, name: &Name, object: Arc<T>) {
+    map.insert(name.clone(), object);
+}
--- a/crates/objects/src/kinds.rs
+++ b/crates/objects/src/kinds.rs
@@ -47,6 +47,7 @@
     /// The engine-side identifier.
     pub base: Name,
     /// The context length in tokens, if declared.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub context: Option<u32>,
 }
 
@@ -73,6 +74,7 @@
     /// The digest of the weights, `sha256:` and 64 hex digits.
     pub digest: Name,
     /// Whether no new request may run on it.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub withdrawn: bool,
 }
 
@@ -87,6 +89,7 @@
 
 /// Where a route leads.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum RouteTarget {
     /// Adapter versions of one model, by weight.
     Versions(Vec<WeightedVersion>),
@@ -108,15 +111,19 @@
     /// Where the route leads.
     pub target: RouteTarget,
     /// The priority class.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub priority: Priority,
     /// The deadline of a request.
+    #[serde(rename = "deadline_ms", with = "millis")]
     pub deadline: Duration,
     /// Whether a request may be run more than once.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub repeatable: bool,
 }
 
 /// What an endpoint runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Backend {
     /// An engine with this model.
     Model(Name),
@@ -155,6 +162,7 @@
     /// What the engine does with fencing tokens.
     pub fencing: Fencing,
     /// Whether the endpoint is to receive no new work.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub draining: bool,
 }
 
@@ -164,8 +172,10 @@
     /// The name.
     pub name: Name,
     /// Whether its calls may be run more than once.
+    #[serde(default, skip_serializing_if = "is_false")]
     pub repeatable: bool,
     /// The deadline of a call.
+    #[serde(rename = "deadline_ms", with = "millis")]
     pub deadline: Duration,
 }
 
@@ -180,6 +190,7 @@
     pub inflight: u32,
     /// The digest of the caller's API key, `sha256:` and 64 hex digits; without one no key is
     /// required.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub secret: Option<Name>,
 }
 
@@ -227,3 +238,28 @@
     /// The policy settings.
     pub policy: Policy,
 }
+
+/// Durations in whole milliseconds.
+mod millis {
+    use std::time::Duration;
+
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    pub(super) fn serialize<S: Serializer>(time: &Duration, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u64(time.as_millis() as u64)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+        u64::deserialize(from).map(Duration::from_millis)
+    }
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -6,10 +6,32 @@
 //!
 //! API boundary: processes read objects through [`ObjectSet`]; the TOML form is known only here.
 
+pub mod diff;
+mod fields;
+pub mod finding;
+pub mod ident;
 pub mod kinds;
+pub mod names;
+pub mod parse;
+pub mod resolve;
+pub mod snapshot;
+pub mod validate;
 
 use std::sync::Arc;
 
+pub use diff::Diff;
+pub use diff::diff;
+pub use diff::rebase;
+pub use finding::Code;
+pub use finding::Finding;
+pub use finding::Place;
+pub use finding::Severity;
+pub use finding::Source;
+pub use finding::Sources;
+pub use finding::has_errors;
+pub use ident::Kind;
+pub use ident::Object;
+pub use ident::ObjectKey;
 pub use kinds::Adapter;
 pub use kinds::AdapterVersion;
 pub use kinds::Backend;
@@ -24,6 +46,19 @@
 pub use kinds::Service;
 pub use kinds::WeightedVersion;
 pub use kinds::Workspace;
+pub use parse::Loaded;
+pub use parse::load;
+pub use parse::parse;
+pub use resolve::Resolved;
+pub use resolve::resolve;
+pub use snapshot::Digest;
+pub use snapshot::Manifest;
+pub use snapshot::Snapshot;
+pub use snapshot::SnapshotError;
+pub use snapshot::apply;
+pub use snapshot::changed_buckets;
+pub use validate::validate;
+pub use validate::validate_change;
 
 /// A shared, immutable name of an object.
 pub type Name = Arc<str>;
--- /dev/null
+++ b/crates/objects/tests/arbitrary_text.rs
@@ -0,0 +1,79 @@
+//! Generated input: the parser and the decoders never panic.
+//!
+//! bolero's own engine draws its seeds from the system, so its generators are driven here from
+//! bytes of a seeded generator.
+
+use bolero::TypeGenerator;
+use bolero::generator::bolero_generator::driver::ByteSliceDriver;
+use bolero::generator::bolero_generator::driver::Options;
+use fastrand::Rng;
+use objects::Digest;
+use objects::Manifest;
+use objects::ObjectSet;
+
+const VALID: &str = include_str!("valid.toml");
+const SEED: u64 = 0x0d07_7e4e;
+const CASES: usize = 2_000;
+const BYTES: usize = 512;
+
+fn for_each<T: TypeGenerator>(mut test: impl FnMut(T)) {
+    let mut rng = Rng::with_seed(SEED);
+    let options = Options::default().with_max_len(BYTES);
+    for _ in 0..CASES {
+        let bytes: Vec<u8> = (0..BYTES).map(|_| rng.u8(..)).collect();
+        let mut driver = ByteSliceDriver::new(&bytes[..], &options);
+        if let Some(value) = T::generate(&mut driver) {
+            test(value);
+        }
+    }
+}
+
+#[test]
+fn arbitrary_text_never_panics() {
+    // Guards against a panic on a file that is not TOML at all.
+    let mut lengths = 0;
+    for_each(|text: String| {
+        lengths += text.len();
+        objects::load([("x.toml", &*text)]);
+    });
+    assert!(lengths > CASES, "only {lengths} bytes were generated");
+}
+
+#[test]
+fn mutated_set_never_panics() {
+    // Guards against a panic behind the TOML parser, which arbitrary text hardly passes.
+    let mut rng = Rng::with_seed(SEED);
+    let mut findings = 0;
+    for _ in 0..CASES {
+        let text = mutate(&mut rng);
+        findings += objects::load([("x.toml", &*text)]).findings.len();
+    }
+    assert!(findings > CASES, "only {findings} findings");
+}
+
+#[test]
+fn arbitrary_snapshot_bytes_never_panic() {
+    // Guards against a panic on what a peer or the object store sends.
+    for_each(|bytes: Vec<u8>| {
+        let _ = Manifest::decode(&bytes);
+        let mut manifest = Manifest::empty();
+        manifest.buckets[7] = Digest::of(&bytes);
+        let _ = ObjectSet::from_buckets(&manifest, &[(7, bytes)]);
+    });
+}
+
+/// Replaces, removes or inserts a few characters of the valid set.
+fn mutate(rng: &mut Rng) -> String {
+    const MARKS: &[u8] = b"\"[]{}=\n.@-0z";
+    let mut bytes = VALID.as_bytes().to_vec();
+    for _ in 0..=rng.usize(..4) {
+        let at = rng.usize(..bytes.len());
+        let mark = MARKS[rng.usize(..MARKS.len())];
+        match rng.u8(..3) {
+            0 => bytes[at] = mark,
+            1 => drop(bytes.remove(at)),
+            _ => bytes.insert(at, mark),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- /dev/null
+++ b/crates/objects/tests/parse_errors.rs
@@ -0,0 +1,212 @@
+//! Errors of files and sets: each names file, line, object and fix, and all come at once.
+
+use objects::Code;
+use objects::Loaded;
+use objects::RouteTarget;
+use objects::Severity;
+use objects::load;
+use objects::parse;
+
+const VALID: &str = include_str!("valid.toml");
+
+fn lines(loaded: &Loaded) -> Vec<String> {
+    loaded.findings.iter().map(ToString::to_string).collect()
+}
+
+/// Loads the valid set together with another file.
+fn with(extra: &str) -> Loaded {
+    load([("a.toml", VALID), ("b.toml", extra)])
+}
+
+#[test]
+fn valid_set_has_no_findings() {
+    // Guards against rules that reject what the design page allows.
+    let loaded = load([("a.toml", VALID)]);
+    assert_eq!(lines(&loaded), Vec::<String>::new());
+    assert_eq!(loaded.set.len(), 16);
+    assert_eq!(loaded.set.policy.loads_at_once, 4);
+    let route = &loaded.set.routes["tides"];
+    let RouteTarget::Versions(targets) = &route.target else {
+        panic!("expected targets, found {:?}", route.target);
+    };
+    assert_eq!(targets[1].weight, 10);
+}
+
+#[test]
+fn every_error_is_reported_at_once() {
+    // Guards against a check that stops at the first error, and against wrong lines.
+    let text = "\
+[[model]]
+name = \"Big\"
+base = \"org/base\"
+context = 0
+colour = 1
+
+[[adapter]]
+name = \"adrift\"
+workspace = \"harbor\"
+
+[[route]]
+name = \"tides\"
+workspace = \"nowhere\"
+model = \"base-1\"
+deadline_ms = \"soon\"
+
+[[lighthouse]]
+name = \"x\"
+";
+    let expected = [
+        "b.toml:2: error: model \"Big\": `name` is not valid; use 1 to 128 characters of a-z, \
+         0-9, `-`, `_` and `.`",
+        "b.toml:4: error: model \"Big\": `context` is out of range; use a value from 1 to \
+         100000000",
+        "b.toml:5: error: model \"Big\": unknown field \"colour\"; remove it or use one of: name, \
+         base, context",
+        "b.toml:7: error: adapter \"adrift\": field `model` is missing; add `model = ...`",
+        "b.toml:15: error: route \"tides\": `deadline_ms` has the type string; write a whole \
+         number",
+        "b.toml:17: error: unknown table \"lighthouse\"; use one of: model, adapter, version, \
+         route, endpoint, service, workspace, policy",
+    ];
+    assert_eq!(lines(&with(text)), expected);
+}
+
+#[test]
+fn contradictions_and_dangling_references_are_errors() {
+    // Guards against publishing a set in which a request could reach the wrong adapter or nothing.
+    let text = r#"
+[[route]]
+name = "both"
+workspace = "harbor"
+model = "base-1"
+service = "orders"
+deadline_ms = 10
+[[route]]
+name = "strange"
+workspace = "market"
+targets = [{version = "harbor-tides@v1", weight = 1}, {version = "harbor-tides@v0", weight = 1}]
+deadline_ms = 10
+[[route]]
+name = "mixed"
+workspace = "harbor"
+targets = [{version = "harbor-tides@v1", weight = 1}, {version = "small@v1", weight = 1}]
+deadline_ms = 10
+[[route]]
+name = "zero"
+workspace = "harbor"
+targets = [{version = "harbor-tides@v1", weight = 0}, {version = "harbor-tides@v1", weight = 0}]
+deadline_ms = 10
+[[route]]
+name = "lost"
+workspace = "harbor"
+alias = "absent"
+[[route]]
+name = "loop-a"
+workspace = "harbor"
+alias = "loop-b"
+[[route]]
+name = "loop-b"
+workspace = "harbor"
+alias = "loop-a"
+[[route]]
+name = "strict"
+workspace = "harbor"
+alias = "tides"
+repeatable = true
+[[endpoint]]
+name = "two-faced"
+model = "base-1"
+service = "orders"
+region = "r"
+domain = "d"
+slots = 1
+batch = 1
+queue = 1
+[[version]]
+adapter = "absent"
+version = "v1"
+weights = "w"
+digest = "sha256:00"
+[[adapter]]
+name = "small"
+model = "base-2"
+workspace = "harbor"
+[[version]]
+adapter = "small"
+version = "v1"
+weights = "w"
+digest = "sha256:1111111111111111111111111111111111111111111111111111111111111111"
+[[model]]
+name = "base-1"
+base = "other"
+"#;
+    let loaded = with(text);
+    let found: Vec<_> = loaded
+        .findings
+        .iter()
+        .map(|finding| {
+            let name = finding.object.as_ref().map(|key| key.name.to_string());
+            let line = finding.place.as_ref().map_or(0, |place| place.line);
+            (line, finding.code, name.unwrap_or_default())
+        })
+        .collect();
+    let expected = [
+        (2, Code::Contradiction, "both"),
+        (10, Code::Contradiction, "strange"),
+        (11, Code::Contradiction, "strange"),
+        (16, Code::Contradiction, "mixed"),
+        (21, Code::Range, "zero"),
+        (21, Code::Duplicate, "zero"),
+        (26, Code::Dangling, "lost"),
+        (30, Code::Cycle, "loop-a"),
+        (34, Code::Cycle, "loop-b"),
+        (39, Code::Contradiction, "strict"),
+        (40, Code::Contradiction, "two-faced"),
+        (53, Code::Form, "absent@v1"),
+        (63, Code::Duplicate, "base-1"),
+    ];
+    let mut expected = expected.map(|(line, code, name)| (line, code, name.to_owned()));
+    let mut found = found;
+    found.sort();
+    expected.sort();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn faulty_object_does_not_make_references_dangling() {
+    // Guards against misleading errors that follow from one faulty object or file.
+    let version = "[[version]]\nadapter = \"harbor-tides\"\nversion = \"v9\"\nweights = \"\"\n";
+    let route = "[[route]]\nname = \"r\"\nworkspace = \"harbor\"\ndeadline_ms = 1\n\
+                 targets = [{version = \"harbor-tides@v9\", weight = 1}]\n";
+    let codes = |text: &str| -> Vec<_> { with(text).findings.iter().map(|f| f.code).collect() };
+    assert_eq!(
+        codes(&format!("{route}{version}")),
+        [Code::Missing, Code::Form]
+    );
+    assert_eq!(codes(&format!("{route}{version}x = ")), [Code::Syntax]);
+}
+
+#[test]
+fn unserved_model_is_only_a_warning() {
+    // Guards against a model that cannot be prepared before its endpoints exist.
+    let loaded = with(
+        "[[model]]\nname = \"next\"\nbase = \"n\"\n\
+         [[adapter]]\nname = \"early\"\nmodel = \"next\"\nworkspace = \"harbor\"\n",
+    );
+    let found: Vec<_> = loaded
+        .findings
+        .iter()
+        .map(|f| (f.severity, f.code))
+        .collect();
+    assert_eq!(found, [(Severity::Warning, Code::Unserved)]);
+    assert!(!objects::has_errors(&loaded.findings));
+}
+
+#[test]
+fn syntax_error_names_its_line() {
+    // Guards against a syntax error that points at the wrong line or hides the file.
+    let parsed = parse("dir/x.toml", "[[model]]\nname = \"a\"\nbase = \n");
+    let lines: Vec<_> = parsed.findings.iter().map(ToString::to_string).collect();
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].starts_with("dir/x.toml:3: error: "), "{lines:?}");
+}
--- /dev/null
+++ b/crates/objects/tests/set_changes.rs
@@ -0,0 +1,111 @@
+//! Diff, rebase and resolution of routes.
+
+use std::time::Duration;
+
+use objects::Kind;
+use objects::ObjectKey;
+use objects::ObjectSet;
+use objects::Priority;
+use objects::diff;
+use objects::load;
+use objects::rebase;
+use objects::resolve;
+use objects::resolve::ResolveError;
+
+const VALID: &str = include_str!("valid.toml");
+
+/// Loads the valid set with replacements in its text.
+fn edited(edits: &[(&str, &str)]) -> ObjectSet {
+    let mut text = VALID.to_owned();
+    for (from, to) in edits {
+        assert!(text.contains(from), "{from} is not in the set");
+        text = text.replace(from, to);
+    }
+    load([("a.toml", &*text)]).set
+}
+
+#[test]
+fn diff_lists_objects_by_kind_and_name() {
+    // Guards against an edit that an operator does not see before publishing.
+    let old = edited(&[]);
+    let new = edited(&[
+        ("\"runner-2\"", "\"runner-3\""),
+        ("rate = 50", "rate = 51"),
+        ("stall_weight = 0.7", "stall_weight = 0.2"),
+    ]);
+    let found = diff(&old, &new);
+    assert_eq!(found.added, [ObjectKey::new(Kind::Endpoint, "runner-3")]);
+    assert_eq!(found.removed, [ObjectKey::new(Kind::Endpoint, "runner-2")]);
+    let changed = [
+        ObjectKey::new(Kind::Workspace, "harbor"),
+        ObjectKey::new(Kind::Policy, "policy"),
+    ];
+    assert_eq!(found.changed, changed);
+    assert!(diff(&old, &edited(&[])).is_empty());
+}
+
+#[test]
+fn rebase_keeps_the_edits_of_both_sides() {
+    // Guards against a rebase that reverts what another operator published in between.
+    let base = edited(&[]);
+    let ours = edited(&[("rate = 50", "rate = 51"), ("\"runner-2\"", "\"runner-3\"")]);
+    let theirs = edited(&[
+        ("rate = 2.5", "rate = 9"),
+        ("inflight = 200", "inflight = 200"),
+    ]);
+    let both = edited(&[
+        ("rate = 50", "rate = 51"),
+        ("\"runner-2\"", "\"runner-3\""),
+        ("rate = 2.5", "rate = 9"),
+    ]);
+    assert_eq!(rebase(&base, &ours, &theirs), Ok(both));
+    // The same edit on both sides is no conflict.
+    assert_eq!(rebase(&base, &ours, &ours), Ok(ours.clone()));
+}
+
+#[test]
+fn rebase_lists_what_both_sides_changed() {
+    // Guards against a silent choice between two different edits, one of which may be a removal.
+    let base = edited(&[]);
+    let ours = edited(&[("rate = 50", "rate = 51"), ("\"runner-2\"", "\"runner-3\"")]);
+    let theirs = edited(&[
+        ("rate = 50", "rate = 52"),
+        (
+            "name = \"runner-2\"\nmodel = \"base-2\"",
+            "name = \"runner-2\"\nmodel = \"base-1\"",
+        ),
+    ]);
+    let overlap = [
+        ObjectKey::new(Kind::Endpoint, "runner-2"),
+        ObjectKey::new(Kind::Workspace, "harbor"),
+    ];
+    assert_eq!(rebase(&base, &ours, &theirs), Err(overlap.to_vec()));
+}
+
+#[test]
+fn published_weights_keep_their_digest() {
+    // Guards against `exact-adapter` broken by an engine that still holds the old weights.
+    let base = edited(&[]);
+    let set = edited(&[("sha256:1111", "sha256:4444")]);
+    let found = objects::validate_change(&base, &set, &Default::default());
+    assert_eq!(found.len(), 1);
+    assert_eq!(
+        found[0].object,
+        Some(ObjectKey::new(Kind::Version, "harbor-tides@v1"))
+    );
+}
+
+#[test]
+fn alias_takes_the_settings_of_its_target() {
+    // Guards against an alias that makes a booking repeatable or changes its deadline.
+    let set = edited(&[("alias = \"tides\"", "alias = \"order\"")]);
+    let order = resolve(&set, "tides-latest").unwrap();
+    assert_eq!(&*order.route.name, "order");
+    assert_eq!(order.priority, Priority::Booking);
+    assert_eq!(order.deadline, Duration::from_secs(3));
+    assert!(!order.repeatable);
+    let tides = edited(&[]);
+    assert!(resolve(&tides, "tides-latest").unwrap().repeatable);
+    let missing = ResolveError::Missing("absent".into());
+    assert_eq!(resolve(&set, "absent"), Err(missing));
+}
