Add configuration adoption and the membership view

Cause: every process must move to newer generations only, also when it restarts while storage is down, and must not read the table in proportion to the fleet. Before: no adoption. Conclusion: the shells only have to carry out the returned actions.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,9 +7,11 @@
 //! API boundary: the processes, the tests and the measuring tools all drive these modules through
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
+pub mod adopt;
 pub mod collections;
 pub mod ids;
 pub mod job;
+pub mod member;
 pub mod permit;
 pub mod report;
 pub mod time;
--- a/crates/edges/src/members.rs
+++ b/crates/edges/src/members.rs
@@ -1,64 +1,15 @@
 //! The platform's instance membership list.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use decision::member::Changes;
+pub use decision::member::Instance;
+pub use decision::member::Liveness;
+pub use decision::member::Role;
 use futures::future::BoxFuture;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::EdgeResult;
 
-/// What an instance runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Role {
-    /// An entry.
-    Entry,
-    /// An agent beside an endpoint.
-    Agent,
-}
-
-/// The state of an instance in the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Liveness {
-    /// The instance is live.
-    Live,
-    /// The instance is leaving.
-    Leaving,
-}
-
-/// One instance of the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Instance {
-    /// The name of the instance; an agent's is the name of its endpoint.
-    pub name: String,
-    /// The role.
-    pub role: Role,
-    /// The state.
-    pub state: Liveness,
-    /// The peer address.
-    pub peer: SocketAddr,
-    /// The region.
-    pub region: String,
-    /// The failure domain.
-    pub domain: String,
-}
-
-/// The changes of the list since a version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Changes {
-    /// The version after these changes.
-    pub version: u64,
-    /// Whether `changed` is the whole list rather than a difference.
-    pub whole: bool,
-    /// New and changed instances.
-    pub changed: Vec<Instance>,
-    /// Names of instances that are gone.
-    pub gone: Vec<String>,
-}
-
 /// The membership list.
 pub trait Members: Send + Sync {
     /// Returns the changes since version `since`; 0 asks for the whole list.
