Tell the head handler which peer a head came from

Cause: a process that hears of a newer head while the object store is down has to fetch the blobs from the peer that has them, and the handler did not know it. Before: no sender.

--- a/crates/decision/src/adopt.rs
+++ b/crates/decision/src/adopt.rs
@@ -40,6 +40,8 @@
     Table,
     /// A peer, which also holds the blobs.
     Peer(SocketAddr),
+    /// A message whose sender's address is not known.
+    Message,
 }
 
 /// A peer that may be asked for its head.
@@ -116,6 +118,7 @@
     pub fn heard(&mut self, head: &Head, source: Source, peers: &[PeerAddr<'_>]) {
         match source {
             Source::Table => self.table = true,
+            Source::Message => {}
             Source::Peer(addr) => {
                 if let Some(peer) = peers.iter().find(|peer| peer.addr == addr) {
                     self.answers.insert(addr, peer.domain.to_owned());
@@ -151,7 +154,7 @@
         newer
     }
 
-    /// Takes note that a fetch failed; the next one asks the table's side, the object store.
+    /// Takes note that a fetch failed; the next one prefers the object store.
     pub fn fetch_failed(&mut self, now: Time) {
         self.fetching = false;
         self.paused = now.after(FETCH_PAUSE);
--- a/crates/wire/src/handler.rs
+++ b/crates/wire/src/handler.rs
@@ -48,8 +48,8 @@
 ///
 /// The synchronous calls run on an RPC thread and must not block.
 pub trait Handler: Send + Sync + 'static {
-    /// Takes note of the peer's head and returns the head in force here.
-    fn head(&self, head: Head) -> Head;
+    /// Takes note of the head of the peer named `from` and returns the head in force here.
+    fn head(&self, from: &str, head: Head) -> Head;
 
     /// Returns the manifest or bucket with this digest, if it is held.
     fn blob(&self, digest: &str) -> Option<Bytes>;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -149,20 +149,21 @@
         mut results: peer::HelloResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
+        let name = params.get_name()?.to_string()?;
         if !bool::from(params.get_secret()?.ct_eq(&self.shared.secret)) {
-            let name = params.get_name()?.to_string()?;
             warn!("peer refused: wrong secret", kv: { peer = name.as_str() });
             return Err(capnp::Error::failed("wrong secret".to_owned()));
         }
         let handler = self.shared.handler.clone();
         results
             .get()
-            .set_session(capnp_rpc::new_client(SessionServer { handler }));
+            .set_session(capnp_rpc::new_client(SessionServer { name, handler }));
         Ok(())
     }
 }
 
 struct SessionServer {
+    name: String,
     handler: Arc<dyn Handler>,
 }
 
@@ -173,7 +174,7 @@
         mut results: session::HeadResults,
     ) -> capnp::Result<()> {
         let theirs = codec::read_head(params.get()?.get_head()?)?;
-        let ours = self.handler.head(theirs);
+        let ours = self.handler.head(&self.name, theirs);
         codec::write_head(results.get().init_head(), &ours);
         Ok(())
     }
--- a/crates/wire/tests/peer_calls.rs
+++ b/crates/wire/tests/peer_calls.rs
@@ -44,7 +44,8 @@
 }
 
 impl Handler for Recorder {
-    fn head(&self, head: Head) -> Head {
+    fn head(&self, from: &str, head: Head) -> Head {
+        assert_eq!(from, "entry-1");
         Head {
             generation: head.generation + 1,
             digest: "sha256:aa".to_owned(),
