--- /dev/null
+++ b/crates/edges/src/http.rs
@@ -0,0 +1,331 @@
+//! The pooled HTTP client that all edges share.
+
+use std::error::Error as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::TryStreamExt;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::capture_connection;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::EdgeError;
+use crate::EdgeResult;
+use crate::Fault;
+use crate::engine::Answer;
+
+/// Common HTTP servers close idle connections after 5 s. A request written to a connection at that
+/// moment ends as `NoAnswer`, so the client drops idle connections earlier.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Idle connections kept per peer.
+const IDLE_CONNECTIONS: usize = 128;
+
+/// Characters of an error body that an error message quotes.
+const QUOTED_CHARS: usize = 256;
+
+/// The bytes that stay as they are in a path segment or a query value.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~');
+
+/// Encodes `text` as one segment of a path or one value of a query; `/` is encoded as well.
+pub fn segment(text: &str) -> String {
+    utf8_percent_encode(text, SEGMENT).to_string()
+}
+
+/// One HTTP request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The step that errors name, for example `load adapter`.
+    pub step: &'static str,
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// Headers beside those that HTTP itself needs.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body; empty for none.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Returns a `GET` request.
+    pub fn get(step: &'static str, path: impl Into<String>) -> Call {
+        Call {
+            step,
+            method: Method::GET,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Returns a `POST` request with a JSON body.
+    pub fn post(step: &'static str, path: impl Into<String>, body: Bytes) -> Call {
+        Call {
+            step,
+            method: Method::POST,
+            path: path.into(),
+            headers: vec![("content-type", "application/json".into())],
+            body,
+        }
+    }
+}
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Returns what a status that is no success means to the caller.
+    ///
+    /// A server error other than 503 says nothing about the effect of the request, so it counts as
+    /// an answer that was not understood.
+    pub fn fault(&self) -> Fault {
+        match self.status {
+            StatusCode::NOT_FOUND => Fault::NotFound,
+            StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED => Fault::Conflict,
+            StatusCode::SERVICE_UNAVAILABLE => Fault::Unavailable,
+            status if status.is_client_error() => Fault::Refused {
+                status: status.as_u16(),
+                message: quote(&self.body),
+            },
+            status => Fault::Malformed(format!("status {status}: {}", quote(&self.body))),
+        }
+    }
+}
+
+/// A client of one peer with its own connection pool. Clones share the pool.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    peer: SocketAddr,
+}
+
+impl Client {
+    /// Creates a client of the peer at `addr`; connections are opened on demand.
+    pub fn new(addr: SocketAddr) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .build(connector);
+        Client { inner, peer: addr }
+    }
+
+    /// Returns an error of this peer.
+    pub fn error(&self, step: &'static str, fault: Fault) -> EdgeError {
+        EdgeError {
+            step,
+            peer: self.peer.to_string(),
+            fault,
+        }
+    }
+
+    /// Sends a request and reads the whole response, at most `limit` bytes.
+    pub async fn exchange(&self, call: Call, limit: usize, timeout: Duration) -> EdgeResult<Reply> {
+        let step = call.step;
+        let deadline = Instant::now() + timeout;
+        let response = self.send(call, deadline).await?;
+        let status = response.status();
+        let collect = Limited::new(response.into_body(), limit).collect();
+        let body = match timeout_at(deadline, collect).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                let text = format!("answer exceeds {limit} bytes");
+                return Err(self.error(step, Fault::Malformed(text)));
+            }
+            Ok(Err(_)) | Err(_) => return Err(self.error(step, Fault::NoAnswer)),
+        };
+        Ok(Reply { status, body })
+    }
+
+    /// Sends a request and decodes the JSON body of a successful response; any other status is an
+    /// error as [`Reply::fault`] defines.
+    pub async fn fetch<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        limit: usize,
+        timeout: Duration,
+    ) -> EdgeResult<T> {
+        let step = call.step;
+        let reply = self.exchange(call, limit, timeout).await?;
+        self.decode(step, &reply)
+    }
+
+    /// Sends a request whose successful response has no content of interest.
+    pub async fn order(&self, call: Call, limit: usize, timeout: Duration) -> EdgeResult<()> {
+        let step = call.step;
+        let reply = self.exchange(call, limit, timeout).await?;
+        if !reply.status.is_success() {
+            return Err(self.error(step, reply.fault()));
+        }
+        Ok(())
+    }
+
+    /// Decodes the JSON body of a successful response.
+    pub fn decode<T: DeserializeOwned>(&self, step: &'static str, reply: &Reply) -> EdgeResult<T> {
+        if !reply.status.is_success() {
+            return Err(self.error(step, reply.fault()));
+        }
+        self.parse(step, reply)
+    }
+
+    /// Decodes the JSON body of a response of any status.
+    pub fn parse<T: DeserializeOwned>(&self, step: &'static str, reply: &Reply) -> EdgeResult<T> {
+        serde_json::from_slice(&reply.body)
+            .map_err(|e| self.error(step, Fault::Malformed(e.to_string())))
+    }
+
+    /// Sends a request and returns once the head of the response has arrived. The body has no
+    /// timeout and no limit; dropping it closes the connection.
+    pub async fn open(&self, call: Call, timeout: Duration) -> EdgeResult<Answer> {
+        let step = call.step;
+        let response = self.send(call, Instant::now() + timeout).await?;
+        let status = response.status().as_u16();
+        let content = response.headers().get(header::CONTENT_TYPE);
+        let content = content
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let client = self.clone();
+        let body = response.into_body().into_data_stream();
+        let body = body
+            .map_err(move |_| client.error(step, Fault::NoAnswer))
+            .boxed();
+        Ok(Answer {
+            status,
+            content,
+            body,
+        })
+    }
+
+    /// Reads the body of an answer that is an error, at most `limit` bytes, and returns its fault.
+    pub async fn refusal(&self, answer: Answer, limit: usize, timeout: Duration) -> Fault {
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut text = Vec::new();
+        let mut body = answer.body;
+        let deadline = Instant::now() + timeout;
+        // The status alone decides what the answer means, so a body that breaks off is no error.
+        while let Ok(Some(Ok(piece))) = timeout_at(deadline, body.next()).await {
+            text.extend_from_slice(&piece);
+            if text.len() >= limit {
+                break;
+            }
+        }
+        Reply {
+            status,
+            body: text.into(),
+        }
+        .fault()
+    }
+
+    /// Sends a request and returns the response once its head has arrived.
+    async fn send(&self, call: Call, deadline: Instant) -> EdgeResult<Response<Incoming>> {
+        let step = call.step;
+        let mut request = self.request(call)?;
+        let connection = capture_connection(&mut request);
+        let response = match timeout_at(deadline, self.inner.request(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(e)) if is_unsent(&e) => return Err(self.error(step, Fault::NotSent)),
+            Ok(Err(_)) => return Err(self.error(step, Fault::NoAnswer)),
+            Err(_) => {
+                // A request is written only after a connection was assigned to it.
+                let assigned = connection.connection_metadata().is_some();
+                let fault = if assigned {
+                    Fault::NoAnswer
+                } else {
+                    Fault::NotSent
+                };
+                return Err(self.error(step, fault));
+            }
+        };
+        if !is_framed(&response) {
+            let text = "answer body without a length".to_owned();
+            return Err(self.error(step, Fault::Malformed(text)));
+        }
+        Ok(response)
+    }
+
+    fn request(&self, call: Call) -> EdgeResult<Request<Full<Bytes>>> {
+        let uri = format!("http://{}{}", self.peer, call.path);
+        let mut builder = Request::builder().method(call.method).uri(uri);
+        for (name, value) in &call.headers {
+            builder = builder.header(*name, value);
+        }
+        // A header or path that HTTP cannot carry.
+        builder
+            .body(Full::new(call.body))
+            .map_err(|_| self.error(call.step, Fault::NotSent))
+    }
+}
+
+/// Encodes a value as JSON.
+pub(crate) fn json(value: &impl Serialize) -> Bytes {
+    serde_json::to_vec(value)
+        .expect("values of edges have string keys")
+        .into()
+}
+
+/// Returns whether hyper gave up before it wrote any part of the request: no connection could be
+/// opened, or the connection closed while the request still waited for it.
+fn is_unsent(error: &legacy::Error) -> bool {
+    let source = error
+        .source()
+        .and_then(|e| e.downcast_ref::<hyper::Error>());
+    error.is_connect() || source.is_some_and(hyper::Error::is_canceled)
+}
+
+/// Returns whether the body has a length or is chunked. Without either, a broken connection looks
+/// like the end of the body.
+fn is_framed(response: &Response<Incoming>) -> bool {
+    if response.body().size_hint().exact().is_some() {
+        return true;
+    }
+    let encoding = response
+        .headers()
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let encoding = encoding.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    encoding.trim().to_ascii_lowercase().ends_with("chunked")
+}
+
+fn quote(body: &[u8]) -> String {
+    String::from_utf8_lossy(body)
+        .chars()
+        .take(QUOTED_CHARS)
+        .collect()
+}
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod engine;
 pub mod error;
+pub mod http;
 pub mod members;
 pub mod service;
 pub mod store;
--- a/crates/edges/src/members.rs
+++ b/crates/edges/src/members.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::future::BoxFuture;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::EdgeResult;
+use crate::http::Call;
+use crate::http::Client;
 
 /// What an instance runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -64,3 +67,29 @@
     /// Returns the changes since version `since`; 0 asks for the whole list.
     fn changes(&self, since: u64, timeout: Duration) -> BoxFuture<'_, EdgeResult<Changes>>;
 }
+
+/// The largest list, in bytes.
+const LIST_LIMIT: usize = 16 << 20;
+
+/// The client of a membership list that speaks JSON over HTTP: `GET /instances?since=V` returns
+/// [`Changes`].
+#[derive(Clone, Debug)]
+pub struct HttpMembers {
+    client: Client,
+}
+
+impl HttpMembers {
+    /// Creates a client of the membership list at `addr`.
+    pub fn new(addr: SocketAddr) -> HttpMembers {
+        HttpMembers {
+            client: Client::new(addr),
+        }
+    }
+}
+
+impl Members for HttpMembers {
+    fn changes(&self, since: u64, timeout: Duration) -> BoxFuture<'_, EdgeResult<Changes>> {
+        let call = Call::get("read membership", format!("/instances?since={since}"));
+        self.client.fetch(call, LIST_LIMIT, timeout).boxed()
+    }
+}
