Add slot table, queue, ledger, permit, lease and drain decisions

Cause: the agent and the policy simulator need these decisions as pure modules. Before: only the permit messages.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -8,8 +8,13 @@
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
 pub mod collections;
+pub mod drain;
 pub mod ids;
 pub mod job;
+pub mod lease;
+pub mod ledger;
 pub mod permit;
+pub mod queue;
 pub mod report;
+pub mod slots;
 pub mod time;
