Combine the agent's decisions in one state machine

Cause: a process, a test and the policy simulator drive the same decisions. Before: separate modules. Conclusion: the simulator can be written against it; tests follow.

--- a/crates/decision/src/lease.rs
+++ b/crates/decision/src/lease.rs
@@ -110,6 +110,8 @@
     paused: Option<Time>,
     /// The number of tries to release the lease, once that started.
     release: Option<u32>,
+    /// The highest token seen; a row that was deleted does not start again at 1.
+    highest: u64,
 }
 
 impl Lease {
@@ -126,6 +128,7 @@
             ticked: None,
             paused: None,
             release: None,
+            highest: 0,
         }
     }
 
@@ -251,6 +254,7 @@
             self.open(now, 0, 0, false);
             return;
         };
+        self.highest = self.highest.max(row.token);
         if row.released {
             self.open(now, version, row.token, false);
         } else if row.holder == self.own {
@@ -260,8 +264,9 @@
         }
     }
 
-    /// Lets the next call take the row. A row that was ours and is not any more is lost first.
+    /// Lets the next call take the row.
     fn open(&mut self, now: Time, version: u64, token: u64, seized: bool) {
+        let token = token.max(self.highest);
         self.stage = Stage::Open { version, token };
         self.seized = seized;
         self.due = now;
@@ -303,6 +308,7 @@
             self.stage = Stage::Unread;
             return;
         }
+        self.highest = self.highest.max(row.token);
         let from = match self.held() {
             Some(held) => held.from,
             None => self.first_command(now),
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,6 +7,7 @@
 //! API boundary: the processes, the tests and the measuring tools all drive these modules through
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
+pub mod agent;
 pub mod collections;
 pub mod drain;
 pub mod ids;
--- a/crates/decision/src/permit.rs
+++ b/crates/decision/src/permit.rs
@@ -344,6 +344,14 @@
         }
     }
 
+    /// Returns the permit, if it was granted and not used so far.
+    pub fn granted(&self) -> Option<(Name, u64)> {
+        match self.state {
+            AskState::Granted(id) => Some((self.order[self.place].clone(), id)),
+            _ => None,
+        }
+    }
+
     fn next_coordinator(&mut self, now: Time) {
         self.place += 1;
         self.state = AskState::Due(now);
