--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -8,10 +8,16 @@
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
 pub mod adopt;
+pub mod agent;
 pub mod collections;
+pub mod drain;
 pub mod ids;
 pub mod job;
+pub mod lease;
+pub mod ledger;
 pub mod member;
 pub mod permit;
+pub mod queue;
 pub mod report;
+pub mod slots;
 pub mod time;
