--- /dev/null
+++ b/crates/bench/benches/pick.rs
@@ -0,0 +1,263 @@
+//! The time of one routing decision: resolve, pick and finish.
+
+#![allow(
+    missing_docs,
+    reason = "criterion's macros generate undocumented items"
+)]
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use decision::collections::Map;
+use decision::ids::Head;
+use decision::ids::Incarnation;
+use decision::ids::Name;
+use decision::ids::RequestId;
+use decision::job::Target;
+use decision::place::Finish;
+use decision::place::Live;
+use decision::place::Places;
+use decision::place::Tuning;
+use decision::place::Want;
+use decision::report::Report;
+use decision::route::RouteTable;
+use decision::time::Time;
+use objects::Adapter;
+use objects::AdapterVersion;
+use objects::Backend;
+use objects::Endpoint;
+use objects::Fencing;
+use objects::Model;
+use objects::ObjectSet;
+use objects::Priority;
+use objects::Route;
+use objects::RouteTarget;
+use objects::WeightedVersion;
+use objects::Workspace;
+
+/// Adapter slots per endpoint.
+const SLOTS: usize = 8;
+/// Requests in flight at any time.
+const INFLIGHT: usize = 256;
+/// Endpoints and adapters of each case.
+const SIZES: [(usize, usize); 6] = [
+    (14, 3_000),
+    (120, 3_000),
+    (1_200, 3_000),
+    (14, 26_000),
+    (120, 26_000),
+    (1_200, 26_000),
+];
+
+/// Returns a set of one model; every endpoint is in one region with four failure domains.
+fn build_set(endpoints: usize, adapters: usize) -> ObjectSet {
+    let mut set = ObjectSet::default();
+    let model = Model {
+        name: "m".into(),
+        base: "base".into(),
+        context: None,
+    };
+    set.models.insert("m".into(), Arc::new(model));
+    let workspace = Workspace {
+        name: "w".into(),
+        rate: 1e9,
+        inflight: u32::MAX,
+        secret: None,
+    };
+    set.workspaces.insert("w".into(), Arc::new(workspace));
+    for index in 0..endpoints {
+        let name: Name = format!("endpoint-{index}").into();
+        let endpoint = Endpoint {
+            name: name.clone(),
+            backend: Backend::Model("m".into()),
+            region: "r".into(),
+            domain: format!("d{}", index % 4).into(),
+            slots: SLOTS as u32,
+            batch: 16,
+            queue: 64,
+            fencing: Fencing::Checked,
+            draining: false,
+        };
+        set.endpoints.insert(name, Arc::new(endpoint));
+    }
+    for index in 0..adapters {
+        add_adapter(&mut set, index);
+    }
+    set
+}
+
+fn add_adapter(set: &mut ObjectSet, index: usize) {
+    let name: Name = format!("adapter-{index}").into();
+    let full: Name = format!("{name}@1").into();
+    let adapter = Adapter {
+        name: name.clone(),
+        model: "m".into(),
+        workspace: "w".into(),
+    };
+    let version = AdapterVersion {
+        name: full.clone(),
+        adapter: name.clone(),
+        weights: name.clone(),
+        digest: "sha256:00".into(),
+        withdrawn: false,
+    };
+    let target = WeightedVersion {
+        version: full.clone(),
+        weight: 1,
+    };
+    let route = Route {
+        name: name.clone(),
+        workspace: "w".into(),
+        target: RouteTarget::Versions(vec![target]),
+        priority: Priority::Interactive,
+        deadline: Duration::from_secs(30),
+        repeatable: true,
+    };
+    set.adapters.insert(name.clone(), Arc::new(adapter));
+    set.versions.insert(full, Arc::new(version));
+    set.routes.insert(name, Arc::new(route));
+}
+
+struct Fixture {
+    table: RouteTable,
+    places: Places,
+    names: Vec<Name>,
+    rng: fastrand::Rng,
+    now: Time,
+    inflight: std::collections::VecDeque<decision::place::Pick>,
+}
+
+impl Fixture {
+    fn new(endpoints: usize, adapters: usize) -> Self {
+        let set = build_set(endpoints, adapters);
+        let mut places = Places::new("r".into(), "d0".into(), Tuning::default());
+        let live: Map<Name, Live> = set
+            .endpoints
+            .keys()
+            .map(|name| (name.clone(), Live::Live))
+            .collect();
+        places.adopt(&set, &live);
+        let mut fixture = Fixture {
+            table: RouteTable::build(Head::default(), &set),
+            places,
+            names: set.adapters.keys().cloned().collect(),
+            rng: fastrand::Rng::with_seed(7),
+            now: Time::from_ms(1),
+            inflight: std::collections::VecDeque::new(),
+        };
+        fixture.fill();
+        fixture
+    }
+
+    /// Ranks all homes and makes each version resident at its first home, then evicts down to the
+    /// slots, as after a long run.
+    fn fill(&mut self) {
+        let mut resident: Map<Name, Vec<Name>> = Map::default();
+        let pool = decision::route::Pool::Model("m".into());
+        for name in &self.names {
+            let version: Name = format!("{name}@1").into();
+            let homes = self.places.homes(&pool, &version);
+            let home = self.places.view(homes[0]).object.name.clone();
+            let list = resident.entry(home).or_default();
+            if list.len() < SLOTS {
+                list.push(version);
+            }
+        }
+        for (endpoint, resident) in resident {
+            let report = Report {
+                endpoint,
+                incarnation: Incarnation(1),
+                seq: 1,
+                generation: 1,
+                running: 10,
+                batch: 16,
+                queued: 1,
+                stalled: 1,
+                slots: SLOTS as u32,
+                idle: 2,
+                service_ms: 1_500,
+                load_ms: 300,
+                resident,
+                loading: Vec::new(),
+                draining: false,
+                ready: true,
+            };
+            self.places.report(self.now, &report);
+        }
+    }
+
+    /// Resolves and picks for a skewed choice of adapter; the oldest request in flight finishes.
+    fn step(&mut self) {
+        self.now = self.now.after(Duration::from_micros(50));
+        let skew = self.rng.f64().powi(4);
+        let index = (skew * self.names.len() as f64) as usize;
+        let name = &self.names[index];
+        let resolved = self.table.resolve("w", name, "conversation").unwrap();
+        let Target::Version { name: version, .. } = &resolved.choice.target else {
+            return;
+        };
+        let want = Want {
+            request: RequestId(1),
+            pool: &resolved.choice.pool,
+            version: Some(version),
+            prefix: 0,
+            tried: &[],
+            repeatable: true,
+        };
+        let pick = self.places.pick(self.now, &mut self.rng, &want).unwrap();
+        self.inflight.push_back(black_box(pick));
+        if self.inflight.len() <= INFLIGHT {
+            return;
+        }
+        let Some(old) = self.inflight.pop_front() else {
+            return;
+        };
+        let end = Finish::Good(Duration::from_millis(20));
+        self.places.finish(self.now, &mut self.rng, &old, end);
+    }
+}
+
+fn bench_pick(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("pick");
+    group.sample_size(30);
+    group.warm_up_time(Duration::from_millis(500));
+    group.measurement_time(Duration::from_secs(2));
+    for (endpoints, adapters) in SIZES {
+        let id = BenchmarkId::new(
+            format!("{endpoints} endpoints"),
+            format!("{adapters} adapters"),
+        );
+        let mut fixture = Fixture::new(endpoints, adapters);
+        group.bench_function(id, |bencher| bencher.iter(|| fixture.step()));
+    }
+    group.finish();
+}
+
+/// The first pick of a version after the membership changed, which ranks its homes anew.
+fn bench_rank(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("rank");
+    group.sample_size(30);
+    group.warm_up_time(Duration::from_millis(500));
+    group.measurement_time(Duration::from_secs(1));
+    for endpoints in [14, 120, 1_200] {
+        let mut fixture = Fixture::new(endpoints, 1);
+        let pool = decision::route::Pool::Model("m".into());
+        let mut index = 0_u32;
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |bencher| {
+            bencher.iter(|| {
+                index = (index + 1) % 50_000;
+                let version: Name = format!("{index}").into();
+                fixture.places.homes(&pool, &version)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bench_pick, bench_rank);
+criterion_main!(benches);
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -8,8 +8,12 @@
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
 pub mod collections;
+pub mod hash;
+pub mod health;
 pub mod ids;
 pub mod job;
 pub mod permit;
+pub mod place;
 pub mod report;
+pub mod route;
 pub mod time;
