--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,9 +7,21 @@
 //! API boundary: the processes, the tests and the measuring tools all drive these modules through
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
+pub mod adopt;
+pub mod agent;
 pub mod collections;
+pub mod drain;
+pub mod hash;
+pub mod health;
 pub mod ids;
 pub mod job;
+pub mod lease;
+pub mod ledger;
+pub mod member;
 pub mod permit;
+pub mod place;
+pub mod queue;
 pub mod report;
+pub mod route;
+pub mod slots;
 pub mod time;
--- a/crates/edges/src/members.rs
+++ b/crates/edges/src/members.rs
@@ -3,64 +3,45 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use decision::member::Changes;
+pub use decision::member::Instance;
+pub use decision::member::Liveness;
+pub use decision::member::Role;
+use futures::FutureExt;
 use futures::future::BoxFuture;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::EdgeResult;
+use crate::http::Call;
+use crate::http::Client;
 
-/// What an instance runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Role {
-    /// An entry.
-    Entry,
-    /// An agent beside an endpoint.
-    Agent,
+/// The membership list.
+pub trait Members: Send + Sync {
+    /// Returns the changes since version `since`; 0 asks for the whole list.
+    fn changes(&self, since: u64, timeout: Duration) -> BoxFuture<'_, EdgeResult<Changes>>;
 }
 
-/// The state of an instance in the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Liveness {
-    /// The instance is live.
-    Live,
-    /// The instance is leaving.
-    Leaving,
-}
+/// The largest list, in bytes.
+const LIST_LIMIT: usize = 16 << 20;
 
-/// One instance of the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Instance {
-    /// The name of the instance; an agent's is the name of its endpoint.
-    pub name: String,
-    /// The role.
-    pub role: Role,
-    /// The state.
-    pub state: Liveness,
-    /// The peer address.
-    pub peer: SocketAddr,
-    /// The region.
-    pub region: String,
-    /// The failure domain.
-    pub domain: String,
+/// The client of a membership list that speaks JSON over HTTP: `GET /instances?since=V` returns
+/// [`Changes`].
+#[derive(Clone, Debug)]
+pub struct HttpMembers {
+    client: Client,
 }
 
-/// The changes of the list since a version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Changes {
-    /// The version after these changes.
-    pub version: u64,
-    /// Whether `changed` is the whole list rather than a difference.
-    pub whole: bool,
-    /// New and changed instances.
-    pub changed: Vec<Instance>,
-    /// Names of instances that are gone.
-    pub gone: Vec<String>,
+impl HttpMembers {
+    /// Creates a client of the membership list at `addr`.
+    pub fn new(addr: SocketAddr) -> HttpMembers {
+        HttpMembers {
+            client: Client::new(addr),
+        }
+    }
 }
 
-/// The membership list.
-pub trait Members: Send + Sync {
-    /// Returns the changes since version `since`; 0 asks for the whole list.
-    fn changes(&self, since: u64, timeout: Duration) -> BoxFuture<'_, EdgeResult<Changes>>;
+impl Members for HttpMembers {
+    fn changes(&self, since: u64, timeout: Duration) -> BoxFuture<'_, EdgeResult<Changes>> {
+        let call = Call::get("read membership", format!("/instances?since={since}"));
+        self.client.fetch(call, LIST_LIMIT, timeout).boxed()
+    }
 }
