--- /dev/null
+++ b/crates/process/src/ops.rs
@@ -0,0 +1,130 @@
+//! The HTTP endpoint for operators' tools: metrics, health, readiness and state dump.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use viz::IntoResponse;
+use viz::Request;
+use viz::Response;
+use viz::Router;
+use viz::StatusCode;
+
+/// What the endpoint shows.
+pub struct OpsState {
+    /// The metrics.
+    pub registry: Registry,
+    /// Whether the process can serve; `Err` says what it waits for.
+    pub ready: Box<dyn Fn() -> Result<(), String> + Send + Sync>,
+    /// Returns the state as JSON.
+    pub dump: Box<dyn Fn() -> String + Send + Sync>,
+    /// The secret that a caller of `/dump` sends as a bearer token.
+    pub secret: String,
+}
+
+/// The running endpoint.
+pub struct Ops {
+    addr: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<std::io::Result<()>>,
+}
+
+impl Ops {
+    /// Binds `addr` and serves `state`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(addr: SocketAddr, state: OpsState) -> std::io::Result<Ops> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let (stop, mut stopped) = watch::channel(false);
+        let signal = async move {
+            let _ = stopped.wait_for(|stop| *stop).await;
+        };
+        let server = viz::serve(listener, router(Arc::new(state))).signal(signal);
+        let task = tokio::spawn(async move { server.await });
+        Ok(Ops { addr, stop, task })
+    }
+
+    /// Returns the address that is bound.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops the endpoint and joins its task.
+    pub async fn stop(self) {
+        let _ = self.stop.send(true);
+        // Connections that tools keep open must not delay the stop of the process.
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+fn router(state: Arc<OpsState>) -> Router {
+    let (metrics, ready, dump) = (state.clone(), state.clone(), state);
+    Router::new()
+        .get("/healthz", |_: Request| async {
+            Ok::<_, viz::Error>("ok\n")
+        })
+        .get("/metrics", move |_: Request| {
+            let text = encode(&metrics.registry);
+            async move { Ok::<_, viz::Error>(text) }
+        })
+        .get("/readyz", move |_: Request| {
+            let response = readiness(&ready);
+            async move { Ok::<_, viz::Error>(response) }
+        })
+        .get("/dump", move |request: Request| {
+            let response = dumped(&dump, &request);
+            async move { Ok::<_, viz::Error>(response) }
+        })
+}
+
+fn encode(registry: &Registry) -> String {
+    let mut text = Vec::new();
+    match TextEncoder::new().encode(&registry.gather(), &mut text) {
+        Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+        Err(err) => format!("# metrics cannot be encoded: {err}\n"),
+    }
+}
+
+fn readiness(state: &OpsState) -> Response {
+    match (state.ready)() {
+        Ok(()) => "ready\n".into_response(),
+        Err(reason) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("not ready: {reason}\n"),
+        )
+            .into_response(),
+    }
+}
+
+fn dumped(state: &OpsState, request: &Request) -> Response {
+    if !has_secret(request.headers(), &state.secret) {
+        return (StatusCode::UNAUTHORIZED, "the secret is missing or wrong\n").into_response();
+    }
+    let mut response = (state.dump)().into_response();
+    let json = viz::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(viz::header::CONTENT_TYPE, json);
+    response
+}
+
+/// Returns whether the headers carry `secret` as a bearer token; compares in constant time.
+pub fn has_secret(headers: &viz::header::HeaderMap, secret: &str) -> bool {
+    let token = headers
+        .get(viz::header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let Some(token) = token.and_then(|value| value.strip_prefix("Bearer ")) else {
+        return false;
+    };
+    bool::from(token.as_bytes().ct_eq(secret.as_bytes()))
+}
--- /dev/null
+++ b/crates/process/src/shutdown.rs
@@ -0,0 +1,18 @@
+//! The signals that ask for a graceful stop.
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Waits for SIGTERM or SIGINT and returns its name.
+///
+/// # Errors
+///
+/// Fails if a signal handler cannot be set up.
+pub async fn stop_signal() -> std::io::Result<&'static str> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => Ok("SIGTERM"),
+        _ = int.recv() => Ok("SIGINT"),
+    }
+}
