Add HTTP stand-ins for engines, stores, membership and services

Cause: other crates need the outside systems with fault switches to test against.

Each stand-in listens on a free loopback port, keeps its own record, and ends all of its tasks in stop. Faults are counted or switched. While a stand-in does not listen, a bound socket holds its port, so that connections are refused and no other process takes the port.

--- /dev/null
+++ b/crates/standins/src/engine/core.rs
@@ -0,0 +1,201 @@
+//! The state of an engine and the dispatch of its HTTP calls.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use edges::engine::EngineLoad;
+use edges::engine::ModelEntry;
+use edges::engine::ModelList;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::EngineConfig;
+use super::answer::Form;
+use super::cache::Cache;
+use super::record::Log;
+use super::run::RunFaults;
+use crate::Switches;
+use crate::reply;
+use crate::reply::Reply;
+use crate::server::Handler;
+
+pub(super) struct Core {
+    pub(super) config: EngineConfig,
+    pub(super) weights: Option<edges::http::Client>,
+    pub(super) switches: Arc<Switches>,
+    pub(super) faults: RunFaults,
+    pub(super) batch: Semaphore,
+    pub(super) loads: Mutex<Loads>,
+    pub(super) log: Log,
+    state: Mutex<State>,
+}
+
+/// The tasks of all loads since the last restart.
+#[derive(Default)]
+pub(super) struct Loads {
+    pub(super) halt: CancellationToken,
+    pub(super) tasks: TaskTracker,
+}
+
+/// One adapter slot.
+pub(super) struct Slot {
+    pub(super) digest: String,
+    pub(super) resident: bool,
+    pub(super) running: u32,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    /// Raised by each restart, so that what began before it can tell.
+    pub(super) epoch: u64,
+    pub(super) slots: BTreeMap<String, Slot>,
+    pub(super) fencing: u64,
+    pub(super) cache: Cache,
+    pub(super) running: u32,
+    pub(super) waiting: u32,
+    history: VecDeque<(Instant, EngineLoad)>,
+}
+
+impl Core {
+    pub(super) fn new(config: EngineConfig) -> Core {
+        Core {
+            weights: config.weights.map(edges::http::Client::new),
+            switches: Arc::default(),
+            faults: RunFaults::default(),
+            batch: Semaphore::new(config.batch),
+            loads: Mutex::default(),
+            log: Log::new(),
+            state: Mutex::default(),
+            config,
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under this lock")
+    }
+
+    pub(super) fn lose_state(&self) {
+        let mut state = self.lock();
+        state.epoch += 1;
+        state.slots.clear();
+        state.fencing = 0;
+        state.cache.lose();
+    }
+
+    /// Changes the numbers of running and waiting sequences.
+    pub(super) fn count(&self, change: impl FnOnce(&mut State)) {
+        let mut state = self.lock();
+        change(&mut state);
+        if self.config.report_lag.is_zero() {
+            return;
+        }
+        let now = Instant::now();
+        let load = state.load(self.config.batch);
+        state.history.push_back((now, load));
+        state.prune(now, self.config.report_lag);
+    }
+
+    fn load_report(&self) -> EngineLoad {
+        let mut state = self.lock();
+        if self.config.report_lag.is_zero() {
+            return state.load(self.config.batch);
+        }
+        let now = Instant::now();
+        state.prune(now, self.config.report_lag);
+        let oldest = state
+            .history
+            .front()
+            .filter(|(at, _)| *at + self.config.report_lag <= now);
+        let idle = EngineLoad {
+            batch: self.config.batch as u32,
+            ..EngineLoad::default()
+        };
+        oldest.map_or(idle, |(_, load)| *load)
+    }
+
+    fn models(&self) -> ModelList {
+        let base = ModelEntry {
+            id: self.config.model.clone(),
+            parent: None,
+        };
+        let parent = Some(self.config.model.clone());
+        let names = self.lock().resident();
+        let adapters = names.into_iter().map(|id| ModelEntry {
+            id,
+            parent: parent.clone(),
+        });
+        ModelList {
+            data: std::iter::once(base).chain(adapters).collect(),
+        }
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/chat/completions") => self.submit(request, Form::Chat).await,
+            (&Method::POST, "/v1/completions") => self.submit(request, Form::Text).await,
+            (&Method::POST, "/v1/load_lora_adapter") => self.load(request).await,
+            (&Method::POST, "/v1/unload_lora_adapter") => self.unload(request).await,
+            (&Method::GET, "/v1/models") => reply::json(StatusCode::OK, &self.models()),
+            (&Method::GET, "/load") => reply::json(StatusCode::OK, &self.load_report()),
+            (&Method::GET, "/cache_events") => {
+                let since = reply::number(request.uri(), "since");
+                let lag = self.config.event_lag;
+                let events = self.lock().cache.events(since, lag, Instant::now());
+                reply::json(StatusCode::OK, &events)
+            }
+            (&Method::GET, "/health") => reply::empty(StatusCode::OK),
+            _ => reply::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Handler for Core {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+        self.answer(request).boxed()
+    }
+
+    fn halt(&self) -> BoxFuture<'_, ()> {
+        let loads = std::mem::take(&mut *self.loads.lock().expect("no panic under this lock"));
+        loads.halt.cancel();
+        loads.tasks.close();
+        async move { loads.tasks.wait().await }.boxed()
+    }
+
+    fn is_write(&self, request: &Request<Incoming>) -> bool {
+        request.uri().path().ends_with("_lora_adapter")
+    }
+}
+
+impl State {
+    pub(super) fn resident(&self) -> Vec<String> {
+        let resident = self.slots.iter().filter(|(_, slot)| slot.resident);
+        resident.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn load(&self, batch: usize) -> EngineLoad {
+        EngineLoad {
+            running: self.running,
+            waiting: self.waiting,
+            batch: batch as u32,
+        }
+    }
+
+    /// Drops the history before the newest entry that is at least `lag` old.
+    fn prune(&mut self, now: Instant, lag: Duration) {
+        while self.history.get(1).is_some_and(|(at, _)| *at + lag <= now) {
+            self.history.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/run.rs
@@ -0,0 +1,357 @@
+//! The execution of submissions.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use super::answer::Body;
+use super::answer::Form;
+use super::answer::Template;
+use super::cache::prefix_hash;
+use super::core::Core;
+use super::record::Execution;
+use super::record::Place;
+use super::record::RunEnd;
+use crate::reply;
+use crate::reply::Cut;
+use crate::reply::Reply;
+use crate::switches::take;
+
+/// The faults of loads and executions to come.
+#[derive(Default)]
+pub(super) struct RunFaults {
+    loads: AtomicU32,
+    wrong: Mutex<(String, u32)>,
+    truncation: Mutex<(u32, u32)>,
+    early_end: Mutex<(u32, u32)>,
+    rejection: Mutex<(u16, u32)>,
+}
+
+impl RunFaults {
+    pub(super) fn set_failing_loads(&self, count: u32) {
+        self.loads.store(count, Ordering::SeqCst);
+    }
+
+    pub(super) fn set_wrong_name(&self, model: &str, count: u32) {
+        set(&self.wrong, model.to_owned(), count);
+    }
+
+    pub(super) fn set_truncation(&self, tokens: u32, count: u32) {
+        set(&self.truncation, tokens, count);
+    }
+
+    pub(super) fn set_early_end(&self, tokens: u32, count: u32) {
+        set(&self.early_end, tokens, count);
+    }
+
+    pub(super) fn set_rejection(&self, status: u16, count: u32) {
+        set(&self.rejection, status, count);
+    }
+
+    pub(super) fn fails_load(&self) -> bool {
+        take(&self.loads)
+    }
+}
+
+fn set<T>(fault: &Mutex<(T, u32)>, value: T, count: u32) {
+    *fault.lock().expect("no panic under this lock") = (value, count);
+}
+
+fn next<T: Clone>(fault: &Mutex<(T, u32)>) -> Option<T> {
+    let mut fault = fault.lock().expect("no panic under this lock");
+    fault.1 = fault.1.checked_sub(1)?;
+    Some(fault.0.clone())
+}
+
+/// The end of an answer.
+#[derive(Clone, Copy)]
+enum Ending {
+    Whole,
+    Truncated(u32),
+    Early(u32),
+}
+
+impl Core {
+    pub(super) async fn submit(self: Arc<Self>, request: Request<Incoming>, form: Form) -> Reply {
+        let header = |name| {
+            let value = request.headers().get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let id = header("x-request-id");
+        let priority = header("x-priority");
+        let body: Body = match reply::read_json(request).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        if let Some(status) = next(&self.faults.rejection) {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+            return reply::error(status, "rejected by a fault switch");
+        }
+        let mut run = match Run::begin(self.clone(), id, priority, &body).await {
+            Ok(run) => run,
+            Err(reply) => return reply,
+        };
+        run.prefill(&body).await;
+        let model = next(&self.faults.wrong).unwrap_or_else(|| body.model.clone());
+        let marker = if body.marker.is_empty() {
+            &run.request
+        } else {
+            &body.marker
+        };
+        let template = Template::new(form, &run.request, &model, marker);
+        let ending = self.ending();
+        if body.stream {
+            return stream_answer(run, template, body.tokens(), ending);
+        }
+        whole_answer(run, template, body.tokens(), ending).await
+    }
+
+    fn ending(&self) -> Ending {
+        if let Some(tokens) = next(&self.faults.truncation) {
+            return Ending::Truncated(tokens);
+        }
+        next(&self.faults.early_end).map_or(Ending::Whole, Ending::Early)
+    }
+
+    fn has(&self, model: &str) -> bool {
+        model == self.config.model || self.lock().slots.get(model).is_some_and(|s| s.resident)
+    }
+}
+
+/// A sequence in the batch. Dropping it frees its place; unless it has ended, it was cancelled.
+struct Run {
+    core: Arc<Core>,
+    request: String,
+    model: String,
+    epoch: u64,
+    place: Option<Place>,
+    tokens: u32,
+    due: Instant,
+    end: RunEnd,
+}
+
+impl Run {
+    /// Waits for a place in the batch; the error is the response to send.
+    async fn begin(
+        core: Arc<Core>,
+        request: String,
+        priority: String,
+        body: &Body,
+    ) -> Result<Run, Reply> {
+        if !core.has(&body.model) {
+            return Err(missing(&body.model));
+        }
+        let waiting = Waiting::begin(&core);
+        core.batch
+            .acquire()
+            .await
+            .expect("the semaphore is never closed")
+            .forget();
+        drop(waiting);
+        let mut run = Run {
+            request,
+            model: body.model.clone(),
+            epoch: 0,
+            place: None,
+            tokens: 0,
+            due: Instant::now(),
+            end: RunEnd::Cancelled,
+            core,
+        };
+        run.enter();
+        // The adapter may have been unloaded while the request waited.
+        if !run.core.has(&run.model) {
+            return Err(missing(&run.model));
+        }
+        if run.core.config.records {
+            run.place = Some(run.core.log.begin_run(Execution {
+                request: run.request.clone(),
+                marker: body.marker.clone(),
+                priority,
+                model: run.model.clone(),
+                tokens: 0,
+                end: RunEnd::Running,
+                started: run.core.log.now(),
+                ended: None,
+            }));
+        }
+        Ok(run)
+    }
+
+    /// Counts the sequence as running.
+    fn enter(&mut self) {
+        let epoch = &mut self.epoch;
+        let model = &self.model;
+        self.core.count(|state| {
+            *epoch = state.epoch;
+            state.running += 1;
+            if let Some(slot) = state.slots.get_mut(model) {
+                slot.running += 1;
+            }
+        });
+    }
+
+    async fn prefill(&mut self, body: &Body) {
+        let config = &self.core.config;
+        let mut time = config.prefill;
+        if config.prefixes > 0 {
+            let prefix = prefix_hash(&self.model, &body.text());
+            let now = Instant::now();
+            if self.core.lock().cache.touch(prefix, config.prefixes, now) {
+                time = config.cached_prefill;
+            }
+        }
+        if !time.is_zero() {
+            sleep(time).await;
+        }
+        self.due = Instant::now();
+    }
+
+    /// Generates one token.
+    async fn step(&mut self) {
+        let step = self.core.config.step;
+        if !step.is_zero() {
+            self.due += step;
+            sleep_until(self.due).await;
+        }
+        self.core.switches.thaw().await;
+        self.tokens += 1;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut end = self.end;
+        self.core.count(|state| {
+            state.running -= 1;
+            if state.epoch != self.epoch {
+                end = RunEnd::Lost;
+                return;
+            }
+            if let Some(slot) = state.slots.get_mut(&self.model) {
+                slot.running = slot.running.saturating_sub(1);
+            }
+        });
+        if let Some(place) = self.place {
+            self.core.log.end_run(place, end, self.tokens);
+        }
+        self.core.batch.add_permits(1);
+    }
+}
+
+/// A request that waits for a place in the batch.
+struct Waiting<'a>(&'a Core);
+
+impl<'a> Waiting<'a> {
+    fn begin(core: &'a Core) -> Waiting<'a> {
+        core.count(|state| state.waiting += 1);
+        Waiting(core)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.count(|state| state.waiting -= 1);
+    }
+}
+
+fn missing(model: &str) -> Reply {
+    reply::error(
+        StatusCode::NOT_FOUND,
+        &format!("the model `{model}` does not exist"),
+    )
+}
+
+/// Lets hyper send the pieces so far, which it discards when the body fails.
+async fn flushed() {
+    tokio::task::yield_now().await;
+}
+
+async fn whole_answer(mut run: Run, template: Template, tokens: u32, ending: Ending) -> Reply {
+    for _ in 0..tokens {
+        run.step().await;
+    }
+    let answer = template.whole(tokens);
+    if let Ending::Truncated(_) = ending {
+        run.end = RunEnd::Truncated;
+        let half = answer.slice(..answer.len() / 2);
+        let piece = stream::iter([Ok(Frame::data(half))]);
+        let cut = stream::once(flushed().map(|()| Err(Cut)));
+        let body = StreamBody::new(piece.chain(cut)).boxed_unsync();
+        return reply::typed(StatusCode::OK, "application/json", body);
+    }
+    run.end = RunEnd::Completed;
+    reply::whole(StatusCode::OK, "application/json", answer)
+}
+
+fn stream_answer(run: Run, template: Template, tokens: u32, ending: Ending) -> Reply {
+    let limit = match ending {
+        Ending::Whole => tokens,
+        Ending::Truncated(at) | Ending::Early(at) => at.min(tokens),
+    };
+    let source = Source {
+        run,
+        template,
+        limit,
+        ending,
+    };
+    let pieces = stream::unfold(Some(source), |source| async {
+        let mut source = source?;
+        let (piece, more) = source.piece().await?;
+        Some((piece.map(Frame::data), more.then_some(source)))
+    });
+    reply::typed(
+        StatusCode::OK,
+        "text/event-stream",
+        StreamBody::new(pieces).boxed_unsync(),
+    )
+}
+
+/// A streaming answer in progress.
+struct Source {
+    run: Run,
+    template: Template,
+    limit: u32,
+    ending: Ending,
+}
+
+impl Source {
+    /// Returns the next piece and whether there are more; nothing for an early end.
+    async fn piece(&mut self) -> Option<(Result<Bytes, Cut>, bool)> {
+        if self.run.tokens < self.limit {
+            let index = self.run.tokens;
+            self.run.step().await;
+            return Some((Ok(self.template.piece(index)), true));
+        }
+        match self.ending {
+            Ending::Whole => {
+                self.run.end = RunEnd::Completed;
+                Some((Ok(self.template.last()), false))
+            }
+            Ending::Truncated(_) => {
+                self.run.end = RunEnd::Truncated;
+                flushed().await;
+                Some((Err(Cut), false))
+            }
+            Ending::Early(_) => {
+                self.run.end = RunEnd::Truncated;
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/reply.rs
@@ -0,0 +1,99 @@
+//! Requests and responses as the handlers of stand-ins see them.
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The connection is closed at this point, in place of a response or of the rest of one.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("connection cut")]
+pub(crate) struct Cut;
+
+pub(crate) type Body = UnsyncBoxBody<Bytes, Cut>;
+
+pub(crate) type Reply = Result<Response<Body>, Cut>;
+
+/// Returns a response with a whole body.
+pub(crate) fn whole(status: StatusCode, content: &str, data: impl Into<Bytes>) -> Reply {
+    let body = Full::new(data.into())
+        .map_err(|e| match e {})
+        .boxed_unsync();
+    typed(status, content, body)
+}
+
+/// Returns a response with any body.
+pub(crate) fn typed(status: StatusCode, content: &str, body: Body) -> Reply {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    if let Ok(value) = content.parse() {
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, value);
+    }
+    Ok(response)
+}
+
+/// Returns a JSON response.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+    let data = serde_json::to_vec(value).expect("replies have string keys");
+    whole(status, "application/json", data)
+}
+
+/// Returns a response without content.
+pub(crate) fn empty(status: StatusCode) -> Reply {
+    whole(status, "text/plain", Bytes::new())
+}
+
+/// Returns an error response of the OpenAI form.
+pub(crate) fn error(status: StatusCode, message: &str) -> Reply {
+    let error = serde_json::json!({"message": message, "code": status.as_u16()});
+    json(status, &serde_json::json!({ "error": error }))
+}
+
+/// Reads the whole body of a request; a body that breaks off cuts the connection.
+pub(crate) async fn read(request: Request<Incoming>) -> Result<Bytes, Cut> {
+    let body = request.into_body().collect().await.map_err(|_| Cut)?;
+    Ok(body.to_bytes())
+}
+
+/// Reads a JSON body; the error is the response to send.
+pub(crate) async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Reply> {
+    let data = read(request).await.map_err(Err)?;
+    serde_json::from_slice(&data).map_err(|e| error(StatusCode::BAD_REQUEST, &e.to_string()))
+}
+
+/// Returns the decoded rest of the path after `prefix`.
+pub(crate) fn rest(uri: &Uri, prefix: &str) -> Option<String> {
+    uri.path().strip_prefix(prefix).map(decode)
+}
+
+/// Returns the decoded value of a query parameter.
+pub(crate) fn query(uri: &Uri, name: &str) -> Option<String> {
+    let pairs = uri.query()?.split('&').filter_map(|p| p.split_once('='));
+    pairs
+        .filter(|(n, _)| *n == name)
+        .map(|(_, v)| decode(v))
+        .next()
+}
+
+/// Returns a numeric query parameter, or 0.
+pub(crate) fn number(uri: &Uri, name: &str) -> u64 {
+    query(uri, name)
+        .and_then(|v| v.parse().ok())
+        .unwrap_or_default()
+}
+
+pub(crate) fn decode(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,280 @@
+//! The HTTP server under every stand-in.
+
+use std::future::Future;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+use tokio_util::task::TaskTracker;
+
+use crate::reply;
+use crate::reply::Cut;
+use crate::reply::Reply;
+use crate::switches::Switches;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// What a stand-in does with a request.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request. The future is dropped when the caller closes its connection.
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply>;
+
+    /// Ends the tasks that the handler started itself; called after all connections were cut.
+    fn halt(&self) -> BoxFuture<'_, ()> {
+        futures::future::ready(()).boxed()
+    }
+
+    /// Returns whether a request counts as a write for the lost-request and lost-response faults.
+    fn is_write(&self, request: &Request<Incoming>) -> bool {
+        request.method() != Method::GET
+    }
+}
+
+/// A running server.
+pub(crate) struct Server {
+    addr: SocketAddr,
+    switches: Arc<Switches>,
+    connections: Arc<Mutex<Connections>>,
+    listen: mpsc::Sender<Listen>,
+    stop: DropGuard,
+    task: JoinHandle<()>,
+}
+
+/// The tasks of all connections since the last cut.
+#[derive(Default)]
+struct Connections {
+    cut: CancellationToken,
+    tasks: TaskTracker,
+}
+
+/// An order to the accept loop, with a notice once it was carried out.
+struct Listen {
+    on: bool,
+    done: oneshot::Sender<()>,
+}
+
+impl Server {
+    /// Starts a server on a free loopback port.
+    pub(crate) async fn start(handler: Arc<dyn Handler>) -> Server {
+        Server::start_with(handler, Arc::default()).await
+    }
+
+    /// Starts a server whose handler shares the fault switches.
+    pub(crate) async fn start_with(handler: Arc<dyn Handler>, switches: Arc<Switches>) -> Server {
+        let socket = bind((Ipv4Addr::LOCALHOST, 0).into());
+        let listener = socket.listen(BACKLOG).expect("a bound socket listens");
+        let addr = listener.local_addr().expect("a listener has an address");
+        let connections = Arc::new(Mutex::new(Connections::default()));
+        let stop = CancellationToken::new();
+        let (listen, orders) = mpsc::channel(1);
+        let acceptor = Acceptor {
+            addr,
+            handler,
+            switches: switches.clone(),
+            connections: connections.clone(),
+            orders,
+            stop: stop.clone(),
+        };
+        let task = tokio::spawn(acceptor.run(listener));
+        Server {
+            addr,
+            switches,
+            connections,
+            listen,
+            stop: stop.drop_guard(),
+            task,
+        }
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(crate) fn switches(&self) -> &Switches {
+        &self.switches
+    }
+
+    /// Closes all connections and returns once their tasks have ended.
+    pub(crate) async fn cut(&self) {
+        cut(&self.connections).await;
+    }
+
+    /// Starts or stops listening; while it does not listen, connections are refused.
+    pub(crate) async fn set_listening(&self, on: bool) {
+        let (done, carried_out) = oneshot::channel();
+        let sent = self.listen.send(Listen { on, done }).await;
+        if sent.is_ok() {
+            let _ = carried_out.await;
+        }
+    }
+
+    /// Stops the server and returns once all its tasks have ended.
+    pub(crate) async fn stop(self) {
+        drop(self.stop);
+        self.task.await.expect("the accept loop does not panic");
+    }
+}
+
+/// Implements what all handles share; the type has a field `server`.
+macro_rules! server_methods {
+    ($handle:ty) => {
+        impl $handle {
+            /// Returns the address.
+            pub fn addr(&self) -> ::std::net::SocketAddr {
+                self.server.addr()
+            }
+
+            /// Returns the fault switches.
+            pub fn switches(&self) -> &$crate::Switches {
+                self.server.switches()
+            }
+
+            /// Starts or stops listening; while it does not listen, connections are refused.
+            pub async fn set_listening(&self, on: bool) {
+                self.server.set_listening(on).await;
+            }
+
+            /// Closes all connections and returns once their tasks have ended.
+            pub async fn cut(&self) {
+                self.server.cut().await;
+            }
+
+            /// Stops the stand-in and returns once all its tasks have ended.
+            pub async fn stop(self) {
+                self.server.stop().await;
+            }
+        }
+    };
+}
+
+pub(crate) use server_methods;
+
+/// The accept loop.
+struct Acceptor {
+    addr: SocketAddr,
+    handler: Arc<dyn Handler>,
+    switches: Arc<Switches>,
+    connections: Arc<Mutex<Connections>>,
+    orders: mpsc::Receiver<Listen>,
+    stop: CancellationToken,
+}
+
+/// The listening socket, or a bound one that holds the port while connections are refused.
+enum Socket {
+    Open(TcpListener),
+    Closed(TcpSocket),
+}
+
+impl Acceptor {
+    async fn run(mut self, listener: TcpListener) {
+        let mut socket = Socket::Open(listener);
+        loop {
+            tokio::select! {
+                () = self.stop.cancelled() => break,
+                Some(order) = self.orders.recv() => {
+                    socket = switch(socket, order.on, self.addr);
+                    let _ = order.done.send(());
+                }
+                stream = accept(&socket) => self.serve(stream),
+            }
+        }
+        drop(socket);
+        cut(&self.connections).await;
+        self.handler.halt().await;
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let handler = self.handler.clone();
+        let switches = self.switches.clone();
+        let service = service_fn(move |request| pass(handler.clone(), switches.clone(), request));
+        let connections = self.connections.lock().expect("no panic under this lock");
+        let cut = connections.cut.clone();
+        connections.tasks.spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A caller that breaks the connection is no fault of the stand-in.
+            let _ = cut.run_until_cancelled(connection).await;
+        });
+    }
+}
+
+/// Passes one request through the fault switches.
+async fn pass(
+    handler: Arc<dyn Handler>,
+    switches: Arc<Switches>,
+    request: Request<Incoming>,
+) -> Reply {
+    switches.thaw().await;
+    switches.wait_delay().await;
+    if switches.is_out() {
+        return reply::error(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
+    }
+    let is_write = handler.is_write(&request);
+    if is_write && switches.loses_request() {
+        return Err(Cut);
+    }
+    let reply = handler.handle(request).await;
+    if is_write && switches.loses_response() {
+        return Err(Cut);
+    }
+    reply
+}
+
+fn cut(connections: &Mutex<Connections>) -> impl Future<Output = ()> + use<> {
+    let old = std::mem::take(&mut *connections.lock().expect("no panic under this lock"));
+    old.cut.cancel();
+    old.tasks.close();
+    async move { old.tasks.wait().await }
+}
+
+async fn accept(socket: &Socket) -> TcpStream {
+    let Socket::Open(listener) = socket else {
+        return futures::future::pending().await;
+    };
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            // Without this, small pieces of a stream wait for acknowledgements.
+            let _ = stream.set_nodelay(true);
+            return stream;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+fn switch(socket: Socket, on: bool, addr: SocketAddr) -> Socket {
+    match (socket, on) {
+        (Socket::Closed(held), true) => {
+            Socket::Open(held.listen(BACKLOG).expect("a bound socket listens"))
+        }
+        (Socket::Open(listener), false) => {
+            drop(listener);
+            Socket::Closed(bind(addr))
+        }
+        (socket, _) => socket,
+    }
+}
+
+fn bind(addr: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("sockets are available");
+    socket.set_reuseaddr(true).expect("the option exists");
+    socket.bind(addr).expect("the address is free");
+    socket
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,121 @@
+//! A plain booking service. It runs every call that it receives, also one with a known key.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::reply;
+use crate::reply::Reply;
+use crate::server::Handler;
+use crate::server::Server;
+use crate::server::server_methods;
+use crate::switches::take;
+
+/// A booking service. Writes for the fault switches are its calls.
+pub struct Service {
+    server: Server,
+    core: Arc<Core>,
+}
+
+/// One call that the service ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceCall {
+    /// The header `idempotency-key`, or an empty string.
+    pub key: String,
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+    /// The time of the booking, since the start of the service.
+    pub at: Duration,
+}
+
+server_methods!(Service);
+
+impl Service {
+    /// Starts a service.
+    pub async fn start() -> Service {
+        let core = Arc::new(Core {
+            start: Instant::now(),
+            calls: Mutex::default(),
+            rejections: AtomicU32::new(0),
+        });
+        let server = Server::start(core.clone()).await;
+        Service { server, core }
+    }
+
+    /// Answers the next `count` calls with 409, as for a room that is booked already.
+    pub fn reject_calls(&self, count: u32) {
+        self.core
+            .rejections
+            .store(count, std::sync::atomic::Ordering::SeqCst);
+    }
+
+    /// Returns all calls that were run, in order.
+    pub fn calls(&self) -> Vec<ServiceCall> {
+        self.core.lock().clone()
+    }
+
+    /// Returns the number of calls that were run with this idempotency key.
+    pub fn runs(&self, key: &str) -> usize {
+        self.core.lock().iter().filter(|c| c.key == key).count()
+    }
+}
+
+struct Core {
+    start: Instant,
+    calls: Mutex<Vec<ServiceCall>>,
+    rejections: AtomicU32,
+}
+
+impl Handler for Core {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+        async move {
+            match (request.method(), request.uri().path()) {
+                (&Method::GET, "/health") => reply::empty(StatusCode::OK),
+                (&Method::POST, _) => self.answer_call(request).await,
+                _ => reply::empty(StatusCode::NOT_FOUND),
+            }
+        }
+        .boxed()
+    }
+}
+
+impl Core {
+    async fn answer_call(&self, request: Request<Incoming>) -> Reply {
+        let key = request
+            .headers()
+            .get("idempotency-key")
+            .and_then(|v| v.to_str().ok());
+        let key = key.unwrap_or_default().to_owned();
+        let path = request.uri().path().to_owned();
+        let body = reply::read(request).await?;
+        if take(&self.rejections) {
+            return reply::error(StatusCode::CONFLICT, "booked already");
+        }
+        let call = ServiceCall {
+            key: key.clone(),
+            path,
+            body,
+            at: self.start.elapsed(),
+        };
+        let mut calls = self.lock();
+        calls.push(call);
+        let answer = serde_json::json!({"booking": calls.len(), "key": key});
+        reply::json(StatusCode::OK, &answer)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<ServiceCall>> {
+        self.calls.lock().expect("no panic under this lock")
+    }
+}
