Test the agent's decisions under virtual time

Cause: the modules had no tests. Before: no tests. Conclusion: a version that leaves still runs its own overdue jobs, and a broken answer holds submissions back until the engine's list is read.

--- a/crates/decision/src/agent.rs
+++ b/crates/decision/src/agent.rs
@@ -99,6 +99,8 @@
     alone: Time,
     reading: Reading,
     ready: bool,
+    /// Whether the resident versions have to be read before more work goes to the engine.
+    suspect: bool,
     last: Option<Name>,
     service_ms: f64,
     permit_ms: f64,
@@ -129,6 +131,7 @@
             alone: Time::default(),
             reading: Reading::default(),
             ready: false,
+            suspect: false,
             last: None,
             service_ms: FIRST_SERVICE_MS,
             permit_ms: 0.0,
@@ -238,6 +241,7 @@
             self.reading.due = now;
             return;
         }
+        self.suspect = false;
         self.reading.due = now.after(READ_INTERVAL);
         let drift = self.slots.reconcile(now, &names);
         if drift.is_empty() {
--- a/crates/decision/src/agent/jobs.rs
+++ b/crates/decision/src/agent/jobs.rs
@@ -182,7 +182,7 @@
 
     /// Submits queued jobs to free places of the batch.
     pub(super) fn start_jobs(&mut self, now: Time, out: &mut Vec<Action>) {
-        if !self.ready {
+        if !self.ready || self.suspect {
             return;
         }
         while let Some(job) = self.pick(now) {
@@ -250,14 +250,14 @@
                 (Outcome::Ran, None)
             }
             Finish::NotRun => {
-                // Other jobs stay queued until the engine answers a read.
-                self.ready = false;
-                self.reading.due = now;
+                self.suspect(now);
                 (Outcome::NotRun(Refusal::EngineDown), None)
             }
             Finish::Broken(_) if live.overdue => (Outcome::Unknown, Some(Failure::Deadline)),
             Finish::Broken(failure) => {
-                self.reading.due = now;
+                if !live.cancelled && !matches!(failure, Failure::Status { .. }) {
+                    self.suspect(now);
+                }
                 (Outcome::Unknown, Some(failure))
             }
         };
@@ -265,6 +265,13 @@
         self.finish(now, key, live, (outcome, failure, None), out);
     }
 
+    /// Holds queued jobs back until the resident versions were read: the engine may have restarted.
+    fn suspect(&mut self, now: Time) {
+        self.suspect = true;
+        self.reading.due = now;
+        self.reading.epoch += 1;
+    }
+
     pub(super) fn on_cancel(&mut self, now: Time, key: Key, out: &mut Vec<Action>) {
         match self.jobs.get_mut(&key) {
             None => {
--- a/crates/decision/src/agent/loads.rs
+++ b/crates/decision/src/agent/loads.rs
@@ -63,7 +63,8 @@
 
 /// A version that has to leave for a job whose turn has come, although jobs still wait for it.
 ///
-/// Jobs of the version with a turn before the barrier still run; later ones wait for a new load.
+/// Jobs of the version whose own turn has come by the barrier still run, so that versions in equal
+/// demand do not evict each other after every job; later ones wait for a new load.
 #[derive(Clone, Debug)]
 pub(super) struct Closing {
     pub(super) victim: Name,
@@ -454,12 +455,12 @@
         let Some(first) = first.filter(|job| job.turn() <= now) else {
             return;
         };
-        let (wanted, barrier) = (first.name.clone(), first.turn());
+        let wanted = first.name.clone();
         let victim = self.slots.least_valued(now, |_| false);
         self.closing = victim.map(|victim| Closing {
             victim,
             wanted,
-            barrier,
+            barrier: now,
         });
     }
 
--- a/crates/decision/src/agent/view.rs
+++ b/crates/decision/src/agent/view.rs
@@ -189,6 +189,12 @@
         self.slots.pins(name) > 0
     }
 
+    /// Returns whether a queued or running attempt is claimed.
+    pub fn is_claimed(&self, key: Key) -> bool {
+        let live = self.jobs.get(&key);
+        live.is_some_and(|live| live.job.claim.is_some())
+    }
+
     /// Returns the state for operators.
     pub fn dump(&self, now: Time) -> Dump {
         let head = self.config.as_ref().map(|config| &config.head);
--- a/crates/decision/src/permit.rs
+++ b/crates/decision/src/permit.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 
 use crate::collections::Map;
+use crate::hash::combine;
+use crate::hash::hash_text;
 use crate::ids::Incarnation;
 use crate::ids::Name;
 use crate::time::Time;
@@ -31,9 +33,11 @@
 /// A permit to load one version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// The number under which the permit is returned.
+    /// The number under which the permit is returned; 0 if the ask is queued and no permit was
+    /// granted.
     pub id: u64,
-    /// The time after which the coordinator counts the permit as returned.
+    /// The time after which the coordinator counts the permit as returned, or after which a queued
+    /// ask is to be repeated.
     pub ttl: Duration,
 }
 
@@ -46,6 +50,24 @@
     Wait(Duration),
 }
 
+impl From<Reply> for Grant {
+    fn from(reply: Reply) -> Grant {
+        match reply {
+            Reply::Granted(grant) => grant,
+            Reply::Wait(ttl) => Grant { id: 0, ttl },
+        }
+    }
+}
+
+impl From<Grant> for Reply {
+    fn from(grant: Grant) -> Reply {
+        match grant.id {
+            0 => Reply::Wait(grant.ttl),
+            _ => Reply::Granted(grant),
+        }
+    }
+}
+
 /// The time for which an ask keeps its place without being repeated.
 const ASK_TTL: Duration = Duration::from_millis(500);
 
@@ -227,9 +249,10 @@
 /// Returns the agents to ask for a permit, in order: the rendezvous order of the region's weight
 /// store over the live agents.
 pub fn coordinators(store: &str, live: &[Name]) -> Vec<Name> {
+    let store = hash_text(store);
     let mut ranked: Vec<(u64, &Name)> = live
         .iter()
-        .map(|name| (rendezvous(store, name), name))
+        .map(|name| (combine(store, hash_text(name)), name))
         .collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked
@@ -239,20 +262,6 @@
         .collect()
 }
 
-/// Returns the rendezvous weight of a pair. All processes have to compute the same value, so the
-/// function must not change between releases that run together.
-fn rendezvous(left: &str, right: &str) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64;
-    let bytes = left.bytes().chain([0]).chain(right.bytes());
-    for byte in bytes {
-        hash = (hash ^ byte as u64).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    // FNV alone mixes the last bytes poorly into the high bits, which decide the order.
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
-
 /// What the asker does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/crates/decision/src/queue.rs
+++ b/crates/decision/src/queue.rs
@@ -67,8 +67,7 @@
     pub overnight: bool,
     /// The version that started last; its jobs go ahead of others of their class.
     pub last: Option<&'a Name>,
-    /// A version that is to leave for a job whose turn came at this time. Its jobs with a later
-    /// turn do not start.
+    /// A version that is to leave since this time. Its jobs whose turn came later do not start.
     pub closing: Option<(&'a Name, Time)>,
 }
 
@@ -124,12 +123,12 @@
         lines.map_or(0, |lines| lines.iter().map(Line::len).sum())
     }
 
-    /// Returns whether a job with a turn before `barrier` waits for the version.
+    /// Returns whether a job whose turn came by `barrier` waits for the version.
     pub fn has_promise(&self, name: &str, barrier: Time) -> bool {
         let Some(lines) = self.lines.get(name) else {
             return false;
         };
-        heads(lines).any(|job| job.turn() < barrier)
+        heads(lines).any(|job| job.turn() <= barrier)
     }
 
     /// Returns the versions that jobs wait for.
@@ -281,7 +280,7 @@
     let turn = job.turn();
     let closed = limits
         .closing
-        .is_some_and(|(name, barrier)| *name == job.name && turn >= barrier);
+        .is_some_and(|(name, barrier)| *name == job.name && turn > barrier);
     let held = job.priority == Priority::Overnight && !limits.overnight && turn > now;
     !closed && !held
 }
--- /dev/null
+++ b/crates/decision/tests/attempt_ledger.rs
@@ -0,0 +1,107 @@
+//! The ledger: at most one submission per claimed attempt, and refusals that hold.
+
+use decision::ids::Incarnation;
+use decision::job::Job;
+use decision::job::Outcome;
+use decision::job::Refusal;
+use decision::ledger::Admission;
+use decision::ledger::Key;
+use decision::ledger::Ledger;
+use decision::time::Time;
+
+mod world;
+use world::OWN;
+use world::claimed;
+use world::job;
+use world::key;
+
+const T0: Time = Time(0);
+
+fn attempt(job: Job, attempt: u32) -> Job {
+    Job { attempt, ..job }
+}
+
+fn refused(reason: Refusal) -> Admission {
+    Admission::Seen(Outcome::NotRun(reason))
+}
+
+/// Guards against a duplicated dispatch that runs an order twice.
+#[test]
+fn duplicate_is_not_submitted() {
+    let mut ledger = Ledger::new(OWN);
+    assert_eq!(ledger.admit(T0, &claimed(1, "a")), Admission::New);
+    assert!(ledger.submit(key(1)));
+    assert!(!ledger.submit(key(1)));
+    let seen = ledger.admit(T0, &claimed(1, "a"));
+    assert_eq!(seen, Admission::Seen(Outcome::Pending));
+    ledger.end(T0, key(1), true, Outcome::Unknown);
+    assert!(!ledger.submit(key(1)));
+    assert_eq!(ledger.settle(T0, key(1)), Outcome::Unknown);
+}
+
+/// Guards against a dispatch that arrives after its entry was told that the attempt was not run.
+#[test]
+fn settled_attempt_is_refused_later() {
+    let mut ledger = Ledger::new(OWN);
+    let settled = Outcome::NotRun(Refusal::Settled);
+    assert_eq!(ledger.settle(T0, key(1)), settled);
+    let late = ledger.admit(T0, &claimed(1, "a"));
+    assert_eq!(late, refused(Refusal::Settled));
+    assert!(!ledger.submit(key(1)));
+}
+
+/// Guards against running a claim made with the predecessor of a restarted agent.
+#[test]
+fn claim_of_other_incarnation_is_stale() {
+    let mut ledger = Ledger::new(OWN);
+    let mut old = claimed(1, "a");
+    old.claim = Some(Incarnation(1));
+    assert_eq!(ledger.admit(T0, &old), refused(Refusal::StaleClaim));
+    // The refusal was reported, so that a corrected claim of the same attempt does not run either.
+    let again = ledger.admit(T0, &claimed(1, "a"));
+    assert_eq!(again, refused(Refusal::StaleClaim));
+}
+
+/// Guards against a paused claimant whose dispatch arrives after a higher attempt.
+#[test]
+fn superseded_attempt_is_stale() {
+    let mut ledger = Ledger::new(OWN);
+    let second = attempt(claimed(1, "a"), 2);
+    assert_eq!(ledger.admit(T0, &second), Admission::New);
+    let first = ledger.admit(T0, &claimed(1, "a"));
+    assert_eq!(first, refused(Refusal::StaleClaim));
+}
+
+/// Guards against two attempts at one claimed request that are both queued and both submitted.
+#[test]
+fn one_submission_per_claimed_request() {
+    let mut ledger = Ledger::new(OWN);
+    ledger.admit(T0, &claimed(1, "a"));
+    let second = attempt(claimed(1, "a"), 2);
+    assert_eq!(ledger.admit(T0, &second), Admission::New);
+    assert!(!ledger.submit(key(1)));
+    assert!(ledger.submit(Key::of(&second)));
+    let third = attempt(claimed(1, "a"), 3);
+    assert_eq!(ledger.admit(T0, &third), refused(Refusal::StaleClaim));
+}
+
+/// Guards against memory that grows with repeatable traffic, and against forgetting an order.
+#[test]
+fn only_repeatable_attempts_are_forgotten() {
+    let mut ledger = Ledger::new(OWN);
+    for (id, job) in [(1, job(1, "a")), (2, claimed(2, "a"))] {
+        ledger.admit(T0, &job);
+        ledger.submit(key(id));
+        ledger.end(T0, key(id), job.claim.is_some(), Outcome::Ran);
+    }
+    ledger.prune(Time::from_ms(599_000));
+    assert_eq!(ledger.counts().ended, 2);
+    ledger.prune(Time::from_ms(600_000));
+    assert_eq!(ledger.outcome(key(1)), None);
+    assert_eq!(ledger.outcome(key(2)), Some(Outcome::Ran));
+    for id in 0..70_000 {
+        ledger.refuse(T0, key(100 + id), false, Refusal::Overloaded);
+    }
+    ledger.prune(T0);
+    assert!(ledger.counts().ended <= 65_537);
+}
--- /dev/null
+++ b/crates/decision/tests/job_queue.rs
@@ -0,0 +1,152 @@
+//! The queue: order, bounds on overtaking, shedding, deadlines.
+
+use std::time::Duration;
+
+use decision::ids::Name;
+use decision::ids::Priority;
+use decision::ids::RequestId;
+use decision::ledger::Key;
+use decision::queue::Limits;
+use decision::queue::Push;
+use decision::queue::Queue;
+use decision::queue::Waiting;
+use decision::time::Time;
+
+const ALL: Limits<'static> = Limits {
+    overnight: true,
+    last: None,
+    closing: None,
+};
+
+fn job(id: u128, name: &str, priority: Priority, arrived: u64, left: u64) -> Waiting {
+    Waiting {
+        key: Key {
+            request: RequestId(id),
+            attempt: 1,
+        },
+        name: name.into(),
+        priority,
+        arrived: Time::from_ms(arrived),
+        deadline: Time::from_ms(arrived + left),
+    }
+}
+
+fn order(queue: &mut Queue, now: u64, resident: &[&str], limits: Limits<'_>) -> Vec<u128> {
+    let ready = |name: &Name| resident.contains(&&**name);
+    std::iter::from_fn(|| queue.pick(Time::from_ms(now), ready, limits))
+        .map(|job| job.key.request.0)
+        .collect()
+}
+
+/// Guards against jobs that could run waiting behind one that needs a load.
+#[test]
+fn resident_jobs_go_ahead() {
+    let mut queue = Queue::new(8);
+    queue.push(job(1, "absent", Priority::Interactive, 0, 9_000));
+    queue.push(job(2, "here", Priority::Interactive, 1, 9_000));
+    assert_eq!(order(&mut queue, 2, &["here"], ALL), [2]);
+    assert_eq!(queue.len(), 1);
+}
+
+/// Guards against mixing versions in the batch when jobs of one version could run together, and
+/// against doing so beyond the bound on overtaking.
+#[test]
+fn same_version_runs_together_within_bound() {
+    let jobs = [(1, "b", 0), (2, "a", 10), (3, "a", 20), (4, "b", 30)];
+    let last: Name = "a".into();
+    let limits = Limits {
+        last: Some(&last),
+        ..ALL
+    };
+    for (now, expected) in [(40, [2, 3, 1, 4]), (505, [1, 2, 3, 4])] {
+        let mut queue = Queue::new(8);
+        for (id, name, at) in jobs {
+            queue.push(job(id, name, Priority::Interactive, at, 9_000));
+        }
+        assert_eq!(order(&mut queue, now, &["a", "b"], limits), expected);
+    }
+}
+
+/// Guards against a short deadline being spent on overtaking: half of it is the bound.
+#[test]
+fn short_deadline_lowers_bound() {
+    assert_eq!(
+        job(1, "a", Priority::Interactive, 100, 600).turn(),
+        Time::from_ms(400)
+    );
+    assert_eq!(
+        job(1, "a", Priority::Booking, 100, 60_000).turn(),
+        Time::from_ms(600)
+    );
+    assert_eq!(
+        job(1, "a", Priority::Overnight, 100, 600_000).turn(),
+        Time::from_ms(60_100)
+    );
+}
+
+/// Guards against overnight work that takes the last places of the batch from people, and against
+/// overnight work that never runs.
+#[test]
+fn overnight_fills_what_is_left() {
+    let held = Limits {
+        overnight: false,
+        ..ALL
+    };
+    let mut queue = Queue::new(8);
+    queue.push(job(1, "a", Priority::Overnight, 0, 3_600_000));
+    queue.push(job(2, "a", Priority::Interactive, 10, 9_000));
+    queue.push(job(3, "a", Priority::Booking, 20, 9_000));
+    assert_eq!(order(&mut queue.clone(), 30, &["a"], ALL), [2, 3, 1]);
+    assert_eq!(order(&mut queue.clone(), 30, &["a"], held), [2, 3]);
+    queue.push(job(4, "a", Priority::Interactive, 60_000, 9_000));
+    assert_eq!(order(&mut queue, 60_001, &["a"], held), [2, 3, 1, 4]);
+}
+
+/// Guards against an unbounded queue, and against shedding people for batch work.
+#[test]
+fn lowest_class_is_shed_first() {
+    let mut queue = Queue::new(2);
+    queue.push(job(1, "a", Priority::Overnight, 0, 90_000));
+    queue.push(job(2, "b", Priority::Overnight, 1, 90_000));
+    let third = job(3, "a", Priority::Overnight, 2, 90_000);
+    assert_eq!(queue.push(third), Push::Full);
+    let Push::Shed(shed) = queue.push(job(4, "a", Priority::Booking, 3, 9_000)) else {
+        panic!("a booking is queued in place of overnight work");
+    };
+    assert_eq!(shed.key.request, RequestId(2));
+    queue.push(job(5, "a", Priority::Interactive, 4, 9_000));
+    let sixth = job(6, "a", Priority::Interactive, 5, 9_000);
+    assert!(matches!(queue.push(sixth), Push::Shed(shed) if shed.key.request.0 == 4));
+    let last = job(7, "a", Priority::Booking, 6, 9_000);
+    assert_eq!(queue.push(last), Push::Full);
+    assert_eq!((queue.len(), queue.counts()), (2, [2, 0, 0]));
+}
+
+/// Guards against loading or running for a job whose caller has given up.
+#[test]
+fn hopeless_jobs_expire() {
+    let mut queue = Queue::new(4);
+    queue.push(job(1, "here", Priority::Interactive, 0, 300));
+    queue.push(job(2, "absent", Priority::Interactive, 0, 300));
+    let need = |name: &Name| Duration::from_millis(if &**name == "absent" { 250 } else { 0 });
+    let ids = |late: Vec<Waiting>| late.iter().map(|job| job.key.request.0).collect::<Vec<_>>();
+    assert_eq!(ids(queue.expire(Time::from_ms(49), need)), []);
+    assert_eq!(ids(queue.expire(Time::from_ms(50), need)), [2]);
+    assert_eq!(ids(queue.expire(Time::from_ms(300), need)), [1]);
+    assert!(queue.is_empty());
+}
+
+/// Guards against jobs of a version that is to leave keeping it for ever.
+#[test]
+fn closing_version_runs_earlier_jobs_only() {
+    let mut queue = Queue::new(4);
+    queue.push(job(1, "hot", Priority::Interactive, 0, 9_000));
+    queue.push(job(2, "hot", Priority::Interactive, 200, 9_000));
+    let hot: Name = "hot".into();
+    let limits = Limits {
+        closing: Some((&hot, Time::from_ms(600))),
+        ..ALL
+    };
+    assert_eq!(order(&mut queue, 800, &["hot"], limits), [1]);
+    assert!(!queue.has_promise("hot", Time::from_ms(600)));
+}
