--- /dev/null
+++ b/crates/process/tests/adopt_config.rs
@@ -0,0 +1,248 @@
+//! Adoption of configurations by real nodes over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::ids::Head;
+use decision::job::Job;
+use decision::job::Outcome;
+use decision::job::Refusal;
+use decision::member::Instance;
+use decision::member::Liveness;
+use decision::member::Role;
+use decision::permit::Ask;
+use decision::permit::Grant;
+use decision::report::Report;
+use edges::members::HttpMembers;
+use edges::store::HttpObjects;
+use edges::store::ObjectStore;
+use edges::table::Condition;
+use edges::table::HttpTable;
+use edges::table::Transaction;
+use edges::table::Write;
+use futures::future::BoxFuture;
+use objects::Model;
+use objects::ObjectSet;
+use objects::Snapshot;
+use process::Adopter;
+use process::Node;
+use process::NodeSettings;
+use wire::AnswerSink;
+use wire::Handler;
+use wire::Server;
+
+const SECRET: &str = "0123456789abcdef";
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Serves only heads and blobs, as every process does.
+struct Blobs(Arc<Adopter>);
+
+impl Handler for Blobs {
+    fn head(&self, from: &str, head: Head) -> Head {
+        self.0.exchange(from, &head)
+    }
+
+    fn blob(&self, digest: &str) -> Option<Bytes> {
+        self.0.blob(digest)
+    }
+
+    fn dispatch(&self, _: Job, _: Bytes, _: AnswerSink) {}
+
+    fn settle(&self, _: decision::ids::RequestId, _: u32) -> Outcome {
+        Outcome::NotRun(Refusal::Settled)
+    }
+
+    fn cancel(&self, _: decision::ids::RequestId, _: u32) {}
+
+    fn report(&self, _: u64) -> Option<Report> {
+        None
+    }
+
+    fn permit(&self, _: Ask) -> BoxFuture<'static, Option<Grant>> {
+        Box::pin(async { None })
+    }
+
+    fn release(&self, _: u64) {}
+
+    fn dump(&self) -> String {
+        String::new()
+    }
+}
+
+struct Platform {
+    table: standins::Table,
+    objects: standins::Objects,
+    members: standins::Members,
+}
+
+impl Platform {
+    async fn start() -> Platform {
+        Platform {
+            table: standins::Table::start().await,
+            objects: standins::Objects::start().await,
+            members: standins::Members::start(Duration::ZERO).await,
+        }
+    }
+
+    fn set_outage(&self, on: bool) {
+        self.table.switches().set_outage(on);
+        self.objects.switches().set_outage(on);
+    }
+
+    async fn publish(&self, generation: u64) {
+        let snapshot = Snapshot::build(&set(generation), generation - 1, "test", generation);
+        let store = HttpObjects::new(self.objects.addr());
+        let blobs = snapshot.buckets.iter().chain([&snapshot.bytes]);
+        for blob in blobs.filter(|blob| !blob.is_empty()) {
+            let key = objects::Digest::of(blob).store_key();
+            store.put(&key, blob.clone().into(), WAIT).await.unwrap();
+        }
+        let key = process::adopter::HEAD_ROW.to_owned();
+        let version = self.table.row(&key).map_or(0, |row| row.version);
+        let head = Head {
+            generation,
+            digest: snapshot.digest.to_string(),
+        };
+        let value = Some(serde_json::to_vec(&head).unwrap().into());
+        let conditions = vec![Condition {
+            key: key.clone(),
+            version,
+        }];
+        self.table.commit(&Transaction {
+            conditions,
+            writes: vec![Write { key, value }],
+        });
+    }
+
+    async fn node(&self, name: &str, domain: &str) -> (Node, Server) {
+        let node = Node::start(NodeSettings {
+            name: name.into(),
+            secret: SECRET.to_owned(),
+            seeds: Vec::new(),
+            threads: 1,
+            table: Arc::new(HttpTable::new(self.table.addr())),
+            objects: Arc::new(HttpObjects::new(self.objects.addr())),
+            members: Arc::new(HttpMembers::new(self.members.addr())),
+        })
+        .unwrap();
+        let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler = Arc::new(Blobs(node.adopter.clone()));
+        let server = Server::start(addr, 1, SECRET, handler).await.unwrap();
+        self.members.put(Instance {
+            name: name.to_owned(),
+            role: Role::Entry,
+            state: Liveness::Live,
+            peer: server.addr(),
+            region: "south".to_owned(),
+            domain: domain.to_owned(),
+        });
+        (node, server)
+    }
+}
+
+fn set(generation: u64) -> ObjectSet {
+    let mut set = ObjectSet::default();
+    for number in 0..=generation {
+        let name = format!("model-{number}");
+        let model = Model {
+            name: name.as_str().into(),
+            base: "base".into(),
+            context: None,
+        };
+        set.models.insert(model.name.clone(), Arc::new(model));
+    }
+    set
+}
+
+async fn wait_generation(node: &Node, generation: u64) {
+    let mut config = node.adopter.config();
+    let reached = config.wait_for(|config| config.head.generation >= generation);
+    let config = tokio::time::timeout(WAIT, reached)
+        .await
+        .expect("not in force in time")
+        .unwrap();
+    assert_eq!(*config.set, set(generation));
+}
+
+async fn wait_ready(node: &Node) {
+    let mut ready = node.adopter.ready();
+    let waited = tokio::time::timeout(WAIT, ready.wait_for(|ready| *ready)).await;
+    waited.expect("not ready in time").unwrap();
+}
+
+/// Guards against processes that miss a generation which was published while they ran.
+#[tokio::test]
+async fn published_generations_arrive() {
+    let platform = Platform::start().await;
+    let (node, _server) = platform.node("entry-1", "a").await;
+    for generation in 1..=3 {
+        platform.publish(generation).await;
+        wait_generation(&node, generation).await;
+    }
+    wait_ready(&node).await;
+    node.stop().await;
+}
+
+/// Guards against a restarted process that cannot serve, or serves an older configuration, while
+/// the platform's storage is down (`config-forward`).
+#[tokio::test]
+async fn restart_learns_from_peers() {
+    let platform = Platform::start().await;
+    let first = platform.node("entry-1", "a").await;
+    let second = platform.node("entry-2", "b").await;
+    platform.publish(2).await;
+    wait_generation(&first.0, 2).await;
+    wait_generation(&second.0, 2).await;
+    platform.set_outage(true);
+    let third = platform.node("entry-3", "a").await;
+    wait_generation(&third.0, 2).await;
+    wait_ready(&third.0).await;
+}
+
+/// Guards against blobs that were changed in the object store.
+#[tokio::test]
+async fn changed_blob_is_refused() {
+    let platform = Platform::start().await;
+    platform.publish(1).await;
+    let key = platform.objects.keys("config/blob/").remove(0);
+    platform.objects.replace(&key, "changed");
+    let (node, _server) = platform.node("entry-1", "a").await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(node.adopter.config().borrow().head.generation, 0);
+    assert!(!*node.adopter.ready().borrow());
+}
+
+/// Guards against a settings file whose faults are told one at a time.
+#[test]
+fn all_settings_faults_are_named() {
+    #[derive(Debug, serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Settings {
+        name: String,
+        secret: String,
+    }
+    impl process::settings::Check for Settings {
+        fn faults(&self) -> Vec<String> {
+            let mut faults = Vec::new();
+            process::settings::check_name("name", &self.name, &mut faults);
+            process::settings::check_secret("secret", &self.secret, &mut faults);
+            faults
+        }
+    }
+    let parse = process::settings::parse::<Settings>;
+    let faults = parse("name = \"\"\nsecret = \"short\"\n").unwrap_err();
+    assert_eq!(
+        faults,
+        [
+            "`name` must not be empty",
+            "`secret` must have at least 16 bytes"
+        ]
+    );
+    let unknown = parse("name = \"a\"\nport = 1\n").unwrap_err();
+    assert!(
+        unknown[0].contains("line 2") && unknown[0].contains("port"),
+        "{unknown:?}"
+    );
+}
