Test the error kinds and the answer streams of the edges

Cause: callers are told "not run" on the basis of NotSent, and no test showed that it is exact.

A declared length above the limit is refused at the head of the response; before, it was read first. Stand-ins can delay a response after its effect.

Conclusion: the classification holds while connections break at any moment of 1,600 calls.

--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -160,13 +160,17 @@
         let deadline = Instant::now() + timeout;
         let response = self.send(call, deadline).await?;
         let status = response.status();
+        let oversized = || {
+            let text = format!("answer exceeds {limit} bytes");
+            self.error(step, Fault::Malformed(text))
+        };
+        if response.body().size_hint().lower() > limit as u64 {
+            return Err(oversized());
+        }
         let collect = Limited::new(response.into_body(), limit).collect();
         let body = match timeout_at(deadline, collect).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                let text = format!("answer exceeds {limit} bytes");
-                return Err(self.error(step, Fault::Malformed(text)));
-            }
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(oversized()),
             Ok(Err(_)) | Err(_) => return Err(self.error(step, Fault::NoAnswer)),
         };
         Ok(Reply { status, body })
--- /dev/null
+++ b/crates/edges/tests/error_kinds.rs
@@ -0,0 +1,246 @@
+//! Whether a failed call may have had its effect.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::ids::Priority;
+use edges::Fault;
+use edges::engine::Submission;
+use edges::service::HttpService;
+use edges::service::Service as _;
+use edges::store::HttpObjects;
+use edges::store::ObjectStore as _;
+use edges::table::Commit;
+use edges::table::Condition;
+use edges::table::HttpTable;
+use edges::table::Table as _;
+use edges::table::Transaction;
+use edges::table::Write;
+use standins::Objects;
+use standins::Service;
+use standins::Table;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const LONG: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(100);
+
+fn put(key: &str, value: &str) -> Transaction {
+    Transaction {
+        conditions: vec![Condition {
+            key: key.into(),
+            version: 0,
+        }],
+        writes: vec![Write {
+            key: key.into(),
+            value: Some(value.to_owned().into()),
+        }],
+    }
+}
+
+fn booking(request: &str) -> Submission {
+    Submission {
+        path: "/book".into(),
+        body: Bytes::from_static(b"{}"),
+        priority: Priority::Booking,
+        request: request.into(),
+    }
+}
+
+/// Answers one request with fixed bytes, then closes the connection.
+async fn raw_peer(answer: &'static [u8]) -> (SocketAddr, tokio::task::JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request).await.unwrap();
+        stream.write_all(answer).await.unwrap();
+    });
+    (addr, task)
+}
+
+/// Guards against a booking reported as unknown although nothing listened.
+#[tokio::test]
+async fn refused_connection() {
+    let service = Service::start().await;
+    let client = HttpService::new(service.addr());
+    service.set_listening(false).await;
+    let error = client.call(booking("a"), LONG).await.err().unwrap();
+    assert_eq!(error.fault, Fault::NotSent);
+    service.set_listening(true).await;
+    assert_eq!(client.call(booking("a"), LONG).await.unwrap().status, 200);
+    assert_eq!(service.runs("a"), 1);
+    service.stop().await;
+}
+
+/// Guards against "not run" for a call that ran, and against a client that runs a call twice, while
+/// connections break at any moment of a call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn breaking_connections() {
+    let service = Service::start().await;
+    // Many connections break between the effect of a call and its response.
+    service
+        .switches()
+        .set_response_delay(Duration::from_millis(1));
+    let client = HttpService::new(service.addr());
+    let caller = |task: u32| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let mut ends = Vec::new();
+            for call in 0..200 {
+                let request = format!("{task}-{call}");
+                let end = client.call(booking(&request), LONG).await.map(|a| a.status);
+                ends.push((request, end));
+            }
+            ends
+        })
+    };
+    let callers = futures::future::join_all((0..8).map(caller));
+    let mut callers = std::pin::pin!(callers);
+    let ends = loop {
+        tokio::select! {
+            ends = &mut callers => break ends,
+            () = tokio::time::sleep(Duration::from_millis(1)) => service.cut().await,
+        }
+    };
+    for (request, end) in ends.into_iter().flat_map(Result::unwrap) {
+        let runs = service.runs(&request);
+        match end {
+            Ok(status) => assert_eq!((status, runs), (200, 1), "{request}"),
+            Err(e) if e.is_harmless() => assert_eq!(runs, 0, "{request}: {e}"),
+            Err(e) => assert!(runs <= 1, "{request}: {e}"),
+        }
+    }
+    service.stop().await;
+}
+
+/// Guards against "not run" for a commit whose response was lost after it took effect.
+#[tokio::test]
+async fn lost_response() {
+    let table = Table::start().await;
+    let client = HttpTable::new(table.addr());
+    table.switches().lose_responses(1);
+    let error = client.commit(put("k", "v"), LONG).await.unwrap_err();
+    assert_eq!(error.fault, Fault::NoAnswer);
+    assert!(!error.is_harmless());
+    let row = client.get("k", LONG).await.unwrap().unwrap();
+    assert_eq!((row.version, &row.value[..]), (1, &b"v"[..]));
+    table.stop().await;
+}
+
+/// Guards against the other half: the request was lost and the row must not be there.
+#[tokio::test]
+async fn lost_request() {
+    let table = Table::start().await;
+    let client = HttpTable::new(table.addr());
+    table.switches().lose_requests(1);
+    let error = client.commit(put("k", "v"), LONG).await.unwrap_err();
+    assert_eq!(error.fault, Fault::NoAnswer);
+    assert_eq!(client.get("k", LONG).await.unwrap(), None);
+    assert_eq!(
+        client.commit(put("k", "v"), LONG).await.unwrap(),
+        Commit::Done(vec![1])
+    );
+    table.stop().await;
+}
+
+/// Guards against a resend after a timeout when the request may still take effect.
+#[tokio::test]
+async fn timeout_after_send() {
+    let objects = Objects::start().await;
+    let client = HttpObjects::new(objects.addr());
+    objects.switches().set_frozen(true);
+    let error = client.put("k", "v".into(), SHORT).await.unwrap_err();
+    assert_eq!(error.fault, Fault::NoAnswer);
+    objects.switches().set_frozen(false);
+    objects.stop().await;
+}
+
+/// Guards against "no answer" for a request that never got a connection: the backlog of the peer
+/// is full, so that connecting neither succeeds nor fails.
+#[tokio::test]
+async fn timeout_before_connection() {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    let _listener = socket.listen(0).unwrap();
+    // A backlog of 0 holds one connection that nobody accepts.
+    let _filler = tokio::net::TcpStream::connect(addr).await.unwrap();
+    let client = HttpService::new(addr);
+    let error = client.call(booking("a"), SHORT).await.err().unwrap();
+    assert_eq!(error.fault, Fault::NotSent);
+}
+
+/// Guards against an outage that counts as an unknown effect.
+#[tokio::test]
+async fn outage() {
+    let table = Table::start().await;
+    let service = Service::start().await;
+    table.switches().set_outage(true);
+    service.switches().set_outage(true);
+    let error = HttpTable::new(table.addr())
+        .commit(put("k", "v"), LONG)
+        .await
+        .unwrap_err();
+    assert_eq!(error.fault, Fault::Unavailable);
+    let error = HttpService::new(service.addr())
+        .call(booking("a"), LONG)
+        .await
+        .err()
+        .unwrap();
+    assert_eq!(error.fault, Fault::Unavailable);
+    assert_eq!((table.row("k"), service.runs("a")), (None, 0));
+    table.stop().await;
+    service.stop().await;
+}
+
+/// Guards against half an answer taken for a whole one, for each way in which an answer breaks off.
+#[tokio::test]
+async fn broken_answers() {
+    let cases: [(&[u8], Fault); 5] = [
+        (b"", Fault::NoAnswer),
+        (b"HTTP/1.1 200 OK\r\nconte", Fault::NoAnswer),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{\"keys\"",
+            Fault::NoAnswer,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nb\r\n{\"keys\":[]}\r\n",
+            Fault::NoAnswer,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\n\r\n{\"keys\":[]}",
+            Fault::Malformed("answer body without a length".into()),
+        ),
+    ];
+    for (answer, fault) in cases {
+        let (addr, task) = raw_peer(answer).await;
+        let error = HttpObjects::new(addr).list("", LONG).await.unwrap_err();
+        assert_eq!(error.fault, fault, "{}", String::from_utf8_lossy(answer));
+        task.await.unwrap();
+    }
+}
+
+/// Guards against an answer of unlimited size filling the memory.
+#[tokio::test]
+async fn oversized_answer() {
+    let (addr, task) = raw_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\nx").await;
+    let error = HttpObjects::new(addr).get("k", LONG).await.unwrap_err();
+    assert!(matches!(error.fault, Fault::Malformed(_)), "{error}");
+    task.await.unwrap();
+}
+
+/// Guards against a server error other than 503 taken as proof that nothing happened.
+#[tokio::test]
+async fn server_error() {
+    let (addr, task) = raw_peer(b"HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\noops").await;
+    let error = HttpTable::new(addr)
+        .commit(put("k", "v"), LONG)
+        .await
+        .unwrap_err();
+    assert!(!error.is_harmless(), "{error}");
+    task.await.unwrap();
+}
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -235,6 +235,7 @@
     if is_write && switches.loses_response() {
         return Err(Cut);
     }
+    switches.wait_response_delay().await;
     reply
 }
 
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -10,12 +10,14 @@
 
 /// The fault switches of one stand-in.
 ///
-/// A request passes them in this order: freeze, delay, outage, lost request, effect, lost response.
+/// A request passes them in this order: freeze, delay, outage, lost request, effect, lost response,
+/// response delay.
 #[derive(Debug, Default)]
 pub struct Switches {
     frozen: AtomicBool,
     thawed: Notify,
     delay: AtomicU64,
+    response_delay: AtomicU64,
     outage: AtomicBool,
     requests: AtomicU32,
     responses: AtomicU32,
@@ -35,6 +37,12 @@
         self.delay.store(delay.as_micros() as u64, Ordering::SeqCst);
     }
 
+    /// Delays every response after the request took effect.
+    pub fn set_response_delay(&self, delay: Duration) {
+        self.response_delay
+            .store(delay.as_micros() as u64, Ordering::SeqCst);
+    }
+
     /// Answers every request with 503, without effect.
     pub fn set_outage(&self, on: bool) {
         self.outage.store(on, Ordering::SeqCst);
@@ -62,10 +70,11 @@
     }
 
     pub(crate) async fn wait_delay(&self) {
-        let micros = self.delay.load(Ordering::SeqCst);
-        if micros > 0 {
-            tokio::time::sleep(Duration::from_micros(micros)).await;
-        }
+        wait(&self.delay).await;
+    }
+
+    pub(crate) async fn wait_response_delay(&self) {
+        wait(&self.response_delay).await;
     }
 
     pub(crate) fn is_out(&self) -> bool {
@@ -81,6 +90,13 @@
     }
 }
 
+async fn wait(delay: &AtomicU64) {
+    let micros = delay.load(Ordering::SeqCst);
+    if micros > 0 {
+        tokio::time::sleep(Duration::from_micros(micros)).await;
+    }
+}
+
 /// Takes one from a counter of faults to come; returns whether there was one.
 pub(crate) fn take(counter: &AtomicU32) -> bool {
     let taken = counter.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
