--- a/crates/standins/src/engine/adapters.rs
+++ b/crates/standins/src/engine/adapters.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use edges::engine::LoadBody;
 use edges::engine::UnloadBody;
 use edges::http::Call;
@@ -10,7 +11,6 @@
 use edges::weights::WeightInfo;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 
 use super::core::Core;
@@ -36,10 +36,10 @@
 }
 
 impl Core {
-    pub(super) async fn load(self: Arc<Self>, request: Request<Incoming>) -> Reply {
-        let order: LoadBody = match reply::read_json(request).await {
+    pub(super) async fn load(self: Arc<Self>, request: Request<Bytes>) -> Reply {
+        let order: LoadBody = match serde_json::from_slice(request.body()) {
             Ok(order) => order,
-            Err(reply) => return reply,
+            Err(e) => return reply::malformed(&e),
         };
         // The load goes on when the caller gives up, as in engines with a loader of their own.
         let core = self.clone();
@@ -134,10 +134,10 @@
         Ok(())
     }
 
-    pub(super) async fn unload(self: Arc<Self>, request: Request<Incoming>) -> Reply {
-        let order: UnloadBody = match reply::read_json(request).await {
+    pub(super) async fn unload(self: Arc<Self>, request: Request<Bytes>) -> Reply {
+        let order: UnloadBody = match serde_json::from_slice(request.body()) {
             Ok(order) => order,
-            Err(reply) => return reply,
+            Err(e) => return reply::malformed(&e),
         };
         let outcome;
         let running;
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use bytes::Bytes;
 use edges::engine::EngineLoad;
 use edges::engine::ModelEntry;
 use edges::engine::ModelList;
@@ -15,7 +16,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -141,7 +141,7 @@
         }
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+    async fn answer(self: Arc<Self>, request: Request<Bytes>) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => self.submit(request, Form::Chat).await,
             (&Method::POST, "/v1/completions") => self.submit(request, Form::Text).await,
@@ -162,7 +162,7 @@
 }
 
 impl Handler for Core {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
         self.answer(request).boxed()
     }
 
@@ -173,7 +173,7 @@
         async move { loads.tasks.wait().await }.boxed()
     }
 
-    fn is_write(&self, request: &Request<Incoming>) -> bool {
+    fn is_write(&self, request: &Request<Bytes>) -> bool {
         request.uri().path().ends_with("_lora_adapter")
     }
 }
--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -188,6 +188,8 @@
             index: held.record.commands.len(),
         };
         held.record.commands.push(command);
+        drop(held);
+        self.changed.notify_waiters();
         place
     }
 
--- a/crates/standins/src/engine/run.rs
+++ b/crates/standins/src/engine/run.rs
@@ -14,7 +14,6 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -87,24 +86,23 @@
 }
 
 impl Core {
-    pub(super) async fn submit(self: Arc<Self>, request: Request<Incoming>, form: Form) -> Reply {
+    pub(super) async fn submit(self: Arc<Self>, request: Request<Bytes>, form: Form) -> Reply {
         let header = |name| {
             let value = request.headers().get(name).and_then(|v| v.to_str().ok());
             value.unwrap_or_default().to_owned()
         };
         let id = header("x-request-id");
         let priority = header("x-priority");
-        let body: Body = match reply::read_json(request).await {
+        let body: Body = match serde_json::from_slice(request.body()) {
             Ok(body) => body,
-            Err(reply) => return reply,
+            Err(e) => return reply::malformed(&e),
         };
         if let Some(status) = next(&self.faults.rejection) {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
             return reply::error(status, "rejected by a fault switch");
         }
-        let mut run = match Run::begin(self.clone(), id, priority, &body).await {
-            Ok(run) => run,
-            Err(reply) => return reply,
+        let Some(mut run) = Run::begin(self.clone(), id, priority, &body).await else {
+            return missing(&body.model);
         };
         run.prefill(&body).await;
         let model = next(&self.faults.wrong).unwrap_or_else(|| body.model.clone());
@@ -146,15 +144,10 @@
 }
 
 impl Run {
-    /// Waits for a place in the batch; the error is the response to send.
-    async fn begin(
-        core: Arc<Core>,
-        request: String,
-        priority: String,
-        body: &Body,
-    ) -> Result<Run, Reply> {
+    /// Waits for a place in the batch; returns nothing if the model is not there.
+    async fn begin(core: Arc<Core>, request: String, priority: String, body: &Body) -> Option<Run> {
         if !core.has(&body.model) {
-            return Err(missing(&body.model));
+            return None;
         }
         let waiting = Waiting::begin(&core);
         core.batch
@@ -176,7 +169,7 @@
         run.enter();
         // The adapter may have been unloaded while the request waited.
         if !run.core.has(&run.model) {
-            return Err(missing(&run.model));
+            return None;
         }
         if run.core.config.records {
             run.place = Some(run.core.log.begin_run(Execution {
@@ -190,7 +183,7 @@
                 ended: None,
             }));
         }
-        Ok(run)
+        Some(run)
     }
 
     /// Counts the sequence as running.
--- a/crates/standins/src/members.rs
+++ b/crates/standins/src/members.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bytes::Bytes;
 use edges::members::Changes;
 use edges::members::Instance;
 use edges::members::Liveness;
@@ -13,7 +14,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::reply;
@@ -86,7 +86,7 @@
 }
 
 impl Handler for Core {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
         async move {
             if request.method() != Method::GET || request.uri().path() != "/instances" {
                 return reply::empty(StatusCode::NOT_FOUND);
--- a/crates/standins/src/objects.rs
+++ b/crates/standins/src/objects.rs
@@ -13,7 +13,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header;
 
 use crate::reply;
@@ -85,12 +84,12 @@
 }
 
 impl Handler for Core {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
         async move {
             let uri = request.uri();
             let key = reply::rest(uri, "/objects/");
             match (request.method(), key) {
-                (&Method::PUT, Some(key)) => self.answer_put(key, request).await,
+                (&Method::PUT, Some(key)) => self.answer_put(key, request),
                 (&Method::GET, Some(key)) => self.answer_get(&key),
                 (&Method::GET, None) if uri.path() == "/objects" => {
                     let prefix = reply::query(uri, "prefix").unwrap_or_default();
@@ -118,9 +117,9 @@
         }
     }
 
-    async fn answer_put(&self, key: String, request: Request<Incoming>) -> Reply {
+    fn answer_put(&self, key: String, request: Request<Bytes>) -> Reply {
         let absent_only = request.headers().get(header::IF_NONE_MATCH).is_some();
-        let data = reply::read(request).await?;
+        let data = request.into_body();
         let mut objects = self.lock();
         if absent_only && objects.contains_key(&key) {
             return reply::empty(StatusCode::PRECONDITION_FAILED);
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -6,14 +6,11 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
-use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 /// The connection is closed at this point, in place of a response or of the rest of one.
 #[derive(Clone, Copy, Debug, Display, Error)]
@@ -61,16 +58,9 @@
     json(status, &serde_json::json!({ "error": error }))
 }
 
-/// Reads the whole body of a request; a body that breaks off cuts the connection.
-pub(crate) async fn read(request: Request<Incoming>) -> Result<Bytes, Cut> {
-    let body = request.into_body().collect().await.map_err(|_| Cut)?;
-    Ok(body.to_bytes())
-}
-
-/// Reads a JSON body; the error is the response to send.
-pub(crate) async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Reply> {
-    let data = read(request).await.map_err(Err)?;
-    serde_json::from_slice(&data).map_err(|e| error(StatusCode::BAD_REQUEST, &e.to_string()))
+/// Returns the response to a request whose body is not what the protocol asks for.
+pub(crate) fn malformed(problem: &serde_json::Error) -> Reply {
+    error(StatusCode::BAD_REQUEST, &problem.to_string())
 }
 
 /// Returns the decoded rest of the path after `prefix`.
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -36,7 +38,7 @@
 /// What a stand-in does with a request.
 pub(crate) trait Handler: Send + Sync + 'static {
     /// Answers one request. The future is dropped when the caller closes its connection.
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply>;
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply>;
 
     /// Ends the tasks that the handler started itself; called after all connections were cut.
     fn halt(&self) -> BoxFuture<'_, ()> {
@@ -44,7 +46,7 @@
     }
 
     /// Returns whether a request counts as a write for the lost-request and lost-response faults.
-    fn is_write(&self, request: &Request<Incoming>) -> bool {
+    fn is_write(&self, request: &Request<Bytes>) -> bool {
         request.method() != Method::GET
     }
 }
@@ -91,6 +93,7 @@
             handler,
             switches: switches.clone(),
             connections: connections.clone(),
+            late: TaskTracker::new(),
             orders,
             stop: stop.clone(),
         };
@@ -174,6 +177,7 @@
     handler: Arc<dyn Handler>,
     switches: Arc<Switches>,
     connections: Arc<Mutex<Connections>>,
+    late: TaskTracker,
     orders: mpsc::Receiver<Listen>,
     stop: CancellationToken,
 }
@@ -199,13 +203,18 @@
         }
         drop(socket);
         cut(&self.connections).await;
+        self.late.close();
+        self.late.wait().await;
         self.handler.halt().await;
     }
 
     fn serve(&self, stream: TcpStream) {
         let handler = self.handler.clone();
         let switches = self.switches.clone();
-        let service = service_fn(move |request| pass(handler.clone(), switches.clone(), request));
+        let late = self.late.clone();
+        let service = service_fn(move |request| {
+            pass(handler.clone(), switches.clone(), late.clone(), request)
+        });
         let connections = self.connections.lock().expect("no panic under this lock");
         let cut = connections.cut.clone();
         connections.tasks.spawn(async move {
@@ -220,6 +229,7 @@
 async fn pass(
     handler: Arc<dyn Handler>,
     switches: Arc<Switches>,
+    late: TaskTracker,
     request: Request<Incoming>,
 ) -> Reply {
     switches.thaw().await;
@@ -227,10 +237,21 @@
     if switches.is_out() {
         return reply::error(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
     }
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
+    let request = Request::from_parts(head, body);
     let is_write = handler.is_write(&request);
+    switches.wait_turn(is_write).await;
     if is_write && switches.loses_request() {
         return Err(Cut);
     }
+    if is_write && let Some(delay) = switches.takes_late() {
+        late.spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = handler.handle(request).await;
+        });
+        return Err(Cut);
+    }
     let reply = handler.handle(request).await;
     if is_write && switches.loses_response() {
         return Err(Cut);
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -11,7 +11,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::reply;
@@ -79,11 +78,11 @@
 }
 
 impl Handler for Core {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
         async move {
             match (request.method(), request.uri().path()) {
                 (&Method::GET, "/health") => reply::empty(StatusCode::OK),
-                (&Method::POST, _) => self.answer_call(request).await,
+                (&Method::POST, _) => self.answer_call(request),
                 _ => reply::empty(StatusCode::NOT_FOUND),
             }
         }
@@ -92,14 +91,14 @@
 }
 
 impl Core {
-    async fn answer_call(&self, request: Request<Incoming>) -> Reply {
+    fn answer_call(&self, request: Request<Bytes>) -> Reply {
         let key = request
             .headers()
             .get("idempotency-key")
             .and_then(|v| v.to_str().ok());
         let key = key.unwrap_or_default().to_owned();
         let path = request.uri().path().to_owned();
-        let body = reply::read(request).await?;
+        let body = request.into_body();
         if take(&self.rejections) {
             return reply::error(StatusCode::CONFLICT, "booked already");
         }
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -1,5 +1,7 @@
 //! Fault switches that all stand-ins share.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -7,11 +9,12 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// The fault switches of one stand-in.
 ///
-/// A request passes them in this order: freeze, delay, outage, lost request, effect, lost response,
-/// response delay.
+/// A request passes them in this order: freeze, delay, outage, rate, lost request, late effect,
+/// effect, lost response, response delay.
 #[derive(Debug, Default)]
 pub struct Switches {
     frozen: AtomicBool,
@@ -21,6 +24,9 @@
     outage: AtomicBool,
     requests: AtomicU32,
     responses: AtomicU32,
+    late: Mutex<(Duration, u32)>,
+    reads: Mutex<Pace>,
+    writes: Mutex<Pace>,
 }
 
 impl Switches {
@@ -58,6 +64,18 @@
         self.responses.store(count, Ordering::SeqCst);
     }
 
+    /// Closes the connection of the next `count` writes at once, and lets each take effect `delay`
+    /// later.
+    pub fn delay_effects(&self, delay: Duration, count: u32) {
+        *lock(&self.late) = (delay, count);
+    }
+
+    /// Limits the requests that are carried out per second; the others wait in order of arrival.
+    pub fn set_rates(&self, reads: f64, writes: f64) {
+        *lock(&self.reads) = Pace::new(reads);
+        *lock(&self.writes) = Pace::new(writes);
+    }
+
     /// Returns once the stand-in is not frozen.
     pub(crate) async fn thaw(&self) {
         while self.frozen.load(Ordering::SeqCst) {
@@ -77,6 +95,22 @@
         wait(&self.response_delay).await;
     }
 
+    /// Waits for the turn of a request under the rate limits.
+    pub(crate) async fn wait_turn(&self, is_write: bool) {
+        let pace = if is_write { &self.writes } else { &self.reads };
+        let turn = lock(pace).turn(Instant::now());
+        if let Some(turn) = turn {
+            tokio::time::sleep_until(turn).await;
+        }
+    }
+
+    /// Returns the delay of the effect of this write, if it is to be late.
+    pub(crate) fn takes_late(&self) -> Option<Duration> {
+        let mut late = lock(&self.late);
+        late.1 = late.1.checked_sub(1)?;
+        Some(late.0)
+    }
+
     pub(crate) fn is_out(&self) -> bool {
         self.outage.load(Ordering::SeqCst)
     }
@@ -90,6 +124,35 @@
     }
 }
 
+/// A limit on requests per second.
+#[derive(Debug, Default)]
+struct Pace {
+    gap: Duration,
+    next: Option<Instant>,
+}
+
+impl Pace {
+    fn new(rate: f64) -> Pace {
+        Pace {
+            gap: Duration::from_secs_f64(1.0 / rate),
+            next: None,
+        }
+    }
+
+    fn turn(&mut self, now: Instant) -> Option<Instant> {
+        if self.gap.is_zero() {
+            return None;
+        }
+        let turn = self.next.map_or(now, |next| next.max(now));
+        self.next = Some(turn + self.gap);
+        Some(turn)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no panic under this lock")
+}
+
 async fn wait(delay: &AtomicU64) {
     let micros = delay.load(Ordering::SeqCst);
     if micros > 0 {
--- a/crates/standins/src/table.rs
+++ b/crates/standins/src/table.rs
@@ -18,7 +18,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 
 use crate::reply;
 use crate::reply::Reply;
@@ -95,11 +94,11 @@
 }
 
 impl Handler for Core {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
         async move {
             let uri = request.uri();
             match (request.method(), uri.path()) {
-                (&Method::POST, "/tx") => self.answer_commit(request).await,
+                (&Method::POST, "/tx") => self.answer_commit(&request),
                 (&Method::GET, "/rows") => {
                     let prefix = reply::query(uri, "prefix").unwrap_or_default();
                     self.reads.fetch_add(1, Ordering::SeqCst);
@@ -127,10 +126,10 @@
         }
     }
 
-    async fn answer_commit(&self, request: Request<Incoming>) -> Reply {
-        let tx: Transaction = match reply::read_json(request).await {
+    fn answer_commit(&self, request: &Request<Bytes>) -> Reply {
+        let tx: Transaction = match serde_json::from_slice(request.body()) {
             Ok(tx) => tx,
-            Err(reply) => return reply,
+            Err(e) => return reply::malformed(&e),
         };
         self.commits.fetch_add(1, Ordering::SeqCst);
         match self.commit(&tx) {
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -8,13 +8,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use edges::weights::WeightInfo;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use sha2::Digest;
 use sha2::Sha256;
 use tokio::sync::Semaphore;
@@ -77,11 +77,8 @@
     /// Starts a weight store.
     pub async fn start(config: WeightsConfig) -> Weights {
         let core = Arc::new(Core {
-            config,
+            pipe: Pipe::new(config),
             declared: Mutex::default(),
-            places: Semaphore::new(config.limit as usize),
-            active: AtomicU32::new(0),
-            peak: AtomicU32::new(0),
             transfers: AtomicU64::new(0),
             failures: AtomicU32::new(0),
         });
@@ -105,12 +102,12 @@
 
     /// Returns the number of transfers in flight.
     pub fn active(&self) -> u32 {
-        self.core.active.load(Ordering::SeqCst)
+        self.core.pipe.active.load(Ordering::SeqCst)
     }
 
     /// Returns the highest number of transfers in flight so far.
     pub fn peak(&self) -> u32 {
-        self.core.peak.load(Ordering::SeqCst)
+        self.core.pipe.peak.load(Ordering::SeqCst)
     }
 
     /// Returns the number of complete transfers.
@@ -129,17 +126,14 @@
 }
 
 struct Core {
-    config: WeightsConfig,
+    pipe: Pipe,
     declared: Mutex<BTreeMap<String, Option<WeightInfo>>>,
-    places: Semaphore,
-    active: AtomicU32,
-    peak: AtomicU32,
     transfers: AtomicU64,
     failures: AtomicU32,
 }
 
 impl Handler for Core {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+    fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply> {
         async move {
             let rest = request.uri().path().strip_prefix("/weights/");
             let Some(rest) = rest.filter(|_| request.method() == Method::GET) else {
@@ -171,44 +165,69 @@
         }
     }
 
-    /// Takes the time of one transfer. The response carries the digest in place of the weights.
+    /// Carries out one transfer. The response carries the digest in place of the weights.
     async fn transfer(&self) -> Result<(), reply::Cut> {
+        if take(&self.failures) {
+            self.pipe.transfer(0.5).await;
+            return Err(reply::Cut);
+        }
+        self.pipe.transfer(1.0).await;
+        self.transfers.fetch_add(1, Ordering::SeqCst);
+        Ok(())
+    }
+}
+
+/// The speed of all transfers of a store together.
+pub struct Pipe {
+    config: WeightsConfig,
+    places: Semaphore,
+    active: AtomicU32,
+    peak: AtomicU32,
+}
+
+impl Pipe {
+    /// Creates a pipe without transfers.
+    pub fn new(config: WeightsConfig) -> Pipe {
+        Pipe {
+            config,
+            places: Semaphore::new(config.limit as usize),
+            active: AtomicU32::new(0),
+            peak: AtomicU32::new(0),
+        }
+    }
+
+    /// Takes the time of the given share of one transfer.
+    pub async fn transfer(&self, share: f64) {
         let _place = self
             .places
             .acquire()
             .await
             .expect("the semaphore is never closed");
         let _flight = Flight::begin(self);
-        let fails = take(&self.failures);
-        let parts = if fails { PARTS / 2 } else { PARTS };
-        if !self.config.load.is_zero() {
-            let mut due = Instant::now();
-            for _ in 0..parts {
-                let active = self
-                    .active
-                    .load(Ordering::SeqCst)
-                    .max(self.config.full_speed);
-                let slowdown = active as f64 / self.config.full_speed as f64;
-                due += (self.config.load / PARTS).mul_f64(slowdown);
-                tokio::time::sleep_until(due).await;
-            }
+        if self.config.load.is_zero() {
+            return;
         }
-        if fails {
-            return Err(reply::Cut);
+        let part = self.config.load.mul_f64(share) / PARTS;
+        let mut due = Instant::now();
+        for _ in 0..PARTS {
+            let active = self
+                .active
+                .load(Ordering::SeqCst)
+                .max(self.config.full_speed);
+            due += part.mul_f64(active as f64 / self.config.full_speed as f64);
+            tokio::time::sleep_until(due).await;
         }
-        self.transfers.fetch_add(1, Ordering::SeqCst);
-        Ok(())
     }
 }
 
-/// One transfer in flight, also when its caller gives up.
+/// One transfer in flight; it ends when it is dropped.
 struct Flight<'a>(&'a AtomicU32);
 
 impl<'a> Flight<'a> {
-    fn begin(core: &'a Core) -> Flight<'a> {
-        let active = core.active.fetch_add(1, Ordering::SeqCst) + 1;
-        core.peak.fetch_max(active, Ordering::SeqCst);
-        Flight(&core.active)
+    fn begin(pipe: &'a Pipe) -> Flight<'a> {
+        let active = pipe.active.fetch_add(1, Ordering::SeqCst) + 1;
+        pipe.peak.fetch_max(active, Ordering::SeqCst);
+        Flight(&pipe.active)
     }
 }
 
