--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod adopt;
 pub mod agent;
+pub mod claim;
 pub mod collections;
 pub mod drain;
 pub mod hash;
@@ -17,11 +18,15 @@
 pub mod job;
 pub mod lease;
 pub mod ledger;
+pub mod limits;
 pub mod member;
 pub mod permit;
 pub mod place;
+pub mod problem;
 pub mod queue;
 pub mod report;
+pub mod request;
+pub mod retry;
 pub mod route;
 pub mod slots;
 pub mod time;
--- /dev/null
+++ b/crates/decision/src/limits.rs
@@ -0,0 +1,177 @@
+//! Limits per workspace, and shedding by class when an entry has too much in flight.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use objects::Priority;
+use objects::Workspace;
+
+use crate::collections::Map;
+use crate::ids::Name;
+use crate::time::Time;
+
+/// The burst that a rate allows, in seconds of that rate; at least one request.
+const BURST_S: f64 = 1.0;
+/// The time after which a shed request may be sent again, per class.
+const SHED_AFTER: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(1),
+    Duration::from_secs(30),
+];
+
+/// Why a request was not admitted.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Denied {
+    /// The workspace exceeds its rate; a token is free after this time.
+    #[display("the workspace exceeds its rate")]
+    Rate(#[error(not(source))] Duration),
+    /// The workspace has too many requests in flight.
+    #[display("the workspace has too many requests in flight")]
+    Inflight,
+    /// The entry is overloaded, and the class is shed; it may be tried again after this time.
+    #[display("the entry is overloaded")]
+    Shed(#[error(not(source))] Duration),
+}
+
+/// The use of one workspace.
+#[derive(Clone, Debug)]
+pub struct Usage {
+    /// The workspace's limits.
+    pub object: std::sync::Arc<Workspace>,
+    /// Requests in flight.
+    pub inflight: u32,
+    /// Requests that may be sent at once now.
+    pub tokens: f64,
+    refilled: Time,
+}
+
+/// The limits of one entry.
+#[derive(Debug)]
+pub struct Limits {
+    capacity: u32,
+    inflight: u32,
+    usage: Map<Name, Usage>,
+    denied: [u64; 3],
+}
+
+impl Limits {
+    /// Creates limits for an entry that carries `capacity` requests at once.
+    pub fn new(capacity: u32) -> Self {
+        Limits {
+            capacity,
+            inflight: 0,
+            usage: Map::default(),
+            denied: [0; 3],
+        }
+    }
+
+    /// Admits a request or says why not. An admitted request must be released once.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        workspace: &std::sync::Arc<Workspace>,
+        priority: Priority,
+    ) -> Result<(), Denied> {
+        let result = self.check(now, workspace, priority);
+        match result {
+            Ok(()) => self.inflight += 1,
+            Err(Denied::Rate(_)) => self.denied[0] += 1,
+            Err(Denied::Inflight) => self.denied[1] += 1,
+            Err(Denied::Shed(_)) => self.denied[2] += 1,
+        }
+        result
+    }
+
+    fn check(
+        &mut self,
+        now: Time,
+        workspace: &std::sync::Arc<Workspace>,
+        priority: Priority,
+    ) -> Result<(), Denied> {
+        if self.inflight >= class_capacity(self.capacity, priority) {
+            return Err(Denied::Shed(SHED_AFTER[priority as usize]));
+        }
+        if !self.usage.contains_key(&workspace.name) {
+            let usage = Usage::new(now, workspace);
+            self.usage.insert(workspace.name.clone(), usage);
+        }
+        let Some(usage) = self.usage.get_mut(&workspace.name) else {
+            return Err(Denied::Inflight);
+        };
+        usage.object = workspace.clone();
+        usage.admit(now)
+    }
+
+    /// Releases an admitted request.
+    pub fn release(&mut self, workspace: &str) {
+        self.inflight = self.inflight.saturating_sub(1);
+        if let Some(usage) = self.usage.get_mut(workspace) {
+            usage.inflight = usage.inflight.saturating_sub(1);
+        }
+    }
+
+    /// Forgets workspaces that are no longer declared and have nothing in flight.
+    pub fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.usage
+            .retain(|name, usage| usage.inflight > 0 || keep(name));
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn inflight(&self) -> u32 {
+        self.inflight
+    }
+
+    /// Returns the number of requests that the entry carries at once.
+    pub fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    /// Returns how many requests were denied by rate, by requests in flight and by load.
+    pub fn denied(&self) -> [u64; 3] {
+        self.denied
+    }
+
+    /// Returns the use per workspace.
+    pub fn usage(&self) -> impl Iterator<Item = &Usage> {
+        self.usage.values()
+    }
+}
+
+impl Usage {
+    fn new(now: Time, object: &std::sync::Arc<Workspace>) -> Self {
+        Usage {
+            object: object.clone(),
+            inflight: 0,
+            tokens: (object.rate * BURST_S).max(1.0),
+            refilled: now,
+        }
+    }
+
+    fn admit(&mut self, now: Time) -> Result<(), Denied> {
+        let rate = self.object.rate;
+        let full = (rate * BURST_S).max(1.0);
+        let earned = now.since(self.refilled).as_secs_f64() * rate;
+        self.tokens = (self.tokens + earned).min(full);
+        self.refilled = self.refilled.max(now);
+        if self.inflight >= self.object.inflight {
+            return Err(Denied::Inflight);
+        }
+        if self.tokens < 1.0 {
+            let wait = ((1.0 - self.tokens) / rate.max(1e-6)).min(3_600.0);
+            return Err(Denied::Rate(Duration::from_secs_f64(wait)));
+        }
+        self.tokens -= 1.0;
+        self.inflight += 1;
+        Ok(())
+    }
+}
+
+/// Returns the number of requests in flight from which a class is shed; lower classes go first.
+fn class_capacity(capacity: u32, priority: Priority) -> u32 {
+    match priority {
+        Priority::Interactive => capacity,
+        Priority::Booking => capacity - capacity / 20,
+        Priority::Overnight => capacity - capacity / 5,
+    }
+}
--- /dev/null
+++ b/crates/decision/src/request/verdict.rs
@@ -0,0 +1,143 @@
+//! What an end means: for the caller, for a retry and for the endpoint's health.
+
+use std::time::Duration;
+
+use crate::claim::ClaimAction;
+use crate::job::End;
+use crate::job::Failure;
+use crate::job::Outcome;
+use crate::job::Refusal;
+use crate::place::Finish;
+use crate::problem::Code;
+use crate::problem::Problem;
+use crate::problem::Ran;
+
+/// The time after which a retry of a request in progress makes sense.
+const IN_PROGRESS_AFTER: Duration = Duration::from_secs(1);
+/// The time after which a retry makes sense while storage is down.
+const STORAGE_AFTER: Duration = Duration::from_secs(2);
+
+/// Returns what an end says about the endpoint. `latency` is the time to the first byte.
+///
+/// A failed load and a client error are the version's or the caller's, not the endpoint's.
+pub fn finish_of(end: &End, latency: Duration) -> Finish {
+    match (&end.failure, end.outcome) {
+        (Some(Failure::WrongAdapter(_)), _) => Finish::WrongAdapter,
+        (Some(Failure::Status { status, .. }), _) if *status < 500 => Finish::Neutral,
+        (Some(Failure::Deadline), _) => Finish::Neutral,
+        (Some(_), _) => Finish::Failed,
+        (None, Outcome::Ran) => Finish::Good(latency),
+        (None, Outcome::NotRun(Refusal::Draining)) => Finish::Draining,
+        (None, Outcome::NotRun(Refusal::EngineDown | Refusal::WrongEndpoint)) => Finish::Failed,
+        (None, Outcome::NotRun(_)) => Finish::Neutral,
+        (None, Outcome::Unknown | Outcome::Pending) => Finish::Failed,
+    }
+}
+
+/// Returns whether another attempt at a repeatable request may end differently.
+pub(super) fn is_retryable(end: &End) -> bool {
+    match (&end.failure, end.outcome) {
+        (Some(Failure::Status { status, .. }), _) => *status >= 500,
+        (Some(Failure::Deadline), _) => false,
+        (Some(_), _) => true,
+        (None, Outcome::NotRun(reason)) => is_retryable_refusal(reason),
+        (None, _) => true,
+    }
+}
+
+/// Returns whether another agent may accept what this one refused.
+pub(super) fn is_retryable_refusal(reason: Refusal) -> bool {
+    !matches!(reason, Refusal::Deadline | Refusal::Cancelled)
+}
+
+/// Returns the problem of an attempt's end.
+pub(super) fn problem_of(end: &End, ran: Ran) -> Problem {
+    let Some(failure) = &end.failure else {
+        return match end.outcome {
+            Outcome::NotRun(reason) => Problem {
+                ran,
+                ..refusal_problem(reason, end.after)
+            },
+            _ => Problem::new(
+                Code::OutcomeUnknown,
+                ran,
+                "it is not known whether the request ran",
+            ),
+        };
+    };
+    let code = match failure {
+        Failure::WrongAdapter(_) => Code::WrongAdapter,
+        Failure::Truncated | Failure::Link => Code::AnswerTruncated,
+        Failure::Deadline => Code::DeadlineExceeded,
+        Failure::Status {
+            status: 400 | 413 | 422,
+            ..
+        } => Code::InvalidRequest,
+        Failure::Status { .. } => Code::UpstreamError,
+    };
+    let ran = match end.outcome {
+        Outcome::Ran => Ran::Yes,
+        _ => ran,
+    };
+    let mut problem = Problem::new(code, ran, failure.to_string());
+    problem.after = end.after;
+    problem
+}
+
+/// Returns the problem of a request that an agent refused.
+pub(super) fn refusal_problem(reason: Refusal, after: Option<Duration>) -> Problem {
+    let code = match reason {
+        Refusal::Overloaded => Code::Overloaded,
+        Refusal::Deadline => Code::DeadlineExceeded,
+        Refusal::LoadFailed => Code::LoadFailed,
+        Refusal::Cancelled => Code::Cancelled,
+        Refusal::Draining
+        | Refusal::StaleClaim
+        | Refusal::Settled
+        | Refusal::EngineDown
+        | Refusal::WrongEndpoint => Code::NoEndpoint,
+    };
+    let mut problem = Problem::not_run(code, format!("the agent refused the request: {reason}"));
+    problem.after = after;
+    problem
+}
+
+/// Returns the problem of a request whose deadline passed.
+pub(super) fn deadline_problem(ran: Ran) -> Problem {
+    Problem::new(Code::DeadlineExceeded, ran, "the deadline passed")
+}
+
+/// Returns the problem of a request whose link to the agent broke.
+pub(super) fn link_problem(ran: Ran) -> Problem {
+    Problem::new(Code::AnswerTruncated, ran, "the link to the agent broke")
+}
+
+/// Returns the problem that a claim ended in.
+pub(super) fn claim_problem(action: &ClaimAction) -> Problem {
+    match action {
+        ClaimAction::Conflict => Problem::not_run(
+            Code::IdempotencyConflict,
+            "the idempotency key was used with another request",
+        ),
+        ClaimAction::InProgress => Problem::new(
+            Code::RequestInProgress,
+            Ran::Unknown,
+            "a request with this idempotency key is in progress",
+        )
+        .retry_after(IN_PROGRESS_AFTER),
+        ClaimAction::AnswerLost => Problem::new(
+            Code::AnswerLost,
+            Ran::Yes,
+            "the request ran, and its answer is not available",
+        ),
+        ClaimAction::Refuse(reason) => {
+            let message = format!("this call was not run: {reason}");
+            Problem::not_run(Code::StorageUnavailable, message).retry_after(STORAGE_AFTER)
+        }
+        _ => Problem::new(
+            Code::OutcomeUnknown,
+            Ran::Unknown,
+            "it cannot be determined whether the request ran; it will not be run again",
+        ),
+    }
+}
