--- /dev/null
+++ b/crates/decision/tests/claim_steps.rs
@@ -0,0 +1,126 @@
+//! Single steps of a claim, and the group commit.
+
+use decision::claim::Claim;
+use decision::claim::ClaimAction;
+use decision::claim::ClaimEvent;
+use decision::claim::ClaimRow;
+use decision::claim::ClaimState;
+use decision::claim::Reason;
+use decision::claim::group::GroupCommit;
+use decision::claim::group::MAX_ROWS;
+use decision::claim::group::TxResult;
+use decision::claim::group::WriteResult;
+use decision::ids::Incarnation;
+use decision::ids::RequestId;
+use decision::job::Outcome;
+use decision::job::Refusal;
+use decision::time::Time;
+
+fn begin() -> (Claim, ClaimRow) {
+    let deadline = Time::from_ms(5_000);
+    let (mut claim, action) = Claim::new(
+        Time::from_ms(0),
+        RequestId(1),
+        "body".to_owned(),
+        "nonce".to_owned(),
+        deadline,
+    );
+    assert_eq!(action, ClaimAction::Pick);
+    let picked = ClaimEvent::Picked {
+        endpoint: "e".into(),
+        agent: Incarnation(9),
+    };
+    let ClaimAction::Commit { row, version: 0 } = claim.next(Time::from_ms(1), picked) else {
+        panic!("the row is not written");
+    };
+    (claim, *row)
+}
+
+/// Guards against a dispatch by a claimant that was paused while its claim was confirmed.
+#[test]
+fn late_confirmation_is_refused_and_recorded() {
+    let (mut claim, _) = begin();
+    let done = ClaimEvent::Written(WriteResult::Done(1));
+    let action = claim.next(Time::from_ms(801), done);
+    assert_eq!(action, ClaimAction::Refuse(Reason::Storage));
+    let outcome = Outcome::NotRun(Refusal::Deadline);
+    let (version, row) = claim.record(outcome, None).unwrap();
+    assert_eq!((version, row.state), (1, ClaimState::Refused));
+}
+
+/// Guards against a booking that is lost because the response to its claim was lost.
+#[test]
+fn lost_response_is_resolved_by_reading_back() {
+    let (mut claim, row) = begin();
+    let lost = ClaimEvent::Written(WriteResult::Lost);
+    assert_eq!(claim.next(Time::from_ms(10), lost), ClaimAction::Read);
+    let read = ClaimEvent::Row(Some((1, row)));
+    assert!(matches!(
+        claim.next(Time::from_ms(20), read),
+        ClaimAction::Dispatch(_)
+    ));
+}
+
+/// Guards against "not run" about a request whose row exists but cannot be read.
+#[test]
+fn unreadable_row_of_another_leaves_the_outcome_unknown() {
+    let (mut claim, _) = begin();
+    let failed = ClaimEvent::Written(WriteResult::Failed);
+    assert_eq!(claim.next(Time::from_ms(10), failed), ClaimAction::Read);
+    assert_eq!(
+        claim.next(Time::from_ms(800), ClaimEvent::ReadFailed),
+        ClaimAction::Unknown
+    );
+}
+
+/// Guards against an agent's late record that overwrites the outcome of a later attempt.
+#[test]
+fn agent_records_only_its_own_attempt() {
+    let (_, row) = begin();
+    let ended = |attempt, agent| row.ended(RequestId(1), attempt, Incarnation(agent), Outcome::Ran);
+    assert!(ended(2, 9).is_none());
+    assert!(ended(1, 8).is_none());
+    let done = ended(1, 9).unwrap();
+    assert_eq!(done.state, ClaimState::Done);
+    assert!(
+        done.ended(RequestId(1), 1, Incarnation(9), Outcome::Ran)
+            .is_none()
+    );
+}
+
+/// Guards against a claim that fails because another one of its transaction does.
+#[test]
+fn only_the_failed_row_of_a_transaction_fails() {
+    let (_, row) = begin();
+    let mut group = GroupCommit::default();
+    let tickets = ["a", "b", "a"].map(|key| group.push(key.to_owned(), 0, row.clone()));
+    assert_eq!(
+        group.next_tx().unwrap().len(),
+        2,
+        "two writes of one row must not share"
+    );
+    assert!(group.next_tx().is_none(), "one transaction at a time");
+    let results = group.finish(&TxResult::Failed(vec!["a".to_owned()]));
+    assert_eq!(results, [(tickets[0], WriteResult::Failed)]);
+    assert_eq!(group.next_tx().unwrap().len(), 2);
+    let results = group.finish(&TxResult::Done(vec![1, 1]));
+    assert_eq!(
+        results,
+        [
+            (tickets[1], WriteResult::Done(1)),
+            (tickets[2], WriteResult::Done(1))
+        ]
+    );
+}
+
+/// Guards against a transaction that grows without limit while the table is slow.
+#[test]
+fn transactions_are_bounded() {
+    let (_, row) = begin();
+    let mut group = GroupCommit::default();
+    for key in 0..100 {
+        group.push(key.to_string(), 0, row.clone());
+    }
+    assert_eq!(group.next_tx().unwrap().len(), MAX_ROWS);
+    assert_eq!(group.depth(), (100 - MAX_ROWS, MAX_ROWS));
+}
--- /dev/null
+++ b/crates/decision/tests/claimants/mod.rs
@@ -0,0 +1,443 @@
+//! Entries, agents and a table in virtual time, with faults drawn from a plan.
+
+use std::collections::BTreeMap;
+
+use bolero::TypeGenerator;
+use decision::claim::Claim;
+use decision::claim::ClaimAction;
+use decision::claim::ClaimEvent;
+use decision::claim::ClaimRow;
+use decision::claim::Named;
+use decision::claim::Stored;
+use decision::claim::group::WriteResult;
+use decision::ids::Attempt;
+use decision::ids::Head;
+use decision::ids::Incarnation;
+use decision::ids::Priority;
+use decision::ids::RequestId;
+use decision::job::Job;
+use decision::job::Outcome;
+use decision::job::Target;
+use decision::ledger::Admission;
+use decision::ledger::Key;
+use decision::ledger::Ledger;
+use decision::time::Time;
+
+/// The timeout of one call to the table or an agent, in milliseconds.
+const TIMEOUT_MS: u64 = 150;
+/// The deadline of a call, in milliseconds.
+const DEADLINE_MS: u64 = 4_000;
+/// The end of the simulation, in milliseconds.
+const END_MS: u64 = 30_000;
+
+/// What goes wrong, and when.
+#[derive(Debug, TypeGenerator)]
+pub(crate) struct Plan {
+    seed: u64,
+    loss: u8,
+    duplicate: u8,
+    late: u8,
+    /// Entry, key, body and start of each call.
+    calls: [(u8, u8, u8, u16); 8],
+    /// Agent and time of each restart.
+    restarts: [(u8, u16); 3],
+    /// Entry, start and length of each pause.
+    pauses: [(u8, u16, u16); 3],
+    /// Start and length of each outage of the table.
+    outages: [(u16, u16); 2],
+}
+
+/// How a call was answered.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Reply {
+    Whole,
+    Replay(String),
+    NotRun,
+    Unknown,
+    Conflict,
+}
+
+/// One call of a caller.
+pub(crate) struct Call {
+    entry: usize,
+    pub(crate) key: String,
+    pub(crate) body: String,
+    claim: Option<Claim>,
+    /// The number of the action in progress; results of earlier ones are ignored.
+    step: u64,
+    pub(crate) dispatched: Vec<Named>,
+    pub(crate) reply: Option<Reply>,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Start(usize),
+    Event(usize, u64, ClaimEvent),
+    Commit(usize, u64, u64, ClaimRow),
+    Read(usize, u64),
+    Dispatch(usize, u64, Named),
+    Settle(usize, u64, Named),
+    Submit(usize, Incarnation, usize, u64, Key),
+    Store(String, u64, ClaimRow),
+    Restart(usize),
+}
+
+struct Agent {
+    own: Incarnation,
+    ledger: Ledger,
+}
+
+/// One submission to an engine.
+pub(crate) struct Run {
+    pub(crate) key: String,
+    pub(crate) body: String,
+    pub(crate) request: RequestId,
+    pub(crate) attempt: Attempt,
+}
+
+/// The whole simulated system.
+pub(crate) struct World {
+    plan: Plan,
+    rng: fastrand::Rng,
+    now: u64,
+    count: u64,
+    queue: BTreeMap<(u64, u64), Message>,
+    rows: BTreeMap<String, (u64, ClaimRow)>,
+    agents: Vec<Agent>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) runs: Vec<Run>,
+}
+
+impl World {
+    pub(crate) fn run(plan: Plan) -> World {
+        let rng = fastrand::Rng::with_seed(plan.seed);
+        let agent = |own| Agent {
+            own: Incarnation(own),
+            ledger: Ledger::new(Incarnation(own)),
+        };
+        let mut world = World {
+            rng,
+            now: 0,
+            count: 0,
+            queue: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            agents: vec![agent(1), agent(2)],
+            calls: Vec::new(),
+            runs: Vec::new(),
+            plan,
+        };
+        world.prepare();
+        while let Some(((at, _), message)) = world.queue.pop_first() {
+            if at > END_MS {
+                break;
+            }
+            world.now = at;
+            world.deliver(message);
+        }
+        world
+    }
+
+    fn prepare(&mut self) {
+        for (index, (entry, key, body, start)) in self.plan.calls.into_iter().enumerate() {
+            self.calls.push(Call {
+                entry: usize::from(entry % 2),
+                key: format!("k{}", key % 3),
+                // One body in sixteen differs.
+                body: format!("b{}", u8::from(body < 16)),
+                claim: None,
+                step: 0,
+                dispatched: Vec::new(),
+                reply: None,
+            });
+            self.at(u64::from(start % 8_000), Message::Start(index));
+        }
+        for (agent, time) in self.plan.restarts {
+            self.at(
+                u64::from(time % 8_000),
+                Message::Restart(usize::from(agent % 2)),
+            );
+        }
+    }
+
+    fn at(&mut self, time: u64, message: Message) {
+        self.count += 1;
+        self.queue.insert((time, self.count), message);
+    }
+
+    /// Sends a message that may be lost, late, duplicated and overtaken.
+    fn send(&mut self, message: Message) {
+        if self.rng.u8(..) < self.plan.loss / 4 {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.u8(..) < self.plan.duplicate / 4);
+        for _ in 0..copies {
+            let late = self.rng.u8(..) < self.plan.late / 4;
+            let delay = self.rng.u64(1..if late { 3_000 } else { 40 });
+            self.at(self.now + delay, message.clone());
+        }
+    }
+
+    fn is_out(&self) -> bool {
+        let now = self.now;
+        self.plan.outages.iter().any(|(start, length)| {
+            let start = u64::from(start % 8_000);
+            (start..start + u64::from(length % 3_000)).contains(&now)
+        })
+    }
+
+    /// Returns the end of the pause that the entry is in.
+    fn pause_end(&self, entry: usize) -> Option<u64> {
+        let spans = self.plan.pauses.iter().map(|(paused, start, length)| {
+            let start = u64::from(start % 8_000);
+            (
+                usize::from(paused % 2),
+                start,
+                start + u64::from(length % 3_000),
+            )
+        });
+        let now = self.now;
+        spans
+            .filter(|(paused, start, end)| *paused == entry && (*start..*end).contains(&now))
+            .map(|(.., end)| end)
+            .max()
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Start(call) => self.start(call),
+            Message::Event(call, step, event) => self.event(call, step, event),
+            Message::Commit(call, step, version, row) => self.commit(call, step, version, row),
+            Message::Read(call, step) => {
+                if !self.is_out() {
+                    let row = self.rows.get(&self.calls[call].key).cloned();
+                    self.send(Message::Event(call, step, ClaimEvent::Row(row)));
+                }
+            }
+            Message::Dispatch(call, step, named) => self.dispatch(call, step, &named),
+            Message::Settle(call, step, named) => self.settle(call, step, &named),
+            Message::Submit(agent, own, call, step, key) => {
+                self.submit(agent, own, call, step, key)
+            }
+            Message::Store(key, version, row) => {
+                self.write(&key, version, row);
+            }
+            Message::Restart(agent) => {
+                let own = Incarnation(self.rng.u64(10..));
+                self.agents[agent] = Agent {
+                    own,
+                    ledger: Ledger::new(own),
+                };
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        if let Some(end) = self.pause_end(self.calls[index].entry) {
+            return self.at(end, Message::Start(index));
+        }
+        let now = Time::from_ms(self.now);
+        let request = RequestId(index as u128);
+        let digest = self.calls[index].body.clone();
+        let nonce = self.rng.u64(..).to_string();
+        let deadline = Time::from_ms(self.now + DEADLINE_MS);
+        let (claim, action) = Claim::new(now, request, digest, nonce, deadline);
+        self.calls[index].claim = Some(claim);
+        self.act(index, action);
+    }
+
+    fn event(&mut self, index: usize, step: u64, event: ClaimEvent) {
+        if let Some(end) = self.pause_end(self.calls[index].entry) {
+            return self.at(end, Message::Event(index, step, event));
+        }
+        let call = &mut self.calls[index];
+        if call.step != step || call.reply.is_some() {
+            return;
+        }
+        let Some(claim) = &mut call.claim else {
+            return;
+        };
+        let action = claim.next(Time::from_ms(self.now), event);
+        self.act(index, action);
+    }
+
+    fn act(&mut self, index: usize, action: ClaimAction) {
+        let call = &mut self.calls[index];
+        call.step += 1;
+        let step = call.step;
+        let until = call.claim.as_ref().unwrap().until().as_ms();
+        self.at(until, Message::Event(index, step, ClaimEvent::Expired));
+        let timeout = self.now + TIMEOUT_MS;
+        match action {
+            ClaimAction::Pick => {
+                let agent = self.rng.usize(..2);
+                let event = ClaimEvent::Picked {
+                    endpoint: agent.to_string().into(),
+                    agent: self.agents[agent].own,
+                };
+                self.at(self.now, Message::Event(index, step, event));
+            }
+            ClaimAction::Commit { row, version } => {
+                let lost = ClaimEvent::Written(WriteResult::Lost);
+                self.at(timeout, Message::Event(index, step, lost));
+                self.send(Message::Commit(index, step, version, *row));
+            }
+            ClaimAction::Read => {
+                self.at(timeout, Message::Event(index, step, ClaimEvent::ReadFailed));
+                self.send(Message::Read(index, step));
+            }
+            ClaimAction::Wait(until) => {
+                self.at(until.as_ms(), Message::Event(index, step, ClaimEvent::Woke));
+            }
+            ClaimAction::Settle(named) => {
+                self.at(
+                    timeout,
+                    Message::Event(index, step, ClaimEvent::SettleFailed),
+                );
+                self.send(Message::Settle(index, step, named));
+            }
+            ClaimAction::Dispatch(named) => {
+                self.calls[index].dispatched.push(named.clone());
+                // The link breaks before some answers arrive.
+                if self.rng.u8(..) < self.plan.loss / 2 {
+                    let lost = ClaimEvent::LinkLost { sent: true };
+                    let at = self.now + self.rng.u64(1..500);
+                    self.at(at, Message::Event(index, step, lost));
+                }
+                self.send(Message::Dispatch(index, step, named));
+            }
+            ClaimAction::NotRun(reason) => {
+                self.store(index, Outcome::NotRun(reason), None);
+                let call = &mut self.calls[index];
+                if self.rng.bool() {
+                    call.reply = Some(Reply::NotRun);
+                    return;
+                }
+                let action = call.claim.as_mut().unwrap().retry(Time::from_ms(self.now));
+                self.act(index, action);
+            }
+            action => self.answer(index, &action),
+        }
+    }
+
+    fn answer(&mut self, index: usize, action: &ClaimAction) {
+        let reply = match action {
+            ClaimAction::Whole => {
+                let body = self.calls[index].body.clone();
+                let answer = Stored {
+                    outcome: Outcome::Ran,
+                    status: 200,
+                    content: String::new(),
+                    body: Some(body),
+                    receipt: None,
+                };
+                self.store(index, Outcome::Ran, Some(answer));
+                Reply::Whole
+            }
+            ClaimAction::Replay(stored) => Reply::Replay(stored.body.clone().unwrap()),
+            ClaimAction::Refuse(_) => Reply::NotRun,
+            ClaimAction::Conflict => Reply::Conflict,
+            _ => Reply::Unknown,
+        };
+        self.calls[index].reply = Some(reply);
+    }
+
+    /// Sends the write of an outcome, which may be lost.
+    fn store(&mut self, index: usize, outcome: Outcome, answer: Option<Stored>) {
+        let call = &self.calls[index];
+        let Some((version, row)) = call.claim.as_ref().unwrap().record(outcome, answer) else {
+            return;
+        };
+        self.send(Message::Store(call.key.clone(), version, row));
+    }
+
+    fn write(&mut self, key: &str, version: u64, row: ClaimRow) -> Option<WriteResult> {
+        if self.is_out() {
+            return None;
+        }
+        let present = self.rows.get(key).map_or(0, |(version, _)| *version);
+        if present != version {
+            return Some(WriteResult::Failed);
+        }
+        self.rows.insert(key.to_owned(), (version + 1, row));
+        Some(WriteResult::Done(version + 1))
+    }
+
+    fn commit(&mut self, index: usize, step: u64, version: u64, row: ClaimRow) {
+        let key = self.calls[index].key.clone();
+        if let Some(result) = self.write(&key, version, row) {
+            self.send(Message::Event(index, step, ClaimEvent::Written(result)));
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, step: u64, named: &Named) {
+        let agent: usize = named.endpoint.parse().unwrap();
+        let job = job(named, &self.calls[index].key);
+        let now = Time::from_ms(self.now);
+        let own = self.agents[agent].own;
+        let key = Key::of(&job);
+        match self.agents[agent].ledger.admit(now, &job) {
+            Admission::New => {
+                let at = self.now + self.rng.u64(0..300);
+                self.at(at, Message::Submit(agent, own, index, step, key));
+            }
+            Admission::Seen(Outcome::Pending) => {}
+            Admission::Seen(outcome) => {
+                let event = ClaimEvent::Ended { outcome, by: own };
+                self.send(Message::Event(index, step, event));
+            }
+        }
+    }
+
+    fn submit(&mut self, agent: usize, own: Incarnation, index: usize, step: u64, key: Key) {
+        if self.agents[agent].own != own || !self.agents[agent].ledger.submit(key) {
+            return;
+        }
+        self.runs.push(Run {
+            key: self.calls[index].key.clone(),
+            body: self.calls[index].body.clone(),
+            request: key.request,
+            attempt: key.attempt,
+        });
+        let outcome = Outcome::Ran;
+        self.agents[agent]
+            .ledger
+            .end(Time::from_ms(self.now), key, true, outcome);
+        self.send(Message::Event(
+            index,
+            step,
+            ClaimEvent::Ended { outcome, by: own },
+        ));
+    }
+
+    fn settle(&mut self, index: usize, step: u64, named: &Named) {
+        let agent: usize = named.endpoint.parse().unwrap();
+        let agent = &mut self.agents[agent];
+        let key = Key {
+            request: named.request,
+            attempt: named.attempt,
+        };
+        let event = match agent.own == named.agent {
+            true => ClaimEvent::Settled(agent.ledger.settle(Time::from_ms(self.now), key)),
+            false => ClaimEvent::AgentGone,
+        };
+        self.send(Message::Event(index, step, event));
+    }
+}
+
+fn job(named: &Named, key: &str) -> Job {
+    Job {
+        request: named.request,
+        attempt: named.attempt,
+        head: Head::default(),
+        workspace: "w".into(),
+        route: "r".into(),
+        target: Target::Service("s".into()),
+        priority: Priority::Booking,
+        left: std::time::Duration::from_secs(1),
+        claim: Some(named.agent),
+        row: Some(key.to_owned()),
+        path: "/".to_owned(),
+        stream: false,
+        prefix: 0,
+    }
+}
