Let aliases carry their own settings, limited by their target

An alias without a deadline gets the longest one, so its target decides; without a priority it gets its target's.

Before: an alias of a 3 s route resolved to a deadline of 0 in the route table.

--- a/crates/objects/src/fields.rs
+++ b/crates/objects/src/fields.rs
@@ -111,18 +111,6 @@
         });
     }
 
-    /// Marks a field as known without reading it and returns whether it is present.
-    pub(crate) fn skip(&mut self, field: &'static str) -> bool {
-        self.value(field).is_some()
-    }
-
-    /// Records a finding at a field.
-    pub(crate) fn report_field(&mut self, field: &str, code: Code, message: String, fix: String) {
-        let value = self.table.get(field);
-        let offset = value.map_or(self.offset, |value| value.span().start);
-        self.report(offset, code, message, fix);
-    }
-
     /// Records a finding at the object's first line.
     pub(crate) fn report_object(&mut self, code: Code, message: String, fix: String) {
         self.report(self.offset, code, message, fix);
--- a/crates/objects/src/finding.rs
+++ b/crates/objects/src/finding.rs
@@ -117,6 +117,13 @@
     pub fields: Vec<(String, u32)>,
 }
 
+impl Source {
+    /// Returns whether the object names the field.
+    pub fn has(&self, field: &str) -> bool {
+        self.fields.iter().any(|(name, _)| name == field)
+    }
+}
+
 /// Where the objects of a set stand; empty for a set that did not come from files.
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
--- a/crates/objects/src/parse.rs
+++ b/crates/objects/src/parse.rs
@@ -32,6 +32,7 @@
 use crate::ident::Object;
 use crate::ident::ObjectKey;
 use crate::ident::POLICY_NAME;
+use crate::resolve::resolve;
 use crate::validate::validate;
 
 /// The longest deadline, in milliseconds: one day covers overnight work.
@@ -80,6 +81,7 @@
             add(&mut loaded, object, source);
         }
     }
+    inherit_priorities(&mut loaded);
     let findings = validate(&loaded.set, &loaded.sources);
     loaded.findings.extend(findings);
     loaded.findings.sort();
@@ -103,6 +105,27 @@
     loaded.set.insert(object);
 }
 
+/// Gives each alias that names no priority the one of the route that it leads to.
+fn inherit_priorities(loaded: &mut Loaded) {
+    let mut inherited = Vec::new();
+    for route in loaded.set.routes.values() {
+        let key = ObjectKey::new(Kind::Route, route.name.clone());
+        let source = loaded.sources.objects.get(&key);
+        let given = source.is_some_and(|source| source.has("priority"));
+        if given || !matches!(route.target, RouteTarget::Alias(_)) {
+            continue;
+        }
+        if let Ok(resolved) = resolve(&loaded.set, &route.name) {
+            let mut route = Route::clone(route);
+            route.priority = resolved.route.priority;
+            inherited.push(route);
+        }
+    }
+    for route in inherited {
+        loaded.set.insert(Object::Route(Arc::new(route)));
+    }
+}
+
 /// Reads one file. The result depends on the arguments alone.
 pub fn parse(file: &str, text: &str) -> Parsed {
     let mut parsed = Parsed::default();
@@ -265,19 +288,11 @@
     let name = fields.name("name");
     let workspace = fields.name("workspace");
     let target = route_target(fields);
-    if fields.has("alias") {
-        reject_settings(fields);
-        return Some(Route {
-            name: name?,
-            workspace: workspace?,
-            target: target?,
-            priority: Priority::default(),
-            deadline: Duration::ZERO,
-            repeatable: false,
-        });
-    }
     let priority = fields.choice("priority", &PRIORITIES);
-    let deadline = deadline(fields);
+    let deadline = match fields.has("alias") {
+        true => alias_deadline(fields),
+        false => deadline(fields),
+    };
     let repeatable = fields.flag("repeatable", true);
     Some(Route {
         name: name?,
@@ -289,18 +304,6 @@
     })
 }
 
-/// Rejects the settings that an alias takes from the route that it leads to. An alias that declared
-/// a route repeatable would allow a second run of a booking.
-fn reject_settings(fields: &mut Fields<'_, '_>) {
-    for field in ["priority", "deadline_ms", "repeatable"] {
-        if fields.skip(field) {
-            let message = format!("an alias has `{field}`");
-            let fix = "remove it; the route that the alias leads to sets it".to_owned();
-            fields.report_field(field, Code::Contradiction, message, fix);
-        }
-    }
-}
-
 const PRIORITIES: [(&str, Priority); 3] = [
     ("interactive", Priority::Interactive),
     ("booking", Priority::Booking),
@@ -358,6 +361,12 @@
     Some(Duration::from_millis(ms.into()))
 }
 
+/// Reads the deadline of an alias; without one the routes behind it decide.
+fn alias_deadline(fields: &mut Fields<'_, '_>) -> Option<Duration> {
+    let ms = fields.optional_integer("deadline_ms", 1..=DEADLINE_MAX)?;
+    Some(Duration::from_millis(ms.unwrap_or(DEADLINE_MAX).into()))
+}
+
 fn endpoint(fields: &mut Fields<'_, '_>) -> Option<Endpoint> {
     let name = fields.name("name");
     let backend = backend(fields);
--- a/crates/objects/src/resolve.rs
+++ b/crates/objects/src/resolve.rs
@@ -12,17 +12,20 @@
 use crate::Route;
 use crate::RouteTarget;
 
-/// Where a name leads and under which settings. All settings come from the last route of the alias
-/// chain; for a service, its own settings restrict them further.
+/// The longest chain of aliases that is followed.
+pub const MAX_ALIASES: usize = 32;
+
+/// Where a name leads and under which settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resolved<'a> {
     /// The route at the end of the chain; its target is never an alias.
     pub route: &'a Arc<Route>,
-    /// The priority class.
+    /// The priority class of the route that was named.
     pub priority: Priority,
-    /// The deadline: the shorter one of the route and its service.
+    /// The shortest deadline along the chain, with that of the service at its end.
     pub deadline: Duration,
-    /// Whether a request may be run more than once: only if the route and its service allow it.
+    /// Whether a request may be run more than once: only if the whole chain and the service at its
+    /// end allow it, so that no alias makes a booking repeatable.
     pub repeatable: bool,
 }
 
@@ -35,6 +38,9 @@
     /// The chain leads back to one of its own routes; the names in order.
     #[display("the aliases form a cycle: {}", _0.join(" -> "))]
     Cycle(#[error(not(source))] Vec<Name>),
+    /// The chain has more than [`MAX_ALIASES`] aliases.
+    #[display("the route leads through more than {MAX_ALIASES} aliases")]
+    TooLong,
     /// The service at the end of the chain does not exist.
     #[display("service \"{_0}\" does not exist")]
     NoService(#[error(not(source))] Name),
@@ -42,32 +48,16 @@
 
 /// Follows the aliases from the route `name` to the route that names what serves it.
 pub fn resolve<'a>(set: &'a ObjectSet, name: &str) -> Result<Resolved<'a>, ResolveError> {
-    let mut chain: Vec<Name> = Vec::new();
-    let mut name: Name = name.into();
-    loop {
-        let Some(route) = set.routes.get(&name) else {
-            return Err(ResolveError::Missing(name));
-        };
-        let repeated = chain.contains(&name);
-        chain.push(name);
-        if repeated {
-            return Err(ResolveError::Cycle(chain));
-        }
-        match &route.target {
-            RouteTarget::Alias(next) => name = next.clone(),
-            _ => return settle(set, route),
-        }
-    }
-}
-
-fn settle<'a>(set: &'a ObjectSet, route: &'a Arc<Route>) -> Result<Resolved<'a>, ResolveError> {
+    let chain = chain(set, name)?;
+    let (first, last) = (chain[0], chain[chain.len() - 1]);
+    let deadlines = chain.iter().map(|route| route.deadline);
     let mut resolved = Resolved {
-        route,
-        priority: route.priority,
-        deadline: route.deadline,
-        repeatable: route.repeatable,
+        route: last,
+        priority: first.priority,
+        deadline: deadlines.min().unwrap_or(last.deadline),
+        repeatable: chain.iter().all(|route| route.repeatable),
     };
-    if let RouteTarget::Service(name) = &route.target {
+    if let RouteTarget::Service(name) = &last.target {
         let Some(service) = set.services.get(name) else {
             return Err(ResolveError::NoService(name.clone()));
         };
@@ -76,3 +66,27 @@
     }
     Ok(resolved)
 }
+
+/// Returns the routes from `name` to the end of its aliases; there is at least one.
+fn chain<'a>(set: &'a ObjectSet, name: &str) -> Result<Vec<&'a Arc<Route>>, ResolveError> {
+    let mut chain: Vec<&Arc<Route>> = Vec::new();
+    let mut name = name;
+    loop {
+        let Some(route) = set.routes.get(name) else {
+            return Err(ResolveError::Missing(name.into()));
+        };
+        let repeated = chain.iter().any(|known| known.name == route.name);
+        chain.push(route);
+        if repeated {
+            let names = chain.iter().map(|route| route.name.clone());
+            return Err(ResolveError::Cycle(names.collect()));
+        }
+        match &route.target {
+            RouteTarget::Alias(_) if chain.len() > MAX_ALIASES => {
+                return Err(ResolveError::TooLong);
+            }
+            RouteTarget::Alias(next) => name = next,
+            _ => return Ok(chain),
+        }
+    }
+}
--- a/crates/objects/src/validate.rs
+++ b/crates/objects/src/validate.rs
@@ -185,10 +185,17 @@
             let fix = "alias a route of the same workspace";
             self.error(key, "alias", Code::Contradiction, message, fix);
         }
-        if let Err(ResolveError::Cycle(names)) = resolve(self.set, &route.name) {
-            let message = format!("the aliases form a cycle: {}", names.join(" -> "));
-            let fix = "let one of them name targets, a model or a service";
-            self.error(key, "alias", Code::Cycle, message, fix);
+        match resolve(self.set, &route.name) {
+            Err(error @ ResolveError::Cycle(_)) => {
+                let fix = "let one of them name targets, a model or a service";
+                self.error(key, "alias", Code::Cycle, error.to_string(), fix);
+            }
+            Err(error @ ResolveError::TooLong) => {
+                let fix = "alias a route nearer to the end of the chain";
+                self.error(key, "alias", Code::Range, error.to_string(), fix);
+            }
+            // What is missing further along the chain is reported with the route that names it.
+            Err(ResolveError::Missing(_) | ResolveError::NoService(_)) | Ok(_) => {}
         }
     }
 
