Add the state machine for publishing

The machine takes typed events and returns typed actions; time and randomness are arguments. The swap writes the head and the row config/generation/{n} in one transaction, and the read-back compares that row, so a generation that was already superseded is still recognized. The merged set is validated, not only the directory. Publishing ends within 30 s; a swap that could not be verified by then is reported as unknown, never as failed.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod permit;
 pub mod place;
+pub mod publish;
 pub mod queue;
 pub mod report;
 pub mod route;
