--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod permit;
 pub mod place;
 pub mod problem;
+pub mod publish;
 pub mod queue;
 pub mod report;
 pub mod request;
