--- /dev/null
+++ b/crates/bench/first/src/agent/loads.rs
@@ -0,0 +1,511 @@
+//! Making versions resident: permits, loads, unloads, and the slots that they need.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use super::AgentCore;
+use super::CommandFault;
+use super::events::Action;
+use crate::ids::Name;
+use crate::job::Refusal;
+use crate::job::Target;
+use crate::permit::Ask;
+use crate::permit::Asking;
+use crate::permit::Reply;
+use crate::permit::Step;
+use crate::permit::coordinators;
+use crate::time::Time;
+
+/// The time for which jobs of a version are refused after its load failed twice.
+const REFUSE_TIME: Duration = Duration::from_secs(2);
+
+/// The time after which a failed load counts no more.
+const FAILURE_TIME: Duration = Duration::from_secs(30);
+
+/// The tries to load a version before its jobs are refused.
+const LOAD_TRIES: u32 = 2;
+
+/// The share of a new sample in the mean wait for a permit.
+const SMOOTHING: f64 = 0.25;
+
+/// A permit: the coordinator and the number of the grant.
+type Permit = (Name, u64);
+
+/// A version on its way into the engine.
+#[derive(Clone, Debug)]
+pub(super) struct Load {
+    pub(super) phase: Phase,
+    pub(super) since: Time,
+    weights: Name,
+    digest: Name,
+}
+
+/// The step at which a load is.
+#[derive(Clone, Debug)]
+pub(super) enum Phase {
+    /// A permit is asked for.
+    Permit(Asking),
+    /// A victim is being unloaded.
+    Slot(Name, Option<Permit>),
+    /// The engine loads.
+    Engine(Option<Permit>),
+}
+
+/// Failed loads of a version.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Trouble {
+    pub(super) failures: u32,
+    /// Whether new jobs for the version are refused.
+    pub(super) refusing: bool,
+    pub(super) until: Time,
+}
+
+/// A version that has to leave for a job whose turn has come, although jobs still wait for it.
+///
+/// Jobs of the version with a turn before the barrier still run; later ones wait for a new load.
+#[derive(Clone, Debug)]
+pub(super) struct Closing {
+    pub(super) victim: Name,
+    pub(super) wanted: Name,
+    pub(super) barrier: Time,
+}
+
+impl AgentCore {
+    /// Starts and advances loads and unloads, as far as lease, slots and permits allow.
+    pub(super) fn advance_loads(&mut self, now: Time, rng: &mut Rng, out: &mut Vec<Action>) {
+        if !self.ready || !self.is_model() {
+            return;
+        }
+        let Some(token) = self.lease.token(now) else {
+            return;
+        };
+        self.unload_leavers(now, token, out);
+        self.drop_unwanted(out);
+        self.update_closing(now);
+        self.start_asking(now);
+        self.advance_asking(now, token, rng, out);
+    }
+
+    /// Returns the number of loads and unloads that the engine was told.
+    pub(super) fn commands(&self) -> usize {
+        use crate::slots::SlotState::Resident;
+        let slots = self.slots.iter();
+        slots.filter(|(_, slot)| slot.state != Resident).count()
+    }
+
+    /// Returns the expected time until an absent version is resident.
+    pub(super) fn load_wait(&self, now: Time, name: &Name) -> Duration {
+        let load = self.slots.load_time(now);
+        let permit = Duration::from_secs_f64(self.permit_ms / 1e3);
+        match self.loads.get(name) {
+            None => permit + load,
+            Some(held) => match held.phase {
+                Phase::Permit(_) => permit.saturating_sub(now.since(held.since)) + load,
+                Phase::Slot(..) => load,
+                Phase::Engine(_) => load.saturating_sub(now.since(held.since)),
+            },
+        }
+    }
+
+    pub(super) fn on_load_ended(
+        &mut self,
+        now: Time,
+        name: Name,
+        result: Result<(), CommandFault>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(load) = self.loads.remove(&name) else {
+            return;
+        };
+        let Phase::Engine(permit) = load.phase else {
+            self.loads.insert(name, load);
+            return;
+        };
+        self.note_command(now);
+        self.slots.end_load(now, &name, result.is_ok());
+        out.extend(permit.map(|(from, id)| Action::ReturnPermit(from, id)));
+        match result {
+            Ok(()) => {
+                self.counters.loads += 1;
+                self.trouble.remove(&name);
+                self.end_stall(now, &name);
+            }
+            Err(fault) => self.on_load_failed(now, name, fault, out),
+        }
+    }
+
+    fn on_load_failed(
+        &mut self,
+        now: Time,
+        name: Name,
+        fault: CommandFault,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Log(format!("load of {name} failed: {fault:?}")));
+        if fault == CommandFault::Fenced {
+            self.lease.fenced(now);
+            return;
+        }
+        self.counters.load_failures += 1;
+        let trouble = self.trouble.entry(name.clone()).or_insert(Trouble {
+            failures: 0,
+            refusing: false,
+            until: now,
+        });
+        trouble.failures += 1;
+        trouble.until = now.after(FAILURE_TIME);
+        if trouble.failures < LOAD_TRIES {
+            return;
+        }
+        trouble.failures = 0;
+        trouble.refusing = true;
+        trouble.until = now.after(REFUSE_TIME);
+        let keys: Vec<_> = self.queue.iter_of(&name).map(|job| job.key).collect();
+        for key in keys {
+            self.queue.remove(key);
+            self.drop_queued(now, key, Refusal::LoadFailed, out);
+        }
+    }
+
+    pub(super) fn on_unload_ended(
+        &mut self,
+        now: Time,
+        name: &Name,
+        result: Result<(), CommandFault>,
+        out: &mut Vec<Action>,
+    ) {
+        self.note_command(now);
+        self.slots.end_unload(now, name, result.is_ok());
+        if let Err(fault) = result {
+            out.push(Action::Log(format!("unload of {name} failed: {fault:?}")));
+            if fault == CommandFault::Fenced {
+                self.lease.fenced(now);
+            }
+        } else {
+            self.counters.unloads += 1;
+        }
+    }
+
+    pub(super) fn on_permit(
+        &mut self,
+        now: Time,
+        version: &Name,
+        from: Name,
+        reply: Option<Reply>,
+        out: &mut Vec<Action>,
+    ) {
+        let late = match self.loads.get_mut(version).map(|load| &mut load.phase) {
+            Some(Phase::Permit(asking)) => asking.reply(now, &from, reply),
+            // The grant that is in use may be told twice.
+            Some(Phase::Slot(_, Some(held)) | Phase::Engine(Some(held)))
+                if is_grant(&reply, &from, held) =>
+            {
+                None
+            }
+            _ => match reply {
+                Some(Reply::Granted(grant)) => Some(grant.id),
+                _ => None,
+            },
+        };
+        out.extend(late.map(|id| Action::ReturnPermit(from, id)));
+    }
+
+    fn unload_leavers(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
+        let queue = &self.queue;
+        let leavers = self.slots.leavers(now, |name| queue.waiting(name) > 0);
+        for name in leavers {
+            self.unload(now, &name, token, out);
+        }
+    }
+
+    fn unload(&mut self, now: Time, name: &Name, token: u64, out: &mut Vec<Action>) -> bool {
+        if !self.slots.start_unload(now, name) {
+            return false;
+        }
+        self.note_command(now);
+        self.start_stall(now, name);
+        out.push(Action::Unload {
+            version: name.clone(),
+            fencing: token,
+        });
+        true
+    }
+
+    /// Drops loads that no job waits for any more and that the engine was not told yet.
+    fn drop_unwanted(&mut self, out: &mut Vec<Action>) {
+        let queue = &self.queue;
+        let slots = &self.slots;
+        self.loads.retain(|name, load| {
+            let wanted = queue.waiting(name) > 0 && !slots.is_resident(name);
+            match &load.phase {
+                Phase::Engine(_) => true,
+                _ if wanted => true,
+                Phase::Permit(asking) => {
+                    out.extend(
+                        asking
+                            .granted()
+                            .map(|(from, id)| Action::ReturnPermit(from, id)),
+                    );
+                    false
+                }
+                Phase::Slot(_, permit) => {
+                    let permit = permit.clone();
+                    out.extend(permit.map(|(from, id)| Action::ReturnPermit(from, id)));
+                    false
+                }
+            }
+        });
+    }
+
+    /// Asks for a permit for each version that jobs wait for and that a slot can be found for.
+    fn start_asking(&mut self, now: Time) {
+        let order = {
+            let ready = |name: &Name| self.is_ready(name);
+            self.queue.load_order(now, ready)
+        };
+        let mut room = self.room();
+        for name in order {
+            if room == 0 {
+                return;
+            }
+            if self.loads.contains_key(&name) || self.slots.state(&name).is_some() {
+                continue;
+            }
+            let Some((weights, digest)) = self.weights(&name) else {
+                continue;
+            };
+            let asking = Asking::new(now, coordinators("weights", &self.peers));
+            let load = Load {
+                phase: Phase::Permit(asking),
+                since: now,
+                weights,
+                digest,
+            };
+            self.loads.insert(name, load);
+            room -= 1;
+        }
+    }
+
+    /// Returns the number of further loads that a slot can be found for.
+    fn room(&self) -> usize {
+        let at_once = self.loads_at_once();
+        let claimed = self
+            .loads
+            .values()
+            .filter(|load| !matches!(load.phase, Phase::Engine(_)))
+            .count();
+        let slots = self.slots.free() + self.idle();
+        slots
+            .saturating_sub(claimed)
+            .min(at_once.saturating_sub(self.loads.len()))
+    }
+
+    /// Returns the number of resident versions that may be evicted.
+    pub(super) fn idle(&self) -> usize {
+        self.slots
+            .iter()
+            .filter(|(name, _)| self.slots.is_resident(name))
+            .filter(|(name, _)| self.slots.pins(name) == 0 && !self.is_promised(name))
+            .count()
+    }
+
+    /// Returns whether a queued job may rely on the version to stay.
+    pub(super) fn is_promised(&self, name: &Name) -> bool {
+        match &self.closing {
+            Some(closing) if closing.victim == *name => {
+                self.queue.has_promise(name, closing.barrier)
+            }
+            _ => self.queue.waiting(name) > 0,
+        }
+    }
+
+    fn advance_asking(&mut self, now: Time, token: u64, rng: &mut Rng, out: &mut Vec<Action>) {
+        let mut names: Vec<Name> = self.loads.keys().cloned().collect();
+        names.sort_unstable();
+        for name in names {
+            let Some(load) = self.loads.get_mut(&name) else {
+                continue;
+            };
+            match &mut load.phase {
+                Phase::Engine(_) => {}
+                Phase::Slot(victim, permit) => {
+                    if self.slots.state(victim).is_none() {
+                        let permit = permit.clone();
+                        self.start_load(now, &name, permit, token, out);
+                    } else if self.slots.is_resident(victim) {
+                        // The unload failed; another victim may leave.
+                        let permit = permit.clone();
+                        self.take_slot(now, &name, permit, token, out);
+                    }
+                }
+                Phase::Permit(_) => self.advance_permit(now, &name, token, rng, out),
+            }
+        }
+    }
+
+    fn advance_permit(
+        &mut self,
+        now: Time,
+        name: &Name,
+        token: u64,
+        rng: &mut Rng,
+        out: &mut Vec<Action>,
+    ) {
+        let interval = self.share_interval();
+        let alone = &mut self.alone;
+        let Some(load) = self.loads.get_mut(name) else {
+            return;
+        };
+        let Phase::Permit(asking) = &mut load.phase else {
+            return;
+        };
+        let step = asking.step(now, || {
+            let jittered = interval.mul_f64(0.5 + rng.f64());
+            *alone = now.max(*alone).after(jittered);
+            alone.since(now)
+        });
+        match step {
+            Step::Wait(_) => {}
+            Step::Ask(to) => {
+                let ask = self.ask(now, name);
+                out.push(Action::AskPermit(to, ask));
+            }
+            Step::Load(permit) => {
+                let waited = now.since(load.since).as_secs_f64() * 1e3;
+                self.permit_ms += SMOOTHING * (waited - self.permit_ms);
+                self.take_slot(now, name, permit, token, out);
+            }
+        }
+    }
+
+    /// Finds a slot for a load that may go ahead; without one the permit is returned.
+    fn take_slot(
+        &mut self,
+        now: Time,
+        name: &Name,
+        permit: Option<Permit>,
+        token: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if self.slots.free() > 0 {
+            self.start_load(now, name, permit, token, out);
+            return;
+        }
+        let victim = self.slots.victim(now, |name| self.is_promised(name));
+        if let Some(victim) = victim
+            && self.unload(now, &victim, token, out)
+            && let Some(load) = self.loads.get_mut(name)
+        {
+            load.phase = Phase::Slot(victim, permit);
+            return;
+        }
+        self.loads.remove(name);
+        out.extend(permit.map(|(from, id)| Action::ReturnPermit(from, id)));
+    }
+
+    fn start_load(
+        &mut self,
+        now: Time,
+        name: &Name,
+        permit: Option<Permit>,
+        token: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.slots.start_load(now, name) {
+            self.loads.remove(name);
+            out.extend(permit.map(|(from, id)| Action::ReturnPermit(from, id)));
+            return;
+        }
+        self.note_command(now);
+        if self
+            .closing
+            .as_ref()
+            .is_some_and(|held| held.wanted == *name)
+        {
+            self.closing = None;
+        }
+        let Some(load) = self.loads.get_mut(name) else {
+            return;
+        };
+        load.phase = Phase::Engine(permit);
+        load.since = now;
+        out.push(Action::Load {
+            version: name.clone(),
+            weights: load.weights.clone(),
+            digest: load.digest.clone(),
+            fencing: token,
+        });
+    }
+
+    /// Chooses a version to leave when the turn of a job has come and no slot can be found for it.
+    fn update_closing(&mut self, now: Time) {
+        if let Some(held) = &self.closing {
+            let wanted = self.queue.waiting(&held.wanted) > 0;
+            if wanted && self.slots.is_resident(&held.victim) {
+                return;
+            }
+            self.closing = None;
+        }
+        if self.slots.free() > 0 || self.idle() > 0 || self.commands() > 0 {
+            return;
+        }
+        let first = self.queue.first_stalled(|name| self.is_ready(name));
+        let Some(first) = first.filter(|job| job.turn() <= now) else {
+            return;
+        };
+        let (wanted, barrier) = (first.name.clone(), first.turn());
+        let victim = self.slots.least_valued(now, |_| false);
+        self.closing = victim.map(|victim| Closing {
+            victim,
+            wanted,
+            barrier,
+        });
+    }
+
+    fn ask(&self, now: Time, name: &Name) -> Ask {
+        let jobs = self.queue.iter_of(name);
+        let left = jobs.map(|job| job.deadline.since(now)).min();
+        Ask {
+            endpoint: self.endpoint.clone(),
+            incarnation: self.own,
+            version: name.clone(),
+            waiting: self.queue.waiting(name) as u32,
+            left: left.unwrap_or_default(),
+            expected: self.slots.expected_uses(now, name),
+        }
+    }
+
+    /// Returns locator and digest of the version, as a job that waits for it tells them.
+    fn weights(&self, name: &Name) -> Option<(Name, Name)> {
+        let job = self.queue.iter_of(name).next()?;
+        match &self.jobs.get(&job.key)?.job.target {
+            Target::Version {
+                weights, digest, ..
+            } => Some((weights.clone(), digest.clone())),
+            Target::Model(_) | Target::Service(_) => None,
+        }
+    }
+
+    /// Returns the interval of loads at this agent's share of the region's rate.
+    fn share_interval(&self) -> Duration {
+        let rate = self
+            .config
+            .as_ref()
+            .map_or(0.0, |config| config.set.policy.loads_per_s);
+        let agents = self.peers.len().max(1) as f64;
+        Duration::from_secs_f64(agents / rate.max(0.001))
+    }
+
+    fn loads_at_once(&self) -> usize {
+        let config = self.config.as_ref();
+        config.map_or(1, |config| config.set.policy.loads_at_once.max(1) as usize)
+    }
+}
+
+fn is_grant(reply: &Option<Reply>, from: &Name, held: &Permit) -> bool {
+    match reply {
+        Some(Reply::Granted(grant)) => held.0 == *from && held.1 == grant.id,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/bench/first/src/place/adopt.rs
@@ -0,0 +1,125 @@
+//! Adoption of an object set and of a membership view.
+
+use objects::Backend;
+use objects::ObjectSet;
+
+use super::EndpointId;
+use super::Places;
+use super::PoolView;
+use super::view::EndpointView;
+use crate::collections::Map;
+use crate::hash::hash_text;
+use crate::ids::Name;
+use crate::route::Pool;
+
+/// What the membership list says of an endpoint's instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Live {
+    /// The instance is live.
+    Live,
+    /// The instance is leaving.
+    Leaving,
+}
+
+impl Places {
+    /// Adopts an object set together with a membership view, by endpoint name.
+    ///
+    /// Views of endpoints that remain keep their reports and health. The epoch of a pool rises only
+    /// if its members change.
+    pub fn adopt(&mut self, set: &ObjectSet, live: &Map<Name, Live>) {
+        self.tuning.adopt(&set.policy);
+        self.forget_removed(set);
+        let mut domains = Map::default();
+        for object in set.endpoints.values() {
+            let next = domains.len() as u32;
+            let domain = *domains
+                .entry((&object.region, &object.domain))
+                .or_insert(next);
+            let near = object.region == self.region && object.domain == self.domain;
+            let id = self.intern(object, domain, near);
+            let state = live.get(&object.name);
+            let view = self.view_mut(id);
+            view.object = object.clone();
+            view.domain = domain;
+            view.near = near;
+            view.live = state.is_some();
+            view.leaving = object.draining || state == Some(&Live::Leaving);
+        }
+        self.rebuild_pools(set);
+        self.homes.retain(|name| set.versions.contains_key(name));
+    }
+
+    fn intern(
+        &mut self,
+        object: &std::sync::Arc<objects::Endpoint>,
+        domain: u32,
+        near: bool,
+    ) -> EndpointId {
+        if let Some(id) = self.find(&object.name) {
+            return id;
+        }
+        let id = EndpointId(self.endpoints.len() as u32);
+        let hash = hash_text(&object.name);
+        let view = EndpointView::new(object.clone(), hash, domain, near);
+        self.endpoints.push(view);
+        self.names.insert(object.name.clone(), id);
+        id
+    }
+
+    fn forget_removed(&mut self, set: &ObjectSet) {
+        let removed = |name: &Name| !set.endpoints.contains_key(name);
+        let gone: Vec<(Name, EndpointId)> = self
+            .names
+            .iter()
+            .filter(|(name, _)| removed(name))
+            .map(|(name, id)| (name.clone(), *id))
+            .collect();
+        for (name, id) in gone {
+            self.names.remove(&name);
+            let view = self.view_mut(id);
+            view.live = false;
+            for version in std::mem::take(&mut view.held) {
+                self.release(&version, id);
+            }
+        }
+    }
+
+    /// Collects the live members of each pool, in the entry's region if the pool has any
+    /// declared endpoint there.
+    fn rebuild_pools(&mut self, set: &ObjectSet) {
+        let mut pools: Map<Pool, Vec<EndpointId>> = Map::default();
+        let mut local: Map<Pool, bool> = Map::default();
+        for object in set.endpoints.values() {
+            let here = object.region == self.region;
+            *local.entry(pool_of(&object.backend)).or_default() |= here;
+        }
+        for object in set.endpoints.values() {
+            let pool = pool_of(&object.backend);
+            let Some(id) = self.find(&object.name) else {
+                continue;
+            };
+            let reachable = object.region == self.region || !local[&pool];
+            let view = self.view_mut(id);
+            view.reachable = reachable;
+            if reachable && view.live && !view.leaving {
+                pools.entry(pool).or_default().push(id);
+            }
+        }
+        self.pools.retain(|pool, _| local.contains_key(pool));
+        for pool in local.into_keys() {
+            let members = pools.remove(&pool).unwrap_or_default();
+            let view: &mut PoolView = self.pools.entry(pool).or_default();
+            if view.members != members {
+                view.members = members;
+                view.epoch += 1;
+            }
+        }
+    }
+}
+
+fn pool_of(backend: &Backend) -> Pool {
+    match backend {
+        Backend::Model(name) => Pool::Model(name.clone()),
+        Backend::Service(name) => Pool::Service(name.clone()),
+    }
+}
--- a/crates/bench/src/arrivals.rs
+++ b/crates/bench/src/arrivals.rs
@@ -1,8 +1,8 @@
 //! The work of one run, drawn from a seed before any policy sees it.
 
-use decision::ids::Priority;
 use decision::time::Time;
 use fastrand::Rng;
+use objects::Priority;
 
 use crate::site::Site;
 
--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -1,19 +1,21 @@
 //! Baseline policies: three ways to pick an endpoint over agents with least-recently-used slots.
 
+use std::any::Any;
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 use decision::collections::Map;
-use decision::ids::Incarnation;
-use decision::ids::Priority;
-use decision::job::Refusal;
-use decision::report::Report;
 use decision::time::Time;
 use fastrand::Rng;
+use objects::Priority;
 
 use crate::arrivals::Request;
 use crate::sim::Action;
 use crate::sim::Actions;
+use crate::sim::End;
 use crate::sim::Policy;
+use crate::sim::Refusal;
+use crate::sim::Report;
 use crate::site::Site;
 
 /// How a baseline picks an endpoint.
@@ -38,6 +40,14 @@
     down: bool,
 }
 
+/// The report of a baseline's agent.
+struct Load {
+    /// Requests queued and running.
+    requests: u32,
+    /// Whether the engine is up.
+    up: bool,
+}
+
 /// A baseline policy.
 pub struct Baseline {
     pick: Pick,
@@ -89,16 +99,18 @@
         Some(best)
     }
 
-    fn learn(&mut self, _now: Time, entry: usize, endpoint: usize, report: &Report) {
-        self.views[entry][endpoint] = View {
-            reported: report.running + report.queued + report.stalled,
-            picked: 0,
-            down: !report.ready,
-        };
+    fn learn(&mut self, _now: Time, entry: usize, endpoint: usize, report: &dyn Any) {
+        if let Some(&Load { requests, up }) = report.downcast_ref() {
+            self.views[entry][endpoint] = View {
+                reported: requests,
+                picked: 0,
+                down: !up,
+            };
+        }
     }
 
-    fn outcome(&mut self, _now: Time, entry: usize, endpoint: usize, _id: usize, good: bool) {
-        self.views[entry][endpoint].down |= !good;
+    fn outcome(&mut self, _now: Time, entry: usize, endpoint: usize, _id: usize, end: End) {
+        self.views[entry][endpoint].down |= end == End::Failed;
     }
 
     fn offer(
@@ -132,7 +144,7 @@
         agent.serve(now, endpoint, out);
     }
 
-    fn ended(&mut self, now: Time, endpoint: usize, id: usize, out: &mut Actions) {
+    fn ended(&mut self, now: Time, endpoint: usize, id: usize, _good: bool, out: &mut Actions) {
         let agent = &mut self.agents[endpoint];
         if let Some(adapter) = agent.running.remove(&id)
             && let Some(slot) = agent.slots.get_mut(&adapter)
@@ -155,7 +167,12 @@
     }
 
     fn report(&mut self, _now: Time, endpoint: usize) -> Report {
-        self.agents[endpoint].report()
+        let agent = &self.agents[endpoint];
+        let requests = (agent.running.len() + agent.queue.len()) as u32;
+        Rc::new(Load {
+            requests,
+            up: agent.up,
+        })
     }
 }
 
@@ -273,27 +290,4 @@
             job.due > now
         });
     }
-
-    fn report(&self) -> Report {
-        let resident = |job: &&Queued| self.slots.get(&job.adapter).is_some_and(|s| s.resident);
-        let queued = self.queue.iter().filter(resident).count() as u32;
-        Report {
-            endpoint: "".into(),
-            incarnation: Incarnation(0),
-            seq: 0,
-            generation: 0,
-            running: self.running.len() as u32,
-            batch: self.batch as u32,
-            queued,
-            stalled: self.queue.len() as u32 - queued,
-            slots: self.capacity as u32,
-            idle: 0,
-            service_ms: 0,
-            load_ms: 0,
-            resident: Vec::new(),
-            loading: Vec::new(),
-            draining: false,
-            ready: self.up,
-        }
-    }
 }
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -10,6 +10,8 @@
 use crate::baseline::Baseline;
 use crate::baseline::Pick;
 use crate::bound::bound;
+use crate::frozen::First;
+use crate::ours::Ours;
 use crate::sim::Fault;
 use crate::sim::Policy;
 use crate::sim::run;
@@ -134,6 +136,8 @@
 type Make = fn(&Site, u64) -> Box<dyn Policy>;
 
 const POLICIES: &[(&str, Make)] = &[
+    ("ours", |site, seed| Box::new(Ours::new(site, seed))),
+    ("first", |site, seed| Box::new(First::new(site, seed))),
     ("random_lru", |site, seed| {
         Box::new(Baseline::new(site, Pick::Random, seed))
     }),
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -3,13 +3,13 @@
 //! A policy sees only what its process would see: an entry its own requests and lagged reports, an
 //! agent its own queue and engine.
 
+use std::any::Any;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
-use decision::ids::Priority;
-use decision::job::Refusal;
-use decision::report::Report;
 use decision::time::Time;
+use objects::Priority;
 
 use crate::arrivals::Request;
 use crate::arrivals::Work;
@@ -34,6 +34,31 @@
 /// Time after the last arrival at which the run ends whatever is still open.
 const DRAIN: Duration = Duration::from_secs(700);
 
+/// Why an agent does not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its deadline cannot be met; it is not tried elsewhere.
+    Deadline,
+    /// The engine is down.
+    Down,
+    /// The queue is full or the load failed.
+    Busy,
+}
+
+/// How an attempt ended, as its entry learns it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer arrived; the time from the arrival to the first token.
+    Good(Duration),
+    /// The engine failed after the submission.
+    Failed,
+    /// The agent refused the request.
+    Refused(Refusal),
+}
+
+/// A policy's own load report; the event loop only carries it.
+pub type Report = Rc<dyn Any>;
+
 /// What an agent wants done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -55,9 +80,9 @@
     /// Picks the endpoint for a request at its entry; `tried` names earlier attempts.
     fn pick(&mut self, now: Time, id: usize, request: &Request, tried: &[usize]) -> Option<usize>;
     /// Takes a report at an entry.
-    fn learn(&mut self, now: Time, entry: usize, endpoint: usize, report: &Report);
+    fn learn(&mut self, now: Time, entry: usize, endpoint: usize, report: &dyn Any);
     /// Takes the end of an attempt at an entry.
-    fn outcome(&mut self, now: Time, entry: usize, endpoint: usize, id: usize, good: bool);
+    fn outcome(&mut self, now: Time, entry: usize, endpoint: usize, id: usize, end: End);
     /// Takes a request at an agent.
     fn offer(
         &mut self,
@@ -69,8 +94,8 @@
     );
     /// Takes the end of a load at an agent.
     fn loaded(&mut self, now: Time, endpoint: usize, adapter: u32, out: &mut Actions);
-    /// Takes the end of a submitted request at an agent.
-    fn ended(&mut self, now: Time, endpoint: usize, id: usize, out: &mut Actions);
+    /// Takes the end of a submitted request at an agent; `good` tells whether the answer is whole.
+    fn ended(&mut self, now: Time, endpoint: usize, id: usize, good: bool, out: &mut Actions);
     /// Takes the stop or the start of the engine at an agent.
     fn engine(&mut self, now: Time, endpoint: usize, up: bool, out: &mut Actions);
     /// Checks deadlines and waiting loads at an agent.
@@ -121,7 +146,7 @@
     Learn {
         entry: usize,
         endpoint: usize,
-        report: Box<Report>,
+        report: Report,
     },
 }
 
@@ -243,7 +268,7 @@
                 endpoint,
                 report,
             } => {
-                self.policy.learn(self.now, entry, endpoint, &report);
+                self.policy.learn(self.now, entry, endpoint, &*report);
             }
         }
     }
@@ -285,22 +310,27 @@
         }
         let mut out = Vec::new();
         for &id in &done {
-            self.policy.ended(self.now, endpoint, id, &mut out);
+            self.policy.ended(self.now, endpoint, id, true, &mut out);
         }
         self.act(out);
         for id in done {
             let late = self.now > self.work.requests[id].due;
             self.close(id, if late { Fate::Missed } else { Fate::Finished });
-            self.answer(endpoint, id, true);
+            let first = self.records[id].first.unwrap_or(self.now);
+            self.answer(
+                endpoint,
+                id,
+                End::Good(first.since(self.work.requests[id].at)),
+            );
         }
         self.begin(endpoint);
     }
 
     /// Tells the entry how an attempt ended, with a report on the answer path.
-    fn answer(&mut self, endpoint: usize, id: usize, good: bool) {
+    fn answer(&mut self, endpoint: usize, id: usize, end: End) {
         let entry = self.work.requests[id].entry;
-        self.policy.outcome(self.now, entry, endpoint, id, good);
-        let report = Box::new(self.policy.report(self.now, endpoint));
+        self.policy.outcome(self.now, entry, endpoint, id, end);
+        let report = self.policy.report(self.now, endpoint);
         self.later(
             REPORT_LAG,
             Event::Learn {
@@ -375,10 +405,10 @@
 
     fn refuse(&mut self, endpoint: usize, id: usize, why: Refusal) {
         self.leave(endpoint, id);
+        self.answer(endpoint, id, End::Refused(why));
         if why == Refusal::Deadline {
             return self.close(id, Fate::Missed);
         }
-        self.answer(endpoint, id, false);
         self.later(BACKOFF, Event::Arrive(id));
     }
 
@@ -442,7 +472,7 @@
             return;
         }
         let mut out = Vec::new();
-        self.policy.ended(self.now, endpoint, id, &mut out);
+        self.policy.ended(self.now, endpoint, id, false, &mut out);
         self.act(out);
         self.cut(endpoint, id);
         self.begin(endpoint);
@@ -465,7 +495,7 @@
 
     /// Retries a submitted request that is repeatable and has no token yet; others are lost.
     fn cut(&mut self, endpoint: usize, id: usize) {
-        self.answer(endpoint, id, false);
+        self.answer(endpoint, id, End::Failed);
         let booking = self.work.requests[id].priority == Priority::Booking;
         if booking || self.records[id].first.is_some() {
             return self.close(id, Fate::Lost);
@@ -493,7 +523,7 @@
         for endpoint in 0..self.site.runners {
             let report = self.policy.report(self.now, endpoint);
             for entry in 0..self.site.entries {
-                let report = Box::new(report.clone());
+                let report = report.clone();
                 let event = Event::Learn {
                     entry,
                     endpoint,
