Allow as many load permits as the store's rate needs

Cause: a permit is held while the engine takes the weights in, so that three permits at once keep loads at 4/s where the store delivers 6/s.

--- a/crates/decision/src/permit.rs
+++ b/crates/decision/src/permit.rs
@@ -1,6 +1,7 @@
 //! Load permits: who may load from the weight store next.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -55,6 +56,12 @@
 /// The time after which a grant counts as returned.
 const GRANT_TTL: Duration = Duration::from_secs(10);
 
+/// Returned permits over which the time of an undisturbed load is taken.
+const HOLDS: usize = 16;
+
+/// A permit that is returned sooner was not used for a load.
+const SHORTEST_HOLD: Duration = Duration::from_millis(20);
+
 /// The bounds of the time until an asker repeats its ask.
 const REPEAT: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(100));
 
@@ -81,6 +88,7 @@
 #[derive(Clone, Debug)]
 struct Granted {
     asker: Asker,
+    since: Time,
     until: Time,
     taken: bool,
 }
@@ -95,6 +103,8 @@
     next: u64,
     queue: Map<Asker, Queued>,
     granted: BTreeMap<u64, Granted>,
+    /// How long the last permits were held.
+    holds: VecDeque<Duration>,
 }
 
 impl Coordinator {
@@ -110,6 +120,7 @@
             next: base.max(1),
             queue: Map::default(),
             granted: BTreeMap::new(),
+            holds: VecDeque::new(),
         }
     }
 
@@ -148,7 +159,9 @@
 
     /// Records the return of a permit.
     pub fn release(&mut self, now: Time, id: u64) {
-        self.granted.remove(&id);
+        if let Some(grant) = self.granted.remove(&id) {
+            self.note_hold(now.since(grant.since));
+        }
         self.advance(now);
         self.assign(now);
     }
@@ -165,7 +178,7 @@
     /// Grants what rate and number allow, the most urgent ask first. A grant is kept for its asker
     /// until it repeats the ask.
     fn assign(&mut self, now: Time) {
-        while self.tokens >= 1.0 && self.granted.len() < self.at_once {
+        while self.tokens >= 1.0 && self.granted.len() < self.limit() {
             let Some(best) = self.most_urgent(now) else {
                 return;
             };
@@ -173,6 +186,7 @@
             self.tokens -= 1.0;
             let grant = Granted {
                 asker: best,
+                since: now,
                 until: now.after(PICKUP_TTL),
                 taken: false,
             };
@@ -181,6 +195,22 @@
         }
     }
 
+    /// Returns how many permits may be outstanding. A permit is held while the engine takes the
+    /// weights in, too, so that the number of fetches at once alone would keep loads below the
+    /// store's rate. The shortest hold counts: with the mean, a slow store would get more loads.
+    fn limit(&self) -> usize {
+        let hold = self.holds.iter().min().map_or(0.0, Duration::as_secs_f64);
+        self.at_once.max((self.rate * hold).ceil() as usize)
+    }
+
+    fn note_hold(&mut self, hold: Duration) {
+        if hold < SHORTEST_HOLD {
+            return;
+        }
+        self.holds.truncate(HOLDS - 1);
+        self.holds.push_front(hold);
+    }
+
     /// Returns the ask that is served next: by waiting work relative to the time left, then by
     /// expected use, then by age.
     fn most_urgent(&self, now: Time) -> Option<Asker> {
@@ -204,6 +234,7 @@
             .find(|(_, grant)| grant.asker == *asker)?;
         if !grant.taken {
             grant.taken = true;
+            grant.since = now;
             grant.until = now.after(GRANT_TTL);
         }
         Some(*id)
