Grant load permits to the versions that most jobs wait for

Cause: urgency was waiting jobs divided by the time left, so that overnight jobs, with minutes left, waited behind single interactive jobs even when a dozen of them waited for one load.

--- a/crates/bench/src/measure.rs
+++ b/crates/bench/src/measure.rs
@@ -56,6 +56,8 @@
     pub missed_deadlines: usize,
     /// Loads ordered.
     pub loads: usize,
+    /// Loads of an adapter that another engine held or was loading.
+    pub replicas: usize,
     /// Bookings that were submitted more than once.
     pub doubled: usize,
     /// Requests whose answer was cut off or never came.
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -176,6 +176,7 @@
     waiting: Vec<Vec<Waiting>>,
     store: Store,
     loads: Vec<Load>,
+    replicas: usize,
     records: Vec<Record>,
     tried: Vec<Vec<usize>>,
     open: usize,
@@ -198,6 +199,7 @@
             waiting: (0..site.runners).map(|_| Vec::new()).collect(),
             store: Store::new(site),
             loads: Vec::new(),
+            replicas: 0,
             records: vec![Record::default(); work.requests.len()],
             tried: vec![Vec::new(); work.requests.len()],
             open: work.requests.len(),
@@ -238,6 +240,7 @@
         Figures {
             batch_efficiency: sequences as f64 / (steps.max(1) * self.site.batch as u64) as f64,
             loads: self.loads.len(),
+            replicas: self.replicas,
             ..figures(self.work, &self.records)
         }
     }
@@ -361,6 +364,10 @@
     }
 
     fn load(&mut self, endpoint: usize, adapter: u32) {
+        let held = |engine: &Engine| {
+            engine.resident.contains(&adapter) || engine.loading.contains(&adapter)
+        };
+        self.replicas += usize::from(self.engines.iter().any(held));
         let engine = &mut self.engines[endpoint];
         let used = engine.resident.len() + engine.loading.len();
         assert!(
--- a/crates/decision/src/permit.rs
+++ b/crates/decision/src/permit.rs
@@ -56,6 +56,10 @@
 /// The time after which a grant counts as returned.
 const GRANT_TTL: Duration = Duration::from_secs(10);
 
+/// The weight of a near deadline against waiting jobs: a version whose first deadline is one second
+/// away goes ahead of one for which this many jobs wait.
+const DEADLINE_WEIGHT: f64 = 20.0;
+
 /// Returned permits over which the time of an undisturbed load is taken.
 const HOLDS: usize = 16;
 
@@ -211,7 +215,7 @@
         self.holds.push_front(hold);
     }
 
-    /// Returns the ask that is served next: by waiting work relative to the time left, then by
+    /// Returns the ask that is served next: by waiting work and time left, then by
     /// expected use, then by age.
     fn most_urgent(&self, now: Time) -> Option<Asker> {
         self.queue
@@ -246,13 +250,13 @@
     }
 }
 
-/// The waiting jobs per second until the earliest deadline. Age counts like waiting jobs, so that
-/// an ask of one overnight job is served in the end.
+/// The waiting jobs, which all stop waiting when their version is loaded; as loads take equally
+/// long, the most jobs first gives the shortest mean wait. Age counts like waiting jobs, so that an
+/// ask of one overnight job is served in the end, and so does a near deadline.
 fn urgency(now: Time, held: &Queued) -> f64 {
-    let age = now.since(held.first);
+    let age = now.since(held.first).as_secs_f64();
     let left = held.ask.left.saturating_sub(now.since(held.seen));
-    let waiting = held.ask.waiting as f64 + age.as_secs_f64();
-    waiting / (left.as_secs_f64() + 0.1)
+    held.ask.waiting as f64 + age + DEADLINE_WEIGHT / (left.as_secs_f64() + 0.1)
 }
 
 /// Returns the agents to ask for a permit, in order: the rendezvous order of the region's weight
