Add the audit log and its verification

Cause: at-most-once, exact-adapter and not-run-means-not-run must be checkable afterwards without trusting the processes.

Verification compares chains with themselves, with each other, with the published objects and with tips that a monitor knows.

Conclusion: changed, removed, swapped and missing records, gaps, repeated bookings, and records that disagree with the published objects are found. Removal of the newest entries of a chain that is not closed is found only with a known tip.

--- /dev/null
+++ b/crates/audit/src/published.rs
@@ -0,0 +1,128 @@
+//! Comparison of records with the objects published in their generation.
+
+use decision::ids::Head;
+use decision::ids::Name;
+use decision::job::Target;
+use objects::ObjectSet;
+use objects::Route;
+use objects::RouteTarget;
+
+use crate::record::AttemptRecord;
+use crate::record::CommandKind;
+use crate::record::CommandRecord;
+
+/// The set of objects that was published as one generation.
+#[derive(Clone, Copy, Debug)]
+pub struct Published<'a> {
+    /// The digest of the generation's manifest.
+    pub digest: &'a str,
+    /// The objects.
+    pub set: &'a ObjectSet,
+}
+
+impl Published<'_> {
+    /// Returns how an attempt disagrees with the objects, if it does.
+    pub(crate) fn attempt_problem(&self, record: &AttemptRecord) -> Option<String> {
+        if let Some(problem) = self.head_problem(&record.head) {
+            return Some(problem);
+        }
+        let Some(named) = self.set.routes.get(&record.route) else {
+            return Some(format!("no route `{}`", record.route));
+        };
+        if named.workspace != record.workspace {
+            return Some(format!(
+                "route `{}` is of workspace `{}`",
+                named.name, named.workspace
+            ));
+        }
+        let Some(route) = self.resolve(&record.route) else {
+            return Some(format!("route `{}` leads nowhere", record.route));
+        };
+        self.target_problem(route, &record.target)
+    }
+
+    /// Returns how a command disagrees with the objects, if it does. An unload may name a version
+    /// that is no longer published.
+    pub(crate) fn command_problem(&self, record: &CommandRecord) -> Option<String> {
+        if let Some(problem) = self.head_problem(&record.head) {
+            return Some(problem);
+        }
+        if record.kind == CommandKind::Unload {
+            return None;
+        }
+        let weights = record.weights.as_deref().unwrap_or_default();
+        self.version_problem(&record.version, weights)
+    }
+
+    /// Returns whether the objects mark requests to a route as not repeatable: the route itself,
+    /// the one that it leads to, or its service.
+    pub(crate) fn is_single(&self, route: &Name) -> bool {
+        let is_single = |r: &Route| match &r.target {
+            RouteTarget::Service(name) => {
+                !r.repeatable || self.set.services.get(name).is_some_and(|s| !s.repeatable)
+            }
+            _ => !r.repeatable,
+        };
+        let named = self.set.routes.get(route).map(|r| &**r);
+        named.into_iter().chain(self.resolve(route)).any(is_single)
+    }
+
+    fn head_problem(&self, head: &Head) -> Option<String> {
+        let differs = head.digest != self.digest;
+        differs.then(|| format!("generation {} has digest {}", head.generation, self.digest))
+    }
+
+    fn target_problem(&self, route: &Route, target: &Target) -> Option<String> {
+        let agrees = match (&route.target, target) {
+            (RouteTarget::Versions(versions), Target::Version { name, .. }) => {
+                versions.iter().any(|v| v.version == *name)
+            }
+            (RouteTarget::Model(model), Target::Model(base)) => {
+                self.set.models.get(model).is_some_and(|m| m.base == *base)
+            }
+            (RouteTarget::Service(service), Target::Service(name)) => service == name,
+            _ => false,
+        };
+        if !agrees {
+            return Some(format!(
+                "route `{}` does not lead to `{}`",
+                route.name,
+                target.served()
+            ));
+        }
+        let Target::Version {
+            name,
+            weights,
+            digest,
+        } = target
+        else {
+            return None;
+        };
+        let problem = self.version_problem(name, digest);
+        problem.or_else(|| {
+            let differs = self.set.versions[name].weights != *weights;
+            differs.then(|| format!("version `{name}` has other weights than `{weights}`"))
+        })
+    }
+
+    fn version_problem(&self, name: &Name, digest: &str) -> Option<String> {
+        let Some(version) = self.set.versions.get(name) else {
+            return Some(format!("no version `{name}`"));
+        };
+        let differs = *version.digest != *digest;
+        differs.then(|| format!("version `{name}` has weight digest {}", version.digest))
+    }
+
+    /// Returns the route at the end of a chain of aliases.
+    fn resolve(&self, name: &Name) -> Option<&Route> {
+        let mut route = self.set.routes.get(name)?;
+        // A chain without a cycle is no longer than the number of routes.
+        for _ in 0..self.set.routes.len() {
+            let RouteTarget::Alias(next) = &route.target else {
+                return Some(route);
+            };
+            route = self.set.routes.get(next)?;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/audit/tests/store_outages.rs
@@ -0,0 +1,126 @@
+//! The log while the object store is down, slow or loses responses.
+
+mod support;
+
+use std::time::Duration;
+
+use audit::Log;
+use audit::Problem;
+use audit::Settings;
+use support::Bed;
+use support::attempt;
+
+async fn wait_until(check: impl Fn() -> bool) {
+    let started = tokio::time::Instant::now();
+    while !check() {
+        assert!(started.elapsed() < support::LONG, "timeout");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against records lost in an outage that fits into memory.
+#[tokio::test]
+async fn short_outage() {
+    let bed = Bed::start().await;
+    let (log, task) = bed.log(bed.settings("entry-1"));
+    bed.store.switches().set_outage(true);
+    (1..=50).map(attempt).for_each(|r| log.record(r));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!((log.state().waiting, bed.store.keys("").len()), (50, 0));
+    bed.store.switches().set_outage(false);
+    wait_until(|| log.state().waiting == 0).await;
+    log.close().await.unwrap();
+    task.await.unwrap();
+    let report = bed.verify(|e| e.tips.push(log.state().written)).await;
+    assert_eq!((report.records, report.problems), (50, vec![]));
+}
+
+/// Guards against an outage longer than the buffer that leaves no trace, or grows the memory.
+#[tokio::test]
+async fn long_outage() {
+    let bed = Bed::start().await;
+    let (log, task) = bed.log(Settings {
+        capacity: 10,
+        ..bed.settings("entry-1")
+    });
+    bed.store.set_listening(false).await;
+    (1..=30).map(attempt).for_each(|r| log.record(r));
+    let state = log.state();
+    assert_eq!((state.waiting, state.lost), (11, 20));
+    bed.store.set_listening(true).await;
+    wait_until(|| log.state().waiting == 0).await;
+    (31..=40).map(attempt).for_each(|r| log.record(r));
+    log.close().await.unwrap();
+    task.await.unwrap();
+    let report = bed.verify(|_| ()).await;
+    assert_eq!(report.records, 20);
+    let [
+        Problem::Gap {
+            place,
+            lost,
+            first,
+            last,
+        },
+    ] = &report.problems[..]
+    else {
+        panic!("{:?}", report.problems);
+    };
+    assert_eq!((place.seq, *lost, *first, *last), (11, 20, 2011, 2030));
+}
+
+/// Guards against a batch that is written twice or changed after its response was lost, came late,
+/// or timed out.
+#[tokio::test]
+async fn lost_responses() {
+    let bed = Bed::start().await;
+    let (log, task) = bed.log(bed.settings("entry-1"));
+    for round in 0..4 {
+        match round {
+            0 => bed.store.switches().lose_responses(3),
+            1 => bed.store.switches().lose_requests(3),
+            2 => bed
+                .store
+                .switches()
+                .delay_effects(Duration::from_millis(30), 2),
+            _ => bed
+                .store
+                .switches()
+                .set_response_delay(Duration::from_millis(250)),
+        }
+        let before = bed.store.keys("").len();
+        (1..=10)
+            .map(|n| attempt(round * 10 + n))
+            .for_each(|r| log.record(r));
+        wait_until(|| bed.store.keys("").len() > before).await;
+        if round == 3 {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            bed.store.switches().set_response_delay(Duration::ZERO);
+        }
+        wait_until(|| log.state().waiting == 0).await;
+    }
+    log.close().await.unwrap();
+    task.await.unwrap();
+    let report = bed.verify(|_| ()).await;
+    assert_eq!((report.records, report.problems), (40, vec![]));
+}
+
+/// Guards against a process that cannot stop while the store is down, or stops in silence.
+#[tokio::test]
+async fn close_in_outage() {
+    let bed = Bed::start().await;
+    let closing = Duration::from_millis(200);
+    let (log, task) = bed.log(Settings {
+        closing,
+        ..bed.settings("entry-1")
+    });
+    bed.store.switches().set_outage(true);
+    (1..=5).map(attempt).for_each(|r| log.record(r));
+    assert_eq!(log.close().await.unwrap_err().entries, 6);
+    task.await.unwrap();
+    let unstarted = Log::new(Settings {
+        closing,
+        ..bed.settings("entry-2")
+    });
+    unstarted.record(attempt(1));
+    assert_eq!(unstarted.close().await.unwrap_err().entries, 2);
+}
