Add the operator commands check, diff, publish, rollback and history

Cause: operators control the system only by publishing objects, and nothing read a directory or reached the table and the object store.

Each command is one module with its arguments; publishing carries out the actions of decision::publish against the edges. A directory keeps a note, .published, of the head and of the manifest of its own set. After a rebase the two differ, and the next publication applies only the directory's own edits, so objects that others added are not taken for removed ones. A directory without object files is refused, because publishing it would remove everything. Exit codes: 0 done, 1 findings or refusal, 2 usage, 3 platform unreachable, 4 conflict.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,121 @@
+//! The operator commands of dotterelwheel.
+//!
+//! Invariants: a command changes the platform only by publishing a generation; whatever it refuses
+//! leaves the platform and the operator's directory as they were. With `--json` the only output on
+//! the standard output is one JSON document.
+//!
+//! API boundary: [`run`] takes the arguments and returns a [`Report`]; each command has one module
+//! with its arguments and a `run` function that reaches the platform through [`Platform`]. A new
+//! command is one more module and one more variant of [`Command`].
+
+pub mod check;
+pub mod diff;
+pub mod directory;
+pub mod history;
+pub mod operator;
+pub mod platform;
+pub mod publish;
+mod publishing;
+pub mod report;
+pub mod rollback;
+
+use gumdrop::Options;
+pub use operator::Operator;
+pub use platform::Platform;
+pub use report::Exit;
+pub use report::Report;
+use serde_json::json;
+
+/// The arguments of the program.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Whether to print the usage.
+    #[options(help = "print this help; `COMMAND --help` prints the options of a command")]
+    pub help: bool,
+    /// The command.
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// [`check`].
+    #[options(help = "validate the object files of a directory")]
+    Check(check::Args),
+    /// [`diff`].
+    #[options(help = "show what publishing a directory would change")]
+    Diff(diff::Args),
+    /// [`publish`].
+    #[options(help = "publish a directory as a new generation")]
+    Publish(publish::Args),
+    /// [`rollback`].
+    #[options(help = "publish an earlier generation as a new one")]
+    Rollback(rollback::Args),
+    /// [`history`].
+    #[options(help = "list the published generations")]
+    History(history::Args),
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 findings or refusal, 2 usage, 3 platform \
+                          unreachable, 4 conflict";
+
+/// Runs the command that the arguments name; the program's name is not among them.
+pub async fn run(args: &[String]) -> Report {
+    let arguments = match Arguments::parse_args_default(args) {
+        Ok(arguments) => arguments,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    if arguments.help_requested() {
+        return Report::text(help(&arguments));
+    }
+    match arguments.command {
+        None => usage_error("a command is required"),
+        Some(Command::Check(args)) => check::run(&args),
+        Some(Command::Diff(args)) => {
+            let run = async |platform| diff::run(&args, &platform).await;
+            on_platform(&args.config, args.json, run).await
+        }
+        Some(Command::Publish(args)) => {
+            let run = async |platform| publish::run(&args, &platform).await;
+            on_platform(&args.config, args.json, run).await
+        }
+        Some(Command::Rollback(args)) => {
+            let run = async |platform| rollback::run(&args, &platform).await;
+            on_platform(&args.config, args.json, run).await
+        }
+        Some(Command::History(args)) => {
+            let run = async |platform| history::run(&args, &platform).await;
+            on_platform(&args.config, args.json, run).await
+        }
+    }
+}
+
+async fn on_platform(
+    config: &str,
+    json: bool,
+    run: impl AsyncFnOnce(Platform) -> Report,
+) -> Report {
+    match Platform::open(config) {
+        Ok(platform) => run(platform).await,
+        Err(report) => report.with_json(json, json!({})),
+    }
+}
+
+fn usage_error(message: &str) -> Report {
+    let hint = "run `dotterelwheel --help` for the commands and their options";
+    Report::error(Exit::Usage, format!("{message}; {hint}"))
+}
+
+fn help(arguments: &Arguments) -> String {
+    let name = arguments.command_name().unwrap_or("COMMAND");
+    let mut text = format!("Usage: dotterelwheel {name} [OPTIONS]\n\n");
+    text.push_str(arguments.self_usage());
+    if let Some(commands) = arguments.self_command_list() {
+        text.push_str("\n\nCommands:\n");
+        text.push_str(commands);
+    }
+    text.push_str("\n\n");
+    text.push_str(EXIT_CODES);
+    text
+}
--- a/crates/decision/src/publish.rs
+++ b/crates/decision/src/publish.rs
@@ -27,8 +27,11 @@
 /// The row that holds the head.
 pub const HEAD_KEY: &str = "config/head";
 
-/// The time after which a publisher gives up.
-pub const BUDGET: Duration = Duration::from_secs(30);
+/// The time after which a publisher gives up if no swap is unverified.
+pub const BUDGET: Duration = Duration::from_secs(10);
+
+/// The time for which a publisher tries to verify a swap whose response was lost.
+pub const VERIFY: Duration = Duration::from_secs(30);
 
 /// Returns the row that records generation `generation`.
 pub fn generation_key(generation: u64) -> String {
--- a/crates/decision/src/publish/state.rs
+++ b/crates/decision/src/publish/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use objects::Diff;
 use objects::Digest;
 use objects::Finding;
 use objects::Manifest;
@@ -25,6 +26,7 @@
 use super::Request;
 use super::Step;
 use super::Upload;
+use super::VERIFY;
 use crate::ids::Head;
 use crate::time::Time;
 
@@ -39,6 +41,9 @@
 pub struct Publisher {
     request: Request,
     deadline: Time,
+    /// The deadline that the first lost response set. Later ones do not move it, so that publishing
+    /// ends even if the table loses every response.
+    verify: Option<Time>,
     step: Step,
     pause: Duration,
     row: HeadRow,
@@ -62,6 +67,7 @@
         let publisher = Publisher {
             request,
             deadline: now.after(BUDGET),
+            verify: None,
             step: Step::ReadHead,
             pause: PAUSE_MIN,
             row: HeadRow::default(),
@@ -103,6 +109,11 @@
             Ok(merged) => merged,
             Err(overlap) => return finish(Outcome::Conflict { head, overlap }),
         };
+        let changes = diff(theirs, &merged);
+        // The first generation is published even if it is empty, so that processes get a head.
+        if changes.is_empty() && head.generation > 0 {
+            return finish(Outcome::Unchanged(head));
+        }
         if head != request.base && !request.rebase {
             let overlap = Vec::new();
             return finish(Outcome::Conflict { head, overlap });
@@ -112,35 +123,40 @@
         if has_errors(&findings) {
             return finish(Outcome::Invalid(findings));
         }
-        let changes = diff(theirs, &merged);
-        // The first generation is published even if it is empty, so that processes get a head.
-        if changes.is_empty() && head.generation > 0 {
-            return finish(Outcome::Unchanged(head));
-        }
-        let snapshot = self.snapshot(&merged);
-        let own = match merged == *self.request.set {
+        self.candidate = Some(self.candidate(manifest, &merged, &changes, findings));
+        self.enter(Step::Store)
+    }
+
+    fn candidate(
+        &self,
+        stored: &Manifest,
+        merged: &ObjectSet,
+        changes: &Diff,
+        warnings: Vec<Finding>,
+    ) -> Candidate {
+        let snapshot = self.snapshot(merged);
+        let own = match *merged == *self.request.set {
             true => None,
             false => Some(self.snapshot(&self.request.set)),
         };
-        let digest = own.as_ref().map_or(snapshot.digest, |own| own.digest);
-        self.candidate = Some(Candidate {
-            row: Box::new(Generation {
-                head: Head {
-                    generation: snapshot.manifest.generation(),
-                    digest: snapshot.digest.to_string(),
-                },
-                publisher: snapshot.manifest.publisher.clone(),
-                unix_time: snapshot.manifest.unix_time,
-                added: changes.added.len(),
-                removed: changes.removed.len(),
-                changed: changes.changed.len(),
-                restores: self.request.restores,
-            }),
-            upload: Arc::new(upload(manifest, [Some(snapshot), own])),
-            own: digest,
-            warnings: findings,
-        });
-        self.enter(Step::Store)
+        let row = Generation {
+            head: Head {
+                generation: snapshot.manifest.generation(),
+                digest: snapshot.digest.to_string(),
+            },
+            publisher: snapshot.manifest.publisher.clone(),
+            unix_time: snapshot.manifest.unix_time,
+            added: changes.added.len(),
+            removed: changes.removed.len(),
+            changed: changes.changed.len(),
+            restores: self.request.restores,
+        };
+        Candidate {
+            row: Box::new(row),
+            own: own.as_ref().map_or(snapshot.digest, |own| own.digest),
+            upload: Arc::new(upload(stored, [Some(snapshot), own])),
+            warnings,
+        }
     }
 
     fn snapshot(&self, set: &ObjectSet) -> Snapshot {
@@ -151,6 +167,7 @@
 
     fn on_lost(&mut self, reason: String, now: Time, rng: &mut fastrand::Rng) -> Action {
         self.uncertain = true;
+        self.deadline = *self.verify.get_or_insert(now.after(VERIFY));
         self.step = Step::ReadBack;
         // The pause gives a swap that is still on its way the time to arrive.
         self.retry(reason, now, rng)
--- a/crates/decision/tests/publish_steps.rs
+++ b/crates/decision/tests/publish_steps.rs
@@ -307,7 +307,7 @@
     let step = Step::ReadHead;
     let reason = "down".to_owned();
     assert_eq!(down.outcome(), Some(&Outcome::Unreachable { step, reason }));
-    assert!(down.now.as_ms() <= 30_000, "{:?}", down.now);
+    assert!(down.now.as_ms() <= 10_000, "{:?}", down.now);
     let mut lost = Run::new(edit());
     lost.run_to(&mut platform, is_swap);
     while lost.outcome().is_none() {
@@ -319,6 +319,11 @@
         lost.feed(event, &mut rng);
     }
     assert!(matches!(lost.outcome(), Some(Outcome::Unknown { .. })));
+    assert!(
+        (28_000..=40_000).contains(&lost.now.as_ms()),
+        "{:?}",
+        lost.now
+    );
 }
 
 #[test]
