Add the entry process

Callers get /v1/chat/completions, /v1/completions, /v1/models, plain services and /v1/requests over HTTP/1.1 and HTTP/2; the process carries out the steps of decision::request. A claim names an incarnation, so an endpoint that never reported is no candidate for a non-repeatable request.

Before: the crate was empty. After: it builds without warnings; no test drives the process in this commit. The crate's tests of decision pass.

--- a/crates/decision/src/health.rs
+++ b/crates/decision/src/health.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::time::Time;
 
 /// The weight of one outcome in the moving averages.
@@ -23,11 +25,13 @@
 const PROBE_LIMIT: Duration = Duration::from_secs(60);
 
 /// Why a breaker is open.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Cause {
     /// Too many failures.
+    #[display("failures")]
     Failures,
     /// The endpoint answered as another adapter or version.
+    #[display("wrong adapter")]
     WrongAdapter,
 }
 
--- a/crates/decision/src/place/pick.rs
+++ b/crates/decision/src/place/pick.rs
@@ -285,7 +285,9 @@
     /// Returns `Costlier` for a fit endpoint, else the reason against it.
     fn fitness(&self, now: Time, want: &Want<'_>, id: EndpointId) -> Verdict {
         let view = self.view(id);
-        if !view.is_open() {
+        // A claim has to name the agent's incarnation.
+        let unnamed = !want.repeatable && view.incarnation == Incarnation(0);
+        if !view.is_open() || unnamed {
             return Verdict::Closed;
         }
         let wrong = match view.health.breaker() {
--- a/crates/decision/tests/place_pick.rs
+++ b/crates/decision/tests/place_pick.rs
@@ -164,6 +164,7 @@
     assert_eq!(barred.unwrap_err(), NoPlace::Exhausted);
     // A non-repeatable request must not be the probe.
     let later = Time::from_ms(8_000);
+    bench.places.report(later, &report("e0", 1, &["a0@1"]));
     assert!(bench.try_pick(later, "a0@1", &[], false).is_err());
     let probe = bench.pick(later, "a0@1");
     assert!(probe.probe);
@@ -204,6 +205,14 @@
         bench.places.find("e0").unwrap(),
         bench.places.find("e1").unwrap(),
     ];
+    for name in ["e0", "e1"] {
+        bench.places.report(Time::from_ms(0), &report(name, 1, &[]));
+    }
+    assert!(
+        bench
+            .try_pick(Time::from_ms(0), "a0@1", &all[..1], false)
+            .is_ok()
+    );
     assert!(
         bench
             .try_pick(Time::from_ms(0), "a0@1", &all, false)
@@ -212,6 +221,17 @@
     assert!(bench.try_pick(Time::from_ms(0), "a0@1", &all, true).is_ok());
 }
 
+/// Guards against a claim that names no incarnation, which any restart of the agent could run.
+#[test]
+fn booking_needs_a_known_incarnation() {
+    let set = sample_set(1, 1);
+    let mut bench = Bench::new(&set);
+    let now = Time::from_ms(0);
+    assert!(bench.try_pick(now, "a0@1", &[], false).is_err());
+    bench.places.report(now, &report("e0", 1, &[]));
+    assert!(bench.try_pick(now, "a0@1", &[], false).is_ok());
+}
+
 /// Guards against a late report that hides a later one, and against a stale one after a restart.
 #[test]
 fn reports_apply_in_order() {
--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,334 @@
+//! The HTTP interface for callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::claim::ClaimRow;
+use decision::ids::Priority;
+use decision::problem::Code;
+use decision::problem::Problem;
+use decision::problem::Ran;
+use decision::request::Arrival;
+use decision::request::ClaimKey;
+use decision::route::Resolved;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Version;
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+use viz::Router;
+use viz::header::CONNECTION;
+use viz::header::HeaderValue;
+
+use crate::body::Prompt;
+use crate::caller::Caller;
+use crate::caller::digest;
+use crate::caller::malformed;
+use crate::drive::Driver;
+use crate::drive::Start;
+use crate::outlet::Head;
+use crate::outlet::Outlet;
+use crate::records::State;
+use crate::reply;
+use crate::shared::Shared;
+
+/// The timeout of a read of a claim row for a caller who asks for a request.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Returns the routes of the interface.
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    let on = |handle: fn(Arc<Shared>, Request) -> futures::future::BoxFuture<'static, Response>| {
+        let shared = shared.clone();
+        move |request: Request| {
+            let last = request.version() < Version::HTTP_2 && *shared.stopping.borrow();
+            let answer = handle(shared.clone(), request);
+            async move {
+                let mut response = answer.await;
+                if last {
+                    // The caller then takes its next request to another entry.
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, viz::Error>(response)
+            }
+        }
+    };
+    Router::new()
+        .post("/v1/chat/completions", on(|s, r| Box::pin(complete(s, r))))
+        .post("/v1/completions", on(|s, r| Box::pin(complete(s, r))))
+        .post(
+            "/v1/services/:route",
+            on(|s, r| Box::pin(call_service(s, r))),
+        )
+        .post("/services/:route", on(|s, r| Box::pin(call_service(s, r))))
+        .post(
+            "/services/:route/*",
+            on(|s, r| Box::pin(call_service(s, r))),
+        )
+        .get("/v1/models", on(|s, r| Box::pin(list_models(s, r))))
+        .get("/v1/requests/:id", on(|s, r| Box::pin(show_request(s, r))))
+        .any("/*", on(|_, _| Box::pin(async { not_found() })))
+}
+
+fn not_found() -> Response {
+    reply::problem(&Problem::not_run(Code::NotFound, "nothing is at this path"))
+}
+
+async fn complete(shared: Arc<Shared>, request: Request) -> Response {
+    let answer = try_complete(&shared, request).await;
+    answer.unwrap_or_else(|problem| refuse(&shared, &problem))
+}
+
+async fn try_complete(shared: &Arc<Shared>, mut request: Request) -> Result<Response, Problem> {
+    let caller = admit_caller(shared, &request)?;
+    let body = read_body(shared, &mut request).await?;
+    let prompt = Prompt::read(&body).map_err(|message| malformed(&message))?;
+    let call = Call::new(shared, caller);
+    let resolved = call.resolve(&prompt.model)?;
+    if resolved.route.is_service() {
+        return Err(no_model());
+    }
+    let served = resolved.choice.target.served().clone();
+    let path = request.path().to_owned();
+    let mut arrival = call.arrival(resolved, path, &body);
+    arrival.stream = prompt.stream;
+    arrival.prefix = prompt.prefix(&served);
+    let body = prompt.rename(&body, &served);
+    call.run(arrival, body).await
+}
+
+async fn call_service(shared: Arc<Shared>, request: Request) -> Response {
+    let answer = try_service(&shared, request).await;
+    answer.unwrap_or_else(|problem| refuse(&shared, &problem))
+}
+
+async fn try_service(shared: &Arc<Shared>, mut request: Request) -> Result<Response, Problem> {
+    let caller = admit_caller(shared, &request)?;
+    let (route, path) = service_path(request.path());
+    let (route, path) = (route.to_owned(), path.to_owned());
+    let body = read_body(shared, &mut request).await?;
+    let call = Call::new(shared, caller);
+    let resolved = call.resolve(&route)?;
+    if !resolved.route.is_service() {
+        return Err(no_model());
+    }
+    let arrival = call.arrival(resolved, path, &body);
+    call.run(arrival, body).await
+}
+
+/// Splits `/services/{route}/rest` and `/v1/services/{route}` into the route and the path at the
+/// service.
+fn service_path(path: &str) -> (&str, &str) {
+    let path = path.strip_prefix("/v1").unwrap_or(path);
+    let rest = path.strip_prefix("/services/").unwrap_or(path);
+    match rest.find('/') {
+        Some(end) => rest.split_at(end),
+        None => (rest, "/"),
+    }
+}
+
+async fn list_models(shared: Arc<Shared>, request: Request) -> Response {
+    let caller = match admit_caller(&shared, &request) {
+        Ok(caller) => caller,
+        Err(problem) => return refuse(&shared, &problem),
+    };
+    let directory = shared.directory();
+    let Some(tenant) = directory.table.tenant(&caller.workspace.name) else {
+        return refuse(&shared, &no_model());
+    };
+    let routes = tenant.routes.values().filter(|route| !route.is_service());
+    let mut names: Vec<&str> = routes.map(|route| &*route.name).collect();
+    names.sort_unstable();
+    let model = |name: &&str| json!({ "id": name, "object": "model", "created": 0, "owned_by": tenant.workspace.name });
+    let data: Vec<_> = names.iter().map(model).collect();
+    reply::json(200, json!({ "object": "list", "data": data }).to_string())
+}
+
+async fn show_request(shared: Arc<Shared>, request: Request) -> Response {
+    let answer = try_show(&shared, &request).await;
+    answer.unwrap_or_else(|problem| reply::problem(&problem))
+}
+
+async fn try_show(shared: &Arc<Shared>, request: &Request) -> Result<Response, Problem> {
+    let caller = admit_caller(shared, request)?;
+    let id = request.path().rsplit('/').next().unwrap_or_default();
+    let workspace = &caller.workspace.name;
+    let record = shared.book().records.get(workspace, id).cloned();
+    if let Some(record) = record {
+        let receipt = match &record.state {
+            State::Done { receipt } => serde_json::from_str(receipt).unwrap_or_default(),
+            _ => serde_json::Value::Null,
+        };
+        let body = json!({
+            "id": id,
+            "request": record.request,
+            "route": record.route,
+            "status": record.state,
+            "receipt": receipt,
+        });
+        return Ok(reply::json(200, body.to_string()));
+    }
+    let key = ClaimRow::key(workspace, id);
+    let row = shared.outside.table.get(&key, READ_TIMEOUT).await;
+    let row = row.map_err(|_| {
+        let message = "the table service cannot be reached";
+        Problem::new(Code::StorageUnavailable, Ran::Unknown, message)
+    })?;
+    let claim = row.and_then(|row| serde_json::from_slice::<ClaimRow>(&row.value).ok());
+    let Some(claim) = claim else {
+        let message = "the workspace has no such request, or it is no longer remembered";
+        return Err(Problem::new(Code::RequestNotFound, Ran::Unknown, message));
+    };
+    let body = json!({
+        "id": id,
+        "request": claim.request,
+        "attempt": claim.attempt,
+        "claim": claim.state,
+        "outcome": claim.stored.map(|stored| stored.outcome),
+    });
+    Ok(reply::json(200, body.to_string()))
+}
+
+fn admit_caller(shared: &Shared, request: &Request) -> Result<Caller, Problem> {
+    shared.readiness().map_err(|reason| {
+        Problem::not_run(Code::NotReady, reason).retry_after(Duration::from_secs(1))
+    })?;
+    Caller::read(&shared.directory(), request.headers())
+}
+
+async fn read_body(shared: &Shared, request: &mut Request) -> Result<Bytes, Problem> {
+    let body = std::mem::take(request.body_mut());
+    let limited = Limited::new(body, shared.settings.body_bytes);
+    let collected = tokio::time::timeout(shared.settings.body_time(), limited.collect());
+    match collected.await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            let limit = shared.settings.body_bytes;
+            let message = format!("the body is larger than {limit} bytes");
+            Err(Problem::not_run(Code::BodyTooLarge, message))
+        }
+        Ok(Err(err)) => Err(malformed(&format!("the body broke off: {err}"))),
+        Err(_) => Err(malformed("the body did not arrive in time")),
+    }
+}
+
+fn no_model() -> Problem {
+    let message = "the workspace has no route of this name";
+    Problem::not_run(Code::ModelNotFound, message)
+}
+
+fn refuse(shared: &Shared, problem: &Problem) -> Response {
+    shared
+        .metrics
+        .answered(&problem.code.to_string(), Duration::ZERO);
+    reply::problem(problem)
+}
+
+/// A call of a known caller.
+struct Call<'a> {
+    shared: &'a Arc<Shared>,
+    caller: Caller,
+    request: decision::ids::RequestId,
+    /// The identifier that the caller knows.
+    id: String,
+}
+
+impl<'a> Call<'a> {
+    /// Agents know the call by a new identifier; the one of the caller might be used by another
+    /// workspace as well.
+    fn new(shared: &'a Arc<Shared>, caller: Caller) -> Self {
+        let request = shared.draw_id();
+        Call {
+            id: caller.id.clone().unwrap_or_else(|| request.to_string()),
+            shared,
+            caller,
+            request,
+        }
+    }
+
+    fn resolve(&self, name: &str) -> Result<Resolved, Problem> {
+        let conversation = self.caller.conversation.as_deref().unwrap_or(&self.id);
+        let directory = self.shared.directory();
+        let workspace = &self.caller.workspace.name;
+        let resolved = directory.table.resolve(workspace, name, conversation);
+        resolved.map_err(|_| no_model())
+    }
+
+    fn arrival(&self, resolved: Resolved, path: String, body: &[u8]) -> Arrival {
+        let route = &resolved.route;
+        let allowed = self
+            .caller
+            .deadline
+            .map_or(route.deadline, |ms| ms.min(route.deadline));
+        let lowered = self.caller.priority.unwrap_or(Priority::Interactive);
+        Arrival {
+            request: self.request,
+            priority: route.priority.max(lowered),
+            deadline: self.shared.clock.now().after(allowed),
+            claim: (!route.repeatable).then(|| self.claim_key(&route.name, &path, body)),
+            stream: false,
+            prefix: 0,
+            resolved,
+            path,
+        }
+    }
+
+    fn claim_key(&self, route: &str, path: &str, body: &[u8]) -> ClaimKey {
+        let key = self.caller.key.as_deref().unwrap_or(&self.id);
+        ClaimKey {
+            row: ClaimRow::key(&self.caller.workspace.name, key),
+            digest: digest(&[route.as_bytes(), path.as_bytes(), body]),
+            nonce: self.shared.draw_id().to_string(),
+        }
+    }
+
+    async fn run(&self, arrival: Arrival, body: Bytes) -> Result<Response, Problem> {
+        let admitted = self
+            .shared
+            .admit(&self.caller.workspace, arrival.priority)?;
+        let (outlet, answer) = Outlet::new();
+        let gone = CancellationToken::new();
+        let guard = gone.clone().drop_guard();
+        let start = Start {
+            arrival,
+            body,
+            outlet,
+            gone,
+            id: self.id.clone(),
+            admitted,
+        };
+        let task = Driver::run(self.shared.clone(), start);
+        self.shared.tasks.spawn(task);
+        let head = answer.await.map_err(|_| {
+            let message = "the request ended without an answer";
+            Problem::new(Code::OutcomeUnknown, Ran::Unknown, message)
+        })?;
+        let mut response = respond(head, guard);
+        reply::set_header(&mut response, reply::REQUEST_ID, &self.id);
+        Ok(response)
+    }
+}
+
+/// Makes the response; the guard lives as long as the caller takes the answer.
+fn respond(head: Head, guard: DropGuard) -> Response {
+    match head {
+        Head::Whole(response) => response,
+        Head::Stream {
+            status,
+            content,
+            pieces,
+        } => {
+            let stream = futures::stream::unfold((pieces, guard), |(mut pieces, guard)| async {
+                let piece = pieces.recv().await?;
+                Some((Ok::<_, std::io::Error>(piece), (pieces, guard)))
+            });
+            reply::with_body(status, &content, viz::Body::from_stream(stream))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dump.rs
@@ -0,0 +1,151 @@
+//! The state of an entry as JSON, for operators. It holds no bodies and no secrets.
+
+use decision::health::Breaker;
+use decision::health::Health;
+use decision::place::Candidate;
+use decision::place::EndpointView;
+use decision::place::PickTrace;
+use decision::place::Places;
+use decision::time::Time;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::shared::Shared;
+
+/// Returns the state as JSON.
+pub(crate) fn state(shared: &Shared) -> String {
+    let now = shared.clock.now();
+    let head = shared.directory().table.head().clone();
+    let (endpoints, picks) = {
+        let routing = shared.routing();
+        (endpoints(now, &routing.places), picks(now, &routing.places))
+    };
+    let (claims, limits, retries) = book(shared, now);
+    let ready = shared.readiness();
+    json!({
+        "head": head,
+        "incarnation": shared.incarnation,
+        "ready": ready.is_ok(),
+        "waiting_for": ready.err(),
+        "endpoints": endpoints,
+        "last_picks": picks,
+        "claims_in_progress": claims,
+        "limits": limits,
+        "retries": retries,
+    })
+    .to_string()
+}
+
+fn endpoints(now: Time, places: &Places) -> Vec<Value> {
+    let mut views: Vec<&EndpointView> = places.views().collect();
+    views.sort_unstable_by(|a, b| a.object.name.cmp(&b.object.name));
+    views.into_iter().map(|view| endpoint(now, view)).collect()
+}
+
+fn endpoint(now: Time, view: &EndpointView) -> Value {
+    let report = &view.report;
+    json!({
+        "name": view.object.name,
+        "domain": view.object.domain,
+        "takes_new_work": view.is_open(),
+        "live": view.live,
+        "leaving": view.leaving,
+        "linked": view.linked,
+        "draining_ms": view.draining.map(|since| now.since(since).as_millis() as u64),
+        "incarnation": view.incarnation,
+        "report_age_ms": view.reported.map(|at| now.since(at).as_millis() as u64),
+        "running": report.running,
+        "batch": report.batch,
+        "queued": report.queued,
+        "stalled": report.stalled,
+        "idle_slots": report.idle,
+        "service_ms": report.service_ms,
+        "load_ms": report.load_ms,
+        "own_inflight": view.inflight,
+        "own_unseen": view.unseen(),
+        "health": health(now, &view.health),
+    })
+}
+
+fn health(now: Time, health: &Health) -> Value {
+    let (breaker, cause, until) = match health.breaker() {
+        Breaker::Closed => ("closed", None, None),
+        Breaker::Open { until, cause } => ("open", Some(cause), Some(until)),
+        Breaker::Probing { cause, .. } => ("probing", Some(cause), None),
+    };
+    json!({
+        "breaker": breaker,
+        "cause": cause.map(|cause| cause.to_string()),
+        "next_probe_ms": until.map(|until| until.since(now).as_millis() as u64),
+        "error_rate": health.error_rate(),
+        "first_byte_ms": health.latency_ms(),
+    })
+}
+
+fn picks(now: Time, places: &Places) -> Vec<Value> {
+    let traces = places.traces();
+    traces.map(|trace| pick(now, places, trace)).collect()
+}
+
+fn pick(now: Time, places: &Places, trace: &PickTrace) -> Value {
+    let candidate = |candidate: &Candidate| {
+        let cost = &candidate.cost;
+        json!({
+            "endpoint": places.view(candidate.endpoint).object.name,
+            "verdict": candidate.verdict.to_string(),
+            "loads": candidate.loads,
+            "cost_ms": cost.total(),
+            "queue_ms": cost.queue,
+            "load_ms": cost.load,
+            "domain_ms": cost.domain,
+            "health_ms": cost.health,
+            "prefix_ms": cost.prefix,
+            "pack_ms": cost.pack,
+        })
+    };
+    json!({
+        "request": trace.request,
+        "version": trace.version,
+        "age_ms": now.since(trace.at).as_millis() as u64,
+        "candidates": trace.candidates.iter().map(candidate).collect::<Vec<_>>(),
+    })
+}
+
+fn book(shared: &Shared, now: Time) -> (Vec<Value>, Value, Value) {
+    let book = shared.book();
+    let claim = |((workspace, id), record): (&(_, String), &crate::records::Record)| {
+        let workspace: &decision::ids::Name = workspace;
+        json!({
+            "workspace": workspace,
+            "id": id,
+            "request": record.request,
+            "route": record.route,
+            "age_ms": now.since(record.arrived).as_millis() as u64,
+        })
+    };
+    let claims = book.records.claims().map(claim).collect();
+    let limits = &book.limits;
+    let [rate, inflight, shed] = limits.denied();
+    let usage = |usage: &decision::limits::Usage| {
+        json!({
+            "workspace": usage.object.name,
+            "inflight": usage.inflight,
+            "inflight_limit": usage.object.inflight,
+            "rate_per_s": usage.object.rate,
+            "tokens": usage.tokens,
+        })
+    };
+    let limits = json!({
+        "inflight": limits.inflight(),
+        "capacity": limits.capacity(),
+        "denied_by_rate": rate,
+        "denied_by_inflight": inflight,
+        "shed": shed,
+        "workspaces": limits.usage().map(usage).collect::<Vec<_>>(),
+    });
+    let retries = json!({
+        "budget": book.budget.tokens(),
+        "denied": book.budget.denied(),
+    });
+    (claims, limits, retries)
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,56 @@
+//! The calls of peers to an entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use decision::ids::Attempt;
+use decision::ids::Head;
+use decision::ids::RequestId;
+use decision::job::Job;
+use decision::job::Outcome;
+use decision::permit::Ask;
+use decision::permit::Grant;
+use decision::report::Report;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use wire::AnswerSink;
+use wire::Handler;
+
+use crate::dump;
+use crate::shared::Shared;
+
+/// Serves heads, blobs and dumps. An entry runs no jobs and grants no permits.
+pub(crate) struct EntryHandler(pub(crate) Arc<Shared>);
+
+impl Handler for EntryHandler {
+    fn head(&self, from: &str, head: Head) -> Head {
+        self.0.adopter.exchange(from, &head)
+    }
+
+    fn blob(&self, digest: &str) -> Option<Bytes> {
+        self.0.adopter.blob(digest)
+    }
+
+    /// Drops the sink, which tells the sender that there is no answer.
+    fn dispatch(&self, _: Job, _: Bytes, _: AnswerSink) {}
+
+    fn settle(&self, _: RequestId, _: Attempt) -> Outcome {
+        Outcome::Unknown
+    }
+
+    fn cancel(&self, _: RequestId, _: Attempt) {}
+
+    fn report(&self, _: u64) -> Option<Report> {
+        None
+    }
+
+    fn permit(&self, _: Ask) -> BoxFuture<'static, Option<Grant>> {
+        futures::future::ready(None).boxed()
+    }
+
+    fn release(&self, _: u64) {}
+
+    fn dump(&self) -> String {
+        dump::state(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,288 @@
+//! What the tasks of one entry share.
+//!
+//! Lock order: `directory`, then `routing`, then `book`, then `polls`. No lock is held across an
+//! await.
+
+use std::hash::BuildHasher;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::ids::Head;
+use decision::ids::Incarnation;
+use decision::ids::Name;
+use decision::ids::RequestId;
+use decision::limits::Denied;
+use decision::limits::Limits;
+use decision::member::Membership;
+use decision::place::Finish;
+use decision::place::NoPlace;
+use decision::place::Pick;
+use decision::place::Places;
+use decision::place::Tuning;
+use decision::place::Want;
+use decision::problem::Code;
+use decision::problem::Problem;
+use decision::retry::RetryBudget;
+use decision::route::RouteTable;
+use objects::ObjectSet;
+use objects::Priority;
+use objects::Workspace;
+use process::Adopter;
+use process::Clock;
+use process::Node;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+use wire::Links;
+use wire::Peer;
+
+use crate::committer::Committer;
+use crate::metrics::Metrics;
+use crate::polls::Polls;
+use crate::records::Records;
+use crate::settings::EntryLimits;
+use crate::settings::Outside;
+use crate::settings::Settings;
+
+/// The time after which a retry makes sense when a workspace has too much in flight.
+const INFLIGHT_AFTER: Duration = Duration::from_secs(1);
+
+/// The configuration in force, prepared for lookups.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    pub(crate) table: RouteTable,
+    pub(crate) set: Arc<ObjectSet>,
+    /// Workspaces by the digest of their API key.
+    pub(crate) secrets: Map<Name, Arc<Workspace>>,
+}
+
+impl Directory {
+    pub(crate) fn build(head: Head, set: Arc<ObjectSet>) -> Directory {
+        let keyed = |workspace: &Arc<Workspace>| {
+            let secret = workspace.secret.clone()?;
+            Some((secret, workspace.clone()))
+        };
+        Directory {
+            table: RouteTable::build(head, &set),
+            secrets: set.workspaces.values().filter_map(keyed).collect(),
+            set,
+        }
+    }
+}
+
+/// Endpoint views and the randomness of picks.
+pub(crate) struct Routing {
+    pub(crate) places: Places,
+    pub(crate) rng: fastrand::Rng,
+}
+
+/// Limits, retries and the requests of this entry.
+pub(crate) struct Book {
+    pub(crate) limits: Limits,
+    pub(crate) budget: RetryBudget,
+    pub(crate) records: Records,
+}
+
+/// What the tasks of one entry share.
+pub(crate) struct Shared {
+    pub(crate) region: Name,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) links: Links,
+    pub(crate) adopter: Arc<Adopter>,
+    pub(crate) members: watch::Receiver<Arc<Membership>>,
+    pub(crate) outside: Outside,
+    pub(crate) settings: EntryLimits,
+    pub(crate) committer: Committer,
+    pub(crate) metrics: Metrics,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stopping: watch::Sender<bool>,
+    directory: RwLock<Arc<Directory>>,
+    routing: Mutex<Routing>,
+    book: Mutex<Book>,
+    polls: Mutex<Polls>,
+    /// The upper half of all request identifiers of this process.
+    high: u64,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: &Settings,
+        outside: Outside,
+        node: &Node,
+        committer: Committer,
+        metrics: Metrics,
+    ) -> Shared {
+        let region: Name = settings.region.as_str().into();
+        let places = Places::new(
+            region.clone(),
+            settings.domain.as_str().into(),
+            Tuning::default(),
+        );
+        let book = Book {
+            limits: Limits::new(settings.limits.inflight),
+            budget: RetryBudget::new(objects::Policy::default().retry_share),
+            records: Records::default(),
+        };
+        Shared {
+            region,
+            incarnation: node.me.incarnation,
+            clock: node.clock,
+            links: node.links.clone(),
+            adopter: node.adopter.clone(),
+            members: node.members.clone(),
+            outside,
+            settings: settings.limits.clone(),
+            committer,
+            metrics,
+            tasks: TaskTracker::new(),
+            stopping: watch::channel(false).0,
+            directory: RwLock::default(),
+            routing: Mutex::new(Routing {
+                places,
+                rng: fastrand::Rng::with_seed(random_seed()),
+            }),
+            book: Mutex::new(book),
+            polls: Mutex::default(),
+            high: random_seed(),
+        }
+    }
+
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        let directory = self.directory.read();
+        directory.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_directory(&self, directory: Arc<Directory>) {
+        let held = self.directory.write();
+        *held.unwrap_or_else(PoisonError::into_inner) = directory;
+    }
+
+    pub(crate) fn routing(&self) -> MutexGuard<'_, Routing> {
+        self.routing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn polls(&self) -> MutexGuard<'_, Polls> {
+        self.polls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the entry can serve, or what it waits for.
+    pub(crate) fn readiness(&self) -> Result<(), String> {
+        if *self.stopping.borrow() {
+            return Err("the entry is stopping".to_owned());
+        }
+        if !*self.adopter.ready().borrow() {
+            return Err("the entry has no configuration yet".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Returns a new identifier; processes differ in the upper half.
+    pub(crate) fn draw_id(&self) -> RequestId {
+        let low = self.routing().rng.u64(..);
+        RequestId((u128::from(self.high) << 64) | u128::from(low))
+    }
+
+    /// Returns a handle to the agent beside an endpoint, if the membership list has it.
+    pub(crate) fn peer(&self, endpoint: &str) -> Option<Peer> {
+        let addr = self.members.borrow().get(endpoint)?.peer;
+        Some(self.links.peer(addr))
+    }
+
+    /// Picks an endpoint; the request counts as in flight there until the result is dropped.
+    pub(crate) fn pick(self: &Arc<Self>, want: &Want<'_>) -> Result<Placed, NoPlace> {
+        let now = self.clock.now();
+        let mut routing = self.routing();
+        let Routing { places, rng } = &mut *routing;
+        let pick = places.pick(now, rng, want)?;
+        drop(routing);
+        self.polls().hasten(&pick.name, now);
+        Ok(Placed {
+            shared: self.clone(),
+            pick,
+            finished: false,
+        })
+    }
+
+    /// Admits a request of a workspace; it counts as in flight until the result is dropped.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        workspace: &Arc<Workspace>,
+        priority: Priority,
+    ) -> Result<Admitted, Problem> {
+        let denied = self
+            .book()
+            .limits
+            .admit(self.clock.now(), workspace, priority);
+        denied.map_err(|denied| denied_problem(&denied))?;
+        Ok(Admitted {
+            shared: self.clone(),
+            workspace: workspace.name.clone(),
+        })
+    }
+}
+
+/// Returns a seed that differs between processes that start at the same time.
+fn random_seed() -> u64 {
+    // Each `RandomState` draws its keys from the operating system.
+    std::hash::RandomState::new().hash_one(std::process::id())
+}
+
+fn denied_problem(denied: &Denied) -> Problem {
+    let (code, after) = match denied {
+        Denied::Rate(after) => (Code::RateLimited, *after),
+        Denied::Inflight => (Code::TooManyInflight, INFLIGHT_AFTER),
+        Denied::Shed(after) => (Code::Overloaded, *after),
+    };
+    Problem::not_run(code, denied.to_string()).retry_after(after)
+}
+
+/// A request counted as in flight at an endpoint.
+pub(crate) struct Placed {
+    shared: Arc<Shared>,
+    pub(crate) pick: Pick,
+    finished: bool,
+}
+
+impl Placed {
+    /// Tells how the attempt ended.
+    pub(crate) fn finish(mut self, end: Finish) {
+        self.tell(end);
+    }
+
+    fn tell(&mut self, end: Finish) {
+        if std::mem::replace(&mut self.finished, true) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut routing = self.shared.routing();
+        let Routing { places, rng } = &mut *routing;
+        places.finish(now, rng, &self.pick, end);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.tell(Finish::Neutral);
+    }
+}
+
+/// A request counted as in flight for its workspace.
+pub(crate) struct Admitted {
+    shared: Arc<Shared>,
+    workspace: Name,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.shared.book().limits.release(&self.workspace);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/sse.rs
@@ -0,0 +1,40 @@
+//! Server-sent events of an answer: the final event is held back until the answer is known to be
+//! whole.
+
+use bytes::Bytes;
+use decision::problem::Problem;
+
+use crate::reply::error_json;
+
+/// The event that ends a stream.
+pub const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// Removes the final event from a piece that consists of whole events.
+///
+/// Returns the rest and whether the final event was there.
+pub fn split_done(data: Bytes) -> (Bytes, bool) {
+    let text = data.trim_ascii_end();
+    let Some(rest) = text.strip_suffix(b"[DONE]") else {
+        return (data, false);
+    };
+    let line = rest
+        .iter()
+        .rposition(|byte| *byte == b'\n')
+        .map_or(0, |end| end + 1);
+    if rest[line..].trim_ascii_end() != b"data:" {
+        return (data, false);
+    }
+    (data.slice(..line), true)
+}
+
+/// Returns the last events of a whole stream.
+pub fn finale(receipt: &str) -> Bytes {
+    let mut events = format!("event: receipt\ndata: {receipt}\n\n").into_bytes();
+    events.extend_from_slice(DONE);
+    events.into()
+}
+
+/// Returns the event that ends a stream which is not whole; no final event follows it.
+pub fn error_event(problem: &Problem) -> Bytes {
+    format!("event: error\ndata: {}\n\n", error_json(problem)).into()
+}
