Add the commands serve, status, dump and demo

Cause: the whole path had to run end to end: publish, adopt, resolve, pick, dispatch, load, submit, stream, answer. Before: crates without a program.

--- /dev/null
+++ b/crates/cli/src/demo/sample.rs
@@ -0,0 +1,103 @@
+//! The sample set of the demo, as an operator would write it.
+
+use std::fmt::Write as _;
+
+use objects::ObjectSet;
+
+/// The API key of the sample workspace; its digest stands in the set.
+pub(crate) const API_KEY: &str = "demo-key";
+
+/// The number of sample adapters.
+pub(crate) const ADAPTERS: usize = 12;
+
+/// The number of sample engines.
+pub(crate) const ENGINES: usize = 3;
+
+/// The number of endpoints of the booking service.
+pub(crate) const BOOKERS: usize = 2;
+
+/// What differs between the sets that the demo publishes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Edits {
+    /// The adapter whose route leads to its second version.
+    pub(crate) upgraded: Option<usize>,
+    /// The engine that receives no new work.
+    pub(crate) drained: Option<usize>,
+}
+
+/// Returns the served name of a version of adapter `number`.
+pub(crate) fn served(number: usize, version: u32) -> String {
+    format!("care-{number}@v{version}")
+}
+
+/// Returns the TOML text of the sample set.
+pub(crate) fn toml(edits: Edits) -> String {
+    let mut text = HEAD.to_owned();
+    for number in 0..ADAPTERS {
+        let version = if edits.upgraded == Some(number) { 2 } else { 1 };
+        add_adapter(&mut text, number, version);
+    }
+    for number in 0..ENGINES {
+        let draining = edits.drained == Some(number);
+        let _ = write!(
+            text,
+            "[[endpoint]]\nname = \"runner-{number}\"\nmodel = \"base\"\nregion = \"south\"\n\
+             domain = \"south-{number}\"\nslots = 4\nbatch = 16\nqueue = 200\n\
+             fencing = \"checked\"\ndraining = {draining}\n\n"
+        );
+    }
+    for number in 0..BOOKERS {
+        let _ = write!(
+            text,
+            "[[endpoint]]\nname = \"booker-{number}\"\nservice = \"booker\"\nregion = \"south\"\n\
+             domain = \"south-{number}\"\nbatch = 16\nqueue = 200\n\n"
+        );
+    }
+    text
+}
+
+/// Returns the sample set.
+///
+/// # Panics
+///
+/// Panics if the sample does not pass validation.
+pub(crate) fn set(edits: Edits) -> ObjectSet {
+    let text = toml(edits);
+    let loaded = objects::load([("sample.toml", text.as_str())]);
+    assert!(
+        !objects::has_errors(&loaded.findings),
+        "{:#?}",
+        loaded.findings
+    );
+    loaded.set
+}
+
+const HEAD: &str = "[policy]\nstall_weight = 0.5\nloads_per_s = 20\nloads_at_once = 3\n\n\
+     [[model]]\nname = \"base\"\nbase = \"base\"\n\n\
+     [[workspace]]\nname = \"quilts\"\nrate = 100000\ninflight = 10000\n\
+     secret = \"sha256:c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c\"\n\n\
+     [[service]]\nname = \"booker\"\ndeadline_ms = 10000\n\n\
+     [[route]]\nname = \"bookings\"\nworkspace = \"quilts\"\nservice = \"booker\"\n\
+     priority = \"booking\"\ndeadline_ms = 10000\n\n";
+
+fn add_adapter(text: &mut String, number: usize, version: u32) {
+    let _ = write!(
+        text,
+        "[[adapter]]\nname = \"care-{number}\"\nmodel = \"base\"\nworkspace = \"quilts\"\n\n"
+    );
+    for version in 1..=2 {
+        let weights = format!("weights/care-{number}/{version}");
+        let digest = standins::weights::digest_of(&weights);
+        let _ = write!(
+            text,
+            "[[version]]\nadapter = \"care-{number}\"\nversion = \"v{version}\"\n\
+             weights = \"{weights}\"\ndigest = \"{digest}\"\n\n"
+        );
+    }
+    let served = served(number, version);
+    let _ = write!(
+        text,
+        "[[route]]\nname = \"advice-{number}\"\nworkspace = \"quilts\"\n\
+         targets = [{{ version = \"{served}\", weight = 1 }}]\ndeadline_ms = 20000\n\n"
+    );
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,15 +9,18 @@
 //! command is one more module and one more variant of [`Command`].
 
 pub mod check;
+pub mod demo;
 pub mod diff;
 pub mod directory;
 pub mod history;
 pub mod operator;
+pub mod peers;
 pub mod platform;
 pub mod publish;
 mod publishing;
 pub mod report;
 pub mod rollback;
+pub mod serve;
 
 use gumdrop::Options;
 pub use operator::Operator;
@@ -55,6 +58,18 @@
     /// [`history`].
     #[options(help = "list the published generations")]
     History(history::Args),
+    /// [`peers::status`].
+    #[options(help = "show the generation that each process has in force")]
+    Status(peers::StatusArgs),
+    /// [`peers::dump`].
+    #[options(help = "print the state of one process")]
+    Dump(peers::DumpArgs),
+    /// [`serve`].
+    #[options(help = "run an entry")]
+    Serve(serve::Args),
+    /// [`demo`].
+    #[options(help = "run a whole site with stand-ins in one process")]
+    Demo(demo::Args),
 }
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 findings or refusal, 2 usage, 3 platform \
@@ -72,6 +87,10 @@
     match arguments.command {
         None => usage_error("a command is required"),
         Some(Command::Check(args)) => check::run(&args),
+        Some(Command::Status(args)) => peers::status(&args).await,
+        Some(Command::Dump(args)) => peers::dump(&args).await,
+        Some(Command::Serve(args)) => serve::run(&args).await,
+        Some(Command::Demo(args)) => demo::run(&args).await,
         Some(Command::Diff(args)) => {
             let run = async |platform| diff::run(&args, &platform).await;
             on_platform(&args.config, args.json, run).await
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,58 @@
+//! `dotterelwheel serve`
+
+use std::path::Path;
+
+use entry::Entry;
+use entry::Outside;
+use entry::Settings;
+use gumdrop::Options;
+use process::logs;
+use process::settings;
+use process::shutdown;
+use spdlog::info;
+
+use crate::report::Exit;
+use crate::report::Report;
+
+/// The arguments of `serve`.
+#[derive(Debug, Options)]
+pub struct Args {
+    /// The settings file.
+    #[options(
+        no_short,
+        help = "the settings file",
+        meta = "FILE",
+        default = "entry.toml"
+    )]
+    pub config: String,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+}
+
+/// Runs an entry until SIGTERM or SIGINT, then finishes all requests in progress.
+pub async fn run(args: &Args) -> Report {
+    let settings: Settings = match settings::load(Path::new(&args.config)) {
+        Ok(settings) => settings,
+        Err(err) => return Report::error(Exit::Usage, format!("{err:?}")),
+    };
+    if let Err(err) = logs::init(settings.log_form, settings.log_level) {
+        return Report::error(Exit::Usage, format!("set up logging: {err}"));
+    }
+    let outside = Outside::http(&settings);
+    let entry = match Entry::start(settings, outside).await {
+        Ok(entry) => entry,
+        Err(err) => return Report::error(Exit::Usage, format!("start the entry: {err}")),
+    };
+    let signal = shutdown::stop_signal().await;
+    info!("graceful stop", kv: { signal = signal.as_ref().map_or("none", |name| *name) });
+    entry.stop().await;
+    match signal {
+        Ok(_) => Report {
+            exit: Exit::Done,
+            lines: Vec::new(),
+            errors: Vec::new(),
+        },
+        Err(err) => Report::error(Exit::Usage, format!("wait for a signal: {err}")),
+    }
+}
