--- a/crates/standins/src/engine/run.rs
+++ b/crates/standins/src/engine/run.rs
@@ -172,20 +172,24 @@
             return None;
         }
         if run.core.config.records {
-            run.place = Some(run.core.log.begin_run(Execution {
-                request: run.request.clone(),
-                marker: body.marker.clone(),
-                priority,
-                model: run.model.clone(),
-                tokens: 0,
-                end: RunEnd::Running,
-                started: run.core.log.now(),
-                ended: None,
-            }));
+            run.place = Some(run.record(priority, body));
         }
         Some(run)
     }
 
+    fn record(&self, priority: String, body: &Body) -> Place {
+        self.core.log.begin_run(Execution {
+            request: self.request.clone(),
+            marker: body.marker.clone(),
+            priority,
+            model: self.model.clone(),
+            tokens: 0,
+            end: RunEnd::Running,
+            started: self.core.log.now(),
+            ended: None,
+        })
+    }
+
     /// Counts the sequence as running.
     fn enter(&mut self) {
         let epoch = &mut self.epoch;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! API boundary: processes under test know a stand-in only by its address.
 
+pub mod calls;
 pub mod engine;
 pub mod members;
 pub mod objects;
