Find requests whose target changed between entry and agent

Cause: when a route allows two versions, an agent that ran the other one than the entry chose left records that each agree with the published objects.

Conclusion: exact-adapter is checked across processes as well.

--- a/crates/audit/src/runs.rs
+++ b/crates/audit/src/runs.rs
@@ -1,11 +1,13 @@
 //! What all chains together say about the runs of requests.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use decision::ids::Attempt;
 use decision::ids::Incarnation;
 use decision::ids::RequestId;
 use decision::job::Outcome;
+use decision::job::Target;
 
 use crate::record::AttemptRecord;
 use crate::verify::Problem;
@@ -52,6 +54,8 @@
 pub(crate) struct Runs {
     singles: BTreeMap<SingleKey, BTreeMap<AttemptKey, AttemptRuns>>,
     attempts: BTreeMap<AttemptKey, Said>,
+    targets: BTreeMap<RequestId, Target>,
+    retargeted: BTreeSet<RequestId>,
 }
 
 impl Runs {
@@ -60,6 +64,7 @@
         if record.replay {
             return;
         }
+        self.add_target(record);
         let said = self
             .attempts
             .entry((record.request, record.attempt))
@@ -81,6 +86,15 @@
         runs.entry(record.incarnation).or_default().add(chain);
     }
 
+    /// Compares the target with that of all other attempts: a request keeps what its route was
+    /// resolved to, whichever process tries it how often.
+    fn add_target(&mut self, record: &AttemptRecord) {
+        let known = self.targets.entry(record.request);
+        if *known.or_insert_with(|| record.target.clone()) != record.target {
+            self.retargeted.insert(record.request);
+        }
+    }
+
     /// Returns the contradictions.
     pub(crate) fn problems(&self) -> Vec<Problem> {
         let runs = |all: &BTreeMap<AttemptKey, AttemptRuns>| all.values().map(count_runs).sum();
@@ -103,7 +117,9 @@
             request: *request,
             attempt: *attempt,
         });
-        repeated.chain(contradicted).collect()
+        let retargeted = self.retargeted.iter();
+        let retargeted = retargeted.map(|request| Problem::Retargeted { request: *request });
+        repeated.chain(contradicted).chain(retargeted).collect()
     }
 }
 
--- a/crates/audit/src/verify.rs
+++ b/crates/audit/src/verify.rs
@@ -108,6 +108,12 @@
         /// The number of runs.
         runs: u32,
     },
+    /// Records of one request name different targets.
+    #[display("request {request} changed its target")]
+    Retargeted {
+        /// The request.
+        request: RequestId,
+    },
     /// One process recorded that the attempt ran and another one that it did not run.
     #[display("request {request} attempt {attempt} is recorded as run and as not run")]
     Contradicted {
--- a/crates/audit/tests/record_checks.rs
+++ b/crates/audit/tests/record_checks.rs
@@ -5,17 +5,17 @@
 use audit::AttemptRecord;
 use audit::CommandKind;
 use audit::CommandRecord;
-use decision::ids::Head;
 use decision::ids::Incarnation;
 use decision::job::Outcome;
 use decision::job::Refusal;
-use decision::job::Target;
 use support::A1;
 use support::A2;
 use support::Bed;
+use support::assert_single;
 use support::attempt;
 use support::booking;
 use support::head;
+use support::version;
 
 /// Guards against a booking that ran twice: in two incarnations, twice in one, and for a caller's
 /// retry with the same key.
@@ -53,11 +53,7 @@
         let bed = Bed::start().await;
         bed.write("agent-1", first).await;
         bed.write("agent-2", second).await;
-        let problems = bed.problems().await;
-        assert!(
-            problems.len() == 1 && problems[0].ends_with(expected),
-            "{problems:?}"
-        );
+        assert_single(&bed.problems().await, expected);
     }
 }
 
@@ -119,70 +115,58 @@
         }],
     )
     .await;
-    let problems = bed.problems().await;
-    assert!(
-        problems.len() == 1 && problems[0].contains("as run and as not run"),
-        "{problems:?}"
-    );
+    assert_single(&bed.problems().await, "as run and as not run");
+}
+
+/// Guards against a run on another version than the entry chose, when the route allows both.
+#[tokio::test]
+async fn changed_target() {
+    let bed = Bed::start().await;
+    let split = |target| AttemptRecord {
+        route: "split".into(),
+        target,
+        ..attempt(1)
+    };
+    bed.write("entry-1", [split(version("a@1", "w/a1", A1))])
+        .await;
+    bed.write("agent-1", [split(version("a@2", "w/a2", A2))])
+        .await;
+    assert_single(&bed.problems().await, "changed its target");
 }
 
 /// Guards against a record whose route, version, weights, workspace or generation is not what was
 /// published.
 #[tokio::test]
 async fn unpublished_targets() {
-    let version = |name: &str, weights: &str, digest: &str| AttemptRecord {
-        target: Target::Version {
-            name: name.into(),
-            weights: weights.into(),
-            digest: digest.into(),
-        },
+    let record = attempt(1);
+    let target = |target| AttemptRecord {
+        target,
         ..attempt(1)
     };
-    let head = |generation, digest: &str| Head {
-        generation,
-        digest: digest.into(),
+    let under = |generation, digest| {
+        let head = head(generation, digest);
+        AttemptRecord { head, ..attempt(1) }
     };
+    let [mut route, mut workspace] = [record.clone(), record];
+    route.route = "gone".into();
+    workspace.workspace = "b".into();
     let cases = [
         (
-            version("a@2", "w/a2", A2),
-            "route `chat` does not lead to `a@2`",
-        ),
-        (
-            version("a@1", "w/a1", A2),
-            "version `a@1` has weight digest sha256:111",
-        ),
-        (
-            version("a@1", "w/a2", A1),
-            "version `a@1` has other weights than `w/a2`",
-        ),
-        (
-            AttemptRecord {
-                route: "gone".into(),
-                ..attempt(1)
-            },
-            "no route `gone`",
-        ),
-        (
-            AttemptRecord {
-                workspace: "b".into(),
-                ..attempt(1)
-            },
-            "`chat` is of workspace `ws`",
+            target(version("a@2", "w/a2", A2)),
+            "`chat` does not lead to `a@2`",
         ),
         (
-            AttemptRecord {
-                head: head(2, "sha256:head"),
-                ..attempt(1)
-            },
-            "generation 2 is not known",
+            target(version("a@1", "w/a1", A2)),
+            &format!("`a@1` has weight digest {A1}"),
         ),
         (
-            AttemptRecord {
-                head: head(1, "other"),
-                ..attempt(1)
-            },
-            "has digest sha256:head",
+            target(version("a@1", "w/a2", A1)),
+            "`a@1` has other weights than `w/a2`",
         ),
+        (route, "no route `gone`"),
+        (workspace, "`chat` is of workspace `ws`"),
+        (under(2, "sha256:head"), "generation 2 is not known"),
+        (under(1, "other"), "has digest sha256:head"),
     ];
     for (record, expected) in cases {
         let bed = Bed::start().await;
@@ -191,11 +175,7 @@
             ..attempt(2)
         };
         bed.write("entry-1", [alias, record]).await;
-        let problems = bed.problems().await;
-        assert!(
-            problems.len() == 1 && problems[0].contains(expected),
-            "{problems:?}"
-        );
+        assert_single(&bed.problems().await, expected);
     }
 }
 
@@ -210,7 +190,7 @@
         version: version.into(),
         weights: weights.map(Into::into),
         token: 3,
-        head: head(),
+        head: head(1, "sha256:head"),
         error: None,
         start: 1,
         end: 2,
@@ -220,7 +200,8 @@
     log.record(command(CommandKind::Load, "a@2", Some(A1)));
     log.close().await.unwrap();
     task.await.unwrap();
-    let problems = bed.problems().await;
-    assert_eq!(problems.len(), 1, "{problems:?}");
-    assert!(problems[0].contains("entry 3: version `a@2` has weight digest sha256:22"));
+    assert_single(
+        &bed.problems().await,
+        &format!("entry 3: version `a@2` has weight digest {A2}"),
+    );
 }
--- a/crates/audit/tests/support/mod.rs
+++ b/crates/audit/tests/support/mod.rs
@@ -23,18 +23,17 @@
 
 pub const LONG: Duration = Duration::from_secs(5);
 
-pub fn head() -> Head {
-    Head {
-        generation: 1,
-        digest: "sha256:head".into(),
-    }
+pub fn head(generation: u64, digest: &str) -> Head {
+    let digest = digest.into();
+    Head { generation, digest }
 }
 
-pub fn target() -> Target {
+pub fn version(name: &str, weights: &str, digest: &str) -> Target {
+    let [name, weights, digest] = [name, weights, digest].map(Into::into);
     Target::Version {
-        name: "a@1".into(),
-        weights: "w/a1".into(),
-        digest: A1.into(),
+        name,
+        weights,
+        digest,
     }
 }
 
@@ -44,9 +43,9 @@
         request: RequestId(request),
         attempt: 1,
         workspace: "ws".into(),
-        head: head(),
+        head: head(1, "sha256:head"),
         route: "chat".into(),
-        target: target(),
+        target: version("a@1", "w/a1", A1),
         endpoint: Some("e1".into()),
         incarnation: Some(Incarnation(7)),
         claim: None,
@@ -69,6 +68,14 @@
     }
 }
 
+/// Asserts that there is exactly one problem and that its text ends with `expected`.
+pub fn assert_single(problems: &[String], expected: &str) {
+    let [problem] = problems else {
+        panic!("{problems:?}");
+    };
+    assert!(problem.ends_with(expected), "{problem}");
+}
+
 /// The weight digests of `a@1` and `a@2`.
 pub const A1: &str = "sha256:1111111111111111111111111111111111111111111111111111111111111111";
 pub const A2: &str = "sha256:2222222222222222222222222222222222222222222222222222222222222222";
@@ -84,6 +91,10 @@
     service = [{ name = "booking", deadline_ms = 1000 }]
     route = [
         { name = "chat", workspace = "ws", deadline_ms = 1000, targets = [{ version = "a@1", weight = 1 }] },
+        { name = "split", workspace = "ws", deadline_ms = 1000, targets = [
+            { version = "a@1", weight = 1 },
+            { version = "a@2", weight = 1 },
+        ] },
         { name = "alias", workspace = "ws", alias = "chat" },
         { name = "book", workspace = "ws", deadline_ms = 1000, service = "booking" },
     ]
