End a refused submission within its timeout

Cause: the body of an engine's refusal was read for up to 1 s after the head, so a call could outlive the timeout that it was given.

--- a/crates/edges/src/engine.rs
+++ b/crates/edges/src/engine.rs
@@ -11,6 +11,7 @@
 use futures::stream::BoxStream;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::EdgeResult;
 use crate::http::Call;
@@ -113,9 +114,6 @@
 /// The largest error response to a submission, in bytes.
 const ERROR_LIMIT: usize = 64 << 10;
 
-/// The time allowed for the body of an error response to a submission.
-const ERROR_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The client of an engine with an OpenAI-style HTTP interface and adapter calls as in vLLM.
 ///
 /// A submission that the engine refuses with a 4xx status or 503 is an error without effect; any
@@ -169,12 +167,10 @@
         let step = "submit request";
         let call = work.into_call(step);
         async move {
+            let deadline = Instant::now() + timeout;
             let answer = self.client.open(call, timeout).await?;
             if matches!(answer.status, 400..=499 | 503) {
-                let fault = self
-                    .client
-                    .refusal(answer, ERROR_LIMIT, ERROR_TIMEOUT)
-                    .await;
+                let fault = self.client.refusal(answer, ERROR_LIMIT, deadline).await;
                 return Err(self.client.error(step, fault));
             }
             Ok(answer)
--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -236,12 +236,12 @@
         })
     }
 
-    /// Reads the body of an answer that is an error, at most `limit` bytes, and returns its fault.
-    pub async fn refusal(&self, answer: Answer, limit: usize, timeout: Duration) -> Fault {
+    /// Reads the body of an answer that is an error, at most `limit` bytes and until
+    /// `deadline`, and returns its fault.
+    pub async fn refusal(&self, answer: Answer, limit: usize, deadline: Instant) -> Fault {
         let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut text = Vec::new();
         let mut body = answer.body;
-        let deadline = Instant::now() + timeout;
         // The status alone decides what the answer means, so a body that breaks off is no error.
         while let Ok(Some(Ok(piece))) = timeout_at(deadline, body.next()).await {
             text.extend_from_slice(&piece);
--- a/crates/edges/tests/error_kinds.rs
+++ b/crates/edges/tests/error_kinds.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use edges::Fault;
+use edges::engine::Engine as _;
+use edges::engine::HttpEngine;
 use edges::service::HttpService;
 use edges::service::Service as _;
 use edges::store::HttpObjects;
@@ -222,6 +224,39 @@
     task.await.unwrap();
 }
 
+/// Guards against the same when the answer does not declare its size.
+#[tokio::test]
+async fn oversized_chunk() {
+    let body = "x".repeat(0x12000);
+    let answer =
+        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n12000\r\n{body}\r\n");
+    let (addr, task) = raw_peer(answer.leak().as_bytes()).await;
+    let error = HttpObjects::new(addr).put("k", "v".into(), LONG).await;
+    assert!(matches!(error.unwrap_err().fault, Fault::Malformed(_)));
+    task.abort();
+}
+
+/// Guards against a call that outlives its timeout because the body of a refusal never comes.
+#[tokio::test]
+async fn hanging_refusal() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpEngine::new(listener.local_addr().unwrap());
+    let submit = client.submit(booking("a"), SHORT);
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let head = b"HTTP/1.1 404 Not Found\r\ncontent-length: 9\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        tokio::time::sleep(LONG).await;
+    };
+    let started = std::time::Instant::now();
+    let error = tokio::select! {
+        answer = submit => answer.err().unwrap(),
+        () = peer => panic!("the call outlives its timeout"),
+    };
+    assert_eq!(error.fault, Fault::NotFound);
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
 /// Guards against a server error other than 503 taken as proof that nothing happened.
 #[tokio::test]
 async fn server_error() {
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -71,6 +71,7 @@
     }
 
     /// Limits the requests that are carried out per second; the others wait in order of arrival.
+    /// `f64::INFINITY` lifts a limit.
     pub fn set_rates(&self, reads: f64, writes: f64) {
         *lock(&self.reads) = Pace::new(reads);
         *lock(&self.writes) = Pace::new(writes);
