Test the agent process against stand-ins

Cause: the process had no tests. Before: no process tests. Conclusion: the process serves, drains and records outcomes over loopback.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -6,6 +6,7 @@
 
 use decision::agent::Event;
 use decision::drain::Reason;
+use decision::member::Membership;
 use process::Adopter;
 use process::Node;
 use process::NodeSettings;
@@ -25,9 +26,9 @@
 use crate::metrics::Metrics;
 use crate::outside::Outside;
 use crate::permits::Permits;
+use crate::region::Region;
 use crate::settings::Settings;
 use crate::shell::Shell;
-use crate::shell::region_agents;
 
 /// The interval of the core's ticks: loads wait up to one tick for a permit's answer to be used.
 const TICK: Duration = Duration::from_millis(10);
@@ -85,8 +86,7 @@
         tasks.spawn(follow_members(
             shell.clone(),
             node.members.clone(),
-            settings.name.clone(),
-            settings.region.clone(),
+            Region::new(settings.name.clone(), settings.region.clone()),
             stop.subscribe(),
         ));
         tasks.spawn(tick(shell.clone(), stop.subscribe()));
@@ -137,6 +137,8 @@
         self.shell.join().await;
         self.server.stop().await;
         self.ops.stop().await;
+        // The connections to peers end only when nothing else refers to them.
+        drop(self.shell);
         self.node.stop().await;
     }
 }
@@ -199,15 +201,14 @@
 
 async fn follow_members(
     shell: Arc<Shell>,
-    mut members: watch::Receiver<Arc<decision::member::Membership>>,
-    name: String,
-    region: String,
+    mut members: watch::Receiver<Arc<Membership>>,
+    mut region: Region,
     mut stop: watch::Receiver<bool>,
 ) {
     loop {
         let view = members.borrow_and_update().clone();
-        let (agents, leaving) = region_agents(&view, &name, &region);
-        shell.event(Event::Peers(agents));
+        shell.event(Event::Peers(region.agents(&view)));
+        let leaving = region.is_leaving(&view);
         shell.event(Event::Drain(Reason::Leaving, leaving));
         tokio::select! {
             _ = stop.wait_for(|stop| *stop) => return,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod outside;
 mod permits;
+mod region;
 mod run;
 pub mod settings;
 mod shell;
--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -20,7 +20,6 @@
 use decision::collections::Map;
 use decision::drain::Reason;
 use decision::ids::Head;
-use decision::ids::Name;
 use decision::job::End;
 use decision::job::Failure;
 use decision::job::Job;
@@ -436,27 +435,3 @@
         .await
         .unwrap_or(false)
 }
-
-/// Returns the live agents of the region in the view, and whether this instance is leaving.
-pub(crate) fn region_agents(
-    view: &decision::member::Membership,
-    own: &str,
-    region: &str,
-) -> (Vec<Name>, bool) {
-    use decision::member::Liveness;
-    use decision::member::Role;
-    let live = view.iter().filter(|instance| {
-        instance.role == Role::Agent
-            && instance.state == Liveness::Live
-            && instance.region == region
-    });
-    let mut names: Vec<Name> = live.map(|instance| instance.name.as_str().into()).collect();
-    let leaving = view
-        .get(own)
-        .is_some_and(|instance| instance.state == Liveness::Leaving);
-    if names.is_empty() {
-        names.push(own.into());
-    }
-    names.sort_unstable();
-    (names, leaving)
-}
--- /dev/null
+++ b/crates/agent/tests/answer_check.rs
@@ -0,0 +1,119 @@
+//! Checks of an engine's answer before any of it is passed on.
+
+use agent::check::AnswerCheck;
+use decision::job::Failure;
+
+const SSE: &str = "text/event-stream; charset=utf-8";
+
+fn event(model: &str, text: &str) -> String {
+    format!(
+        "data: {{\"id\":\"1\",\"model\":\"{model}\",\"choices\":[{{\"text\":\"{text}\"}}]}}\n\n"
+    )
+}
+
+/// Feeds the body in pieces of `size` bytes; returns what was passed on and the result.
+fn check(content: &str, body: &str, size: usize) -> (String, Result<(), Failure>) {
+    let mut check = AnswerCheck::new("a@1".into(), content);
+    let mut passed = String::new();
+    let mut feed = || {
+        for piece in body.as_bytes().chunks(size) {
+            if let Some(data) = check.feed(piece)? {
+                passed.push_str(std::str::from_utf8(&data).unwrap());
+            }
+        }
+        if let Some(data) = check.finish()? {
+            passed.push_str(std::str::from_utf8(&data).unwrap());
+        }
+        Ok(())
+    };
+    let result = feed();
+    (passed, result)
+}
+
+fn wrong(name: &str) -> Result<(), Failure> {
+    Err(Failure::WrongAdapter(name.to_owned()))
+}
+
+/// Guards against an answer that is changed on its way, however it is cut into pieces.
+#[test]
+fn whole_answers_pass_unchanged() {
+    let stream = format!(
+        ": hello\r\n\r\n{}{}: ping\n\n{}data: [DONE]\n\n",
+        event("a@1", "x"),
+        event("a@1", "\\\"model\\\":\\\"b@1\\\""),
+        event("a@1", "y").replace('\n', "\r\n"),
+    );
+    let document = "{\"choices\": [{\"model\": \"b@1\"}], \"model\": \"a@1\"}".to_owned();
+    for (content, body) in [(SSE, stream), ("application/json", document)] {
+        for size in [1, 2, 3, 7, 64, 10_000] {
+            assert_eq!(
+                check(content, &body, size),
+                (body.clone(), Ok(())),
+                "{size}"
+            );
+        }
+    }
+}
+
+/// Guards against passing on any part of another adapter's answer.
+#[test]
+fn other_adapters_answer_is_held_back() {
+    let cases = [
+        ("application/json", "{\"model\":\"a@2\"}".to_owned(), "a@2"),
+        ("application/json", "{\"choices\":[]}".to_owned(), ""),
+        ("application/json", "{\"model\":7}".to_owned(), ""),
+        ("text/html", "{\"model\":\"a@1 \"}".to_owned(), "a@1 "),
+        (SSE, format!(": x\n\n{}", event("A@1", "x")), "A@1"),
+        (SSE, "data: {\"choices\":[]}\n\n".to_owned(), ""),
+        (SSE, "data: [DONE]\n\n".to_owned(), ""),
+        (
+            SSE,
+            "data: {\"model\":\"a@1\",\ndata: \"model\":\"b@1\"}\n\n".to_owned(),
+            "",
+        ),
+    ];
+    for (content, body, name) in cases {
+        for size in [1, 10_000] {
+            assert_eq!(
+                check(content, &body, size),
+                (String::new(), wrong(name)),
+                "{body}"
+            );
+        }
+    }
+}
+
+/// Guards against an engine that changes the adapter in the middle of a stream.
+#[test]
+fn later_events_are_checked() {
+    let good = event("a@1", "x");
+    let body = format!("{good}{}data: [DONE]\n\n", event("b@1", "y"));
+    assert_eq!(check(SSE, &body, 1), (good, wrong("b@1")));
+}
+
+/// Guards against presenting a cut answer as complete.
+#[test]
+fn cut_answers_are_failures() {
+    let stream = format!("{}data: [DONE]\n\n", event("a@1", "x"));
+    let document = "{\"model\":\"a@1\",\"choices\":[]}";
+    for cut in 0..stream.len() - 1 {
+        let (_, result) = check(SSE, &stream[..cut], 5);
+        assert_eq!(result, Err(Failure::Truncated), "stream cut at {cut}");
+    }
+    for cut in 0..document.len() {
+        let (passed, result) = check("application/json", &document[..cut], 5);
+        let expected = (String::new(), Err(Failure::Truncated));
+        assert_eq!((passed, result), expected, "document cut at {cut}");
+    }
+}
+
+/// Guards against an engine's error inside a stream that looks like another adapter's answer.
+#[test]
+fn error_event_is_reported() {
+    let body = "data: {\"error\":{\"message\":\"out of memory\"}}\n\n";
+    let (passed, result) = check(SSE, body, 10_000);
+    assert_eq!(passed, "");
+    assert!(
+        matches!(result, Err(Failure::Status { status: 500, message }) if message.contains("memory"))
+    );
+}
--- /dev/null
+++ b/crates/agent/tests/platform/mod.rs
@@ -0,0 +1,278 @@
+//! Stand-ins of the platform, agents beside them, and an entry's side of the link.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agent::Agent;
+use agent::Outside;
+use agent::Settings;
+use decision::ids::Head;
+use decision::ids::Incarnation;
+use decision::ids::Priority;
+use decision::ids::RequestId;
+use decision::job::End;
+use decision::job::Job;
+use decision::job::Target;
+use decision::member::Instance;
+use decision::member::Liveness;
+use decision::member::Role;
+use edges::table::Condition;
+use edges::table::Transaction;
+use edges::table::Write;
+use objects::Backend;
+use objects::Endpoint;
+use objects::Fencing;
+use objects::Model;
+use objects::ObjectSet;
+use objects::Snapshot;
+use standins::EngineConfig;
+use tokio::time::Instant;
+use wire::Dispatched;
+use wire::Event;
+use wire::Identity;
+use wire::Links;
+use wire::Peer;
+
+pub(crate) const SECRET: &str = "0123456789abcdef";
+pub(crate) const WAIT: Duration = Duration::from_secs(10);
+
+pub(crate) struct Platform {
+    pub(crate) table: standins::Table,
+    pub(crate) objects: standins::Objects,
+    pub(crate) members: standins::Members,
+    pub(crate) links: Links,
+    generation: u64,
+}
+
+/// What an entry received of one job.
+#[derive(Debug, Default)]
+pub(crate) struct Received {
+    pub(crate) status: Option<u16>,
+    pub(crate) body: String,
+    pub(crate) end: Option<End>,
+}
+
+impl Received {
+    pub(crate) fn end(&self) -> &End {
+        self.end.as_ref().expect("the attempt has an end")
+    }
+}
+
+pub(crate) fn endpoint(name: &str, backend: Backend) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        backend,
+        region: "south".into(),
+        domain: "d1".into(),
+        slots: 2,
+        batch: 4,
+        queue: 16,
+        fencing: Fencing::Checked,
+        draining: false,
+    }
+}
+
+pub(crate) fn model_endpoint(name: &str) -> Endpoint {
+    endpoint(name, Backend::Model("m".into()))
+}
+
+pub(crate) fn engine_config() -> EngineConfig {
+    EngineConfig {
+        slots: 2,
+        ..EngineConfig::default()
+    }
+}
+
+pub(crate) fn job(request: u128, name: &str, stream: bool) -> Job {
+    Job {
+        request: RequestId(request),
+        attempt: 1,
+        head: Head::default(),
+        workspace: "w".into(),
+        route: "r".into(),
+        target: Target::Version {
+            name: name.into(),
+            weights: "weights".into(),
+            digest: standins::weights::digest_of("weights").as_str().into(),
+        },
+        priority: Priority::Interactive,
+        left: WAIT,
+        claim: None,
+        row: None,
+        path: "/v1/completions".to_owned(),
+        stream,
+        prefix: 0,
+    }
+}
+
+pub(crate) fn body(job: &Job, tokens: u32) -> String {
+    let (model, stream) = (job.target.served(), job.stream);
+    serde_json::json!({"model": &**model, "prompt": "p", "max_tokens": tokens, "stream": stream})
+        .to_string()
+}
+
+/// Waits until `check` holds.
+pub(crate) async fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let limit = Instant::now() + WAIT;
+    while !check() {
+        assert!(Instant::now() < limit, "{what}: not within {WAIT:?}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+impl Platform {
+    pub(crate) async fn start() -> Platform {
+        let me = Identity {
+            name: "entry".into(),
+            incarnation: Incarnation(1),
+        };
+        Platform {
+            table: standins::Table::start().await,
+            objects: standins::Objects::start().await,
+            members: standins::Members::start(Duration::ZERO).await,
+            links: Links::start(1, me, SECRET).unwrap(),
+            generation: 0,
+        }
+    }
+
+    /// Publishes a set with these endpoints.
+    pub(crate) fn publish(&mut self, endpoints: Vec<Endpoint>) {
+        let mut set = ObjectSet::default();
+        let model = Model {
+            name: "m".into(),
+            base: "base".into(),
+            context: None,
+        };
+        set.models.insert("m".into(), Arc::new(model));
+        for endpoint in endpoints {
+            set.endpoints
+                .insert(endpoint.name.clone(), Arc::new(endpoint));
+        }
+        self.generation += 1;
+        let snapshot = Snapshot::build(&set, self.generation - 1, "test", self.generation);
+        let blobs = snapshot.buckets.iter().chain([&snapshot.bytes]);
+        for blob in blobs.filter(|blob| !blob.is_empty()) {
+            let key = objects::Digest::of(blob).store_key();
+            self.objects.replace(&key, blob.clone());
+        }
+        let head = Head {
+            generation: self.generation,
+            digest: snapshot.digest.to_string(),
+        };
+        self.put_row(
+            process::adopter::HEAD_ROW,
+            serde_json::to_vec(&head).unwrap(),
+        );
+    }
+
+    pub(crate) fn put_row(&self, key: &str, value: Vec<u8>) {
+        let version = self.table.row(key).map_or(0, |row| row.version);
+        self.table.commit(&Transaction {
+            conditions: vec![Condition {
+                key: key.to_owned(),
+                version,
+            }],
+            writes: vec![Write {
+                key: key.to_owned(),
+                value: Some(value.into()),
+            }],
+        });
+    }
+
+    pub(crate) fn row<T: serde::de::DeserializeOwned>(&self, key: &str) -> T {
+        let row = self.table.row(key).expect("the row exists");
+        serde_json::from_slice(&row.value).unwrap()
+    }
+
+    /// Starts an agent and waits until it can serve and command its engine.
+    pub(crate) async fn agent(&self, name: &str, backend: SocketAddr) -> Agent {
+        let agent = self.cold_agent(name, backend).await;
+        let peer = self.links.peer(agent.addr());
+        let limit = Instant::now() + WAIT;
+        loop {
+            let dump = peer.dump(WAIT).await.unwrap();
+            let dump: serde_json::Value = serde_json::from_str(&dump).unwrap();
+            let leased = dump["agent"]["lease"]["token"].is_u64();
+            let service = dump["agent"]["lease"]["held"] == false && self.is_service(name);
+            if dump["agent"]["ready"] == true && (leased || service) {
+                return agent;
+            }
+            assert!(Instant::now() < limit, "agent is not ready: {dump}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub(crate) async fn cold_agent(&self, name: &str, backend: SocketAddr) -> Agent {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Settings {
+            name: name.to_owned(),
+            listen: any,
+            http: any,
+            region: "south".to_owned(),
+            domain: "d1".to_owned(),
+            secret: SECRET.to_owned(),
+            backend,
+            table: self.table.addr(),
+            objects: self.objects.addr(),
+            members: self.members.addr(),
+            seeds: Vec::new(),
+            threads: 1,
+            log_form: Default::default(),
+            log_level: Default::default(),
+        };
+        let outside = Outside::http(&settings);
+        let agent = Agent::start(settings, outside).await.unwrap();
+        self.list(name, agent.addr(), Liveness::Live);
+        agent
+    }
+
+    pub(crate) fn list(&self, name: &str, peer: SocketAddr, state: Liveness) {
+        self.members.put(Instance {
+            name: name.to_owned(),
+            role: Role::Agent,
+            state,
+            peer,
+            region: "south".to_owned(),
+            domain: "d1".to_owned(),
+        });
+    }
+
+    pub(crate) fn peer(&self, agent: &Agent) -> Peer {
+        self.links.peer(agent.addr())
+    }
+
+    pub(crate) async fn dispatch(&self, agent: &Agent, job: &Job, tokens: u32) -> Dispatched {
+        let body = body(job, tokens);
+        let peer = self.peer(agent);
+        peer.dispatch(job, body.into(), WAIT).await.unwrap()
+    }
+
+    /// Dispatches a job and receives its whole answer.
+    pub(crate) async fn run(&self, agent: &Agent, job: &Job, tokens: u32) -> Received {
+        receive(self.dispatch(agent, job, tokens).await).await
+    }
+
+    fn is_service(&self, name: &str) -> bool {
+        name.starts_with("service")
+    }
+}
+
+pub(crate) async fn receive(mut dispatched: Dispatched) -> Received {
+    let mut received = Received::default();
+    let collect = async {
+        while let Some(event) = dispatched.next().await {
+            match event {
+                Event::Begin { status, .. } => received.status = Some(status),
+                Event::Chunk(data) => received.body.push_str(std::str::from_utf8(&data).unwrap()),
+                Event::End(end) => received.end = Some(*end),
+            }
+        }
+    };
+    tokio::time::timeout(WAIT, collect)
+        .await
+        .expect("the answer ends");
+    received
+}
--- /dev/null
+++ b/crates/agent/tests/serve_jobs.rs
@@ -0,0 +1,227 @@
+//! Jobs through a running agent and a stand-in engine.
+
+use std::time::Duration;
+
+use decision::ids::Incarnation;
+use decision::ids::RequestId;
+use decision::job::Failure;
+use decision::job::Job;
+use decision::job::Outcome;
+use decision::job::Refusal;
+use decision::job::Target;
+use objects::Backend;
+use standins::Engine;
+use standins::Service;
+use standins::engine::RunEnd;
+
+mod platform;
+use platform::Platform;
+use platform::WAIT;
+use platform::endpoint;
+use platform::engine_config;
+use platform::eventually;
+use platform::job;
+use platform::model_endpoint;
+use platform::receive;
+
+/// Guards against an answer that is not whole, not the adapter's, or without its load stall.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_are_whole_and_named() {
+    let mut platform = Platform::start().await;
+    platform.publish(vec![model_endpoint("e1")]);
+    let engine = Engine::start(engine_config()).await;
+    let agent = platform.agent("e1", engine.addr()).await;
+    let whole = platform.run(&agent, &job(1, "a@1", false), 5).await;
+    assert_eq!(
+        (whole.status, whole.end().outcome),
+        (Some(200), Outcome::Ran)
+    );
+    let answer: serde_json::Value = serde_json::from_str(&whole.body).unwrap();
+    assert_eq!(answer["model"], "a@1");
+    assert!(whole.end().stall > Duration::ZERO);
+    assert_eq!(whole.end().incarnation, agent.incarnation());
+    let stream = platform.run(&agent, &job(2, "a@1", true), 300).await;
+    assert_eq!(stream.body.matches("data: ").count(), 302);
+    assert!(stream.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(stream.end().stall, Duration::ZERO);
+    let base = Target::Model("base".into());
+    let base = platform
+        .run(
+            &agent,
+            &Job {
+                target: base,
+                ..job(3, "", true)
+            },
+            2,
+        )
+        .await;
+    assert_eq!(base.end().outcome, Outcome::Ran);
+    agent.stop().await;
+}
+
+/// Guards against passing on another adapter's answer and against a cut answer that looks whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_answers_are_failures() {
+    let mut platform = Platform::start().await;
+    platform.publish(vec![model_endpoint("e1")]);
+    let engine = Engine::start(engine_config()).await;
+    let agent = platform.agent("e1", engine.addr()).await;
+    for (id, stream) in [(1, false), (2, true)] {
+        engine.answer_as("b@1", 1);
+        let wrong = platform.run(&agent, &job(id, "a@1", stream), 5).await;
+        assert_eq!((wrong.status, &*wrong.body), (None, ""));
+        let failure = Failure::WrongAdapter("b@1".to_owned());
+        assert_eq!(wrong.end().failure, Some(failure));
+    }
+    for (id, stream) in [(3, false), (4, true)] {
+        engine.truncate(3, 1);
+        let cut = platform.run(&agent, &job(id, "a@1", stream), 9).await;
+        assert_eq!(
+            cut.end().failure,
+            Some(Failure::Truncated),
+            "stream: {stream}"
+        );
+        assert_eq!(cut.end().outcome, Outcome::Unknown);
+    }
+    engine.end_early(3, 1);
+    let early = platform.run(&agent, &job(5, "a@1", true), 9).await;
+    assert_eq!(early.end().failure, Some(Failure::Truncated));
+    assert!(early.body.contains("data: "), "what arrived is passed on");
+    agent.stop().await;
+}
+
+/// Guards against calling an engine's refusal "unknown", and its failure "not run".
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_errors_have_their_outcome() {
+    let mut platform = Platform::start().await;
+    platform.publish(vec![model_endpoint("e1")]);
+    let engine = Engine::start(engine_config()).await;
+    let agent = platform.agent("e1", engine.addr()).await;
+    let not_run = Outcome::NotRun(Refusal::EngineDown);
+    for (id, status, outcome) in [
+        (1, 400, not_run),
+        (2, 503, not_run),
+        (3, 500, Outcome::Unknown),
+    ] {
+        engine.reject(status, 1);
+        let received = platform.run(&agent, &job(id, "a@1", false), 5).await;
+        assert_eq!(received.end().outcome, outcome, "{status}");
+        assert_eq!(received.body, "");
+    }
+    let last = platform.run(&agent, &job(4, "a@1", false), 5).await;
+    assert_eq!(last.end().outcome, Outcome::Ran);
+    agent.stop().await;
+}
+
+/// Guards against a repeated dispatch that runs an order twice, and against a dispatch that runs
+/// after its entry was told that it was not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn claimed_call_runs_once() {
+    let mut platform = Platform::start().await;
+    platform.publish(vec![endpoint("service1", Backend::Service("book".into()))]);
+    let service = Service::start().await;
+    let agent = platform.agent("service1", service.addr()).await;
+    let order = |id: u128, claim| Job {
+        target: Target::Service("book".into()),
+        claim: Some(claim),
+        row: Some(format!("claim/w/{id}")),
+        path: "/book".to_owned(),
+        ..job(id, "", false)
+    };
+    let own = agent.incarnation();
+    let first = platform.run(&agent, &order(1, own), 1).await;
+    assert_eq!(first.end().outcome, Outcome::Ran);
+    let again = platform.run(&agent, &order(1, own), 1).await;
+    assert_eq!(again.end().outcome, Outcome::Ran);
+    assert_eq!(again.body, "");
+    let stale = platform
+        .run(&agent, &order(2, Incarnation(own.0 ^ 1)), 1)
+        .await;
+    assert_eq!(stale.end().outcome, Outcome::NotRun(Refusal::StaleClaim));
+    let peer = platform.peer(&agent);
+    let settled = peer.settle(RequestId(3), 1, WAIT).await.unwrap();
+    assert_eq!(settled, Outcome::NotRun(Refusal::Settled));
+    let late = platform.run(&agent, &order(3, own), 1).await;
+    assert_eq!(late.end().outcome, Outcome::NotRun(Refusal::Settled));
+    assert_eq!(service.calls().len(), 1);
+    agent.stop().await;
+}
+
+/// Guards against an engine that goes on for a caller who is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_caller_frees_engine() {
+    let mut platform = Platform::start().await;
+    platform.publish(vec![model_endpoint("e1")]);
+    let mut config = engine_config();
+    config.step = Duration::from_millis(10);
+    let engine = Engine::start(config).await;
+    let agent = platform.agent("e1", engine.addr()).await;
+    let mut dispatched = platform
+        .dispatch(&agent, &job(1, "a@1", true), 100_000)
+        .await;
+    dispatched.next().await.expect("the answer begins");
+    drop(dispatched);
+    let cancelled = engine.wait(WAIT, |record| {
+        record
+            .executions
+            .iter()
+            .any(|run| run.end == RunEnd::Cancelled)
+    });
+    assert!(cancelled.await);
+    agent.stop().await;
+}
+
+/// Guards against an engine restart that loses queued jobs or goes unnoticed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_survive_engine_restart() {
+    let mut platform = Platform::start().await;
+    let mut small = model_endpoint("e1");
+    small.batch = 1;
+    platform.publish(vec![small]);
+    let mut config = engine_config();
+    config.step = Duration::from_millis(10);
+    let engine = Engine::start(config).await;
+    let agent = platform.agent("e1", engine.addr()).await;
+    let running = platform
+        .dispatch(&agent, &job(1, "a@1", true), 100_000)
+        .await;
+    eventually("the first job runs", || engine.running() == 1).await;
+    let queued = platform.dispatch(&agent, &job(2, "a@1", true), 3).await;
+    engine.restart().await;
+    let broken = receive(running).await;
+    assert_eq!(broken.end().outcome, Outcome::Unknown);
+    let later = receive(queued).await;
+    assert_eq!(later.end().outcome, Outcome::Ran);
+    agent.stop().await;
+}
+
+/// Guards against unloading an adapter in use, with more versions than slots.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn slots_are_shared_without_eviction_in_use() {
+    let mut platform = Platform::start().await;
+    let mut wide = model_endpoint("e1");
+    wide.queue = 64;
+    platform.publish(vec![wide]);
+    let mut config = engine_config();
+    config.step = Duration::from_millis(1);
+    let engine = Engine::start(config).await;
+    let agent = platform.agent("e1", engine.addr()).await;
+    let jobs: Vec<Job> = (0..40u128)
+        .map(|id| job(id, &format!("v{}@1", id % 8), id % 2 == 0))
+        .collect();
+    let runs = jobs.iter().map(|job| platform.run(&agent, job, 10));
+    let received = futures::future::join_all(runs).await;
+    let ran = received
+        .iter()
+        .filter(|job| job.end().outcome == Outcome::Ran);
+    assert_eq!(ran.count(), 40);
+    let record = engine.record();
+    assert_eq!(record.unloads_in_use().count(), 0);
+    assert!(
+        record
+            .commands
+            .iter()
+            .any(|command| command.kind == standins::engine::CommandKind::Unload)
+    );
+    agent.stop().await;
+}
--- a/crates/decision/tests/agent_jobs.rs
+++ b/crates/decision/tests/agent_jobs.rs
@@ -95,6 +95,13 @@
     });
     assert_eq!(world.refusal(1), Some(Refusal::Deadline));
     assert!(world.refused[0].2.is_some(), "a retry time is told");
+    world.give(Event::Settle(key(1)));
+    let settled = Outcome::NotRun(Refusal::Deadline);
+    assert_eq!(
+        world.settled,
+        [(key(1), settled)],
+        "the refusal is recorded"
+    );
     world.dispatch(Job {
         left: ms(400),
         ..job(2, "a@1")
--- a/crates/decision/tests/agent_random.rs
+++ b/crates/decision/tests/agent_random.rs
@@ -35,7 +35,7 @@
         0 => claimed(request, name),
         _ => job(request, name),
     };
-    let stale = base.claim.is_some() && number % 11 == 0;
+    let stale = base.claim.is_some() && number.is_multiple_of(11);
     let priority = match number % 7 {
         0..3 => Priority::Interactive,
         3..5 => Priority::Booking,
@@ -82,23 +82,23 @@
             world.failing.push(faults[number as usize % 3]);
         }
         12 => world.restart_engine(),
-        13 => world.engine_up = number % 4 != 0,
-        14 => world.table_up = number % 3 != 0,
-        15 => world.permits = number % 3 != 0,
-        16 if number % 4 == 0 => {
+        13 => world.engine_up = !number.is_multiple_of(4),
+        14 => world.table_up = !number.is_multiple_of(3),
+        15 => world.permits = !number.is_multiple_of(3),
+        16 if number.is_multiple_of(4) => {
             let row = LeaseRow {
                 token: 100 + number as u64,
                 holder: Incarnation(99),
-                released: number % 8 == 0,
+                released: number.is_multiple_of(8),
             };
             let version = world.row.map_or(0, |held| held.0) + 1;
             world.row = Some((version, row));
         }
-        17 if number % 8 == 0 => {
+        17 if number.is_multiple_of(8) => {
             // A pause of the whole process.
             world.now = world.now.after(ms(number as u64 % 20_000));
         }
-        18 => world.give(Event::Drain(Reason::Leaving, number % 2 == 0)),
+        18 => world.give(Event::Drain(Reason::Leaving, number.is_multiple_of(2))),
         _ => world.run(ms(number as u64 % 700)),
     }
 }
