--- a/crates/decision/src/claim/group.rs
+++ b/crates/decision/src/claim/group.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::row::ClaimRow;
+use crate::collections::Map;
 use crate::collections::Set;
 
 /// Rows per transaction.
@@ -100,6 +101,8 @@
         let flight = std::mem::take(&mut self.flight);
         let mut results = Vec::with_capacity(flight.len());
         let mut again = Vec::new();
+        // The versions that rows no longer have.
+        let mut passed: Map<String, u64> = Map::default();
         for (index, write) in flight.into_iter().enumerate() {
             let one = match result {
                 TxResult::Done(versions) => match versions.get(index) {
@@ -116,13 +119,34 @@
                 TxResult::Lost => WriteResult::Lost,
             };
             results.push((write.ticket, one));
+            if matches!(one, WriteResult::Done(_) | WriteResult::Failed) {
+                passed.insert(write.key, write.version);
+            }
         }
         for write in again.into_iter().rev() {
             self.queue.push_front(write);
         }
+        self.fail_overtaken(&passed, &mut results);
         results
     }
 
+    /// Fails queued writes whose row is known to have a later version. Without it, simultaneous
+    /// requests with one key would take one transaction each.
+    fn fail_overtaken(&mut self, passed: &Map<String, u64>, results: &mut Vec<(u64, WriteResult)>) {
+        if passed.is_empty() {
+            return;
+        }
+        self.queue.retain(|write| {
+            let overtaken = passed
+                .get(&write.key)
+                .is_some_and(|last| write.version <= *last);
+            if overtaken {
+                results.push((write.ticket, WriteResult::Failed));
+            }
+            !overtaken
+        });
+    }
+
     /// Returns the number of writes that wait and the number in flight.
     pub fn depth(&self) -> (usize, usize) {
         (self.queue.len(), self.flight.len())
