Fail only queued claim writes that expect the same version

A write that expects an earlier version than a failed one may still hold if the row was never written, so only equal versions are failed at once. The tests of claim_steps pass as before.

--- a/crates/decision/src/claim/group.rs
+++ b/crates/decision/src/claim/group.rs
@@ -130,7 +130,7 @@
         results
     }
 
-    /// Fails queued writes whose row is known to have a later version. Without it, simultaneous
+    /// Fails queued writes whose row is known to have another version. Without it, simultaneous
     /// requests with one key would take one transaction each.
     fn fail_overtaken(&mut self, passed: &Map<String, u64>, results: &mut Vec<(u64, WriteResult)>) {
         if passed.is_empty() {
@@ -139,7 +139,7 @@
         self.queue.retain(|write| {
             let overtaken = passed
                 .get(&write.key)
-                .is_some_and(|last| write.version <= *last);
+                .is_some_and(|old| write.version == *old);
             if overtaken {
                 results.push((write.ticket, WriteResult::Failed));
             }
