Record the audit in the entry and serve requests while it lingers

Connections that the system has accepted when listening ends are now taken over by asking the listener directly. Requests during the linger time are served and not refused.

Routes are resolved by objects::resolve in place of a second copy of its rules.

--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -21,9 +21,6 @@
 use crate::ids::Priority;
 use crate::job::Target;
 
-/// The longest chain of aliases that is followed; validation rejects cycles before.
-const MAX_ALIASES: usize = 64;
-
 /// The endpoints that can serve a target.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Pool {
@@ -204,31 +201,15 @@
 }
 
 fn resolve_route(set: &ObjectSet, route: &Route) -> Option<ResolvedRoute> {
-    let mut deadline = route.deadline;
-    let mut repeatable = route.repeatable;
-    let mut end = route;
-    for _ in 0..MAX_ALIASES {
-        let RouteTarget::Alias(next) = &end.target else {
-            break;
-        };
-        end = set.routes.get(next)?;
-        deadline = deadline.min(end.deadline);
-        repeatable &= end.repeatable;
-    }
-    if let RouteTarget::Service(name) = &end.target {
-        let service = set.services.get(name)?;
-        deadline = deadline.min(service.deadline);
-        repeatable &= service.repeatable;
-    }
-    let choices = route_choices(set, &end.target)?;
+    let resolved = objects::resolve(set, &route.name).ok()?;
     Some(ResolvedRoute {
         name: route.name.clone(),
         workspace: route.workspace.clone(),
-        priority: route.priority,
-        deadline,
-        repeatable,
-        choices,
-        seed: hash_text(&end.name),
+        priority: resolved.priority,
+        deadline: resolved.deadline,
+        repeatable: resolved.repeatable,
+        choices: route_choices(set, &resolved.route.target)?,
+        seed: hash_text(&resolved.route.name),
     })
 }
 
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -49,6 +49,9 @@
     /// Ends a repeatable request whose caller is gone.
     pub(crate) fn abandon(&mut self) {
         let problem = Problem::new(Code::Cancelled, Ran::Unknown, "the caller went away");
+        if let Some(placed) = self.close_attempt() {
+            self.record_loss(&placed.pick, true);
+        }
         self.close(problem.code.to_string(), State::Failed(problem));
     }
 
@@ -88,6 +91,7 @@
 
     fn answer_stored(&mut self, stored: Stored) {
         let body = stored.body.unwrap_or_default();
+        self.record_replay(body.as_bytes());
         let mut response = reply::full(stored.status, &stored.content, body.into());
         let receipt = stored.receipt.unwrap_or_default();
         reply::set_header(&mut response, reply::RECEIPT, &receipt);
@@ -102,6 +106,9 @@
         } else {
             self.outlet.whole(reply::problem(&problem));
         }
+        if !self.recorded {
+            self.record_refusal(&problem);
+        }
         let ran = problem.ran;
         self.close(problem.code.to_string(), State::Failed(problem));
         self.request.claim()?;
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -28,7 +28,6 @@
 
 use crate::body::Prompt;
 use crate::caller::Caller;
-use crate::caller::digest;
 use crate::caller::malformed;
 use crate::drive::Driver;
 use crate::drive::Start;
@@ -46,7 +45,7 @@
     let on = |handle: fn(Arc<Shared>, Request) -> futures::future::BoxFuture<'static, Response>| {
         let shared = shared.clone();
         move |request: Request| {
-            let last = request.version() < Version::HTTP_2 && *shared.stopping.borrow();
+            let last = request.version() < Version::HTTP_2 && shared.stopping.is_cancelled();
             let answer = handle(shared.clone(), request);
             async move {
                 let mut response = answer.await;
@@ -196,7 +195,7 @@
 }
 
 fn admit_caller(shared: &Shared, request: &Request) -> Result<Caller, Problem> {
-    shared.readiness().map_err(|reason| {
+    shared.configured().map_err(|reason| {
         Problem::not_run(Code::NotReady, reason).retry_after(Duration::from_secs(1))
     })?;
     Caller::read(&shared.directory(), request.headers())
@@ -253,7 +252,13 @@
     }
 
     fn resolve(&self, name: &str) -> Result<Resolved, Problem> {
-        let conversation = self.caller.conversation.as_deref().unwrap_or(&self.id);
+        // A retry with the same idempotency key has to reach the same version.
+        let key = self
+            .caller
+            .conversation
+            .as_ref()
+            .or(self.caller.key.as_ref());
+        let conversation = key.unwrap_or(&self.id);
         let directory = self.shared.directory();
         let workspace = &self.caller.workspace.name;
         let resolved = directory.table.resolve(workspace, name, conversation);
@@ -283,7 +288,7 @@
         let key = self.caller.key.as_deref().unwrap_or(&self.id);
         ClaimKey {
             row: ClaimRow::key(&self.caller.workspace.name, key),
-            digest: digest(&[route.as_bytes(), path.as_bytes(), body]),
+            digest: claim_digest(&[route.as_bytes(), path.as_bytes(), body]),
             nonce: self.shared.draw_id().to_string(),
         }
     }
@@ -315,6 +320,17 @@
     }
 }
 
+/// Returns the digest of the parts, each preceded by its length, so that no two lists of parts are
+/// the same bytes.
+fn claim_digest(parts: &[&[u8]]) -> String {
+    let mut hasher = audit::Hasher::default();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.finish()
+}
+
 /// Makes the response; the guard lives as long as the caller takes the answer.
 fn respond(head: Head, guard: DropGuard) -> Response {
     match head {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -8,8 +8,6 @@
 use decision::problem::Problem;
 use decision::problem::Ran;
 use objects::Workspace;
-use sha2::Digest;
-use sha2::Sha256;
 use subtle::ConstantTimeEq;
 use viz::header::AUTHORIZATION;
 use viz::header::HeaderMap;
@@ -78,24 +76,7 @@
 
 /// Returns the digest of an API key in the form that workspaces declare.
 pub fn key_digest(key: &str) -> String {
-    digest(&[key.as_bytes()])
-}
-
-/// Returns the SHA-256 of the parts, each with its length, as `sha256:` and hex digits; a single
-/// part is hashed as it is.
-pub(crate) fn digest(parts: &[&[u8]]) -> String {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        if parts.len() > 1 {
-            hasher.update((part.len() as u64).to_be_bytes());
-        }
-        hasher.update(part);
-    }
-    let mut text = String::from("sha256:");
-    for byte in hasher.finalize() {
-        text.push_str(&format!("{byte:02x}"));
-    }
-    text
+    audit::digest(key.as_bytes())
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -9,12 +9,14 @@
 use decision::claim::group::WriteResult;
 use decision::job::End;
 use decision::place::Finish;
+use decision::place::Pick;
 use decision::request::Arrival;
 use decision::request::Event;
 use decision::request::Request;
 use decision::request::Step;
 use decision::request::finish_of;
 use decision::time::Time;
+use process::clock::unix_ms;
 use spdlog::warn;
 use tokio_util::sync::CancellationToken;
 use wire::Dispatched;
@@ -57,7 +59,13 @@
     /// The attempt at the agent; dropping it cancels the attempt.
     pub(crate) flight: Option<Dispatched>,
     pub(crate) admitted: Option<Admitted>,
-    body: Bytes,
+    pub(crate) body: Bytes,
+    /// The start of the present attempt, in milliseconds since the Unix epoch.
+    pub(crate) started: u64,
+    /// Whether an attempt was recorded for the audit, or will be.
+    pub(crate) recorded: bool,
+    /// Whether an attempt is at an agent.
+    open: bool,
     gone: CancellationToken,
     placed: Option<Placed>,
     rng: fastrand::Rng,
@@ -86,6 +94,9 @@
             flight: None,
             admitted: Some(start.admitted),
             body: start.body,
+            started: unix_ms(),
+            recorded: false,
+            open: false,
             gone: start.gone,
             placed: None,
             rng,
@@ -104,6 +115,9 @@
     }
 
     fn next(&mut self, event: Event) -> Step {
+        if matches!(event, Event::Expired) {
+            self.take_silence();
+        }
         let now = self.shared.clock.now();
         let mut book = self.shared.book();
         self.request
@@ -222,30 +236,30 @@
     }
 
     async fn dispatch(&mut self) -> Event {
-        let started = self.shared.clock.now();
-        let Some(placed) = self.placed.take() else {
+        let begun = self.shared.clock.now();
+        let Some(pick) = self.placed.as_ref().map(|placed| placed.pick.clone()) else {
             return Event::LinkLost { sent: false };
         };
         self.relay = Relay::new(self.shared.settings.answer_bytes);
         self.end = None;
-        let event = self.relay_attempt(&placed, started).await;
-        let latency = match self.relay.first {
-            Some(first) => first.since(started),
-            None => self.shared.clock.now().since(started),
-        };
+        self.started = unix_ms();
+        self.recorded = true;
+        self.open = true;
+        let event = self.relay_attempt(&pick, begun).await;
+        let first = self.relay.first.unwrap_or_else(|| self.shared.clock.now());
         match &event {
-            Event::Ended(end) => self.take_end(placed, end, latency),
-            Event::LinkLost { sent } => self.take_loss(placed, *sent),
+            Event::Ended(end) => self.take_end(end, first.since(begun)),
+            Event::LinkLost { sent } => self.take_loss(*sent),
             _ => {}
         }
         event
     }
 
-    async fn relay_attempt(&mut self, placed: &Placed, started: Time) -> Event {
-        let Some(peer) = self.shared.peer(&placed.pick.name) else {
+    async fn relay_attempt(&mut self, pick: &Pick, begun: Time) -> Event {
+        let Some(peer) = self.shared.peer(&pick.name) else {
             return Event::LinkLost { sent: false };
         };
-        let job = self.request.job(started);
+        let job = self.request.job(begun);
         let flight = match peer
             .dispatch(&job, self.body.clone(), DISPATCH_TIMEOUT)
             .await
@@ -265,7 +279,11 @@
         event
     }
 
-    fn take_end(&mut self, placed: Placed, end: &End, latency: Duration) {
+    fn take_end(&mut self, end: &End, latency: Duration) {
+        let Some(placed) = self.close_attempt() else {
+            return;
+        };
+        self.record_end(end);
         let metrics = &self.shared.metrics;
         metrics.stall.observe(end.stall.as_secs_f64());
         let (name, known) = (placed.pick.name.clone(), placed.pick.incarnation);
@@ -283,7 +301,11 @@
         self.end = Some(Box::new(end.clone()));
     }
 
-    fn take_loss(&self, placed: Placed, sent: bool) {
+    fn take_loss(&mut self, sent: bool) {
+        let Some(placed) = self.close_attempt() else {
+            return;
+        };
+        self.record_loss(&placed.pick, sent);
         let name = placed.pick.name.clone();
         let end = if sent {
             Finish::Failed
@@ -295,6 +317,26 @@
         self.shared.polls().renew(&name, self.shared.clock.now());
     }
 
+    /// Notes that an attempt gave no sign within its time. The agent ends an attempt at its
+    /// deadline, so the fault is the endpoint's unless the caller does not take the answer.
+    fn take_silence(&mut self) {
+        if let Some(placed) = self.close_attempt() {
+            self.record_loss(&placed.pick, true);
+            let blocked = self.relay.blocked;
+            placed.finish(if blocked {
+                Finish::Neutral
+            } else {
+                Finish::Failed
+            });
+        }
+    }
+
+    /// Returns the attempt that is at an agent, if there is one, and takes it as ended.
+    pub(crate) fn close_attempt(&mut self) -> Option<Placed> {
+        let open = std::mem::take(&mut self.open);
+        self.placed.take().filter(|_| open)
+    }
+
     fn open_record(&self) {
         let arrival = self.request.arrival();
         let record = crate::records::Record {
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -22,6 +22,7 @@
     };
     let (claims, limits, retries) = book(shared, now);
     let ready = shared.readiness();
+    let audit = shared.audit.state();
     json!({
         "head": head,
         "incarnation": shared.incarnation,
@@ -32,6 +33,7 @@
         "claims_in_progress": claims,
         "limits": limits,
         "retries": retries,
+        "audit": { "waiting": audit.waiting, "lost": audit.lost },
     })
     .to_string()
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -10,6 +10,7 @@
 use process::ops::OpsState;
 use prometheus::Registry;
 use spdlog::info;
+use spdlog::warn;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use wire::Server;
@@ -72,6 +73,8 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::run(shared.clone(), stop.subscribe()));
         tasks.spawn(polls::run(shared.clone(), stop.subscribe()));
+        let (log, store) = (shared.audit.clone(), shared.outside.objects.clone());
+        tasks.spawn(async move { log.run(store).await });
         tasks.spawn(show_gauges(shared.clone(), stop.subscribe()));
         info!(
             "entry {} listens on {}", settings.name, listener.addr(),
@@ -120,7 +123,7 @@
     /// that the balancer sends new requests elsewhere; then it stops listening, answers what it
     /// has accepted, stores the outcomes of claims and ends its parts.
     pub async fn stop(mut self) {
-        let _ = self.shared.stopping.send(true);
+        self.shared.stopping.cancel();
         tokio::time::sleep(Duration::from_millis(self.shared.settings.linger_ms)).await;
         let shared = self.shared.clone();
         let drained = async {
@@ -130,6 +133,9 @@
         };
         wait_logged(&self.shared, drained).await;
         drop(shared);
+        if let Err(err) = self.shared.audit.close().await {
+            warn!("{err}");
+        }
         let _ = self.stop.send(true);
         while self.tasks.join_next().await.is_some() {}
         self.server.stop().await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod settings;
 mod shared;
 pub mod sse;
+mod trail;
 
 pub use caller::key_digest;
 pub use entry::Entry;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -18,7 +18,7 @@
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// One attempt's answer so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Relay {
     pub(crate) status: u16,
     pub(crate) content: String,
@@ -26,6 +26,10 @@
     pub(crate) body: Vec<u8>,
     /// When the first piece arrived.
     pub(crate) first: Option<Time>,
+    /// Whether the caller is slower than the agent at this moment.
+    pub(crate) blocked: bool,
+    /// The digest of the body as the agent sent it.
+    pub(crate) digest: audit::Hasher,
     /// The largest body that is collected, in bytes.
     limit: usize,
 }
@@ -54,6 +58,7 @@
                 }
                 Some(wire::Event::Chunk(data)) => {
                     self.first.get_or_insert_with(|| clock.now());
+                    self.digest.update(&data);
                     if self.is_stream(request) {
                         self.pass(data, outlet, request).await;
                     } else if !self.collect(&data) {
@@ -80,7 +85,9 @@
         if request.claim().is_some() && self.body.len() <= MAX_STORED {
             self.body.extend_from_slice(&data);
         }
+        self.blocked = true;
         outlet.send(data).await;
+        self.blocked = false;
     }
 
     /// Returns whether the body is still within its limit.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -92,11 +91,9 @@
             }
         }
     }
-    // Callers whose connection the system has accepted may have sent a request already.
-    while let Some(Ok((stream, connection))) = acceptor.accept(&listener).now_or_never() {
+    for (stream, connection) in acceptor.accept_last(listener) {
         connections.spawn(connection.serve(stream));
     }
-    drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
@@ -114,15 +111,36 @@
         let permit = self.slots.clone().acquire_owned().await;
         let permit = permit.map_err(std::io::Error::other)?;
         let (stream, peer) = listener.accept().await?;
-        let connection = Connection {
+        Ok((stream, self.connection(peer, permit)))
+    }
+
+    /// Accepts what the system has accepted and closes the listener: those callers may have sent a
+    /// request already. The listener is asked directly, since the runtime may not know yet that
+    /// connections wait.
+    fn accept_last(&self, listener: TcpListener) -> Vec<(TcpStream, Connection)> {
+        let mut last = Vec::new();
+        let Ok(listener) = listener.into_std() else {
+            return last;
+        };
+        while let Ok(permit) = self.slots.clone().try_acquire_owned()
+            && let Ok((stream, peer)) = listener.accept()
+            && stream.set_nonblocking(true).is_ok()
+            && let Ok(stream) = TcpStream::from_std(stream)
+        {
+            last.push((stream, self.connection(peer, permit)));
+        }
+        last
+    }
+
+    fn connection(&self, peer: SocketAddr, permit: OwnedSemaphorePermit) -> Connection {
+        Connection {
             builder: self.builder.clone(),
             tree: self.tree.clone(),
             header_time: self.header_time,
             stop: self.stop.clone(),
             peer,
             _permit: permit,
-        };
-        Ok((stream, connection))
+        }
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -36,6 +36,7 @@
 use process::Clock;
 use process::Node;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::Links;
 use wire::Peer;
@@ -99,8 +100,10 @@
     pub(crate) settings: EntryLimits,
     pub(crate) committer: Committer,
     pub(crate) metrics: Metrics,
+    pub(crate) audit: audit::Log,
     pub(crate) tasks: TaskTracker,
-    pub(crate) stopping: watch::Sender<bool>,
+    /// Cancelled once the entry begins to stop.
+    pub(crate) stopping: CancellationToken,
     directory: RwLock<Arc<Directory>>,
     routing: Mutex<Routing>,
     book: Mutex<Book>,
@@ -139,8 +142,9 @@
             settings: settings.limits.clone(),
             committer,
             metrics,
+            audit: audit::Log::new(audit::Settings::new(&settings.name, node.me.incarnation)),
             tasks: TaskTracker::new(),
-            stopping: watch::channel(false).0,
+            stopping: CancellationToken::new(),
             directory: RwLock::default(),
             routing: Mutex::new(Routing {
                 places,
@@ -176,9 +180,14 @@
 
     /// Returns whether the entry can serve, or what it waits for.
     pub(crate) fn readiness(&self) -> Result<(), String> {
-        if *self.stopping.borrow() {
+        if self.stopping.is_cancelled() {
             return Err("the entry is stopping".to_owned());
         }
+        self.configured()
+    }
+
+    /// Returns whether the configuration is known. A stopping entry still serves what reaches it.
+    pub(crate) fn configured(&self) -> Result<(), String> {
         if !*self.adopter.ready().borrow() {
             return Err("the entry has no configuration yet".to_owned());
         }
--- /dev/null
+++ b/crates/entry/src/trail.rs
@@ -0,0 +1,84 @@
+//! What the entry records for the audit.
+
+use audit::AttemptRecord;
+use decision::ids::Incarnation;
+use decision::job::End;
+use decision::job::Outcome;
+use decision::job::Refusal;
+use decision::place::Pick;
+use decision::problem::Code;
+use decision::problem::Problem;
+use decision::problem::Ran;
+use process::clock::unix_ms;
+
+use crate::drive::Driver;
+
+impl Driver {
+    /// Records the end of an attempt.
+    pub(crate) fn record_end(&self, end: &End) {
+        let mut record = self.attempt_record(end.outcome);
+        record.endpoint = Some(end.endpoint.clone());
+        record.incarnation = Some(end.incarnation);
+        let whole = end.outcome == Outcome::Ran && end.failure.is_none();
+        record.answered = whole.then(|| self.relay.digest.clone().finish());
+        self.shared.audit.record(record);
+    }
+
+    /// Records an attempt whose end did not arrive.
+    pub(crate) fn record_loss(&self, pick: &Pick, sent: bool) {
+        let outcome = match sent {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun(Refusal::EngineDown),
+        };
+        let mut record = self.attempt_record(outcome);
+        record.endpoint = Some(pick.name.clone());
+        record.incarnation = (pick.incarnation != Incarnation(0)).then_some(pick.incarnation);
+        self.shared.audit.record(record);
+    }
+
+    /// Records a stored answer that was sent once more.
+    pub(crate) fn record_replay(&self, body: &[u8]) {
+        let mut record = self.attempt_record(Outcome::Ran);
+        record.replay = true;
+        record.answered = Some(audit::digest(body));
+        self.shared.audit.record(record);
+    }
+
+    /// Records a request that ended without an attempt of this entry.
+    pub(crate) fn record_refusal(&self, problem: &Problem) {
+        let reason = match problem.code {
+            Code::DeadlineExceeded => Refusal::Deadline,
+            Code::Cancelled => Refusal::Cancelled,
+            _ => Refusal::Overloaded,
+        };
+        let outcome = match problem.ran {
+            Ran::No => Outcome::NotRun(reason),
+            Ran::Yes | Ran::Unknown => Outcome::Unknown,
+        };
+        let mut record = self.attempt_record(outcome);
+        record.request = self.request.arrival().request;
+        record.attempt = 0;
+        self.shared.audit.record(record);
+    }
+
+    fn attempt_record(&self, outcome: Outcome) -> AttemptRecord {
+        let resolved = &self.request.arrival().resolved;
+        AttemptRecord {
+            request: self.request.request(),
+            attempt: self.request.attempt(),
+            workspace: resolved.route.workspace.clone(),
+            head: resolved.head.clone(),
+            route: resolved.route.name.clone(),
+            target: resolved.choice.target.clone(),
+            endpoint: None,
+            incarnation: None,
+            claim: self.row_key(),
+            replay: false,
+            outcome,
+            start: self.started,
+            end: unix_ms(),
+            asked: audit::digest(&self.body),
+            answered: None,
+        }
+    }
+}
