Poll agents that are not known to be ready every 200 ms

Cause: the demo's bookings were refused with no_endpoint for two seconds after the start. The entry first asked an agent for its report before the agent was reachable, waited the idle interval of two seconds, and had no incarnation to name in a claim until then. Ruled out: the agents, which were ready; draining. Conclusion: the idle interval is for agents whose report is known.

--- a/crates/entry/src/polls.rs
+++ b/crates/entry/src/polls.rs
@@ -20,7 +20,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// The interval of reports from an agent that this entry sends nothing to.
 const IDLE: Duration = Duration::from_secs(2);
-/// The interval of reports from an agent that has requests of this entry in flight.
+/// The interval of reports from an agent that has requests of this entry in flight, or that is not
+/// known to be ready: a claim needs the agent's incarnation, and with the idle interval bookings
+/// were refused for up to two seconds after a start.
 const BUSY: Duration = Duration::from_millis(200);
 /// The shortest interval of reports, kept when a pick asks for a fresh one.
 const FRESH: Duration = Duration::from_millis(50);
@@ -148,10 +150,15 @@
 }
 
 fn interval(places: &decision::place::Places, name: &str) -> Duration {
-    let busy = places
-        .find(name)
-        .is_some_and(|id| places.view(id).inflight > 0);
-    if busy { BUSY } else { IDLE }
+    let Some(id) = places.find(name) else {
+        return BUSY;
+    };
+    let view = places.view(id);
+    if view.inflight > 0 || view.reported.is_none() || !view.report.ready {
+        BUSY
+    } else {
+        IDLE
+    }
 }
 
 /// Returns the agents of a region.
