--- a/crates/audit/tests/store_outages.rs
+++ b/crates/audit/tests/store_outages.rs
@@ -7,17 +7,11 @@
 use audit::Log;
 use audit::Problem;
 use audit::Settings;
+use standins::calls::wait_until;
 use support::Bed;
+use support::LONG;
 use support::attempt;
 
-async fn wait_until(check: impl Fn() -> bool) {
-    let started = tokio::time::Instant::now();
-    while !check() {
-        assert!(started.elapsed() < support::LONG, "timeout");
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 /// Guards against records lost in an outage that fits into memory.
 #[tokio::test]
 async fn short_outage() {
@@ -28,7 +22,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert_eq!((log.state().waiting, bed.store.keys("").len()), (50, 0));
     bed.store.switches().set_outage(false);
-    wait_until(|| log.state().waiting == 0).await;
+    wait_until(LONG, || log.state().waiting == 0).await;
     log.close().await.unwrap();
     task.await.unwrap();
     let report = bed.verify(|e| e.tips.push(log.state().written)).await;
@@ -48,7 +42,7 @@
     let state = log.state();
     assert_eq!((state.waiting, state.lost), (11, 20));
     bed.store.set_listening(true).await;
-    wait_until(|| log.state().waiting == 0).await;
+    wait_until(LONG, || log.state().waiting == 0).await;
     (31..=40).map(attempt).for_each(|r| log.record(r));
     log.close().await.unwrap();
     task.await.unwrap();
@@ -91,12 +85,12 @@
         (1..=10)
             .map(|n| attempt(round * 10 + n))
             .for_each(|r| log.record(r));
-        wait_until(|| bed.store.keys("").len() > before).await;
+        wait_until(LONG, || bed.store.keys("").len() > before).await;
         if round == 3 {
             tokio::time::sleep(Duration::from_millis(300)).await;
             bed.store.switches().set_response_delay(Duration::ZERO);
         }
-        wait_until(|| log.state().waiting == 0).await;
+        wait_until(LONG, || log.state().waiting == 0).await;
     }
     log.close().await.unwrap();
     task.await.unwrap();
--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -189,6 +189,20 @@
         self.decode(step, &reply)
     }
 
+    /// Does as [`Client::fetch`], with nothing in place of what the peer does not have.
+    pub async fn find<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        limit: usize,
+        timeout: Duration,
+    ) -> EdgeResult<Option<T>> {
+        match self.fetch(call, limit, timeout).await {
+            Ok(found) => Ok(Some(found)),
+            Err(e) if e.fault == Fault::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Sends a request whose successful response has no content of interest.
     pub async fn order(&self, call: Call, limit: usize, timeout: Duration) -> EdgeResult<()> {
         let step = call.step;
--- a/crates/edges/src/table.rs
+++ b/crates/edges/src/table.rs
@@ -103,14 +103,7 @@
 impl Table for HttpTable {
     fn get(&self, key: &str, timeout: Duration) -> BoxFuture<'_, EdgeResult<Option<Row>>> {
         let call = Call::get("read row", format!("/rows/{}", segment(key)));
-        async move {
-            match self.client.fetch(call, ANSWER_LIMIT, timeout).await {
-                Ok(row) => Ok(Some(row)),
-                Err(e) if e.fault == Fault::NotFound => Ok(None),
-                Err(e) => Err(e),
-            }
-        }
-        .boxed()
+        self.client.find(call, ANSWER_LIMIT, timeout).boxed()
     }
 
     fn list(&self, prefix: &str, timeout: Duration) -> BoxFuture<'_, EdgeResult<Vec<Row>>> {
--- a/crates/edges/src/weights.rs
+++ b/crates/edges/src/weights.rs
@@ -9,7 +9,6 @@
 use serde::Serialize;
 
 use crate::EdgeResult;
-use crate::Fault;
 use crate::http::Call;
 use crate::http::Client;
 use crate::http::segment;
@@ -62,13 +61,6 @@
             "read weight info",
             format!("/weights/{}/info", segment(locator)),
         );
-        async move {
-            match self.client.fetch(call, ANSWER_LIMIT, timeout).await {
-                Ok(info) => Ok(Some(info)),
-                Err(e) if e.fault == Fault::NotFound => Ok(None),
-                Err(e) => Err(e),
-            }
-        }
-        .boxed()
+        self.client.find(call, ANSWER_LIMIT, timeout).boxed()
     }
 }
--- a/crates/edges/tests/error_kinds.rs
+++ b/crates/edges/tests/error_kinds.rs
@@ -11,15 +11,13 @@
 use edges::store::HttpObjects;
 use edges::store::ObjectStore as _;
 use edges::table::Commit;
-use edges::table::Condition;
 use edges::table::HttpTable;
 use edges::table::Table as _;
-use edges::table::Transaction;
-use edges::table::Write;
 use standins::Objects;
 use standins::Service;
 use standins::Table;
 use standins::calls::booking;
+use standins::calls::insert;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -27,19 +25,6 @@
 const LONG: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(100);
 
-fn put(key: &str, value: &str) -> Transaction {
-    Transaction {
-        conditions: vec![Condition {
-            key: key.into(),
-            version: 0,
-        }],
-        writes: vec![Write {
-            key: key.into(),
-            value: Some(value.to_owned().into()),
-        }],
-    }
-}
-
 /// Answers one request with fixed bytes, then closes the connection.
 async fn raw_peer(answer: &'static [u8]) -> (SocketAddr, tokio::task::JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -114,7 +99,7 @@
     let table = Table::start().await;
     let client = HttpTable::new(table.addr());
     table.switches().lose_responses(1);
-    let error = client.commit(put("k", "v"), LONG).await.unwrap_err();
+    let error = client.commit(insert("k", "v"), LONG).await.unwrap_err();
     assert_eq!(error.fault, Fault::NoAnswer);
     assert!(!error.is_harmless());
     let row = client.get("k", LONG).await.unwrap().unwrap();
@@ -128,11 +113,11 @@
     let table = Table::start().await;
     let client = HttpTable::new(table.addr());
     table.switches().lose_requests(1);
-    let error = client.commit(put("k", "v"), LONG).await.unwrap_err();
+    let error = client.commit(insert("k", "v"), LONG).await.unwrap_err();
     assert_eq!(error.fault, Fault::NoAnswer);
     assert_eq!(client.get("k", LONG).await.unwrap(), None);
     assert_eq!(
-        client.commit(put("k", "v"), LONG).await.unwrap(),
+        client.commit(insert("k", "v"), LONG).await.unwrap(),
         Commit::Done(vec![1])
     );
     table.stop().await;
@@ -173,7 +158,7 @@
     table.switches().set_outage(true);
     service.switches().set_outage(true);
     let error = HttpTable::new(table.addr())
-        .commit(put("k", "v"), LONG)
+        .commit(insert("k", "v"), LONG)
         .await
         .unwrap_err();
     assert_eq!(error.fault, Fault::Unavailable);
@@ -262,7 +247,7 @@
 async fn server_error() {
     let (addr, task) = raw_peer(b"HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\noops").await;
     let error = HttpTable::new(addr)
-        .commit(put("k", "v"), LONG)
+        .commit(insert("k", "v"), LONG)
         .await
         .unwrap_err();
     assert!(!error.is_harmless(), "{error}");
--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -1,15 +1,24 @@
 //! Requests to stand-ins and their answers, as tests and load generators need them.
 
+use std::time::Duration;
+
 use decision::ids::Priority;
 use edges::EdgeResult;
 use edges::engine::Answer;
 use edges::engine::LoadOrder;
 use edges::engine::Submission;
+use edges::table::Condition;
+use edges::table::Transaction;
+use edges::table::Write;
 use futures::StreamExt;
 use serde_json::json;
+use tokio::time::Instant;
 
 use crate::weights::digest_of;
 
+/// The time between two checks of [`wait_until`].
+const CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Returns a chat request for `tokens` tokens of the adapter or model `model`.
 pub fn chat(request: &str, model: &str, tokens: u32, stream: bool) -> Submission {
     let body = json!({
@@ -48,6 +57,34 @@
     }
 }
 
+/// Returns a transaction that writes a row which must not exist.
+pub fn insert(key: &str, value: &str) -> Transaction {
+    let condition = Condition {
+        key: key.to_owned(),
+        version: 0,
+    };
+    let write = Write {
+        key: key.to_owned(),
+        value: Some(value.to_owned().into()),
+    };
+    Transaction {
+        conditions: vec![condition],
+        writes: vec![write],
+    }
+}
+
+/// Waits until `check` holds; panics if it does not within `limit`.
+pub async fn wait_until(limit: Duration, check: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !check() {
+        assert!(
+            started.elapsed() < limit,
+            "the condition did not hold within {limit:?}"
+        );
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Reads an answer to its end; returns the body so far and how it ended.
 pub async fn read(answer: Answer) -> (String, EdgeResult<()>) {
     let mut data = Vec::new();
--- a/crates/standins/tests/engine_runs.rs
+++ b/crates/standins/tests/engine_runs.rs
@@ -177,28 +177,33 @@
     engine.stop().await;
 }
 
-/// Guards against a load report without its lag.
+/// Guards against a load report without its lag, and against one that never catches up.
 #[tokio::test]
 async fn lagged_report() {
-    let lag = Duration::from_millis(300);
-    let config = EngineConfig {
-        step: Duration::from_secs(1),
-        ..EngineConfig::default()
-    };
-    let engine = Engine::start(EngineConfig {
-        report_lag: lag,
-        ..config
-    })
-    .await;
-    let client = HttpEngine::new(engine.addr());
-    let _answer = client
-        .submit(chat("r", "base", 1000, true), LONG)
-        .await
-        .unwrap();
-    assert_eq!(client.load_report(LONG).await.unwrap().running, 0);
-    tokio::time::sleep(lag * 2).await;
-    assert_eq!(client.load_report(LONG).await.unwrap().running, 1);
-    engine.stop().await;
+    for (lag, is_late) in [(LONG * 12, true), (Duration::from_millis(20), false)] {
+        let config = EngineConfig {
+            step: LONG,
+            ..EngineConfig::default()
+        };
+        let engine = Engine::start(EngineConfig {
+            report_lag: lag,
+            ..config
+        })
+        .await;
+        let client = HttpEngine::new(engine.addr());
+        let _answer = client
+            .submit(chat("r", "base", 1000, true), LONG)
+            .await
+            .unwrap();
+        assert_eq!(engine.running(), 1);
+        let started = tokio::time::Instant::now();
+        let mut running = client.load_report(LONG).await.unwrap().running;
+        while !is_late && running == 0 && started.elapsed() < LONG {
+            running = client.load_report(LONG).await.unwrap().running;
+        }
+        assert_eq!(running, u32::from(!is_late));
+        engine.stop().await;
+    }
 }
 
 /// Guards against a reader that takes a gap in the cache events for no change.
--- a/crates/standins/tests/store_faults.rs
+++ b/crates/standins/tests/store_faults.rs
@@ -6,23 +6,12 @@
 use edges::Fault;
 use edges::table::HttpTable;
 use edges::table::Table as _;
-use edges::table::Transaction;
-use edges::table::Write;
 use standins::Table;
+use standins::calls::insert;
+use standins::calls::wait_until;
 
 const LONG: Duration = Duration::from_secs(5);
 
-fn put(key: &str) -> Transaction {
-    let write = Write {
-        key: key.into(),
-        value: Some("v".into()),
-    };
-    Transaction {
-        conditions: vec![],
-        writes: vec![write],
-    }
-}
-
 /// Guards against a claimant that reads a row back once and takes its absence as final.
 #[tokio::test]
 async fn late_effect() {
@@ -30,14 +19,17 @@
     let client = HttpTable::new(table.addr());
     table
         .switches()
-        .delay_effects(Duration::from_millis(100), 1);
+        .delay_effects(Duration::from_millis(500), 1);
     assert_eq!(
-        client.commit(put("k"), LONG).await.unwrap_err().fault,
+        client
+            .commit(insert("k", "v"), LONG)
+            .await
+            .unwrap_err()
+            .fault,
         Fault::NoAnswer
     );
     assert_eq!(client.get("k", LONG).await.unwrap(), None);
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    assert!(client.get("k", LONG).await.unwrap().is_some());
+    wait_until(LONG, || table.row("k").is_some()).await;
     table.stop().await;
 }
 
@@ -48,7 +40,7 @@
     let client = HttpTable::new(table.addr());
     table.switches().set_rates(1000.0, 100.0);
     let start = Instant::now();
-    let writes = (0..11).map(|i| client.commit(put(&i.to_string()), LONG));
+    let writes = (0..11).map(|i| client.commit(insert(&i.to_string(), "v"), LONG));
     futures::future::try_join_all(writes).await.unwrap();
     assert!(start.elapsed() >= Duration::from_millis(100));
     let counts = table.counts();
@@ -61,7 +53,7 @@
 async fn closed_port() {
     let table = Table::start().await;
     let client = HttpTable::new(table.addr());
-    client.commit(put("k"), LONG).await.unwrap();
+    client.commit(insert("k", "v"), LONG).await.unwrap();
     for _ in 0..20 {
         table.set_listening(false).await;
         table.cut().await;
@@ -81,16 +73,11 @@
     let table = Table::start().await;
     let client = HttpTable::new(table.addr());
     table.switches().set_frozen(true);
-    let hanging = tokio::spawn(async move { client.commit(put("k"), LONG).await });
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    let hanging = tokio::spawn(async move { client.commit(insert("k", "v"), LONG).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
     table.stop().await;
     assert_eq!(hanging.await.unwrap().unwrap_err().fault, Fault::NoAnswer);
-    tokio::time::sleep(Duration::from_millis(50)).await;
-    // The test's own task is not counted.
-    assert_eq!(
-        tokio::runtime::Handle::current()
-            .metrics()
-            .num_alive_tasks(),
-        0
-    );
+    // The client's connection task ends by itself; the test's own task is not counted.
+    let metrics = tokio::runtime::Handle::current().metrics();
+    wait_until(LONG, || metrics.num_alive_tasks() == 0).await;
 }
