--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -45,8 +45,9 @@
 use crate::permits::Permits;
 use crate::run::Run;
 
-/// The time that the entry has to take the end of an attempt over.
-const END_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time that the entry has to take the end of an attempt over. A lost connection ends the wait
+/// at once; a slow caller must not lose the last part of its answer when the agent stops.
+const END_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// An accepted job with what is needed to run it.
 #[derive(Clone)]
--- a/crates/agent/tests/platform/mod.rs
+++ b/crates/agent/tests/platform/mod.rs
@@ -1,41 +1,51 @@
 //! Stand-ins of the platform, agents beside them, and an entry's side of the link.
 
-#![allow(dead_code)]
-
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
-use agent::Agent;
-use agent::Outside;
-use agent::Settings;
-use decision::ids::Head;
-use decision::ids::Incarnation;
-use decision::ids::Priority;
-use decision::ids::RequestId;
-use decision::job::End;
-use decision::job::Job;
-use decision::job::Target;
-use decision::member::Instance;
-use decision::member::Liveness;
-use decision::member::Role;
-use edges::table::Condition;
-use edges::table::Transaction;
-use edges::table::Write;
-use objects::Backend;
-use objects::Endpoint;
-use objects::Fencing;
-use objects::Model;
-use objects::ObjectSet;
-use objects::Snapshot;
-use standins::EngineConfig;
-use tokio::time::Instant;
-use wire::Dispatched;
-use wire::Event;
-use wire::Identity;
-use wire::Links;
-use wire::Peer;
+#![allow(dead_code, unused_imports)]
 
+pub(crate) use agent::Agent;
+pub(crate) use agent::Outside;
+pub(crate) use agent::Settings;
+pub(crate) use decision::claim::ClaimRow;
+pub(crate) use decision::claim::ClaimState;
+pub(crate) use decision::ids::Head;
+pub(crate) use decision::ids::Incarnation;
+pub(crate) use decision::ids::Priority;
+pub(crate) use decision::ids::RequestId;
+pub(crate) use decision::job::End;
+pub(crate) use decision::job::Failure;
+pub(crate) use decision::job::Job;
+pub(crate) use decision::job::Outcome;
+pub(crate) use decision::job::Refusal;
+pub(crate) use decision::job::Target;
+pub(crate) use decision::lease::LeaseRow;
+pub(crate) use decision::member::Instance;
+pub(crate) use decision::member::Liveness;
+pub(crate) use decision::member::Role;
+pub(crate) use edges::table::Condition;
+pub(crate) use edges::table::Transaction;
+pub(crate) use edges::table::Write;
+pub(crate) use objects::Backend;
+pub(crate) use objects::Endpoint;
+pub(crate) use objects::Fencing;
+pub(crate) use objects::Model;
+pub(crate) use objects::ObjectSet;
+pub(crate) use objects::Snapshot;
+pub(crate) use standins::Engine;
+pub(crate) use standins::EngineConfig;
+pub(crate) use standins::Service;
+pub(crate) use standins::engine::RunEnd;
+pub(crate) use std::net::SocketAddr;
+pub(crate) use std::sync::Arc;
+pub(crate) use std::time::Duration;
+pub(crate) use tokio::io::AsyncReadExt;
+pub(crate) use tokio::io::AsyncWriteExt;
+pub(crate) use tokio::net::TcpListener;
+pub(crate) use tokio::time::Instant;
+pub(crate) use wire::Dispatched;
+pub(crate) use wire::Event;
+pub(crate) use wire::Identity;
+pub(crate) use wire::Links;
+pub(crate) use wire::Peer;
 pub(crate) const SECRET: &str = "0123456789abcdef";
 pub(crate) const WAIT: Duration = Duration::from_secs(10);
 
@@ -79,9 +89,11 @@
     endpoint(name, Backend::Model("m".into()))
 }
 
-pub(crate) fn engine_config() -> EngineConfig {
+/// Returns an engine with `step` ms between two tokens.
+pub(crate) fn engine_config(step: u64) -> EngineConfig {
     EngineConfig {
         slots: 2,
+        step: Duration::from_millis(step),
         ..EngineConfig::default()
     }
 }
@@ -205,6 +217,15 @@
         }
     }
 
+    /// Starts a platform with one engine and its agent, `e1`.
+    pub(crate) async fn with_engine(config: EngineConfig) -> (Platform, Engine, Agent) {
+        let mut platform = Platform::start().await;
+        platform.publish(vec![model_endpoint("e1")]);
+        let engine = Engine::start(config).await;
+        let agent = platform.agent("e1", engine.addr()).await;
+        (platform, engine, agent)
+    }
+
     pub(crate) async fn cold_agent(&self, name: &str, backend: SocketAddr) -> Agent {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
--- a/crates/agent/tests/serve_jobs.rs
+++ b/crates/agent/tests/serve_jobs.rs
@@ -1,36 +1,12 @@
 //! Jobs through a running agent and a stand-in engine.
 
-use std::time::Duration;
-
-use decision::ids::Incarnation;
-use decision::ids::RequestId;
-use decision::job::Failure;
-use decision::job::Job;
-use decision::job::Outcome;
-use decision::job::Refusal;
-use decision::job::Target;
-use objects::Backend;
-use standins::Engine;
-use standins::Service;
-use standins::engine::RunEnd;
-
 mod platform;
-use platform::Platform;
-use platform::WAIT;
-use platform::endpoint;
-use platform::engine_config;
-use platform::eventually;
-use platform::job;
-use platform::model_endpoint;
-use platform::receive;
+use platform::*;
 
 /// Guards against an answer that is not whole, not the adapter's, or without its load stall.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_are_whole_and_named() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = Engine::start(engine_config()).await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, _engine, agent) = Platform::with_engine(engine_config(0)).await;
     let whole = platform.run(&agent, &job(1, "a@1", false), 5).await;
     assert_eq!(
         (whole.status, whole.end().outcome),
@@ -62,10 +38,7 @@
 /// Guards against passing on another adapter's answer and against a cut answer that looks whole.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_answers_are_failures() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = Engine::start(engine_config()).await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, engine, agent) = Platform::with_engine(engine_config(0)).await;
     for (id, stream) in [(1, false), (2, true)] {
         engine.answer_as("b@1", 1);
         let wrong = platform.run(&agent, &job(id, "a@1", stream), 5).await;
@@ -93,10 +66,7 @@
 /// Guards against calling an engine's refusal "unknown", and its failure "not run".
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn engine_errors_have_their_outcome() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = Engine::start(engine_config()).await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, engine, agent) = Platform::with_engine(engine_config(0)).await;
     let not_run = Outcome::NotRun(Refusal::EngineDown);
     for (id, status, outcome) in [
         (1, 400, not_run),
@@ -147,15 +117,44 @@
     agent.stop().await;
 }
 
+/// Answers health checks, and calls with a body that breaks off.
+async fn cutting_service(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut request = [0; 4_096];
+        let read = stream.read(&mut request).await.unwrap_or(0);
+        let length = match request[..read].starts_with(b"GET") {
+            true => 2,
+            false => 100,
+        };
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{{}}");
+        let _ = stream.write_all(head.as_bytes()).await;
+    }
+}
+
+/// Guards against a service's answer that is cut and counts as whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_service_answer_is_unknown() {
+    let mut platform = Platform::start().await;
+    platform.publish(vec![endpoint("service1", Backend::Service("book".into()))]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let service = tokio::spawn(cutting_service(listener));
+    let agent = platform.agent("service1", addr).await;
+    let call = Job {
+        target: Target::Service("book".into()),
+        ..job(1, "", false)
+    };
+    let cut = platform.run(&agent, &call, 1).await;
+    assert_eq!(cut.end().failure, Some(Failure::Truncated));
+    assert_eq!(cut.end().outcome, Outcome::Unknown);
+    agent.stop().await;
+    service.abort();
+}
+
 /// Guards against an engine that goes on for a caller who is gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_caller_frees_engine() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let mut config = engine_config();
-    config.step = Duration::from_millis(10);
-    let engine = Engine::start(config).await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, engine, agent) = Platform::with_engine(engine_config(10)).await;
     let mut dispatched = platform
         .dispatch(&agent, &job(1, "a@1", true), 100_000)
         .await;
@@ -178,9 +177,7 @@
     let mut small = model_endpoint("e1");
     small.batch = 1;
     platform.publish(vec![small]);
-    let mut config = engine_config();
-    config.step = Duration::from_millis(10);
-    let engine = Engine::start(config).await;
+    let engine = Engine::start(engine_config(10)).await;
     let agent = platform.agent("e1", engine.addr()).await;
     let running = platform
         .dispatch(&agent, &job(1, "a@1", true), 100_000)
@@ -202,9 +199,7 @@
     let mut wide = model_endpoint("e1");
     wide.queue = 64;
     platform.publish(vec![wide]);
-    let mut config = engine_config();
-    config.step = Duration::from_millis(1);
-    let engine = Engine::start(config).await;
+    let engine = Engine::start(engine_config(1)).await;
     let agent = platform.agent("e1", engine.addr()).await;
     let jobs: Vec<Job> = (0..40u128)
         .map(|id| job(id, &format!("v{}@1", id % 8), id % 2 == 0))
--- a/crates/agent/tests/stop_agent.rs
+++ b/crates/agent/tests/stop_agent.rs
@@ -1,47 +1,14 @@
 //! Graceful stop, claim rows of lost entries, permits between agents, and the ops endpoint.
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
-use decision::claim::ClaimRow;
-use decision::claim::ClaimState;
-use decision::ids::Incarnation;
-use decision::ids::RequestId;
-use decision::job::Job;
-use decision::job::Outcome;
-use decision::job::Refusal;
-use decision::lease::LeaseRow;
-use decision::member::Liveness;
-use standins::Engine;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use wire::Identity;
-use wire::Links;
-
 mod platform;
-use platform::Platform;
-use platform::SECRET;
-use platform::WAIT;
-use platform::engine_config;
-use platform::eventually;
-use platform::job;
-use platform::model_endpoint;
-use platform::receive;
-
-async fn slow_engine() -> Engine {
-    let mut config = engine_config();
-    config.step = Duration::from_millis(5);
-    Engine::start(config).await
-}
+use platform::*;
 
-/// Guards against a planned stop that cuts off a stream, takes new work or keeps the lease.
+/// Guards against a planned stop that cuts off a stream, also one whose caller reads slowly, takes
+/// new work or keeps the lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stop_finishes_streams() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = slow_engine().await;
-    let agent = platform.agent("e1", engine.addr()).await;
-    let running = platform.dispatch(&agent, &job(1, "a@1", true), 200).await;
+    let (platform, engine, agent) = Platform::with_engine(engine_config(5)).await;
+    let running = platform.dispatch(&agent, &job(1, "a@1", true), 400).await;
     eventually("the job runs", || engine.running() == 1).await;
     let seen = platform
         .peer(&agent)
@@ -54,7 +21,10 @@
     assert!(report.unwrap().draining);
     let refused = platform.run(&agent, &job(2, "a@1", true), 2).await;
     assert_eq!(refused.end().outcome, Outcome::NotRun(Refusal::Draining));
-    let whole = tokio::spawn(receive(running));
+    let whole = tokio::spawn(async {
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        receive(running).await
+    });
     tokio::time::timeout(WAIT, agent.left()).await.unwrap();
     agent.stop().await;
     let whole = whole.await.unwrap();
@@ -67,10 +37,7 @@
 /// its predecessor's entry in the lagging list for its own and stops.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn leaving_instance_stops() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = slow_engine().await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, engine, agent) = Platform::with_engine(engine_config(5)).await;
     tokio::time::sleep(Duration::from_millis(1_200)).await;
     platform.list("e1", agent.addr(), Liveness::Leaving);
     tokio::time::timeout(WAIT, agent.left()).await.unwrap();
@@ -88,10 +55,7 @@
 /// Guards against an order whose outcome is lost with the entry that dispatched it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn outcome_goes_to_claim_row() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = slow_engine().await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, engine, agent) = Platform::with_engine(engine_config(5)).await;
     let claim = ClaimRow {
         digest: "d".to_owned(),
         request: RequestId(1),
@@ -135,7 +99,10 @@
 async fn agents_share_permits() {
     let mut platform = Platform::start().await;
     platform.publish(vec![model_endpoint("e1"), model_endpoint("e2")]);
-    let engines = [slow_engine().await, slow_engine().await];
+    let engines = [
+        Engine::start(engine_config(5)).await,
+        Engine::start(engine_config(5)).await,
+    ];
     let first = platform.agent("e1", engines[0].addr()).await;
     let second = platform.agent("e2", engines[1].addr()).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
@@ -168,10 +135,7 @@
 /// Guards against metrics that lag by a scrape or lack what operators watch.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn metrics_show_present_state() {
-    let mut platform = Platform::start().await;
-    platform.publish(vec![model_endpoint("e1")]);
-    let engine = slow_engine().await;
-    let agent = platform.agent("e1", engine.addr()).await;
+    let (platform, _engine, agent) = Platform::with_engine(engine_config(5)).await;
     platform.run(&agent, &job(1, "a@1", true), 2).await;
     let metrics = get(agent.ops_addr(), "/metrics").await;
     for line in [
--- a/crates/decision/src/agent.rs
+++ b/crates/decision/src/agent.rs
@@ -3,6 +3,7 @@
 mod events;
 mod jobs;
 mod loads;
+mod room;
 mod view;
 
 use std::time::Duration;
@@ -34,9 +35,9 @@
 pub use events::Ended;
 pub use events::Event;
 pub use events::Finish;
-use loads::Closing;
 use loads::Load;
 use loads::Trouble;
+use room::Closing;
 pub use view::Counters;
 pub use view::Dump;
 
--- a/crates/decision/src/ledger.rs
+++ b/crates/decision/src/ledger.rs
@@ -155,10 +155,17 @@
         }
     }
 
-    /// Records the end of a submitted attempt.
+    /// Records the end of a submitted attempt. If the engine certainly did not run it, a higher
+    /// attempt at the request may be submitted here.
     pub fn end(&mut self, now: Time, key: Key, claimed: bool, outcome: Outcome) {
-        if self.states.get(&key) == Some(&State::Submitted) {
-            self.finish(now, key, claimed, outcome);
+        if self.states.get(&key) != Some(&State::Submitted) {
+            return;
+        }
+        self.finish(now, key, claimed, outcome);
+        if matches!(outcome, Outcome::NotRun(_))
+            && let Some(known) = self.claimed.get_mut(&key.request)
+        {
+            known.submitted = false;
         }
     }
 
--- a/crates/decision/tests/agent_drain.rs
+++ b/crates/decision/tests/agent_drain.rs
@@ -1,24 +1,7 @@
 //! Drain and stop: what is refused, what is waited for, when the process leaves.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use decision::agent::Event;
-use decision::collections::Set;
-use decision::drain::Reason;
-use decision::ids::Head;
-use decision::ids::Name;
-use decision::job::Outcome;
-use decision::job::Refusal;
-use objects::AdapterVersion;
-use objects::ObjectSet;
-
 mod world;
-use world::World;
-use world::claimed;
-use world::config;
-use world::job;
-use world::ms;
+use world::*;
 
 /// Guards against a planned stop that cuts off a request, takes new work, or keeps the lease.
 #[test]
--- a/crates/decision/tests/agent_jobs.rs
+++ b/crates/decision/tests/agent_jobs.rs
@@ -1,28 +1,7 @@
 //! The agent's way with jobs: admission, batch, stalls, cancellation, failures.
 
-use std::time::Duration;
-
-use decision::agent::CommandFault;
-use decision::agent::Event;
-use decision::agent::Finish;
-use decision::ids::Incarnation;
-use decision::ids::Priority;
-use decision::job::Failure;
-use decision::job::Job;
-use decision::job::Outcome;
-use decision::job::Refusal;
-use decision::job::Target;
-use decision::time::Time;
-use objects::Backend;
-
 mod world;
-use world::OWN;
-use world::World;
-use world::claimed;
-use world::config;
-use world::job;
-use world::key;
-use world::ms;
+use world::*;
 
 fn not_run(reason: Refusal) -> Option<Outcome> {
     Some(Outcome::NotRun(reason))
--- a/crates/decision/tests/agent_lease.rs
+++ b/crates/decision/tests/agent_lease.rs
@@ -1,21 +1,7 @@
 //! Lease and fencing: who may command the engine, and when.
 
-use std::time::Duration;
-
-use decision::agent::CommandFault;
-use decision::ids::Incarnation;
-use decision::lease::LeaseCall;
-use decision::lease::LeaseRow;
-use decision::time::Time;
-use objects::Fencing;
-
 mod world;
-use world::OWN;
-use world::World;
-use world::claimed;
-use world::config;
-use world::job;
-use world::ms;
+use world::*;
 
 fn row(holder: u64, token: u64, released: bool) -> LeaseRow {
     LeaseRow {
--- a/crates/decision/tests/agent_random.rs
+++ b/crates/decision/tests/agent_random.rs
@@ -2,29 +2,13 @@
 //! no claimed attempt is submitted twice, none that was reported not run is submitted, no version
 //! in use is unloaded, the queue stays within its bound, and all work ends.
 
-use std::time::Duration;
-
 use bolero::ValueGenerator;
 use bolero::generator::bolero_generator::driver::ByteSliceDriver;
 use bolero::generator::bolero_generator::driver::Options;
 use bolero::produce;
-use decision::agent::CommandFault;
-use decision::agent::Event;
-use decision::drain::Reason;
-use decision::ids::Incarnation;
-use decision::ids::Priority;
-use decision::job::Job;
-use decision::job::Outcome;
-use decision::lease::LeaseRow;
-use decision::ledger::Key;
 
 mod world;
-use world::OWN;
-use world::World;
-use world::claimed;
-use world::config;
-use world::job;
-use world::ms;
+use world::*;
 
 const VERSIONS: [&str; 5] = ["a@1", "b@1", "c@1", "d@1", "base"];
 
--- a/crates/decision/tests/attempt_ledger.rs
+++ b/crates/decision/tests/attempt_ledger.rs
@@ -1,19 +1,7 @@
 //! The ledger: at most one submission per claimed attempt, and refusals that hold.
 
-use decision::ids::Incarnation;
-use decision::job::Job;
-use decision::job::Outcome;
-use decision::job::Refusal;
-use decision::ledger::Admission;
-use decision::ledger::Key;
-use decision::ledger::Ledger;
-use decision::time::Time;
-
 mod world;
-use world::OWN;
-use world::claimed;
-use world::job;
-use world::key;
+use world::*;
 
 const T0: Time = Time(0);
 
@@ -85,6 +73,25 @@
     assert_eq!(ledger.admit(T0, &third), refused(Refusal::StaleClaim));
 }
 
+/// Guards against refusing the next attempt at an order that the engine certainly did not run, and
+/// against accepting one after an unknown end.
+#[test]
+fn next_attempt_needs_proof() {
+    for (outcome, admission) in [
+        (Outcome::NotRun(Refusal::EngineDown), Admission::New),
+        (Outcome::Unknown, refused(Refusal::StaleClaim)),
+        (Outcome::Ran, refused(Refusal::StaleClaim)),
+    ] {
+        let mut ledger = Ledger::new(OWN);
+        ledger.admit(T0, &claimed(1, "a"));
+        ledger.submit(key(1));
+        ledger.end(T0, key(1), true, outcome);
+        let second = attempt(claimed(1, "a"), 2);
+        assert_eq!(ledger.admit(T0, &second), admission, "{outcome}");
+        assert!(!ledger.submit(key(1)));
+    }
+}
+
 /// Guards against memory that grows with repeatable traffic, and against forgetting an order.
 #[test]
 fn only_repeatable_attempts_are_forgotten() {
--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -1,42 +1,44 @@
 //! An agent with a virtual clock, a fake engine, table and permit coordinator, which checks the
 //! invariants at every action.
 
-#![allow(dead_code)]
-
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::Duration;
-
-use decision::agent::Action;
-use decision::agent::AgentConfig;
-use decision::agent::AgentCore;
-use decision::agent::CommandFault;
-use decision::agent::Ended;
-use decision::agent::Event;
-use decision::agent::Finish;
-use decision::collections::Map;
-use decision::collections::Set;
-use decision::ids::Head;
-use decision::ids::Incarnation;
-use decision::ids::Name;
-use decision::ids::Priority;
-use decision::ids::RequestId;
-use decision::job::Failure;
-use decision::job::Job;
-use decision::job::Outcome;
-use decision::job::Refusal;
-use decision::job::Target;
-use decision::lease::LeaseAnswer;
-use decision::lease::LeaseCall;
-use decision::lease::LeaseRow;
-use decision::ledger::Key;
-use decision::permit::Coordinator;
-use decision::time::Time;
-use fastrand::Rng;
-use objects::Backend;
-use objects::Fencing;
-use objects::ObjectSet;
+#![allow(dead_code, unused_imports)]
 
+pub(crate) use decision::agent::Action;
+pub(crate) use decision::agent::AgentConfig;
+pub(crate) use decision::agent::AgentCore;
+pub(crate) use decision::agent::CommandFault;
+pub(crate) use decision::agent::Ended;
+pub(crate) use decision::agent::Event;
+pub(crate) use decision::agent::Finish;
+pub(crate) use decision::collections::Map;
+pub(crate) use decision::collections::Set;
+pub(crate) use decision::drain::Reason;
+pub(crate) use decision::ids::Head;
+pub(crate) use decision::ids::Incarnation;
+pub(crate) use decision::ids::Name;
+pub(crate) use decision::ids::Priority;
+pub(crate) use decision::ids::RequestId;
+pub(crate) use decision::job::Failure;
+pub(crate) use decision::job::Job;
+pub(crate) use decision::job::Outcome;
+pub(crate) use decision::job::Refusal;
+pub(crate) use decision::job::Target;
+pub(crate) use decision::lease::LeaseAnswer;
+pub(crate) use decision::lease::LeaseCall;
+pub(crate) use decision::lease::LeaseRow;
+pub(crate) use decision::ledger::Admission;
+pub(crate) use decision::ledger::Key;
+pub(crate) use decision::ledger::Ledger;
+pub(crate) use decision::permit::Coordinator;
+pub(crate) use decision::time::Time;
+pub(crate) use fastrand::Rng;
+pub(crate) use objects::AdapterVersion;
+pub(crate) use objects::Backend;
+pub(crate) use objects::Fencing;
+pub(crate) use objects::ObjectSet;
+pub(crate) use std::collections::BTreeMap;
+pub(crate) use std::sync::Arc;
+pub(crate) use std::time::Duration;
 pub(crate) const OWN: Incarnation = Incarnation(7);
 
 pub(crate) fn ms(ms: u64) -> Duration {
@@ -378,6 +380,9 @@
     fn ended(&mut self, ended: Ended) {
         self.running.remove(&ended.key);
         self.tell(ended.key, ended.outcome);
+        if matches!(ended.outcome, Outcome::NotRun(_)) && self.submits.contains(&ended.key) {
+            self.claims.remove(&ended.key.request);
+        }
         let delivered = Event::Delivered(ended.key, self.delivering);
         self.give_later(ms(1), delivered);
         self.ends.push(ended);
