Weigh the last use and the mean gap together when a version has to leave

Cause: the larger of time since the last use and mean gap protected versions whose burst had just ended, and the mean gap followed slowly. A use count with half-lives of 15 to 300 s and last use alone were worse.

--- a/crates/decision/src/slots.rs
+++ b/crates/decision/src/slots.rs
@@ -17,6 +17,13 @@
 /// The share of a new sample in a running mean.
 const SMOOTHING: f64 = 0.25;
 
+/// The share of a new gap in a version's mean gap between uses. A smaller one kept adapters too
+/// long whose burst had ended.
+const GAP_SMOOTHING: f64 = 0.4;
+
+/// The weight of a version's mean gap between uses against the time since its last use.
+const GAP_WEIGHT: f64 = 0.2;
+
 /// The assumed gap between uses of a version that was used once only, in milliseconds.
 const FIRST_GAP_MS: f64 = 600_000.0;
 
@@ -158,7 +165,7 @@
         });
         if now > usage.last {
             let gap = now.since(usage.last).as_secs_f64() * 1e3;
-            usage.gap_ms += SMOOTHING * (gap - usage.gap_ms);
+            usage.gap_ms += GAP_SMOOTHING * (gap - usage.gap_ms);
             usage.last = now;
         }
         if self.usage.len() > HISTORY {
@@ -318,13 +325,17 @@
         (last, Duration::from_secs_f64(self.gap_ms(now, name) / 1e3))
     }
 
-    /// Returns the expected milliseconds of loading per millisecond that an unload would cost.
+    /// Returns the worth of keeping a version: its load time over a time to its next use, which
+    /// the time since the last use and the mean gap tell better together than either alone.
     fn keep_value(&self, now: Time, name: &str) -> f64 {
         if self.is_withdrawn(name) {
             return -1.0;
         }
-        let load = self.usage.get(name).map_or(self.load_ms, |u| u.load_ms);
-        load / self.gap_ms(now, name)
+        let Some(usage) = self.usage.get(name) else {
+            return self.load_ms / FIRST_GAP_MS;
+        };
+        let open = now.since(usage.last).as_secs_f64() * 1e3;
+        usage.load_ms / (open + GAP_WEIGHT * usage.gap_ms).max(1.0)
     }
 
     /// Returns the expected gap between uses; one that is longer than the mean already counts as
