--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,7 +7,9 @@
 //! API boundary: the processes, the tests and the measuring tools all drive these modules through
 //! the same functions; a new engine protocol or a virtual clock changes nothing in this crate.
 
+pub mod adopt;
 pub mod agent;
+pub mod claim;
 pub mod collections;
 pub mod drain;
 pub mod hash;
@@ -16,10 +18,16 @@
 pub mod job;
 pub mod lease;
 pub mod ledger;
+pub mod limits;
+pub mod member;
 pub mod permit;
 pub mod place;
+pub mod problem;
+pub mod publish;
 pub mod queue;
 pub mod report;
+pub mod request;
+pub mod retry;
 pub mod route;
 pub mod slots;
 pub mod time;
