--- a/crates/bench/src/adapter.rs
+++ b/crates/bench/src/adapter.rs
@@ -401,6 +401,9 @@
         .map(|name| (name.clone(), Live::Live))
         .collect();
     places.adopt(set, &live);
+    for name in set.endpoints.keys() {
+        places.link(name, Some(Incarnation(1)));
+    }
     places
 }
 
