Open a replica only when a load costs a quarter of the wait

Cause: a margin of 1.25 opened replicas of hot versions in short bursts; each took a slot from another version for longer than the queue that it relieved.

--- a/crates/decision/src/place/pick.rs
+++ b/crates/decision/src/place/pick.rs
@@ -22,9 +22,9 @@
 
 /// Homes without the version that one pick weighs at most.
 const MAX_OPENINGS: usize = 3;
-/// How much cheaper a load must be than waiting. Jitter alone must not start a second load of a
-/// version that is being loaded.
-const OPENING_MARGIN: f32 = 1.25;
+/// How much cheaper a load must be than waiting. A replica takes a slot from another version for
+/// longer than the queue that it relieves, and jitter alone must not start a second load.
+const OPENING_MARGIN: f32 = 4.0;
 /// Endpoints that one pick weighs for a target without a version.
 const MAX_SAMPLES: usize = 16;
 
