Compress buckets and share names between objects

Cause: every process keeps the buckets for its peers and decodes a set of 35 MB, with a budget of 64 MB per node, and each change costs a manifest and a bucket of a budget of 8 KB/s.

Digests cover the compressed bytes, so peers and the object store handle buckets as before. Objects that did not change keep their allocation across updates, and references share the text of the name they refer to.

--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod names;
 pub mod parse;
 pub mod resolve;
+mod share;
 pub mod snapshot;
 pub mod validate;
 
--- a/crates/objects/src/snapshot.rs
+++ b/crates/objects/src/snapshot.rs
@@ -2,13 +2,19 @@
 //!
 //! A snapshot is 256 buckets and a manifest. An object is in the bucket that the first byte of the
 //! SHA-256 of its kind and name selects. A bucket is a sequence of JSON lines, one object each, in
-//! the order of kind and name; an empty bucket has no bytes and is never stored.
+//! the order of kind and name, compressed with raw DEFLATE; an empty bucket has no bytes and is
+//! never stored.
+//!
+//! Processes keep the buckets in memory for their peers, so their size counts twice: in the memory
+//! of each process and in what each change costs to distribute.
 
 use std::fmt;
 use std::str::FromStr;
 
 use derive_more::Display;
 use derive_more::Error;
+use miniz_oxide::deflate::compress_to_vec;
+use miniz_oxide::inflate::decompress_to_vec_with_limit;
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Digest as _;
@@ -18,12 +24,17 @@
 use crate::ObjectSet;
 use crate::ident::Object;
 use crate::ident::ObjectKey;
+use crate::share::share_names;
 
 /// The number of buckets.
 pub const BUCKETS: usize = 256;
 
 const MAGIC: &[u8; 4] = b"dwm1";
 const PREFIX: &str = "sha256:";
+/// The compression level; higher ones take longer for the same size within a few percent.
+const LEVEL: u8 = 3;
+/// The limit of a bucket's uncompressed bytes.
+const BUCKET_MAX: usize = 64 << 20;
 const PUBLISHER_MAX: usize = 256;
 
 /// A SHA-256 digest, printed as `sha256:` and 64 hex digits.
@@ -112,6 +123,14 @@
     /// A changed bucket was not passed in.
     #[display("bucket {_0} is missing")]
     Missing(#[error(not(source))] usize),
+    /// A bucket cannot be decompressed.
+    #[display("bucket {bucket}: {message}")]
+    Compression {
+        /// The bucket.
+        bucket: usize,
+        /// What is wrong.
+        message: String,
+    },
     /// A line of a bucket is not an object.
     #[display("bucket {bucket}, line {line}: {message}")]
     Object {
@@ -271,6 +290,9 @@
         serde_json::to_writer(&mut *bucket, &object).expect("objects have a JSON form");
         bucket.push(b'\n');
     }
+    for bucket in buckets.iter_mut().filter(|bucket| !bucket.is_empty()) {
+        *bucket = compress_to_vec(bucket, LEVEL);
+    }
     buckets
 }
 
@@ -313,14 +335,29 @@
         check_digest(bytes.as_ref(), new.buckets[bucket])?;
         decode_bucket(bucket, bytes.as_ref(), &mut objects)?;
     }
+    keep_equal(set, &mut objects);
     let mut set = set.clone();
     remove_buckets(&mut set, &replaced);
+    let keys: Vec<_> = objects.iter().map(Object::key).collect();
     for object in objects {
         set.insert(object);
     }
+    share_names(&mut set, &keys);
     Ok(set)
 }
 
+/// Replaces the objects that did not change by those of `set`: most objects of a changed bucket are
+/// the same as before, and the sets then share them.
+fn keep_equal(set: &ObjectSet, objects: &mut [Object]) {
+    for object in objects {
+        if let Some(known) = set.get(&object.key())
+            && known == *object
+        {
+            *object = known;
+        }
+    }
+}
+
 fn remove_buckets(set: &mut ObjectSet, buckets: &[usize]) {
     let mut replaced = [false; BUCKETS];
     for bucket in buckets {
@@ -338,6 +375,12 @@
     bytes: &[u8],
     objects: &mut Vec<Object>,
 ) -> Result<(), SnapshotError> {
+    let bytes = decompress_to_vec_with_limit(bytes, BUCKET_MAX).map_err(|error| {
+        SnapshotError::Compression {
+            bucket,
+            message: error.to_string(),
+        }
+    })?;
     let lines = bytes.split(|byte| *byte == b'\n');
     for (index, line) in lines.enumerate().filter(|(_, line)| !line.is_empty()) {
         let fault = |message: String| SnapshotError::Object {
