--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -3,14 +3,15 @@
 
 mod caller;
 mod drive;
-mod sample;
-mod site;
+pub mod sample;
+pub mod site;
 mod verdict;
 
 use gumdrop::Options;
 
 use crate::demo::drive::Drive;
 use crate::demo::site::Site;
+use crate::demo::site::Speed;
 use crate::report::Exit;
 use crate::report::Report;
 
@@ -29,7 +30,7 @@
 
 /// Runs the demo; with `--requests` the last line is one JSON object.
 pub async fn run(args: &Args) -> Report {
-    let site = match Site::start().await {
+    let site = match Site::start(Speed::Lifelike).await {
         Ok(site) => site,
         Err(err) => return Report::error(Exit::Unreachable, err),
     };
--- a/crates/cli/src/demo/sample.rs
+++ b/crates/cli/src/demo/sample.rs
@@ -5,33 +5,33 @@
 use objects::ObjectSet;
 
 /// The API key of the sample workspace; its digest stands in the set.
-pub(crate) const API_KEY: &str = "demo-key";
+pub const API_KEY: &str = "demo-key";
 
 /// The number of sample adapters.
-pub(crate) const ADAPTERS: usize = 12;
+pub const ADAPTERS: usize = 12;
 
 /// The number of sample engines.
-pub(crate) const ENGINES: usize = 3;
+pub const ENGINES: usize = 3;
 
 /// The number of endpoints of the booking service.
-pub(crate) const BOOKERS: usize = 2;
+pub const BOOKERS: usize = 2;
 
 /// What differs between the sets that the demo publishes.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Edits {
+pub struct Edits {
     /// The adapter whose route leads to its second version.
-    pub(crate) upgraded: Option<usize>,
+    pub upgraded: Option<usize>,
     /// The engine that receives no new work.
-    pub(crate) drained: Option<usize>,
+    pub drained: Option<usize>,
 }
 
 /// Returns the served name of a version of adapter `number`.
-pub(crate) fn served(number: usize, version: u32) -> String {
+pub fn served(number: usize, version: u32) -> String {
     format!("care-{number}@v{version}")
 }
 
 /// Returns the TOML text of the sample set.
-pub(crate) fn toml(edits: Edits) -> String {
+pub fn toml(edits: Edits) -> String {
     let mut text = HEAD.to_owned();
     for number in 0..ADAPTERS {
         let version = if edits.upgraded == Some(number) { 2 } else { 1 };
@@ -61,7 +61,7 @@
 /// # Panics
 ///
 /// Panics if the sample does not pass validation.
-pub(crate) fn set(edits: Edits) -> ObjectSet {
+pub fn set(edits: Edits) -> ObjectSet {
     let text = toml(edits);
     let loaded = objects::load([("sample.toml", text.as_str())]);
     assert!(
--- a/crates/cli/src/demo/site.rs
+++ b/crates/cli/src/demo/site.rs
@@ -40,7 +40,7 @@
 /// A step of the demo failed.
 #[derive(Clone, Debug, Display, Error)]
 #[display("{step} failed: {message}")]
-pub(crate) struct SiteError {
+pub struct SiteError {
     step: &'static str,
     message: String,
 }
@@ -62,8 +62,49 @@
     weights: standins::Weights,
 }
 
+/// How fast the stand-ins are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Speed {
+    /// Loads, prefill and tokens take time, as in the field but shorter.
+    Lifelike,
+    /// Nothing takes time and nothing is recorded, to measure what the system adds.
+    Instant,
+}
+
+impl Speed {
+    fn weights(self) -> WeightsConfig {
+        match self {
+            Speed::Lifelike => WeightsConfig {
+                load: Duration::from_millis(100),
+                ..WeightsConfig::default()
+            },
+            Speed::Instant => WeightsConfig::instant(),
+        }
+    }
+
+    fn engine(self, weights: SocketAddr) -> EngineConfig {
+        let lifelike = self == Speed::Lifelike;
+        let ms = |ms| {
+            if lifelike {
+                Duration::from_millis(ms)
+            } else {
+                Duration::ZERO
+            }
+        };
+        EngineConfig {
+            slots: 4,
+            batch: 16,
+            step: ms(1),
+            prefill: ms(10),
+            weights: Some(weights),
+            records: lifelike,
+            ..EngineConfig::default()
+        }
+    }
+}
+
 /// A running site.
-pub(crate) struct Site {
+pub struct Site {
     platform: Platform,
     engines: Vec<standins::Engine>,
     service: standins::Service,
@@ -74,21 +115,21 @@
 
 impl Site {
     /// Starts everything and publishes the sample set.
-    pub(crate) async fn start() -> Result<Site, SiteError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not start or the site is not ready in time.
+    pub async fn start(speed: Speed) -> Result<Site, SiteError> {
         let platform = Platform {
             table: standins::Table::start().await,
             objects: standins::Objects::start().await,
             members: standins::Members::start(Duration::ZERO).await,
-            weights: standins::Weights::start(WeightsConfig {
-                load: Duration::from_millis(100),
-                ..WeightsConfig::default()
-            })
-            .await,
+            weights: standins::Weights::start(speed.weights()).await,
         };
         let mut engines = Vec::new();
         let mut agents = Vec::new();
         for number in 0..sample::ENGINES {
-            let engine = standins::Engine::start(engine_config(platform.weights.addr())).await;
+            let engine = standins::Engine::start(speed.engine(platform.weights.addr())).await;
             let name = format!("runner-{number}");
             agents.push(platform.start_agent(&name, number, engine.addr()).await?);
             engines.push(engine);
@@ -113,10 +154,17 @@
     }
 
     /// Returns the address for callers.
-    pub(crate) fn entry(&self) -> SocketAddr {
+    pub fn entry(&self) -> SocketAddr {
         self.entry.addr()
     }
 
+    /// Returns the address of the engine that has this version resident.
+    pub fn engine_with(&self, served: &str) -> Option<SocketAddr> {
+        let holds =
+            |engine: &&standins::Engine| engine.resident().iter().any(|name| name == served);
+        self.engines.iter().find(holds).map(standins::Engine::addr)
+    }
+
     /// Returns the addresses that the demo prints.
     pub(crate) fn addresses(&self) -> Vec<(String, SocketAddr)> {
         let mut list = vec![
@@ -191,7 +239,7 @@
     }
 
     /// Stops the entry, the agents and the stand-ins, in this order.
-    pub(crate) async fn stop(self) {
+    pub async fn stop(self) {
         self.entry.stop().await;
         for agent in &self.agents {
             agent.drain();
@@ -300,17 +348,6 @@
     }
 }
 
-fn engine_config(weights: SocketAddr) -> EngineConfig {
-    EngineConfig {
-        slots: 4,
-        batch: 16,
-        step: Duration::from_millis(1),
-        prefill: Duration::from_millis(10),
-        weights: Some(weights),
-        ..EngineConfig::default()
-    }
-}
-
 fn free_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
