End a stop without a drain at once

Cause: the watchers of queued jobs waited for ends that no longer came, so that a stop before the drain was over would not return, and the end of a running job started the next queued one. Before: by reading, an endless wait. After: a stop with 4 running and 2 queued jobs returns, and the engine has run 4.

--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -216,10 +216,11 @@
         self.tasks.wait().await;
     }
 
-    /// Breaks off what still runs, for a stop that does not wait.
+    /// Breaks off what still runs and drops what is queued, for a stop that does not wait.
     pub(crate) fn abort(&self) {
         for held in self.lock().jobs.values() {
             held.stop.cancel();
+            held.ended.cancel();
         }
     }
 
@@ -355,8 +356,9 @@
             run.relay(answer).await
         };
         tokio::select! {
-            finish = work => finish,
+            biased;
             () = held.stop.cancelled() => Finish::Broken(Failure::Truncated),
+            finish = work => finish,
         }
     }
 
--- a/crates/agent/tests/stop_agent.rs
+++ b/crates/agent/tests/stop_agent.rs
@@ -33,6 +33,23 @@
     assert!(platform.row::<LeaseRow>("lease/e1").released);
 }
 
+/// Guards against a stop without a drain that hangs on queued jobs or still starts them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn forced_stop_ends_at_once() {
+    let (platform, engine, agent) = Platform::with_engine(engine_config(5)).await;
+    let mut jobs = Vec::new();
+    for id in 0..6 {
+        jobs.push(
+            platform
+                .dispatch(&agent, &job(id, "a@1", true), 100_000)
+                .await,
+        );
+    }
+    eventually("the batch is full", || engine.running() == 4).await;
+    tokio::time::timeout(WAIT, agent.stop()).await.unwrap();
+    assert_eq!(engine.record().executions.len(), 4);
+}
+
 /// Guards against an agent of a leaving instance that goes on, and against a successor that takes
 /// its predecessor's entry in the lagging list for its own and stops.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
