--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -50,15 +50,7 @@
     ///
     /// Fails if an address cannot be bound or a thread cannot be started.
     pub async fn start(settings: Settings, outside: Outside) -> std::io::Result<Agent> {
-        let node = Node::start(NodeSettings {
-            name: settings.name.as_str().into(),
-            secret: settings.secret.clone(),
-            seeds: settings.seeds.clone(),
-            threads: settings.threads,
-            table: outside.table.clone(),
-            objects: outside.objects.clone(),
-            members: outside.members.clone(),
-        })?;
+        let node = start_node(&settings, &outside)?;
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let permits = Permits::new(
             node.me.name.clone(),
@@ -77,19 +69,8 @@
         let ops = start_ops(&settings, &shell, &node, metrics).await?;
         let server = start_server(&settings, &shell, &node).await?;
         let (stop, _) = watch::channel(false);
-        let mut tasks = JoinSet::new();
-        tasks.spawn(follow_config(
-            shell.clone(),
-            node.adopter.clone(),
-            stop.subscribe(),
-        ));
-        tasks.spawn(follow_members(
-            shell.clone(),
-            node.members.clone(),
-            Region::new(settings.name.clone(), settings.region.clone()),
-            stop.subscribe(),
-        ));
-        tasks.spawn(tick(shell.clone(), stop.subscribe()));
+        let region = Region::new(settings.name.clone(), settings.region.clone());
+        let tasks = start_loops(&shell, &node, region, &stop);
         info!(
             "agent of {} listens on {}", settings.name, server.addr(),
             kv: { incarnation = node.me.incarnation.to_string().as_str(), domain = settings.domain.as_str() }
@@ -143,6 +124,38 @@
     }
 }
 
+fn start_node(settings: &Settings, outside: &Outside) -> std::io::Result<Node> {
+    Node::start(NodeSettings {
+        name: settings.name.as_str().into(),
+        secret: settings.secret.clone(),
+        seeds: settings.seeds.clone(),
+        threads: settings.threads,
+        table: outside.table.clone(),
+        objects: outside.objects.clone(),
+        members: outside.members.clone(),
+    })
+}
+
+/// Starts the loops that feed the core with configurations, membership and time.
+fn start_loops(
+    shell: &Arc<Shell>,
+    node: &Node,
+    region: Region,
+    stop: &watch::Sender<bool>,
+) -> JoinSet<()> {
+    let (adopter, members) = (node.adopter.clone(), node.members.clone());
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow_config(shell.clone(), adopter, stop.subscribe()));
+    tasks.spawn(follow_members(
+        shell.clone(),
+        members,
+        region,
+        stop.subscribe(),
+    ));
+    tasks.spawn(tick(shell.clone(), stop.subscribe()));
+    tasks
+}
+
 async fn start_ops(
     settings: &Settings,
     shell: &Arc<Shell>,
--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -20,11 +20,14 @@
 use decision::collections::Map;
 use decision::drain::Reason;
 use decision::ids::Head;
+use decision::ids::Name;
 use decision::job::End;
 use decision::job::Failure;
 use decision::job::Job;
 use decision::job::Outcome;
+use decision::lease::LeaseCall;
 use decision::ledger::Key;
+use decision::permit::Ask;
 use decision::report::Report;
 use decision::time::Time;
 use edges::engine::LoadOrder;
@@ -244,27 +247,15 @@
     }
 
     fn perform(self: &Arc<Self>, inner: &mut Inner, action: Action) {
-        let outside = self.outside.clone();
         match action {
             // These answer a call and are taken up where the call is made.
             Action::Accept(_)
             | Action::Refuse { .. }
             | Action::Duplicate(..)
             | Action::Settled(..) => {}
-            Action::AskPermit(to, ask) => {
-                let version = ask.version.clone();
-                let reply = self.permits.ask(self.clock.now(), &to, ask);
-                self.call(async move {
-                    Event::Permit {
-                        version,
-                        from: to,
-                        reply: reply.await,
-                    }
-                });
-            }
+            Action::AskPermit(to, ask) => self.ask_permit(to, ask),
             Action::ReturnPermit(to, id) => {
-                let release = self.permits.release(self.clock.now(), &to, id);
-                self.spawn(release);
+                self.spawn(self.permits.release(self.clock.now(), &to, id));
             }
             Action::Load {
                 version,
@@ -277,35 +268,17 @@
                 digest,
                 fencing,
             }),
-            Action::Unload { version, fencing } => self.call(async move {
-                let result = outside.unload(&version, fencing).await;
-                Event::UnloadEnded(version, result)
-            }),
+            Action::Unload { version, fencing } => self.unload(version, fencing),
             Action::Submit(key) => self.submit(inner, key),
             Action::CancelEngine(key) => {
                 if let Some(held) = inner.jobs.get(&key) {
                     held.stop.cancel();
                 }
             }
-            Action::ReadResident(epoch) => {
-                let service = inner.service;
-                self.call(async move {
-                    let names = outside.resident(service).await;
-                    Event::Resident { epoch, names }
-                });
-            }
+            Action::ReadResident(epoch) => self.read_resident(epoch, inner.service),
             Action::End(ended) => self.end(inner, ended),
-            Action::WriteClaim { key, row, outcome } => {
-                let own = self.me.incarnation;
-                self.call(async move {
-                    claims::write_outcome(&outside, own, key, &row, outcome).await;
-                    Event::ClaimWritten(key)
-                });
-            }
-            Action::Lease(call) => {
-                let endpoint = self.me.name.clone();
-                self.call(async move { Event::Lease(outside.lease(&endpoint, call).await) });
-            }
+            Action::WriteClaim { key, row, outcome } => self.write_claim(key, row, outcome),
+            Action::Lease(call) => self.call_lease(call),
             Action::Log(line) => info!("{line}"),
             Action::Leave => {
                 self.leave.send_replace(true);
@@ -313,6 +286,49 @@
         }
     }
 
+    fn ask_permit(self: &Arc<Self>, to: Name, ask: Ask) {
+        let version = ask.version.clone();
+        let reply = self.permits.ask(self.clock.now(), &to, ask);
+        self.call(async move {
+            Event::Permit {
+                version,
+                from: to,
+                reply: reply.await,
+            }
+        });
+    }
+
+    fn unload(self: &Arc<Self>, version: Name, fencing: u64) {
+        let outside = self.outside.clone();
+        self.call(async move {
+            let result = outside.unload(&version, fencing).await;
+            Event::UnloadEnded(version, result)
+        });
+    }
+
+    fn read_resident(self: &Arc<Self>, epoch: u64, service: bool) {
+        let outside = self.outside.clone();
+        self.call(async move {
+            let names = outside.resident(service).await;
+            Event::Resident { epoch, names }
+        });
+    }
+
+    fn write_claim(self: &Arc<Self>, key: Key, row: String, outcome: Outcome) {
+        let outside = self.outside.clone();
+        let own = self.me.incarnation;
+        self.call(async move {
+            claims::write_outcome(&outside, own, key, &row, outcome).await;
+            Event::ClaimWritten(key)
+        });
+    }
+
+    fn call_lease(self: &Arc<Self>, call: LeaseCall) {
+        let outside = self.outside.clone();
+        let endpoint = self.me.name.clone();
+        self.call(async move { Event::Lease(outside.lease(&endpoint, call).await) });
+    }
+
     fn load(self: &Arc<Self>, order: LoadOrder) {
         let outside = self.outside.clone();
         let shell = self.clone();
