Repeat a refused unload only after a second

Cause: an engine that refused to unload was asked again as soon as it answered. Before: by reading, one try per answer. Conclusion: a stuck version is passed over as a victim for a second.

--- a/crates/decision/src/agent.rs
+++ b/crates/decision/src/agent.rs
@@ -96,6 +96,8 @@
     loads: Map<Name, Load>,
     trouble: Map<Name, Trouble>,
     closing: Option<Closing>,
+    /// Versions that the engine did not unload, and the time of the next try.
+    stuck: Map<Name, Time>,
     peers: Vec<Name>,
     alone: Time,
     reading: Reading,
@@ -128,6 +130,7 @@
             loads: Map::default(),
             trouble: Map::default(),
             closing: None,
+            stuck: Map::default(),
             peers: Vec::new(),
             alone: Time::default(),
             reading: Reading::default(),
@@ -195,6 +198,7 @@
     fn on_tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.ledger.prune(now);
         self.trouble.retain(|_, trouble| trouble.until > now);
+        self.stuck.retain(|_, until| *until > now);
         if self.is_model() {
             out.extend(self.lease.tick(now).map(Action::Lease));
         }
--- a/crates/decision/src/agent/loads.rs
+++ b/crates/decision/src/agent/loads.rs
@@ -302,7 +302,7 @@
             self.start_load(now, name, permit, token, out);
             return;
         }
-        let victim = self.slots.victim(now, |name| self.is_promised(name));
+        let victim = self.slots.victim(now, |name| self.is_kept(name));
         if let Some(victim) = victim
             && self.unload(now, &victim, token, out)
             && let Some(load) = self.loads.get_mut(name)
--- a/crates/decision/src/agent/room.rs
+++ b/crates/decision/src/agent/room.rs
@@ -1,5 +1,7 @@
 //! Finding slots: which versions may leave, and which have to.
 
+use std::time::Duration;
+
 use super::AgentCore;
 use super::CommandFault;
 use super::events::Action;
@@ -7,6 +9,10 @@
 use crate::ids::Name;
 use crate::time::Time;
 
+/// The time until a failed unload is tried again; without it an engine that refuses would be asked
+/// as fast as it answers.
+const UNLOAD_RETRY: Duration = Duration::from_secs(1);
+
 /// A version that has to leave for a job whose turn has come, although jobs still wait for it.
 ///
 /// Jobs of the version whose own turn has come by the barrier still run, so that versions in equal
@@ -37,6 +43,7 @@
         self.slots.end_unload(now, name, result.is_ok());
         if let Err(fault) = result {
             out.push(Action::Log(format!("unload of {name} failed: {fault:?}")));
+            self.stuck.insert(name.clone(), now.after(UNLOAD_RETRY));
             if fault == CommandFault::Fenced {
                 self.lease.fenced(now);
             }
@@ -46,8 +53,8 @@
     }
 
     pub(super) fn unload_leavers(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
-        let queue = &self.queue;
-        let leavers = self.slots.leavers(now, |name| queue.waiting(name) > 0);
+        let kept = |name: &Name| self.queue.waiting(name) > 0 || self.stuck.contains_key(name);
+        let leavers = self.slots.leavers(now, kept);
         for name in leavers {
             self.unload(now, &name, token, out);
         }
@@ -91,10 +98,15 @@
         self.slots
             .iter()
             .filter(|(name, _)| self.slots.is_resident(name))
-            .filter(|(name, _)| self.slots.pins(name) == 0 && !self.is_promised(name))
+            .filter(|(name, _)| self.slots.pins(name) == 0 && !self.is_kept(name))
             .count()
     }
 
+    /// Returns whether an unpinned version is not to be unloaded now.
+    pub(super) fn is_kept(&self, name: &Name) -> bool {
+        self.is_promised(name) || self.stuck.contains_key(name)
+    }
+
     /// Returns whether a queued job may rely on the version to stay.
     pub(super) fn is_promised(&self, name: &Name) -> bool {
         match &self.closing {
--- a/crates/decision/tests/agent_jobs.rs
+++ b/crates/decision/tests/agent_jobs.rs
@@ -178,6 +178,21 @@
     assert_eq!(world.returned.len(), 5, "each permit is returned");
 }
 
+/// Guards against asking an engine that refuses to unload as fast as it answers.
+#[test]
+fn refused_unload_is_repeated_slowly() {
+    let mut world = World::new(config(1, 4, 8));
+    world.dispatch(job(1, "a@1"));
+    world.run(ms(1_000));
+    world.keeping = true;
+    world.dispatch(job(2, "b@1"));
+    world.run(ms(5_000));
+    assert!(world.unloads.len() <= 6, "{} tries", world.unloads.len());
+    world.keeping = false;
+    world.run(ms(2_000));
+    assert_eq!(world.outcome(2), Some(Outcome::Ran));
+}
+
 /// Guards against a restarted engine: queued jobs stay and run after a new load, running ones are
 /// not called "not run".
 #[test]
--- a/crates/decision/tests/agent_random.rs
+++ b/crates/decision/tests/agent_random.rs
@@ -66,7 +66,10 @@
             world.failing.push(faults[number as usize % 3]);
         }
         12 => world.restart_engine(),
-        13 => world.engine_up = !number.is_multiple_of(4),
+        13 => {
+            world.engine_up = !number.is_multiple_of(4);
+            world.keeping = number.is_multiple_of(7);
+        }
         14 => world.table_up = !number.is_multiple_of(3),
         15 => world.permits = !number.is_multiple_of(3),
         16 if number.is_multiple_of(4) => {
@@ -118,6 +121,7 @@
 /// Guards against work that is lost or a stop that hangs once all faults are over.
 fn settle_down(world: &mut World) {
     world.engine_up = true;
+    world.keeping = false;
     world.table_up = true;
     world.permits = true;
     world.failing.clear();
--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -107,6 +107,8 @@
     /// Loads that still fail, and how.
     pub(crate) failing: Vec<CommandFault>,
     pub(crate) engine_up: bool,
+    /// Whether the engine refuses to unload.
+    pub(crate) keeping: bool,
     pub(crate) table_up: bool,
     pub(crate) ticking: bool,
     pub(crate) tick: Duration,
@@ -159,6 +161,7 @@
             write_time: ms(5),
             failing: Vec::new(),
             engine_up: true,
+            keeping: false,
             table_up: true,
             ticking: true,
             tick: ms(10),
@@ -352,9 +355,15 @@
     fn unload(&mut self, version: Name) {
         let used = self.running.values().any(|name| *name == version);
         assert!(!used, "pinned-adapter: {version} unloaded while in use");
-        self.resident.remove(&version);
         self.unloads.push(version.clone());
-        self.give_later(ms(2), Event::UnloadEnded(version, Ok(())));
+        let result = match self.keeping {
+            true => Err(CommandFault::Failed),
+            false => Ok(()),
+        };
+        if result.is_ok() {
+            self.resident.remove(&version);
+        }
+        self.give_later(ms(2), Event::UnloadEnded(version, result));
     }
 
     fn submit(&mut self, key: Key) {
