Bound the memory of bodies and split the weighing of homes

A body of unknown length was limited alone, so that many at once could take the entry's memory; all bodies in flight now share a limit, and what a body does not need is given back once it was read. Questions for a request count against the workspace's rate, as they may read the table. The digest of a body is computed once per request.

The tests of decision were not run again after the split of weigh_version, since the machine ran out of memory.

--- a/crates/decision/src/place/pick.rs
+++ b/crates/decision/src/place/pick.rs
@@ -161,9 +161,6 @@
     }
 
     /// Weighs where the version is, then the next homes in order while a load pays.
-    ///
-    /// A home after the next one is weighed only if the next one is so busy that its queue costs
-    /// more than the load; otherwise entries would open different replicas.
     fn weigh_version(
         &mut self,
         now: Time,
@@ -186,13 +183,28 @@
             }
             list.push(candidate);
         }
+        self.weigh_homes(now, rng, want, version, cheapest, list);
+    }
+
+    /// Weighs the homes that do not hold the version. `cheapest` is the lowest cost of those that
+    /// do, which are in the list.
+    ///
+    /// A home after the next one is weighed only if the next one is so busy that its queue costs
+    /// more than the load; otherwise entries would open different replicas.
+    fn weigh_homes(
+        &self,
+        now: Time,
+        rng: &mut fastrand::Rng,
+        want: &Want<'_>,
+        version: &Name,
+        mut cheapest: f32,
+        list: &mut Vec<Candidate>,
+    ) {
         let held = list.len();
         let mut openings = 0;
         for id in self.homes.cached(version) {
-            if list[..held]
-                .iter()
-                .any(|candidate| candidate.endpoint == *id)
-            {
+            let holds = |candidate: &Candidate| candidate.endpoint == *id;
+            if list[..held].iter().any(holds) {
                 continue;
             }
             let mut candidate = self.weigh(now, rng, want, *id, Has::Absent);
@@ -200,15 +212,15 @@
                 list.push(candidate);
                 continue;
             }
-            let pays = candidate.cost.total() * OPENING_MARGIN < cheapest;
+            let cost = candidate.cost;
+            let pays = cost.total() * OPENING_MARGIN < cheapest;
             if !pays {
                 candidate.verdict = Verdict::Gated;
             }
-            cheapest = cheapest.min(candidate.cost.total());
+            cheapest = cheapest.min(cost.total());
             list.push(candidate);
             openings += 1;
-            let busy = candidate.cost.queue > candidate.cost.load;
-            if !pays || !busy || openings == MAX_OPENINGS {
+            if !pays || cost.queue <= cost.load || openings == MAX_OPENINGS {
                 break;
             }
         }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -17,6 +17,7 @@
 use http_body_util::Limited;
 use hyper::Version;
 use serde_json::json;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 use viz::Request;
@@ -35,6 +36,7 @@
 use crate::outlet::Outlet;
 use crate::records::State;
 use crate::reply;
+use crate::shared::BODY_UNIT;
 use crate::shared::Shared;
 
 /// The timeout of a read of a claim row for a caller who asks for a request.
@@ -86,8 +88,8 @@
 
 async fn try_complete(shared: &Arc<Shared>, mut request: Request) -> Result<Response, Problem> {
     let caller = admit_caller(shared, &request)?;
-    let body = read_body(shared, &mut request).await?;
-    let prompt = Prompt::read(&body).map_err(|message| malformed(&message))?;
+    let Body { data, memory } = read_body(shared, &mut request).await?;
+    let prompt = Prompt::read(&data).map_err(|message| malformed(&message))?;
     let call = Call::new(shared, caller);
     let resolved = call.resolve(&prompt.model)?;
     if resolved.route.is_service() {
@@ -95,11 +97,11 @@
     }
     let served = resolved.choice.target.served().clone();
     let path = request.path().to_owned();
-    let mut arrival = call.arrival(resolved, path, &body);
+    let mut arrival = call.arrival(resolved, path, &data);
     arrival.stream = prompt.stream;
     arrival.prefix = prompt.prefix(&served);
-    let body = prompt.rename(&body, &served);
-    call.run(arrival, body).await
+    let data = prompt.rename(&data, &served);
+    call.run(arrival, Body { data, memory }).await
 }
 
 async fn call_service(shared: Arc<Shared>, request: Request) -> Response {
@@ -117,7 +119,7 @@
     if !resolved.route.is_service() {
         return Err(no_model());
     }
-    let arrival = call.arrival(resolved, path, &body);
+    let arrival = call.arrival(resolved, path, &body.data);
     call.run(arrival, body).await
 }
 
@@ -144,7 +146,9 @@
     let routes = tenant.routes.values().filter(|route| !route.is_service());
     let mut names: Vec<&str> = routes.map(|route| &*route.name).collect();
     names.sort_unstable();
-    let model = |name: &&str| json!({ "id": name, "object": "model", "created": 0, "owned_by": tenant.workspace.name });
+    let owner = &tenant.workspace.name;
+    let model =
+        |name: &&str| json!({ "id": name, "object": "model", "created": 0, "owned_by": owner });
     let data: Vec<_> = names.iter().map(model).collect();
     reply::json(200, json!({ "object": "list", "data": data }).to_string())
 }
@@ -156,6 +160,7 @@
 
 async fn try_show(shared: &Arc<Shared>, request: &Request) -> Result<Response, Problem> {
     let caller = admit_caller(shared, request)?;
+    let _admitted = shared.admit(&caller.workspace, Priority::Interactive)?;
     let id = request.path().rsplit('/').next().unwrap_or_default();
     let workspace = &caller.workspace.name;
     let record = shared.book().records.get(workspace, id).cloned();
@@ -201,17 +206,41 @@
     Caller::read(&shared.directory(), request.headers())
 }
 
-async fn read_body(shared: &Shared, request: &mut Request) -> Result<Bytes, Problem> {
+/// A body and the memory that is set aside for it.
+struct Body {
+    data: Bytes,
+    memory: OwnedSemaphorePermit,
+}
+
+/// Reads the body; one of unknown length counts as the largest.
+async fn read_body(shared: &Shared, request: &mut Request) -> Result<Body, Problem> {
+    let limit = shared.settings.body_bytes;
+    let too_large = || {
+        let message = format!("the body is larger than {limit} bytes");
+        Problem::not_run(Code::BodyTooLarge, message)
+    };
+    let length = request
+        .content_length()
+        .map_or(limit as u64, |length| length);
+    if length > limit as u64 {
+        return Err(too_large());
+    }
+    let units = (length as usize).div_ceil(BODY_UNIT) as u32;
+    let memory = shared.bodies.clone().try_acquire_many_owned(units);
+    let mut memory = memory.map_err(|_| {
+        let problem = Problem::not_run(Code::Overloaded, "too many bodies are in flight");
+        problem.retry_after(Duration::from_secs(1))
+    })?;
     let body = std::mem::take(request.body_mut());
-    let limited = Limited::new(body, shared.settings.body_bytes);
-    let collected = tokio::time::timeout(shared.settings.body_time(), limited.collect());
-    match collected.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            let limit = shared.settings.body_bytes;
-            let message = format!("the body is larger than {limit} bytes");
-            Err(Problem::not_run(Code::BodyTooLarge, message))
+    let collected = Limited::new(body, limit).collect();
+    match tokio::time::timeout(shared.settings.body_time(), collected).await {
+        Ok(Ok(body)) => {
+            let data = body.to_bytes();
+            let taken = data.len().div_ceil(BODY_UNIT);
+            drop(memory.split((units as usize).saturating_sub(taken)));
+            Ok(Body { data, memory })
         }
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(err)) => Err(malformed(&format!("the body broke off: {err}"))),
         Err(_) => Err(malformed("the body did not arrive in time")),
     }
@@ -293,7 +322,7 @@
         }
     }
 
-    async fn run(&self, arrival: Arrival, body: Bytes) -> Result<Response, Problem> {
+    async fn run(&self, arrival: Arrival, body: Body) -> Result<Response, Problem> {
         let admitted = self
             .shared
             .admit(&self.caller.workspace, arrival.priority)?;
@@ -302,7 +331,8 @@
         let guard = gone.clone().drop_guard();
         let start = Start {
             arrival,
-            body,
+            body: body.data,
+            memory: body.memory,
             outlet,
             gone,
             id: self.id.clone(),
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -1,6 +1,7 @@
 //! Carries out the steps of one request.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use decision::time::Time;
 use process::clock::unix_ms;
 use spdlog::warn;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::sync::CancellationToken;
 use wire::Dispatched;
 
@@ -38,6 +40,8 @@
 pub(crate) struct Start {
     pub(crate) arrival: Arrival,
     pub(crate) body: Bytes,
+    /// The memory that the body takes.
+    pub(crate) memory: OwnedSemaphorePermit,
     pub(crate) outlet: Outlet,
     /// Cancelled once the caller is gone.
     pub(crate) gone: CancellationToken,
@@ -60,6 +64,9 @@
     pub(crate) flight: Option<Dispatched>,
     pub(crate) admitted: Option<Admitted>,
     pub(crate) body: Bytes,
+    /// The digest of the body, once it was asked for.
+    pub(crate) asked: OnceLock<String>,
+    _memory: OwnedSemaphorePermit,
     /// The start of the present attempt, in milliseconds since the Unix epoch.
     pub(crate) started: u64,
     /// Whether an attempt was recorded for the audit, or will be.
@@ -94,6 +101,8 @@
             flight: None,
             admitted: Some(start.admitted),
             body: start.body,
+            asked: OnceLock::new(),
+            _memory: start.memory,
             started: unix_ms(),
             recorded: false,
             open: false,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -68,6 +68,8 @@
     pub inflight: u32,
     /// The size of a body, in bytes.
     pub body_bytes: usize,
+    /// The size of all bodies in flight together, in bytes.
+    pub bodies_bytes: usize,
     /// The size of an answer that is not a stream, in bytes.
     pub answer_bytes: usize,
     /// The size of the headers of a request, in bytes.
@@ -89,6 +91,7 @@
             connections: 4_096,
             inflight: 4_096,
             body_bytes: 4 << 20,
+            bodies_bytes: 256 << 20,
             answer_bytes: 16 << 20,
             header_bytes: 32 << 10,
             header_ms: 10_000,
@@ -115,6 +118,11 @@
             ("limits.connections", self.connections as u64, 1),
             ("limits.inflight", self.inflight.into(), 1),
             ("limits.body_bytes", self.body_bytes as u64, 1),
+            (
+                "limits.bodies_bytes",
+                self.bodies_bytes as u64,
+                self.body_bytes as u64,
+            ),
             ("limits.answer_bytes", self.answer_bytes as u64, 1),
             // Hyper needs a buffer of this size at least.
             ("limits.header_bytes", self.header_bytes.into(), 8_192),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -35,6 +35,7 @@
 use process::Adopter;
 use process::Clock;
 use process::Node;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -52,6 +53,9 @@
 /// The time after which a retry makes sense when a workspace has too much in flight.
 const INFLIGHT_AFTER: Duration = Duration::from_secs(1);
 
+/// The unit in which memory for bodies is counted, in bytes.
+pub(crate) const BODY_UNIT: usize = 1 << 10;
+
 /// The configuration in force, prepared for lookups.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
@@ -101,6 +105,8 @@
     pub(crate) committer: Committer,
     pub(crate) metrics: Metrics,
     pub(crate) audit: audit::Log,
+    /// The memory for bodies, in units of [`BODY_UNIT`].
+    pub(crate) bodies: Arc<Semaphore>,
     pub(crate) tasks: TaskTracker,
     /// Cancelled once the entry begins to stop.
     pub(crate) stopping: CancellationToken,
@@ -143,6 +149,9 @@
             committer,
             metrics,
             audit: audit::Log::new(audit::Settings::new(&settings.name, node.me.incarnation)),
+            bodies: Arc::new(Semaphore::new(
+                settings.limits.bodies_bytes.div_ceil(BODY_UNIT),
+            )),
             tasks: TaskTracker::new(),
             stopping: CancellationToken::new(),
             directory: RwLock::default(),
--- a/crates/entry/src/trail.rs
+++ b/crates/entry/src/trail.rs
@@ -63,6 +63,7 @@
 
     fn attempt_record(&self, outcome: Outcome) -> AttemptRecord {
         let resolved = &self.request.arrival().resolved;
+        let asked = self.asked.get_or_init(|| audit::digest(&self.body));
         AttemptRecord {
             request: self.request.request(),
             attempt: self.request.attempt(),
@@ -77,7 +78,7 @@
             outcome,
             start: self.started,
             end: unix_ms(),
-            asked: audit::digest(&self.body),
+            asked: asked.clone(),
             answered: None,
         }
     }
--- a/crates/entry/tests/http_limits.rs
+++ b/crates/entry/tests/http_limits.rs
@@ -44,6 +44,34 @@
     rig.stop().await;
 }
 
+/// Guards against many bodies that take the entry's memory together, and against memory that is not
+/// given back.
+#[tokio::test]
+async fn bodies_share_a_limit() {
+    let limits = EntryLimits {
+        body_bytes: 2_000,
+        bodies_bytes: 2_000,
+        ..rig::limits()
+    };
+    let rig = Rig::start_with(1, limits).await;
+    rig.script(&Script::Held("{}", ""));
+    let large = format!(r#"{{"model":"rooms","x":"{}"}}"#, "x".repeat(1_500));
+    let second = async {
+        while rig.runs() < 1 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let reply = rig.chat(&large).await;
+        rig.agent("e0").proceed();
+        reply
+    };
+    let (first, second) = futures::future::join(rig.chat(&large), second).await;
+    assert_eq!(first.status, 200);
+    assert_eq!(second.error(), error(503, "overloaded", "no"));
+    rig.script(&Script::Echo);
+    assert_eq!(rig.chat(&large).await.status, 200);
+    rig.stop().await;
+}
+
 /// Guards against callers that hold connections open with unfinished requests.
 #[tokio::test]
 async fn slow_callers_are_cut() {
