--- a/crates/bench/src/adapter.rs
+++ b/crates/bench/src/adapter.rs
@@ -72,6 +72,8 @@
     coordinators: Vec<Coordinator>,
     picks: Map<usize, Pick>,
     attempts: Vec<u32>,
+    /// With plain health, the endpoints that each entry takes as down until their next report.
+    down: Option<Vec<Set<usize>>>,
     rng: Rng,
 }
 
@@ -109,6 +111,7 @@
                 .collect(),
             picks: Map::default(),
             attempts: Vec::new(),
+            down: None,
             rng: Rng::with_seed(seed),
             versions,
             names,
@@ -126,6 +129,13 @@
         this
     }
 
+    /// Replaces the circuit breakers: an endpoint counts as down after a failure until its next
+    /// report.
+    pub fn with_plain_health(mut self) -> Self {
+        self.down = Some(vec![Set::default(); self.entries.len()]);
+        self
+    }
+
     /// Gives an agent one event, and those that follow from its actions.
     fn handle(&mut self, now: Time, endpoint: usize, event: Event, out: &mut Actions) {
         let mut events = VecDeque::from([event]);
@@ -206,8 +216,10 @@
 impl Policy for Adapter {
     fn pick(&mut self, now: Clock, id: usize, request: &Request, tried: &[usize]) -> Option<usize> {
         let places = &mut self.entries[request.entry];
+        let down = self.down.as_ref().map(|down| &down[request.entry]);
         let tried: Vec<EndpointId> = tried
             .iter()
+            .chain(down.into_iter().flatten())
             .filter_map(|&endpoint| places.find(&self.names[endpoint]))
             .collect();
         let want = Want {
@@ -224,13 +236,16 @@
         Some(endpoint)
     }
 
-    fn learn(&mut self, now: Clock, entry: usize, _endpoint: usize, report: &dyn Any) {
+    fn learn(&mut self, now: Clock, entry: usize, endpoint: usize, report: &dyn Any) {
         if let Some(report) = report.downcast_ref::<LoadReport>() {
             self.entries[entry].report(time(now), report);
+            if let Some(down) = &mut self.down {
+                down[entry].remove(&endpoint);
+            }
         }
     }
 
-    fn outcome(&mut self, now: Clock, entry: usize, _endpoint: usize, id: usize, end: End) {
+    fn outcome(&mut self, now: Clock, entry: usize, endpoint: usize, id: usize, end: End) {
         let Some(pick) = self.picks.remove(&id) else {
             return;
         };
@@ -239,6 +254,13 @@
             End::Failed | End::Refused(Refusal::Down) => PlaceEnd::Failed,
             End::Refused(Refusal::Deadline | Refusal::Busy) => PlaceEnd::Neutral,
         };
+        let end = match &mut self.down {
+            Some(down) if matches!(end, PlaceEnd::Failed) => {
+                down[entry].insert(endpoint);
+                PlaceEnd::Neutral
+            }
+            _ => end,
+        };
         self.entries[entry].finish(time(now), &mut self.rng, &pick, end);
     }
 
--- a/crates/bench/src/bound.rs
+++ b/crates/bench/src/bound.rs
@@ -6,6 +6,7 @@
 //! at least for what is left of such a load. Sequences run without queueing, packed into as few
 //! engines as hold them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -40,9 +41,19 @@
     pub loads: usize,
 }
 
+/// Which adapter leaves the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// The one whose next use is last: no policy can do better.
+    NextUse,
+    /// The one whose last use is first: what pooling alone gives to a policy that does not know
+    /// the future.
+    LastUse,
+}
+
 /// Returns the bound for the work of one run.
-pub fn bound(site: &Site, work: &Work) -> Bound {
-    let (stalls, loads) = stalls(site, work);
+pub fn bound(site: &Site, work: &Work, rule: Rule) -> Bound {
+    let (stalls, loads) = stalls(site, work, rule);
     let first: Vec<f64> = work
         .requests
         .iter()
@@ -70,7 +81,7 @@
 }
 
 /// Returns the stall of each request in milliseconds, and the number of loads.
-fn stalls(site: &Site, work: &Work) -> (Vec<f64>, usize) {
+fn stalls(site: &Site, work: &Work, rule: Rule) -> (Vec<f64>, usize) {
     let load = store::unloaded(site);
     let next = next_uses(work);
     let mut pool = Pool {
@@ -80,13 +91,17 @@
     let mut loads = 0;
     let mut stalls = Vec::with_capacity(work.requests.len());
     for (index, request) in work.requests.iter().enumerate() {
-        let ready = pool.ready.get(&request.adapter).copied();
+        let ready = pool.ready.get(&request.adapter).map(|&(ready, _)| ready);
         let ready = ready.unwrap_or_else(|| {
             loads += 1;
             request.at.after(load)
         });
         stalls.push(ready.since(request.at).as_secs_f64() * 1e3);
-        pool.keep(request.adapter, index, next[index], ready);
+        let worth = match rule {
+            Rule::NextUse => Reverse(next[index]),
+            Rule::LastUse => Reverse(usize::MAX - index),
+        };
+        pool.keep(request.adapter, worth, ready);
     }
     (stalls, loads)
 }
@@ -107,20 +122,21 @@
 #[derive(Default)]
 struct Pool {
     capacity: usize,
-    /// When each kept adapter is or was resident.
-    ready: Map<u32, Time>,
-    /// Kept adapters by next use.
-    uses: BTreeSet<(usize, u32)>,
+    /// When each kept adapter is or was resident, and its worth.
+    ready: Map<u32, (Time, Reverse<usize>)>,
+    /// Kept adapters by worth.
+    worth: BTreeSet<(Reverse<usize>, u32)>,
 }
 
 impl Pool {
-    /// Keeps an adapter used at `index`, or the others, whichever are used sooner.
-    fn keep(&mut self, adapter: u32, index: usize, next: usize, ready: Time) {
-        self.uses.remove(&(index, adapter));
-        self.uses.insert((next, adapter));
-        self.ready.insert(adapter, ready);
+    /// Keeps an adapter that was used, and drops the one that is worth least, which may be itself.
+    fn keep(&mut self, adapter: u32, worth: Reverse<usize>, ready: Time) {
+        if let Some((_, old)) = self.ready.insert(adapter, (ready, worth)) {
+            self.worth.remove(&(old, adapter));
+        }
+        self.worth.insert((worth, adapter));
         if self.ready.len() > self.capacity
-            && let Some((_, victim)) = self.uses.pop_last()
+            && let Some((_, victim)) = self.worth.pop_first()
         {
             self.ready.remove(&victim);
         }
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -9,6 +9,7 @@
 use crate::arrivals;
 use crate::baseline::Baseline;
 use crate::baseline::Pick;
+use crate::bound::Rule;
 use crate::bound::bound;
 use crate::frozen::First;
 use crate::ours::Ours;
@@ -122,8 +123,18 @@
             policies.insert(*name, value(&figures)?);
         }
     }
+    if only
+        .as_ref()
+        .is_some_and(|names| names.contains(&PLAIN_HEALTH))
+    {
+        let mut policy = Ours::new(&site, args.seed).with_plain_health();
+        policies.insert(PLAIN_HEALTH, value(&run(&site, &work, fault, &mut policy))?);
+    }
     if chosen("bound") {
-        policies.insert("bound", value(&bound(&site, &work))?);
+        policies.insert("bound", value(&bound(&site, &work, Rule::NextUse))?);
+    }
+    if chosen("pooled_lru") {
+        policies.insert("pooled_lru", value(&bound(&site, &work, Rule::LastUse))?);
     }
     Ok(Output {
         site: site.name,
@@ -133,6 +144,9 @@
     })
 }
 
+/// A variant that runs only when `--only` names it.
+const PLAIN_HEALTH: &str = "plain_health";
+
 type Make = fn(&Site, u64) -> Box<dyn Policy>;
 
 const POLICIES: &[(&str, Make)] = &[
