--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -45,8 +45,9 @@
 use crate::permits::Permits;
 use crate::run::Run;
 
-/// The time that the entry has to take the end of an attempt over.
-const END_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time that the entry has to take the end of an attempt over. A lost connection ends the wait
+/// at once; a slow caller must not lose the last part of its answer when the agent stops.
+const END_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// An accepted job with what is needed to run it.
 #[derive(Clone)]
@@ -215,10 +216,11 @@
         self.tasks.wait().await;
     }
 
-    /// Breaks off what still runs, for a stop that does not wait.
+    /// Breaks off what still runs and drops what is queued, for a stop that does not wait.
     pub(crate) fn abort(&self) {
         for held in self.lock().jobs.values() {
             held.stop.cancel();
+            held.ended.cancel();
         }
     }
 
@@ -354,8 +356,9 @@
             run.relay(answer).await
         };
         tokio::select! {
-            finish = work => finish,
+            biased;
             () = held.stop.cancelled() => Finish::Broken(Failure::Truncated),
+            finish = work => finish,
         }
     }
 
--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -189,6 +189,20 @@
         self.decode(step, &reply)
     }
 
+    /// Does as [`Client::fetch`], with nothing in place of what the peer does not have.
+    pub async fn find<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        limit: usize,
+        timeout: Duration,
+    ) -> EdgeResult<Option<T>> {
+        match self.fetch(call, limit, timeout).await {
+            Ok(found) => Ok(Some(found)),
+            Err(e) if e.fault == Fault::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Sends a request whose successful response has no content of interest.
     pub async fn order(&self, call: Call, limit: usize, timeout: Duration) -> EdgeResult<()> {
         let step = call.step;
@@ -236,12 +250,12 @@
         })
     }
 
-    /// Reads the body of an answer that is an error, at most `limit` bytes, and returns its fault.
-    pub async fn refusal(&self, answer: Answer, limit: usize, timeout: Duration) -> Fault {
+    /// Reads the body of an answer that is an error, at most `limit` bytes and until
+    /// `deadline`, and returns its fault.
+    pub async fn refusal(&self, answer: Answer, limit: usize, deadline: Instant) -> Fault {
         let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut text = Vec::new();
         let mut body = answer.body;
-        let deadline = Instant::now() + timeout;
         // The status alone decides what the answer means, so a body that breaks off is no error.
         while let Ok(Some(Ok(piece))) = timeout_at(deadline, body.next()).await {
             text.extend_from_slice(&piece);
--- a/crates/edges/tests/error_kinds.rs
+++ b/crates/edges/tests/error_kinds.rs
@@ -3,23 +3,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use decision::ids::Priority;
 use edges::Fault;
-use edges::engine::Submission;
+use edges::engine::Engine as _;
+use edges::engine::HttpEngine;
 use edges::service::HttpService;
 use edges::service::Service as _;
 use edges::store::HttpObjects;
 use edges::store::ObjectStore as _;
 use edges::table::Commit;
-use edges::table::Condition;
 use edges::table::HttpTable;
 use edges::table::Table as _;
-use edges::table::Transaction;
-use edges::table::Write;
 use standins::Objects;
 use standins::Service;
 use standins::Table;
+use standins::calls::booking;
+use standins::calls::insert;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -27,28 +25,6 @@
 const LONG: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(100);
 
-fn put(key: &str, value: &str) -> Transaction {
-    Transaction {
-        conditions: vec![Condition {
-            key: key.into(),
-            version: 0,
-        }],
-        writes: vec![Write {
-            key: key.into(),
-            value: Some(value.to_owned().into()),
-        }],
-    }
-}
-
-fn booking(request: &str) -> Submission {
-    Submission {
-        path: "/book".into(),
-        body: Bytes::from_static(b"{}"),
-        priority: Priority::Booking,
-        request: request.into(),
-    }
-}
-
 /// Answers one request with fixed bytes, then closes the connection.
 async fn raw_peer(answer: &'static [u8]) -> (SocketAddr, tokio::task::JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -123,7 +99,7 @@
     let table = Table::start().await;
     let client = HttpTable::new(table.addr());
     table.switches().lose_responses(1);
-    let error = client.commit(put("k", "v"), LONG).await.unwrap_err();
+    let error = client.commit(insert("k", "v"), LONG).await.unwrap_err();
     assert_eq!(error.fault, Fault::NoAnswer);
     assert!(!error.is_harmless());
     let row = client.get("k", LONG).await.unwrap().unwrap();
@@ -137,11 +113,11 @@
     let table = Table::start().await;
     let client = HttpTable::new(table.addr());
     table.switches().lose_requests(1);
-    let error = client.commit(put("k", "v"), LONG).await.unwrap_err();
+    let error = client.commit(insert("k", "v"), LONG).await.unwrap_err();
     assert_eq!(error.fault, Fault::NoAnswer);
     assert_eq!(client.get("k", LONG).await.unwrap(), None);
     assert_eq!(
-        client.commit(put("k", "v"), LONG).await.unwrap(),
+        client.commit(insert("k", "v"), LONG).await.unwrap(),
         Commit::Done(vec![1])
     );
     table.stop().await;
@@ -182,7 +158,7 @@
     table.switches().set_outage(true);
     service.switches().set_outage(true);
     let error = HttpTable::new(table.addr())
-        .commit(put("k", "v"), LONG)
+        .commit(insert("k", "v"), LONG)
         .await
         .unwrap_err();
     assert_eq!(error.fault, Fault::Unavailable);
@@ -233,12 +209,45 @@
     task.await.unwrap();
 }
 
+/// Guards against the same when the answer does not declare its size.
+#[tokio::test]
+async fn oversized_chunk() {
+    let body = "x".repeat(0x12000);
+    let answer =
+        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n12000\r\n{body}\r\n");
+    let (addr, task) = raw_peer(answer.leak().as_bytes()).await;
+    let error = HttpObjects::new(addr).put("k", "v".into(), LONG).await;
+    assert!(matches!(error.unwrap_err().fault, Fault::Malformed(_)));
+    task.abort();
+}
+
+/// Guards against a call that outlives its timeout because the body of a refusal never comes.
+#[tokio::test]
+async fn hanging_refusal() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpEngine::new(listener.local_addr().unwrap());
+    let submit = client.submit(booking("a"), SHORT);
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let head = b"HTTP/1.1 404 Not Found\r\ncontent-length: 9\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        tokio::time::sleep(LONG).await;
+    };
+    let started = std::time::Instant::now();
+    let error = tokio::select! {
+        answer = submit => answer.err().unwrap(),
+        () = peer => panic!("the call outlives its timeout"),
+    };
+    assert_eq!(error.fault, Fault::NotFound);
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
 /// Guards against a server error other than 503 taken as proof that nothing happened.
 #[tokio::test]
 async fn server_error() {
     let (addr, task) = raw_peer(b"HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\noops").await;
     let error = HttpTable::new(addr)
-        .commit(put("k", "v"), LONG)
+        .commit(insert("k", "v"), LONG)
         .await
         .unwrap_err();
     assert!(!error.is_harmless(), "{error}");
