--- a/crates/bench/benches/pick.rs
+++ b/crates/bench/benches/pick.rs
@@ -136,12 +136,7 @@
     fn new(endpoints: usize, adapters: usize) -> Self {
         let set = build_set(endpoints, adapters);
         let mut places = Places::new("r".into(), "d0".into(), Tuning::default());
-        let live: Map<Name, Live> = set
-            .endpoints
-            .keys()
-            .map(|name| (name.clone(), Live::Live))
-            .collect();
-        places.adopt(&set, &live);
+        places.adopt(&set, &all_live(&set));
         let mut fixture = Fixture {
             table: RouteTable::build(Head::default(), &set),
             places,
@@ -238,26 +233,37 @@
     group.finish();
 }
 
-/// The first pick of a version after the membership changed, which ranks its homes anew.
+/// The ranking of a version's homes, which its first pick after a change of membership does.
 fn bench_rank(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("rank");
     group.sample_size(30);
     group.warm_up_time(Duration::from_millis(500));
     group.measurement_time(Duration::from_secs(1));
     for endpoints in [14, 120, 1_200] {
-        let mut fixture = Fixture::new(endpoints, 1);
+        let set = build_set(endpoints, 1);
+        let live = all_live(&set);
+        let mut places = Places::new("r".into(), "d0".into(), Tuning::default());
         let pool = decision::route::Pool::Model("m".into());
-        let mut index = 0_u32;
+        let versions: Vec<Name> = (0..4_096).map(|index| format!("{index}").into()).collect();
+        let mut index = 0;
         group.bench_function(BenchmarkId::from_parameter(endpoints), |bencher| {
             bencher.iter(|| {
-                index = (index + 1) % 50_000;
-                let version: Name = format!("{index}").into();
-                fixture.places.homes(&pool, &version)
+                index = (index + 1) % versions.len();
+                if index == 0 {
+                    // Forgets the homes of these versions, which the set does not declare.
+                    places.adopt(&set, &live);
+                }
+                places.homes(&pool, &versions[index])
             });
         });
     }
     group.finish();
 }
 
+fn all_live(set: &ObjectSet) -> Map<Name, Live> {
+    let names = set.endpoints.keys();
+    names.map(|name| (name.clone(), Live::Live)).collect()
+}
+
 criterion_group!(benches, bench_pick, bench_rank);
 criterion_main!(benches);
