Record attempts and commands in the agent's audit chain

Cause: only the entry recorded attempts, and no process recorded the commands to engines. Conclusion: the agent closes its log after its jobs and its server, and shows it in the dump. A settle that refuses an attempt never seen has no job and is not recorded; a stored answer's digest is recorded by the entry alone.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -17,7 +17,9 @@
 use prometheus::core::Desc;
 use prometheus::proto::MetricFamily;
 use spdlog::info;
+use spdlog::warn;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use wire::Server;
@@ -41,6 +43,8 @@
     ops: Ops,
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
+    /// The writer of the audit log, which outlives the other tasks.
+    writer: JoinHandle<()>,
 }
 
 impl Agent {
@@ -67,6 +71,7 @@
             node.links.clone(),
             node.members.clone(),
         );
+        let store = outside.objects.clone();
         let shell = Shell::new(
             node.me.clone(),
             node.clock,
@@ -90,6 +95,8 @@
             stop.subscribe(),
         ));
         tasks.spawn(tick(shell.clone(), stop.subscribe()));
+        let log = shell.audit().clone();
+        let writer = tokio::spawn(async move { log.run(store).await });
         info!(
             "agent of {} listens on {}", settings.name, server.addr(),
             kv: { incarnation = node.me.incarnation.to_string().as_str(), domain = settings.domain.as_str() }
@@ -101,6 +108,7 @@
             ops,
             stop,
             tasks,
+            writer,
         })
     }
 
@@ -136,6 +144,10 @@
         self.shell.abort();
         self.shell.join().await;
         self.server.stop().await;
+        if let Err(err) = self.shell.audit().close().await {
+            warn!("{err}");
+        }
+        let _ = self.writer.await;
         self.ops.stop().await;
         // The connections to peers end only when nothing else refers to them.
         drop(self.shell);
@@ -249,9 +261,15 @@
 fn dumper(shell: Arc<Shell>, adopter: Arc<Adopter>) -> Box<dyn Fn() -> String + Send + Sync> {
     Box::new(move || {
         let (asks, grants) = shell.permits().counts();
+        let audit = shell.audit().state();
         let state = serde_json::json!({
             "head": adopter.config().borrow().head,
             "agent": shell.dump(),
+            "audit": {
+                "waiting": audit.waiting,
+                "lost": audit.lost,
+                "written": audit.written.to_string(),
+            },
             "coordinator": { "queued_asks": asks, "outstanding_grants": grants },
         });
         state.to_string()
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod outside;
 mod permits;
+mod records;
 mod region;
 mod run;
 pub mod settings;
--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use audit::CommandKind;
 use bytes::Bytes;
 use decision::agent::Action;
 use decision::agent::AgentConfig;
@@ -20,6 +21,7 @@
 use decision::collections::Map;
 use decision::drain::Reason;
 use decision::ids::Head;
+use decision::ids::Name;
 use decision::job::End;
 use decision::job::Failure;
 use decision::job::Job;
@@ -31,6 +33,7 @@
 use objects::Backend;
 use objects::ObjectSet;
 use process::Clock;
+use process::clock::unix_ms;
 use spdlog::info;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -43,6 +46,7 @@
 use crate::metrics::Metrics;
 use crate::outside::Outside;
 use crate::permits::Permits;
+use crate::records::Sent;
 use crate::run::Run;
 
 /// The time that the entry has to take the end of an attempt over. A lost connection ends the wait
@@ -56,6 +60,8 @@
     body: Bytes,
     sink: AnswerSink,
     arrived: Time,
+    /// The arrival in milliseconds since the Unix epoch, for the audit.
+    start: u64,
     /// Cancelled when the engine is to stop working on the job.
     stop: CancellationToken,
     /// Cancelled when the job has ended.
@@ -67,6 +73,8 @@
     rng: fastrand::Rng,
     jobs: Map<Key, Held>,
     service: bool,
+    /// The configuration in force.
+    head: Head,
 }
 
 /// One agent's state and its I/O.
@@ -76,6 +84,7 @@
     outside: Outside,
     permits: Permits,
     metrics: Metrics,
+    audit: audit::Log,
     // The only lock of this module; it is never held across an await.
     inner: Mutex<Inner>,
     runtime: Handle,
@@ -97,13 +106,16 @@
             rng: fastrand::Rng::with_seed(me.incarnation.0),
             jobs: Map::default(),
             service: false,
+            head: Head::default(),
         };
+        let audit = audit::Log::new(audit::Settings::new(&me.name, me.incarnation));
         Arc::new(Shell {
             me,
             clock,
             outside,
             permits,
             metrics,
+            audit,
             inner: Mutex::new(inner),
             runtime: Handle::current(),
             tasks: TaskTracker::new(),
@@ -129,6 +141,7 @@
             body,
             sink,
             arrived: now,
+            start: unix_ms(),
             stop: CancellationToken::new(),
             ended: CancellationToken::new(),
         });
@@ -176,7 +189,11 @@
             }
             return;
         };
-        self.lock().service = matches!(config.backend, Backend::Service(_));
+        {
+            let mut inner = self.lock();
+            inner.service = matches!(config.backend, Backend::Service(_));
+            inner.head = head.clone();
+        }
         self.event(Event::Config(Box::new(config)));
     }
 
@@ -204,6 +221,16 @@
         &self.permits
     }
 
+    /// Returns the audit log.
+    pub(crate) fn audit(&self) -> &audit::Log {
+        &self.audit
+    }
+
+    /// Returns the name of the endpoint.
+    pub(crate) fn endpoint(&self) -> &Name {
+        &self.me.name
+    }
+
     /// Waits until all work is done and the lease is released.
     pub(crate) async fn left(&self) {
         let mut leave = self.leave.subscribe();
@@ -270,16 +297,39 @@
                 weights,
                 digest,
                 fencing,
-            } => self.load(LoadOrder {
-                name: version,
-                weights,
-                digest,
-                fencing,
-            }),
-            Action::Unload { version, fencing } => self.call(async move {
-                let result = outside.unload(&version, fencing).await;
-                Event::UnloadEnded(version, result)
-            }),
+            } => {
+                let sent = Sent {
+                    kind: CommandKind::Load,
+                    version: version.clone(),
+                    weights: Some(digest.clone()),
+                    token: fencing,
+                    head: inner.head.clone(),
+                    start: unix_ms(),
+                };
+                let order = LoadOrder {
+                    name: version,
+                    weights,
+                    digest,
+                    fencing,
+                };
+                self.load(order, sent);
+            }
+            Action::Unload { version, fencing } => {
+                let sent = Sent {
+                    kind: CommandKind::Unload,
+                    version: version.clone(),
+                    weights: None,
+                    token: fencing,
+                    head: inner.head.clone(),
+                    start: unix_ms(),
+                };
+                let shell = self.clone();
+                self.call(async move {
+                    let result = outside.unload(&version, fencing).await;
+                    shell.record_command(sent, result);
+                    Event::UnloadEnded(version, result)
+                });
+            }
             Action::Submit(key) => self.submit(inner, key),
             Action::CancelEngine(key) => {
                 if let Some(held) = inner.jobs.get(&key) {
@@ -312,7 +362,7 @@
         }
     }
 
-    fn load(self: &Arc<Self>, order: LoadOrder) {
+    fn load(self: &Arc<Self>, order: LoadOrder, sent: Sent) {
         let outside = self.outside.clone();
         let shell = self.clone();
         let started = self.clock.now();
@@ -321,6 +371,7 @@
             let result = outside.load(order).await;
             let took = shell.clock.now().since(started);
             shell.metrics.note_load(took, result.is_ok());
+            shell.record_command(sent, result);
             Event::LoadEnded(version, result)
         });
     }
@@ -382,6 +433,7 @@
         let claimed = held.job.row.is_some();
         let shell = self.clone();
         self.spawn(async move {
+            shell.record_end(&held.job, &end, held.start, &held.body);
             let delivered = deliver(held.sink, end).await;
             if claimed {
                 shell.event(Event::Delivered(ended.key, delivered));
@@ -389,12 +441,23 @@
         });
     }
 
-    fn answer_at_once(&self, fresh: &mut Option<Held>, outcome: Outcome, after: Option<Duration>) {
+    fn answer_at_once(
+        self: &Arc<Self>,
+        fresh: &mut Option<Held>,
+        outcome: Outcome,
+        after: Option<Duration>,
+    ) {
         let Some(held) = fresh.take() else {
             return;
         };
         let end = self.end_of(outcome, None, Duration::ZERO, after);
+        // An attempt that was seen before is recorded at its own end.
+        let is_first = matches!(outcome, Outcome::NotRun(_));
+        let shell = self.clone();
         self.spawn(async move {
+            if is_first {
+                shell.record_end(&held.job, &end, held.start, &held.body);
+            }
             deliver(held.sink, end).await;
         });
     }
