Add the command audit verify

Cause: a monitor had no way to check the stored chains against the published generations. It passes no tips, so removed newest entries only show as a chain that is not closed.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 //! with its arguments and a `run` function that reaches the platform through [`Platform`]. A new
 //! command is one more module and one more variant of [`Command`].
 
+pub mod audit;
 pub mod check;
 pub mod demo;
 pub mod diff;
@@ -64,6 +65,9 @@
     /// [`peers::dump`].
     #[options(help = "print the state of one process")]
     Dump(peers::DumpArgs),
+    /// [`audit`].
+    #[options(help = "check the audit records")]
+    Audit(audit::Args),
     /// [`serve`].
     #[options(help = "run an entry")]
     Serve(serve::Args),
@@ -91,6 +95,13 @@
         Some(Command::Dump(args)) => peers::dump(&args).await,
         Some(Command::Serve(args)) => serve::run(&args).await,
         Some(Command::Demo(args)) => demo::run(&args).await,
+        Some(Command::Audit(args)) => match args.command {
+            None => usage_error("a command of `audit` is required"),
+            Some(audit::Command::Verify(args)) => {
+                let run = async |platform| audit::verify(&args, &platform).await;
+                on_platform(&args.config, args.json, run).await
+            }
+        },
         Some(Command::Diff(args)) => {
             let run = async |platform| diff::run(&args, &platform).await;
             on_platform(&args.config, args.json, run).await
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -115,6 +115,11 @@
         Platform { table, store }
     }
 
+    /// Returns the object store.
+    pub(crate) fn store(&self) -> &dyn ObjectStore {
+        &*self.store
+    }
+
     /// Reads the head row.
     pub async fn head(&self) -> Result<HeadRow, PlatformError> {
         let Some(row) = self.table.get(HEAD_KEY, CALL_TIMEOUT).await? else {
--- /dev/null
+++ b/crates/cli/tests/audit_commands.rs
@@ -0,0 +1,96 @@
+//! `audit verify` over chains that were written by a log.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use audit::CommandKind;
+use audit::CommandRecord;
+use audit::Log;
+use audit::Settings;
+use cli::Exit;
+use cli::Report;
+use common::Platform;
+use common::WORKSPACES;
+use common::document;
+use decision::ids::Head;
+use decision::ids::Incarnation;
+use edges::store::HttpObjects;
+use edges::store::ObjectStore;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Writes a chain of unloads, one for each generation.
+async fn write_chain(platform: &Platform, generations: &[u64]) -> String {
+    let row = platform.table.row("config/head").unwrap();
+    let head: Head = serde_json::from_slice(&row.value).unwrap();
+    let log = Log::new(Settings::new("e1", Incarnation(7)));
+    let store = Arc::new(HttpObjects::new(platform.objects.addr()));
+    let writer = tokio::spawn({
+        let (log, store) = (log.clone(), store.clone());
+        async move { log.run(store).await }
+    });
+    for (token, generation) in (1..).zip(generations) {
+        log.record(CommandRecord {
+            endpoint: "e1".into(),
+            kind: CommandKind::Unload,
+            version: "a@1".into(),
+            weights: None,
+            token,
+            head: Head {
+                generation: *generation,
+                ..head.clone()
+            },
+            error: None,
+            start: 1,
+            end: 2,
+        });
+    }
+    log.close().await.unwrap();
+    writer.await.unwrap();
+    store.list("audit/", TIMEOUT).await.unwrap().remove(0)
+}
+
+async fn verify(platform: &Platform) -> Report {
+    let config = platform.root.path().join("operator.toml");
+    let config = config.display().to_string();
+    common::run(&["audit", "verify", "--json", "--config", &config]).await
+}
+
+/// Guards against a changed, removed or swapped record that the command does not find, and against
+/// problems in an untouched chain.
+#[tokio::test]
+async fn altered_records_are_found() {
+    let platform = Platform::start().await;
+    platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
+    let key = write_chain(&platform, &[1, 1, 1]).await;
+    let clean = verify(&platform).await;
+    assert_eq!(clean.exit, Exit::Done, "{clean:?}");
+    assert_eq!(document(&clean)["records"], 3);
+    let store = HttpObjects::new(platform.objects.addr());
+    let data = store.get(&key, TIMEOUT).await.unwrap().unwrap();
+    let text = String::from_utf8(data.to_vec()).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    let changed = text.replacen("\"token\":2", "\"token\":9", 1);
+    let removed = [lines[0], lines[2], lines[3]].join("\n");
+    let swapped = [lines[1], lines[0], lines[2], lines[3]].join("\n");
+    for altered in [changed, removed, swapped] {
+        platform.objects.replace(&key, altered.clone().into_bytes());
+        let found = verify(&platform).await;
+        assert_eq!(found.exit, Exit::Refused, "{altered}");
+    }
+}
+
+/// Guards against a command that no published generation explains and that goes unnoticed.
+#[tokio::test]
+async fn unexplained_command_is_found() {
+    let platform = Platform::start().await;
+    platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
+    write_chain(&platform, &[1, 5]).await;
+    let found = verify(&platform).await;
+    assert_eq!(found.exit, Exit::Refused);
+    let problems = document(&found)["problems"].clone();
+    assert_eq!(problems.as_array().unwrap().len(), 1, "{problems}");
+    assert!(problems[0].as_str().unwrap().contains("generation 5"));
+}
