Verify the audit records at the end of the demo

Cause: the demo judged a run by the stand-ins alone, and published without the generation row that the audit needs. It now publishes as the operator commands do. Conclusion: verification is clean after real requests through entry and agents, and any problem now fails the demo.

--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -88,7 +88,7 @@
 }
 
 /// Compares all chains with all published generations.
-async fn check(platform: &Platform) -> Result<::audit::Report, PlatformError> {
+pub(crate) async fn check(platform: &Platform) -> Result<::audit::Report, PlatformError> {
     let newest = platform.head().await?.head.generation;
     let rows = platform.generations(1..=newest).await?;
     let mut known = Fetched::default();
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -52,11 +52,12 @@
 
 async fn drive(mut site: Site, drive: Drive, json: bool) -> Report {
     let verdict = drive.run(&mut site).await;
-    site.stop().await;
-    let verdict = match verdict {
-        Ok(verdict) => verdict,
-        Err(err) => return Report::error(Exit::Unreachable, err),
+    let audited = site.stop_audited().await;
+    let (mut verdict, audited) = match (verdict, audited) {
+        (Ok(verdict), Ok(audited)) => (verdict, audited),
+        (Err(err), _) | (_, Err(err)) => return Report::error(Exit::Unreachable, err),
     };
+    verdict.add_audit(&audited);
     let mut lines = Vec::new();
     if !json {
         lines.push(format!("{verdict:#?}"));
--- a/crates/cli/src/demo/site.rs
+++ b/crates/cli/src/demo/site.rs
@@ -1,32 +1,30 @@
 //! A whole site in one process: stand-ins of the platform, agents and one entry.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agent::Agent;
 use decision::collections::Map;
-use decision::ids::Head;
 use decision::member::Instance;
 use decision::member::Liveness;
 use decision::member::Role;
+use decision::publish::Outcome;
+use decision::publish::Request;
 use derive_more::Display;
 use derive_more::Error;
 use edges::store::HttpObjects;
-use edges::store::ObjectStore;
-use edges::table::Condition;
 use edges::table::HttpTable;
-use edges::table::Table as _;
-use edges::table::Transaction;
-use edges::table::Write;
 use entry::Entry;
-use objects::Snapshot;
-use process::adopter::HEAD_ROW;
 use standins::engine::EngineConfig;
 use standins::weights::WeightsConfig;
 
 use crate::demo::sample;
 use crate::demo::sample::Edits;
 use crate::demo::verdict::Evidence;
+use crate::platform;
+use crate::platform::Fetched;
+use crate::publishing;
 
 /// The secret that the processes of the demo share.
 const SECRET: &str = "demo-secret-for-loopback-only";
@@ -110,7 +108,6 @@
     service: standins::Service,
     agents: Vec<Agent>,
     entry: Entry,
-    generation: u64,
 }
 
 impl Site {
@@ -146,7 +143,6 @@
             service,
             agents,
             entry,
-            generation: 0,
         };
         site.publish(Edits::default()).await?;
         site.wait_ready().await?;
@@ -189,38 +185,25 @@
 
     /// Publishes the sample set with `edits` as the next generation.
     pub(crate) async fn publish(&mut self, edits: Edits) -> Result<(), SiteError> {
-        let (base, now) = (self.generation, process::clock::unix_ms() / 1_000);
-        let snapshot = Snapshot::build(&sample::set(edits), base, "demo", now);
-        let store = HttpObjects::new(self.platform.objects.addr());
-        let blobs = snapshot.buckets.iter().chain([&snapshot.bytes]);
-        for blob in blobs.filter(|blob| !blob.is_empty()) {
-            let key = objects::Digest::of(blob).store_key();
-            let put = store.put(&key, blob.clone().into(), CALL_TIMEOUT).await;
-            put.map_err(|err| SiteError::new("put blob", err))?;
-        }
-        self.generation += 1;
-        let head = Head {
-            generation: self.generation,
-            digest: snapshot.digest.to_string(),
-        };
-        let value = serde_json::to_vec(&head).map_err(|err| SiteError::new("encode head", err))?;
-        let key = HEAD_ROW.to_owned();
-        let version = self.platform.table.row(&key).map_or(0, |row| row.version);
-        let tx = Transaction {
-            conditions: vec![Condition {
-                key: key.clone(),
-                version,
-            }],
-            writes: vec![Write {
-                key,
-                value: Some(value.into()),
-            }],
+        let platform = self.platform.client();
+        let failed = |err| SiteError::new("read head", err);
+        let base = platform.head().await.map_err(failed)?.head;
+        let before = platform.fetch(&base.digest, &Fetched::default()).await;
+        let before = before.map_err(failed)?;
+        let request = Request {
+            base,
+            before: before.set.clone(),
+            set: Arc::new(sample::set(edits)),
+            sources: Arc::default(),
+            rebase: false,
+            publisher: "demo".into(),
+            unix_time: publishing::unix_time(),
+            restores: None,
         };
-        let table = HttpTable::new(self.platform.table.addr());
-        let commit = table.commit(tx, CALL_TIMEOUT).await;
-        commit
-            .map(drop)
-            .map_err(|err| SiteError::new("swap head", err))
+        match publishing::publish(&platform, request, &before).await {
+            Outcome::Published { .. } => Ok(()),
+            other => Err(SiteError::new("publish", format!("{other:?}"))),
+        }
     }
 
     /// Restarts an engine: all adapters are gone and its connections are cut.
@@ -240,6 +223,19 @@
 
     /// Stops the entry, the agents and the stand-ins, in this order.
     pub async fn stop(self) {
+        self.stop_processes().await.stop().await;
+    }
+
+    /// Stops everything like [`Site::stop`]; returns the verification of the audit records, made
+    /// before the platform stops.
+    pub(crate) async fn stop_audited(self) -> Result<audit::Report, SiteError> {
+        let platform = self.stop_processes().await;
+        let found = crate::audit::check(&platform.client()).await;
+        platform.stop().await;
+        found.map_err(|err| SiteError::new("verify the audit", err))
+    }
+
+    async fn stop_processes(self) -> Platform {
         self.entry.stop().await;
         for agent in &self.agents {
             agent.drain();
@@ -252,7 +248,7 @@
             engine.stop().await;
         }
         self.service.stop().await;
-        self.platform.stop().await;
+        self.platform
     }
 
     async fn wait_ready(&self) -> Result<(), SiteError> {
@@ -275,6 +271,12 @@
 }
 
 impl Platform {
+    fn client(&self) -> platform::Platform {
+        let table = HttpTable::new(self.table.addr());
+        let store = HttpObjects::new(self.objects.addr());
+        platform::Platform::new(Arc::new(table), Arc::new(store))
+    }
+
     async fn start_agent(
         &self,
         name: &str,
--- a/crates/cli/src/demo/verdict.rs
+++ b/crates/cli/src/demo/verdict.rs
@@ -13,8 +13,8 @@
 use crate::demo::caller::Seen;
 use crate::demo::caller::Told;
 
-/// The counts of one run. Those from `wrong_adapter` to `ran_after_refusal` but for
-/// `refused_not_run` must be 0.
+/// The counts of one run. Those from `wrong_adapter` to `audit_problems` but for
+/// `refused_not_run` and `audit_records` must be 0.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub(crate) struct Verdict {
     /// Requests sent, each deliberate retry counted too.
@@ -33,6 +33,10 @@
     pub(crate) refused_not_run: usize,
     /// Requests that ran although the caller was told that they were not run.
     pub(crate) ran_after_refusal: usize,
+    /// Audit records that were verified.
+    pub(crate) audit_records: u64,
+    /// Problems that the verification of the audit records found.
+    pub(crate) audit_problems: usize,
     /// Other errors, whose outcome is "ran" or "unknown".
     pub(crate) failed: usize,
     /// The median time to the end of an answer, in milliseconds.
@@ -68,10 +72,20 @@
             self.doubled,
             self.lost,
             self.ran_after_refusal,
+            self.audit_problems,
         ];
         counts.iter().all(|count| *count == 0)
     }
 
+    /// Counts the problems of the audit records.
+    pub(crate) fn add_audit(&mut self, audited: &audit::Report) {
+        self.audit_records = audited.records;
+        self.audit_problems = audited.problems.len();
+        for problem in &audited.problems {
+            self.describe(format!("audit: {problem}"));
+        }
+    }
+
     /// Judges a run.
     pub(crate) fn of(seen: &[Seen], evidence: &Evidence) -> Verdict {
         let runs = Runs::of(evidence);
