--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -17,7 +17,9 @@
 use prometheus::core::Desc;
 use prometheus::proto::MetricFamily;
 use spdlog::info;
+use spdlog::warn;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use wire::Server;
@@ -41,6 +43,8 @@
     ops: Ops,
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
+    /// The writer of the audit log, which outlives the other tasks.
+    writer: JoinHandle<()>,
 }
 
 impl Agent {
@@ -59,6 +63,7 @@
             node.links.clone(),
             node.members.clone(),
         );
+        let store = outside.objects.clone();
         let shell = Shell::new(
             node.me.clone(),
             node.clock,
@@ -71,6 +76,8 @@
         let (stop, _) = watch::channel(false);
         let region = Region::new(settings.name.clone(), settings.region.clone());
         let tasks = start_loops(&shell, &node, region, &stop);
+        let log = shell.audit().clone();
+        let writer = tokio::spawn(async move { log.run(store).await });
         info!(
             "agent of {} listens on {}", settings.name, server.addr(),
             kv: { incarnation = node.me.incarnation.to_string().as_str(), domain = settings.domain.as_str() }
@@ -82,6 +89,7 @@
             ops,
             stop,
             tasks,
+            writer,
         })
     }
 
@@ -117,6 +125,10 @@
         self.shell.abort();
         self.shell.join().await;
         self.server.stop().await;
+        if let Err(err) = self.shell.audit().close().await {
+            warn!("{err}");
+        }
+        let _ = self.writer.await;
         self.ops.stop().await;
         // The connections to peers end only when nothing else refers to them.
         drop(self.shell);
@@ -262,9 +274,15 @@
 fn dumper(shell: Arc<Shell>, adopter: Arc<Adopter>) -> Box<dyn Fn() -> String + Send + Sync> {
     Box::new(move || {
         let (asks, grants) = shell.permits().counts();
+        let audit = shell.audit().state();
         let state = serde_json::json!({
             "head": adopter.config().borrow().head,
             "agent": shell.dump(),
+            "audit": {
+                "waiting": audit.waiting,
+                "lost": audit.lost,
+                "written": audit.written.to_string(),
+            },
             "coordinator": { "queued_asks": asks, "outstanding_grants": grants },
         });
         state.to_string()
--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -34,6 +34,7 @@
 use objects::Backend;
 use objects::ObjectSet;
 use process::Clock;
+use process::clock::unix_ms;
 use spdlog::info;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -46,6 +47,7 @@
 use crate::metrics::Metrics;
 use crate::outside::Outside;
 use crate::permits::Permits;
+use crate::records::Sent;
 use crate::run::Run;
 
 /// The time that the entry has to take the end of an attempt over. A lost connection ends the wait
@@ -59,6 +61,8 @@
     body: Bytes,
     sink: AnswerSink,
     arrived: Time,
+    /// The arrival in milliseconds since the Unix epoch, for the audit.
+    start: u64,
     /// Cancelled when the engine is to stop working on the job.
     stop: CancellationToken,
     /// Cancelled when the job has ended.
@@ -70,6 +74,8 @@
     rng: fastrand::Rng,
     jobs: Map<Key, Held>,
     service: bool,
+    /// The configuration in force.
+    head: Head,
 }
 
 /// One agent's state and its I/O.
@@ -79,6 +85,7 @@
     outside: Outside,
     permits: Permits,
     metrics: Metrics,
+    audit: audit::Log,
     // The only lock of this module; it is never held across an await.
     inner: Mutex<Inner>,
     runtime: Handle,
@@ -100,13 +107,16 @@
             rng: fastrand::Rng::with_seed(me.incarnation.0),
             jobs: Map::default(),
             service: false,
+            head: Head::default(),
         };
+        let audit = audit::Log::new(audit::Settings::new(&me.name, me.incarnation));
         Arc::new(Shell {
             me,
             clock,
             outside,
             permits,
             metrics,
+            audit,
             inner: Mutex::new(inner),
             runtime: Handle::current(),
             tasks: TaskTracker::new(),
@@ -132,6 +142,7 @@
             body,
             sink,
             arrived: now,
+            start: unix_ms(),
             stop: CancellationToken::new(),
             ended: CancellationToken::new(),
         });
@@ -179,7 +190,11 @@
             }
             return;
         };
-        self.lock().service = matches!(config.backend, Backend::Service(_));
+        {
+            let mut inner = self.lock();
+            inner.service = matches!(config.backend, Backend::Service(_));
+            inner.head = head.clone();
+        }
         self.event(Event::Config(Box::new(config)));
     }
 
@@ -207,6 +222,16 @@
         &self.permits
     }
 
+    /// Returns the audit log.
+    pub(crate) fn audit(&self) -> &audit::Log {
+        &self.audit
+    }
+
+    /// Returns the name of the endpoint.
+    pub(crate) fn endpoint(&self) -> &Name {
+        &self.me.name
+    }
+
     /// Waits until all work is done and the lease is released.
     pub(crate) async fn left(&self) {
         let mut leave = self.leave.subscribe();
@@ -262,13 +287,20 @@
                 weights,
                 digest,
                 fencing,
-            } => self.load(LoadOrder {
-                name: version,
-                weights,
-                digest,
-                fencing,
-            }),
-            Action::Unload { version, fencing } => self.unload(version, fencing),
+            } => {
+                let sent = Sent::load(&version, &digest, fencing, &inner.head);
+                let order = LoadOrder {
+                    name: version,
+                    weights,
+                    digest,
+                    fencing,
+                };
+                self.load(order, sent);
+            }
+            Action::Unload { version, fencing } => {
+                let sent = Sent::unload(&version, fencing, &inner.head);
+                self.unload(version, sent);
+            }
             Action::Submit(key) => self.submit(inner, key),
             Action::CancelEngine(key) => {
                 if let Some(held) = inner.jobs.get(&key) {
@@ -298,10 +330,12 @@
         });
     }
 
-    fn unload(self: &Arc<Self>, version: Name, fencing: u64) {
+    fn unload(self: &Arc<Self>, version: Name, sent: Sent) {
         let outside = self.outside.clone();
+        let shell = self.clone();
         self.call(async move {
-            let result = outside.unload(&version, fencing).await;
+            let result = outside.unload(&version, sent.token).await;
+            shell.record_command(sent, result);
             Event::UnloadEnded(version, result)
         });
     }
@@ -329,7 +363,7 @@
         self.call(async move { Event::Lease(outside.lease(&endpoint, call).await) });
     }
 
-    fn load(self: &Arc<Self>, order: LoadOrder) {
+    fn load(self: &Arc<Self>, order: LoadOrder, sent: Sent) {
         let outside = self.outside.clone();
         let shell = self.clone();
         let started = self.clock.now();
@@ -338,6 +372,7 @@
             let result = outside.load(order).await;
             let took = shell.clock.now().since(started);
             shell.metrics.note_load(took, result.is_ok());
+            shell.record_command(sent, result);
             Event::LoadEnded(version, result)
         });
     }
@@ -400,6 +435,7 @@
         let claimed = held.job.row.is_some();
         let shell = self.clone();
         self.spawn(async move {
+            shell.record_end(&held.job, &end, held.start, &held.body);
             let delivered = deliver(held.sink, end).await;
             if claimed {
                 shell.event(Event::Delivered(ended.key, delivered));
@@ -407,12 +443,23 @@
         });
     }
 
-    fn answer_at_once(&self, fresh: &mut Option<Held>, outcome: Outcome, after: Option<Duration>) {
+    fn answer_at_once(
+        self: &Arc<Self>,
+        fresh: &mut Option<Held>,
+        outcome: Outcome,
+        after: Option<Duration>,
+    ) {
         let Some(held) = fresh.take() else {
             return;
         };
         let end = self.end_of(outcome, None, Duration::ZERO, after);
+        // An attempt that was seen before is recorded at its own end.
+        let is_first = matches!(outcome, Outcome::NotRun(_));
+        let shell = self.clone();
         self.spawn(async move {
+            if is_first {
+                shell.record_end(&held.job, &end, held.start, &held.body);
+            }
             deliver(held.sink, end).await;
         });
     }
