--- /dev/null
+++ b/crates/faults/src/agents.rs
@@ -0,0 +1,648 @@
+//! Agents beside their engines, decided by [`AgentCore`].
+
+use decision::agent::Action;
+use decision::agent::AgentConfig;
+use decision::agent::AgentCore;
+use decision::agent::CommandFault;
+use decision::agent::Ended;
+use decision::agent::Event;
+use decision::agent::Finish;
+use decision::claim::ClaimRow;
+use decision::collections::Map;
+use decision::drain::Reason;
+use decision::ids::Incarnation;
+use decision::ids::Name;
+use decision::job::End;
+use decision::job::Failure;
+use decision::job::Outcome;
+use decision::lease::LeaseAnswer;
+use decision::lease::LeaseCall;
+use decision::ledger::Key;
+use decision::permit::Coordinator;
+use decision::time::Time;
+
+use crate::inject::Subject;
+use crate::matrix::Step;
+use crate::mutant::Mutant;
+use crate::platform::Op;
+use crate::platform::TableReply;
+use crate::platform::Value;
+use crate::platform::Write;
+use crate::record::CHUNKS;
+use crate::record::Piece;
+use crate::record::Run;
+use crate::record::Stop;
+use crate::world::Asker;
+use crate::world::AtEngine;
+use crate::world::Command;
+use crate::world::Flight;
+use crate::world::Happening;
+use crate::world::MS;
+use crate::world::Node;
+use crate::world::Proc;
+use crate::world::ToAgent;
+use crate::world::ToEntry;
+use crate::world::World;
+
+/// The time that a load takes.
+const LOAD: u64 = 250 * MS;
+/// The time between two chunks.
+const CHUNK: u64 = 40 * MS;
+/// The tries to write an outcome to a claim row.
+const OUTCOME_TRIES: u32 = 10;
+
+/// One agent process.
+#[derive(Debug)]
+pub(crate) struct AgentProc {
+    pub(crate) node: Node,
+    pub(crate) engine: usize,
+    pub(crate) own: Incarnation,
+    pub(crate) core: AgentCore,
+    coordinator: Coordinator,
+    flights: Map<Key, (Flight, Name, u64)>,
+    /// The claim rows of attempts.
+    rows: Map<Key, String>,
+    peers: Vec<Name>,
+    pub(crate) stopping: bool,
+    /// Whether the start has passed its first lease call.
+    leased: bool,
+    /// Whether the start has passed its first read of the engine.
+    looked: bool,
+}
+
+impl AgentProc {
+    fn new(name: Name, engine: usize, own: u64, now: u64) -> AgentProc {
+        AgentProc {
+            node: Node::new(name.to_string(), now, 0),
+            engine,
+            own: Incarnation(own),
+            core: AgentCore::new(name, Incarnation(own)),
+            coordinator: Coordinator::new(Time(now), 20.0, 3, own),
+            flights: Map::default(),
+            rows: Map::default(),
+            peers: Vec::new(),
+            stopping: false,
+            leased: false,
+            looked: false,
+        }
+    }
+}
+
+/// Returns the answer to a lease call.
+pub(crate) fn lease_answer(reply: TableReply) -> LeaseAnswer {
+    match reply {
+        TableReply::Row(Some((version, Value::Lease(row)))) => {
+            LeaseAnswer::Row(Some((version, row)))
+        }
+        TableReply::Row(_) => LeaseAnswer::Row(None),
+        TableReply::Done(versions) => LeaseAnswer::Written(versions[0]),
+        TableReply::Failed(_) => LeaseAnswer::Conflict,
+        TableReply::Back(..) | TableReply::Lost => LeaseAnswer::Failed,
+    }
+}
+
+impl World {
+    pub(crate) fn start_agent(&mut self, engine: usize) {
+        let pid = self.agents.len();
+        let name = self.engines[engine].name.clone();
+        let own = 100 + pid as u64;
+        self.agents.push(AgentProc::new(name, engine, own, self.now));
+        self.start_ticks(Proc::Agent(pid));
+        if self.now > 0 {
+            self.update_list();
+            self.inject_at(Step::LearnHead, Subject::agent(pid));
+        }
+    }
+
+    pub(crate) fn agent_killed(&mut self, pid: usize) {
+        let name: Name = self.agents[pid].node.name.as_str().into();
+        for entry in 0..self.entries.len() {
+            let life = self.entries[entry].node.life;
+            let message = ToEntry::Unlinked(name.clone(), pid);
+            self.at(2 * MS, Happening::Entry(entry, life, message));
+        }
+    }
+
+    pub(crate) fn stop_agent(&mut self, pid: usize) {
+        if !self.agents[pid].node.up {
+            return;
+        }
+        self.inject_at(Step::Announce, Subject::agent(pid));
+        self.agents[pid].stopping = true;
+        self.record.stops.push(Stop {
+            pid,
+            at: self.now,
+            ..Stop::default()
+        });
+        self.update_list();
+        match self.mutant {
+            Some(Mutant::AcceptDraining) => {}
+            Some(Mutant::LeaveAtOnce) => self.leave(pid),
+            _ => {
+                let event = Box::new(Event::Drain(Reason::Signal, true));
+                self.at(0, Happening::Agent(pid, ToAgent::Core(event)));
+            }
+        }
+    }
+
+    pub(crate) fn agent_event(&mut self, pid: usize, message: ToAgent) {
+        match message {
+            ToAgent::Dispatch(job, flight) => {
+                self.inject_at(Step::Queue, Subject::both(flight.entry, pid));
+                if self.is_away(pid) {
+                    let message = ToAgent::Dispatch(job, flight);
+                    return self.at(0, Happening::Agent(pid, message));
+                }
+                if self.mutant == Some(Mutant::ForgetLedger) {
+                    self.forget(pid);
+                }
+                let key = Key::of(&job);
+                if let Some(row) = &job.row {
+                    self.agents[pid].rows.insert(key, row.clone());
+                }
+                let served = job.target.served().clone();
+                self.agents[pid].flights.insert(key, (flight, served, 0));
+                self.give(pid, Event::Dispatch(job));
+            }
+            ToAgent::Settle(key, flight) => self.settle(pid, key, flight),
+            ToAgent::Cancel(key) => self.give(pid, Event::Cancel(key)),
+            ToAgent::Poll(entry) => self.report(pid, entry),
+            ToAgent::Ask(from, ask) => {
+                let now = self.time(Proc::Agent(pid));
+                let version = ask.version.clone();
+                let reply = self.agents[pid].coordinator.ask(now, *ask);
+                let own = self.agents[pid].node.name.as_str().into();
+                let message = ToAgent::Granted(version, own, reply);
+                self.at(MS, Happening::Agent(from, message));
+            }
+            ToAgent::Granted(version, from, reply) => {
+                let reply = Some(reply);
+                self.give(pid, Event::Permit { version, from, reply });
+            }
+            ToAgent::Return(id) => {
+                let now = self.time(Proc::Agent(pid));
+                self.agents[pid].coordinator.release(now, id);
+            }
+            ToAgent::Core(event) => {
+                if matches!(*event, Event::AnswerEnd(..)) {
+                    let stopping = self.agents[pid].stopping;
+                    let step = if stopping { Step::Settle } else { Step::Finish };
+                    self.inject_at(step, self.flight_subject(pid, &event));
+                }
+                match self.is_away(pid) {
+                    true => self.at(0, Happening::Agent(pid, ToAgent::Core(event))),
+                    false => self.give(pid, *event),
+                }
+            }
+            ToAgent::Chunk(key, piece) => self.relay(pid, key, piece),
+            ToAgent::ClaimRow(key, outcome, tries, reply) => {
+                self.claim_row(pid, key, outcome, tries, reply);
+            }
+            ToAgent::Tick => {
+                self.tick_adoption(Proc::Agent(pid));
+                self.refresh_peers(pid);
+                self.give(pid, Event::Tick);
+                self.next_tick(Proc::Agent(pid));
+            }
+        }
+    }
+
+    fn flight_subject(&self, pid: usize, event: &Event) -> Subject {
+        let entry = match event {
+            Event::AnswerEnd(key, _) => self.agents[pid].flights.get(key).map(|held| held.0.entry),
+            _ => None,
+        };
+        Subject::both(entry.unwrap_or(0), pid)
+    }
+
+    /// Returns whether a process is gone or paused.
+    fn is_away(&self, pid: usize) -> bool {
+        let node = &self.agents[pid].node;
+        !node.up || node.paused > self.now
+    }
+
+    /// Replaces the decisions of an agent by fresh ones that know the configuration.
+    fn forget(&mut self, pid: usize) {
+        let agent = &mut self.agents[pid];
+        let name: Name = agent.node.name.as_str().into();
+        agent.core = AgentCore::new(name, agent.own);
+        let peers = std::mem::take(&mut agent.peers);
+        self.configure(pid);
+        self.give(pid, Event::Peers(peers));
+        self.give(pid, Event::Tick);
+    }
+
+    fn refresh_peers(&mut self, pid: usize) {
+        let mut peers: Vec<Name> = self.listed_agents().into_keys().collect();
+        peers.sort_unstable();
+        if peers != self.agents[pid].peers {
+            self.agents[pid].peers.clone_from(&peers);
+            self.give(pid, Event::Peers(peers));
+        }
+    }
+
+    /// Gives an agent the configuration that its process has in force.
+    pub(crate) fn configure(&mut self, pid: usize) {
+        let node = &self.agents[pid].node;
+        let head = node.adoption.head().clone();
+        if let Some(config) = AgentConfig::of(&node.set, head, &node.name) {
+            self.give(pid, Event::Config(Box::new(config)));
+        }
+    }
+
+    fn report(&mut self, pid: usize, entry: usize) {
+        let now = self.time(Proc::Agent(pid));
+        let report = Box::new(self.agents[pid].core.report(now));
+        let name: Name = self.agents[pid].node.name.as_str().into();
+        let life = self.entries[entry].node.life;
+        let message = ToEntry::Report(name, report);
+        self.at(MS, Happening::Entry(entry, life, message));
+    }
+
+    fn settle(&mut self, pid: usize, key: Key, flight: Flight) {
+        let now = self.time(Proc::Agent(pid));
+        let event = Event::Settle(key);
+        let actions = self.agents[pid].core.handle(now, event, &mut self.rng);
+        let by = self.agents[pid].own;
+        for action in actions {
+            match action {
+                Action::Settled(_, outcome) => {
+                    let message = ToEntry::Settled(flight.call, flight.no, by, outcome);
+                    self.to_entry(flight.entry, message);
+                }
+                action => self.act(pid, action),
+            }
+        }
+    }
+
+    pub(crate) fn to_entry(&mut self, entry: usize, message: ToEntry) {
+        let life = self.entries[entry].node.life;
+        self.send(Happening::Entry(entry, life, message));
+    }
+
+    pub(crate) fn give(&mut self, pid: usize, event: Event) {
+        let now = self.time(Proc::Agent(pid));
+        let actions = self.agents[pid].core.handle(now, event, &mut self.rng);
+        for action in actions {
+            if !self.agents[pid].node.up {
+                return;
+            }
+            self.act(pid, action);
+        }
+    }
+
+    fn act(&mut self, pid: usize, action: Action) {
+        match action {
+            Action::Accept(key) => self.accept(pid, key),
+            Action::Refuse { key, reason, after } => {
+                if self.agents[pid].stopping {
+                    self.inject_at(Step::Refuse, Subject::agent(pid));
+                }
+                self.end(pid, key, Outcome::NotRun(reason), None, after);
+            }
+            Action::Duplicate(key, outcome) => self.end(pid, key, outcome, None, None),
+            Action::Settled(..) | Action::Log(_) => {}
+            Action::AskPermit(to, ask) => {
+                if let Some(Proc::Agent(peer)) = self.find(&to) {
+                    let message = ToAgent::Ask(pid, Box::new(ask));
+                    self.at(MS, Happening::Agent(peer, message));
+                }
+            }
+            Action::ReturnPermit(to, id) => {
+                if let Some(Proc::Agent(peer)) = self.find(&to) {
+                    self.at(MS, Happening::Agent(peer, ToAgent::Return(id)));
+                }
+            }
+            Action::Load { version, fencing, .. } => {
+                self.inject_at(Step::Load, Subject::agent(pid));
+                self.command(pid, Command::Load(version, fencing));
+            }
+            Action::Unload { version, fencing } => {
+                self.command(pid, Command::Unload(version, fencing));
+            }
+            Action::Submit(key) => self.submit(pid, key),
+            Action::CancelEngine(key) => self.command(pid, Command::Cancel(key)),
+            Action::ReadResident(epoch) => {
+                if self.now > 0 && !std::mem::replace(&mut self.agents[pid].looked, true) {
+                    self.inject_at(Step::LearnEngine, Subject::agent(pid));
+                }
+                self.command(pid, Command::Read(epoch));
+            }
+            Action::End(ended) => self.ended(pid, &ended),
+            Action::WriteClaim { key, outcome, .. } => self.write_outcome(pid, key, outcome, 0),
+            Action::Lease(call) => self.lease(pid, call),
+            Action::Leave => self.leave(pid),
+        }
+    }
+
+    fn accept(&mut self, pid: usize, key: Key) {
+        let now = self.now;
+        if let Some(stop) = self.record.stops.iter_mut().find(|stop| stop.pid == pid) {
+            stop.accepted = Some(now);
+        }
+        if let Some((flight, ..)) = self.agents[pid].flights.get(&key).cloned() {
+            self.to_entry(flight.entry, ToEntry::Accepted(flight.call, flight.no));
+        }
+    }
+
+    fn submit(&mut self, pid: usize, key: Key) {
+        let Some((flight, served, _)) = self.agents[pid].flights.get(&key).cloned() else {
+            return;
+        };
+        self.inject_at(Step::Pin, Subject::both(flight.entry, pid));
+        let served = match self.mutant {
+            Some(Mutant::OtherVersion) => {
+                let resident = &self.engines[self.agents[pid].engine].resident;
+                let other = resident.iter().find(|name| **name != served);
+                other.cloned().unwrap_or(served)
+            }
+            _ => served,
+        };
+        self.command(pid, Command::Submit(key, served.clone(), flight.call));
+        if self.mutant == Some(Mutant::UnloadInUse) {
+            self.command(pid, Command::Unload(served, u64::MAX));
+        }
+    }
+
+    fn command(&mut self, pid: usize, command: Command) {
+        let engine = self.agents[pid].engine;
+        self.at(
+            MS,
+            Happening::Engine(engine, AtEngine::Command(pid, command)),
+        );
+    }
+
+    fn lease(&mut self, pid: usize, call: LeaseCall) {
+        let stopping = self.agents[pid].stopping;
+        if stopping && matches!(call, LeaseCall::Write { row, .. } if row.released) {
+            self.inject_at(Step::Leave, Subject::agent(pid));
+        } else if self.now > 0 && !std::mem::replace(&mut self.agents[pid].leased, true) {
+            self.inject_at(Step::TakeLease, Subject::agent(pid));
+        }
+        let key = format!("lease/{}", self.agents[pid].node.name);
+        let op = match call {
+            LeaseCall::Read => Op::Read(key),
+            LeaseCall::Write { version, row } => Op::Tx(vec![Write {
+                key,
+                version,
+                value: Value::Lease(row),
+            }]),
+        };
+        self.table(op, Asker::Lease(pid));
+    }
+
+    fn ended(&mut self, pid: usize, ended: &Ended) {
+        let failure = ended.failure.clone();
+        self.end(pid, ended.key, ended.outcome, failure, ended.after);
+        let Some((flight, ..)) = self.agents[pid].flights.get(&ended.key) else {
+            return;
+        };
+        let delivered = self.entries[flight.entry].node.up;
+        let event = Box::new(Event::Delivered(ended.key, delivered));
+        self.at(2 * MS, Happening::Agent(pid, ToAgent::Core(event)));
+    }
+
+    fn end(
+        &mut self,
+        pid: usize,
+        key: Key,
+        outcome: Outcome,
+        failure: Option<Failure>,
+        after: Option<std::time::Duration>,
+    ) {
+        let agent = &self.agents[pid];
+        let Some((flight, _, sent)) = agent.flights.get(&key).cloned() else {
+            return;
+        };
+        let end = End {
+            outcome,
+            failure,
+            incarnation: agent.own,
+            endpoint: agent.node.name.as_str().into(),
+            stall: std::time::Duration::ZERO,
+            chunks: sent,
+            after,
+        };
+        let message = ToEntry::End(flight.call, flight.no, Box::new(end));
+        self.to_entry(flight.entry, message);
+    }
+
+    fn relay(&mut self, pid: usize, key: Key, piece: Piece) {
+        let Some((flight, ..)) = self.agents[pid].flights.get(&key).cloned() else {
+            return;
+        };
+        self.inject_at(Step::Stream, Subject::both(flight.entry, pid));
+        if self.is_away(pid) {
+            let message = ToAgent::Chunk(key, piece);
+            return self.at(0, Happening::Agent(pid, message));
+        }
+        if piece.index == 0 {
+            self.give(pid, Event::AnswerHead(key));
+        }
+        let Some(held) = self.agents[pid].flights.get_mut(&key) else {
+            return;
+        };
+        let seq = held.2;
+        held.2 += 1;
+        let message = ToEntry::Chunk(flight.call, flight.no, seq, piece);
+        self.to_entry(flight.entry, message);
+    }
+
+    fn write_outcome(&mut self, pid: usize, key: Key, outcome: Outcome, tries: u32) {
+        if let Some(row) = self.agents[pid].rows.get(&key).cloned() {
+            let asker = Asker::Outcome(pid, key, outcome, tries);
+            self.table(Op::Read(row), asker);
+        }
+    }
+
+    /// Goes on with the write of an outcome after the table responded.
+    fn claim_row(
+        &mut self,
+        pid: usize,
+        key: Key,
+        outcome: Outcome,
+        tries: u32,
+        reply: TableReply,
+    ) {
+        let own = self.agents[pid].own;
+        let done = match reply {
+            TableReply::Row(Some((version, Value::Claim(row)))) => {
+                match row.ended(key.request, key.attempt, own, outcome) {
+                    Some(row) => {
+                        let key = key_of(&self.agents[pid].rows, key);
+                        return self.write_row(pid, key, version, row, outcome, tries);
+                    }
+                    None => true,
+                }
+            }
+            TableReply::Row(_) | TableReply::Done(_) => true,
+            _ => tries >= OUTCOME_TRIES,
+        };
+        match done {
+            true => self.give(pid, Event::ClaimWritten(key)),
+            false => self.write_outcome(pid, key, outcome, tries + 1),
+        }
+    }
+
+    fn write_row(
+        &mut self,
+        pid: usize,
+        (key, row_key): (Key, String),
+        version: u64,
+        row: ClaimRow,
+        outcome: Outcome,
+        tries: u32,
+    ) {
+        let write = Write {
+            key: row_key,
+            version,
+            value: Value::Claim(row),
+        };
+        let asker = Asker::Outcome(pid, key, outcome, tries);
+        self.table(Op::Tx(vec![write]), asker);
+    }
+
+    fn leave(&mut self, pid: usize) {
+        if !self.agents[pid].stopping {
+            return;
+        }
+        let engine = &self.engines[self.agents[pid].engine];
+        let cut = engine.running.values().filter(|run| run.pid == pid).count();
+        let now = self.now;
+        if let Some(stop) = self.record.stops.iter_mut().find(|stop| stop.pid == pid) {
+            stop.left = Some(now);
+            stop.cut += cut;
+        }
+        self.kill(Proc::Agent(pid));
+        self.update_list();
+    }
+
+    pub(crate) fn engine_event(&mut self, index: usize, event: AtEngine) {
+        match event {
+            AtEngine::Command(pid, command) => self.engine_command(index, pid, command),
+            AtEngine::Loaded(pid, version, epoch, whole) => {
+                let engine = &mut self.engines[index];
+                let kept = whole && engine.epoch == epoch;
+                if kept {
+                    engine.resident.insert(version.clone());
+                }
+                let result = if kept { Ok(()) } else { Err(CommandFault::Failed) };
+                self.to_core(pid, Event::LoadEnded(version, result));
+            }
+            AtEngine::Chunk(run, chunk) => {
+                if let Some(held) = self.engines[index].running.get(&run) {
+                    let (pid, key) = (held.pid, held.key);
+                    let piece = Piece { run, index: chunk };
+                    self.at(MS, Happening::Agent(pid, ToAgent::Chunk(key, piece)));
+                }
+            }
+            AtEngine::Ended(run) => {
+                if let Some(held) = self.engines[index].running.remove(&run) {
+                    self.to_core(held.pid, Event::AnswerEnd(held.key, Finish::Whole));
+                }
+            }
+            AtEngine::Up(epoch) => {
+                let engine = &mut self.engines[index];
+                engine.up |= engine.epoch == epoch;
+            }
+            AtEngine::Warm => self.engines[index].cold_ms = 0,
+        }
+    }
+
+    fn to_core(&mut self, pid: usize, event: Event) {
+        self.at(MS, Happening::Agent(pid, ToAgent::Core(Box::new(event))));
+    }
+
+    fn engine_command(&mut self, index: usize, pid: usize, command: Command) {
+        if let Command::Submit(key, served, call) = command {
+            return self.start_run(index, pid, key, served, call);
+        }
+        let engine = &mut self.engines[index];
+        match command {
+            Command::Load(version, token) => {
+                let whole = engine.failing == 0;
+                engine.failing = engine.failing.saturating_sub(1);
+                if !engine.admit(token) {
+                    let event = Event::LoadEnded(version, Err(CommandFault::Fenced));
+                    return self.to_core(pid, event);
+                }
+                let loaded = AtEngine::Loaded(pid, version, engine.epoch, whole && engine.up);
+                let time = if whole { LOAD } else { LOAD / 2 };
+                self.at(time, Happening::Engine(index, loaded));
+            }
+            Command::Unload(version, token) => {
+                if !engine.admit(token) {
+                    let event = Event::UnloadEnded(version, Err(CommandFault::Fenced));
+                    return self.to_core(pid, event);
+                }
+                if engine.uses(&version) {
+                    self.record.torn.push(version.clone());
+                }
+                engine.resident.remove(&version);
+                self.to_core(pid, Event::UnloadEnded(version, Ok(())));
+            }
+            Command::Cancel(key) => {
+                let ours = |held: &crate::engine::Running| held.pid == pid && held.key == key;
+                let found = engine.running.iter().find(|(_, held)| ours(held));
+                if let Some((run, _)) = found.map(|(run, held)| (*run, held.key)) {
+                    engine.running.remove(&run);
+                    let finish = Finish::Broken(Failure::Truncated);
+                    self.to_core(pid, Event::AnswerEnd(key, finish));
+                }
+            }
+            Command::Read(epoch) => {
+                let names = engine.up.then(|| engine.resident.iter().cloned().collect());
+                self.to_core(pid, Event::Resident { epoch, names });
+            }
+            Command::Submit(..) => {}
+        }
+    }
+
+    fn start_run(&mut self, index: usize, pid: usize, key: Key, served: Name, call: usize) {
+        let entry = self.calls[call].entry;
+        self.inject_at(Step::Submit, Subject::both(entry, pid));
+        let engine = &mut self.engines[index];
+        if !engine.serves(&served) {
+            return self.to_core(pid, Event::AnswerEnd(key, Finish::NotRun));
+        }
+        let run = self.record.runs.len();
+        let cold = engine.cold_ms * MS;
+        self.record.runs.push(Run {
+            call,
+            served: served.clone(),
+            endpoint: engine.name.clone(),
+        });
+        let held = crate::engine::Running { pid, key, served };
+        engine.running.insert(run, held);
+        for chunk in 0..CHUNKS {
+            let event = AtEngine::Chunk(run, chunk);
+            self.at(cold + (chunk + 1) * CHUNK, Happening::Engine(index, event));
+        }
+        let end = cold + CHUNKS * CHUNK + 5 * MS;
+        self.at(end, Happening::Engine(index, AtEngine::Ended(run)));
+    }
+
+    /// Restarts an engine, which is down for `pause`.
+    pub(crate) fn restart_engine(&mut self, index: usize, pause: u64) {
+        let engine = &mut self.engines[index];
+        engine.epoch += 1;
+        engine.up = false;
+        engine.resident.clear();
+        let epoch = engine.epoch;
+        let mut broken: Vec<_> = engine.running.drain().collect();
+        broken.sort_unstable_by_key(|(run, _)| *run);
+        for (_, held) in broken {
+            let finish = Finish::Broken(Failure::Truncated);
+            self.to_core(held.pid, Event::AnswerEnd(held.key, finish));
+        }
+        self.at(pause, Happening::Engine(index, AtEngine::Up(epoch)));
+    }
+
+    pub(crate) fn engine_of(&self, pid: usize) -> usize {
+        self.agents[pid].engine
+    }
+}
+
+fn key_of(rows: &Map<Key, String>, key: Key) -> (Key, String) {
+    (key, rows.get(&key).cloned().unwrap_or_default())
+}
--- /dev/null
+++ b/crates/faults/src/page.rs
@@ -0,0 +1,1 @@
+//! Rendering of `docs/FAULTS.md`.
