--- a/crates/faults/src/adoption.rs
+++ b/crates/faults/src/adoption.rs
@@ -133,8 +133,7 @@
         let known = self.node(proc).adoption.head().clone();
         if head.generation > known.generation {
             self.inject_at(Step::Hear, Subject::of(proc));
-        } else if self.mutant == Some(Mutant::TakeOlderHead) && head.generation < known.generation
-        {
+        } else if self.mutant == Some(Mutant::TakeOlderHead) && head.generation < known.generation {
             return self.put_in_force(proc, head);
         }
         let peers = self.peers(proc);
--- a/crates/faults/src/agents.rs
+++ b/crates/faults/src/agents.rs
@@ -60,6 +60,8 @@
     pub(crate) core: AgentCore,
     coordinator: Coordinator,
     flights: Map<Key, (Flight, Name, u64)>,
+    /// The attempts that were accepted and have no end.
+    open: decision::collections::Set<Key>,
     /// The claim rows of attempts.
     rows: Map<Key, String>,
     peers: Vec<Name>,
@@ -79,6 +81,7 @@
             core: AgentCore::new(name, Incarnation(own)),
             coordinator: Coordinator::new(Time(now), 20.0, 3, own),
             flights: Map::default(),
+            open: decision::collections::Set::default(),
             rows: Map::default(),
             peers: Vec::new(),
             stopping: false,
@@ -106,7 +109,8 @@
         let pid = self.agents.len();
         let name = self.engines[engine].name.clone();
         let own = 100 + pid as u64;
-        self.agents.push(AgentProc::new(name, engine, own, self.now));
+        self.agents
+            .push(AgentProc::new(name, engine, own, self.now));
         self.start_ticks(Proc::Agent(pid));
         if self.now > 0 {
             self.update_list();
@@ -161,7 +165,9 @@
                     self.agents[pid].rows.insert(key, row.clone());
                 }
                 let served = job.target.served().clone();
-                self.agents[pid].flights.insert(key, (flight, served, 0));
+                let flights = &mut self.agents[pid].flights;
+                // A second dispatch of the same attempt does not take the answer over.
+                flights.entry(key).or_insert((flight, served, 0));
                 self.give(pid, Event::Dispatch(job));
             }
             ToAgent::Settle(key, flight) => self.settle(pid, key, flight),
@@ -177,7 +183,14 @@
             }
             ToAgent::Granted(version, from, reply) => {
                 let reply = Some(reply);
-                self.give(pid, Event::Permit { version, from, reply });
+                self.give(
+                    pid,
+                    Event::Permit {
+                        version,
+                        from,
+                        reply,
+                    },
+                );
             }
             ToAgent::Return(id) => {
                 let now = self.time(Proc::Agent(pid));
@@ -268,14 +281,14 @@
             match action {
                 Action::Settled(_, outcome) => {
                     let message = ToEntry::Settled(flight.call, flight.no, by, outcome);
-                    self.to_entry(flight.entry, message);
+                    self.send_entry(flight.entry, message);
                 }
                 action => self.act(pid, action),
             }
         }
     }
 
-    pub(crate) fn to_entry(&mut self, entry: usize, message: ToEntry) {
+    pub(crate) fn send_entry(&mut self, entry: usize, message: ToEntry) {
         let life = self.entries[entry].node.life;
         self.send(Happening::Entry(entry, life, message));
     }
@@ -313,7 +326,9 @@
                     self.at(MS, Happening::Agent(peer, ToAgent::Return(id)));
                 }
             }
-            Action::Load { version, fencing, .. } => {
+            Action::Load {
+                version, fencing, ..
+            } => {
                 self.inject_at(Step::Load, Subject::agent(pid));
                 self.command(pid, Command::Load(version, fencing));
             }
@@ -336,12 +351,13 @@
     }
 
     fn accept(&mut self, pid: usize, key: Key) {
+        self.agents[pid].open.insert(key);
         let now = self.now;
         if let Some(stop) = self.record.stops.iter_mut().find(|stop| stop.pid == pid) {
             stop.accepted = Some(now);
         }
         if let Some((flight, ..)) = self.agents[pid].flights.get(&key).cloned() {
-            self.to_entry(flight.entry, ToEntry::Accepted(flight.call, flight.no));
+            self.send_entry(flight.entry, ToEntry::Accepted(flight.call, flight.no));
         }
     }
 
@@ -392,6 +408,7 @@
     }
 
     fn ended(&mut self, pid: usize, ended: &Ended) {
+        self.agents[pid].open.remove(&ended.key);
         let failure = ended.failure.clone();
         self.end(pid, ended.key, ended.outcome, failure, ended.after);
         let Some((flight, ..)) = self.agents[pid].flights.get(&ended.key) else {
@@ -424,7 +441,7 @@
             after,
         };
         let message = ToEntry::End(flight.call, flight.no, Box::new(end));
-        self.to_entry(flight.entry, message);
+        self.send_entry(flight.entry, message);
     }
 
     fn relay(&mut self, pid: usize, key: Key, piece: Piece) {
@@ -445,7 +462,7 @@
         let seq = held.2;
         held.2 += 1;
         let message = ToEntry::Chunk(flight.call, flight.no, seq, piece);
-        self.to_entry(flight.entry, message);
+        self.send_entry(flight.entry, message);
     }
 
     fn write_outcome(&mut self, pid: usize, key: Key, outcome: Outcome, tries: u32) {
@@ -456,14 +473,7 @@
     }
 
     /// Goes on with the write of an outcome after the table responded.
-    fn claim_row(
-        &mut self,
-        pid: usize,
-        key: Key,
-        outcome: Outcome,
-        tries: u32,
-        reply: TableReply,
-    ) {
+    fn claim_row(&mut self, pid: usize, key: Key, outcome: Outcome, tries: u32, reply: TableReply) {
         let own = self.agents[pid].own;
         let done = match reply {
             TableReply::Row(Some((version, Value::Claim(row)))) => {
@@ -507,7 +517,8 @@
             return;
         }
         let engine = &self.engines[self.agents[pid].engine];
-        let cut = engine.running.values().filter(|run| run.pid == pid).count();
+        let running = engine.running.values().filter(|run| run.pid == pid);
+        let cut = running.count().max(self.agents[pid].open.len());
         let now = self.now;
         if let Some(stop) = self.record.stops.iter_mut().find(|stop| stop.pid == pid) {
             stop.left = Some(now);
@@ -526,8 +537,12 @@
                 if kept {
                     engine.resident.insert(version.clone());
                 }
-                let result = if kept { Ok(()) } else { Err(CommandFault::Failed) };
-                self.to_core(pid, Event::LoadEnded(version, result));
+                let result = if kept {
+                    Ok(())
+                } else {
+                    Err(CommandFault::Failed)
+                };
+                self.tell_core(pid, Event::LoadEnded(version, result));
             }
             AtEngine::Chunk(run, chunk) => {
                 if let Some(held) = self.engines[index].running.get(&run) {
@@ -538,7 +553,7 @@
             }
             AtEngine::Ended(run) => {
                 if let Some(held) = self.engines[index].running.remove(&run) {
-                    self.to_core(held.pid, Event::AnswerEnd(held.key, Finish::Whole));
+                    self.tell_core(held.pid, Event::AnswerEnd(held.key, Finish::Whole));
                 }
             }
             AtEngine::Up(epoch) => {
@@ -549,7 +564,7 @@
         }
     }
 
-    fn to_core(&mut self, pid: usize, event: Event) {
+    fn tell_core(&mut self, pid: usize, event: Event) {
         self.at(MS, Happening::Agent(pid, ToAgent::Core(Box::new(event))));
     }
 
@@ -564,7 +579,7 @@
                 engine.failing = engine.failing.saturating_sub(1);
                 if !engine.admit(token) {
                     let event = Event::LoadEnded(version, Err(CommandFault::Fenced));
-                    return self.to_core(pid, event);
+                    return self.tell_core(pid, event);
                 }
                 let loaded = AtEngine::Loaded(pid, version, engine.epoch, whole && engine.up);
                 let time = if whole { LOAD } else { LOAD / 2 };
@@ -573,13 +588,13 @@
             Command::Unload(version, token) => {
                 if !engine.admit(token) {
                     let event = Event::UnloadEnded(version, Err(CommandFault::Fenced));
-                    return self.to_core(pid, event);
+                    return self.tell_core(pid, event);
                 }
                 if engine.uses(&version) {
                     self.record.torn.push(version.clone());
                 }
                 engine.resident.remove(&version);
-                self.to_core(pid, Event::UnloadEnded(version, Ok(())));
+                self.tell_core(pid, Event::UnloadEnded(version, Ok(())));
             }
             Command::Cancel(key) => {
                 let ours = |held: &crate::engine::Running| held.pid == pid && held.key == key;
@@ -587,12 +602,12 @@
                 if let Some((run, _)) = found.map(|(run, held)| (*run, held.key)) {
                     engine.running.remove(&run);
                     let finish = Finish::Broken(Failure::Truncated);
-                    self.to_core(pid, Event::AnswerEnd(key, finish));
+                    self.tell_core(pid, Event::AnswerEnd(key, finish));
                 }
             }
             Command::Read(epoch) => {
                 let names = engine.up.then(|| engine.resident.iter().cloned().collect());
-                self.to_core(pid, Event::Resident { epoch, names });
+                self.tell_core(pid, Event::Resident { epoch, names });
             }
             Command::Submit(..) => {}
         }
@@ -603,7 +618,7 @@
         self.inject_at(Step::Submit, Subject::both(entry, pid));
         let engine = &mut self.engines[index];
         if !engine.serves(&served) {
-            return self.to_core(pid, Event::AnswerEnd(key, Finish::NotRun));
+            return self.tell_core(pid, Event::AnswerEnd(key, Finish::NotRun));
         }
         let run = self.record.runs.len();
         let cold = engine.cold_ms * MS;
@@ -633,7 +648,7 @@
         broken.sort_unstable_by_key(|(run, _)| *run);
         for (_, held) in broken {
             let finish = Finish::Broken(Failure::Truncated);
-            self.to_core(held.pid, Event::AnswerEnd(held.key, finish));
+            self.tell_core(held.pid, Event::AnswerEnd(held.key, finish));
         }
         self.at(pause, Happening::Engine(index, AtEngine::Up(epoch)));
     }
--- a/crates/faults/src/case.rs
+++ b/crates/faults/src/case.rs
@@ -138,7 +138,9 @@
 impl World {
     /// Schedules callers and what the flows under test need.
     pub fn script(&mut self, flows: &[Flow]) {
-        let routes = ["a0", "order", "a1", "pay", "a2", "order", "a3", "a0", "pay", "a1"];
+        let routes = [
+            "a0", "order", "a1", "pay", "a2", "order", "a3", "a0", "pay", "a1",
+        ];
         for (index, route) in (0u64..).zip(routes) {
             let delay = FIRST_CALL + index * 60 * MS;
             let booking = matches!(route, "order" | "pay");
@@ -153,6 +155,16 @@
         }
         if flows.contains(&Flow::Drain) {
             self.at(BEGIN, Happening::Stop(0));
+            // These are at an engine when the agent is told, so that it has to wait for some.
+            for index in 0..8 {
+                let route = ["a0", "a1", "a2", "a3"][index as usize % 4];
+                self.call(BEGIN - 240 * MS + index * 30 * MS, route, None, false);
+            }
+            // These are on their way when the agent is told, so that it has to refuse some.
+            for index in 0..8 {
+                let route = ["a0", "a1", "a2", "a3"][index as usize % 4];
+                self.call(BEGIN + index * MS, route, None, false);
+            }
             for index in 0..20 {
                 let route = ["a0", "a1", "a2", "a3"][index as usize % 4];
                 self.call(BEGIN + index * 200 * MS, route, None, index % 2 == 0);
--- a/crates/faults/src/entries.rs
+++ b/crates/faults/src/entries.rs
@@ -156,7 +156,10 @@
             }
             if lost && let Some((pid, key)) = self.calls[call].at.take() {
                 let event = decision::agent::Event::SinkBroken(key);
-                self.at(5 * MS, Happening::Agent(pid, ToAgent::Core(Box::new(event))));
+                self.at(
+                    5 * MS,
+                    Happening::Agent(pid, ToAgent::Core(Box::new(event))),
+                );
             }
         }
         self.update_list();
@@ -194,7 +197,7 @@
                 self.lose_links(index, pid);
             }
             ToEntry::Committed(reply) => self.committed(index, reply),
-            ToEntry::Tick(_) => self.entry_tick(index),
+            ToEntry::Tick => self.entry_tick(index),
             ToEntry::Retry(call, tries, outcome) => self.store(call, outcome.0, outcome.1, tries),
         }
     }
@@ -341,7 +344,9 @@
         let no = self.calls[call].no;
         // A paused entry goes on with the step after the pause.
         let pause = self.entries[entry].node.paused.saturating_sub(self.now);
-        self.expire_later(call, no);
+        if !matches!(step, Next::Answer(_)) {
+            self.expire_later(call, no);
+        }
         match step {
             Next::Pick => self.pick(call, no),
             Next::Commit { row, version } => {
@@ -459,15 +464,11 @@
         self.send(Happening::Agent(pid, ToAgent::Settle(key, flight)));
     }
 
-    fn settled(
-        &mut self,
-        call: usize,
-        no: u32,
-        by: decision::ids::Incarnation,
-        outcome: Outcome,
-    ) {
+    fn settled(&mut self, call: usize, no: u32, by: decision::ids::Incarnation, outcome: Outcome) {
         // The entry's driver compares the incarnation of the row with that of the answer.
-        let named = self.platform.claim(&ClaimRow::key(WORKSPACE, &self.key_of(call)));
+        let named = self
+            .platform
+            .claim(&ClaimRow::key(WORKSPACE, &self.key_of(call)));
         let event = match named {
             Some(row) if row.agent == by => Event::Settled(outcome),
             _ => Event::AgentGone,
@@ -538,8 +539,8 @@
     /// Ends the attempt once the end and all chunks before it have arrived.
     fn check_end(&mut self, call: usize, no: u32) {
         let state = &mut self.calls[call];
-        let complete = |end: &Box<End>| state.pieces.len() as u64 == end.chunks;
-        if state.end.as_ref().is_some_and(complete)
+        let complete = |end: &End| state.pieces.len() as u64 == end.chunks;
+        if state.end.as_deref().is_some_and(complete)
             && let Some(end) = state.end.take()
         {
             self.advance(call, no, Event::Ended(end));
--- a/crates/faults/src/matrix.rs
+++ b/crates/faults/src/matrix.rs
@@ -214,8 +214,7 @@
         ),
         Fault::EngineRestart => (step.is_at_agent(), "no engine takes part"),
         Fault::LoadFails => (
-            matches!(flow, Flow::Drain | Flow::Restart)
-                || (Step::Pick..=Step::Pin).contains(&step),
+            matches!(flow, Flow::Drain | Flow::Restart) || (Step::Pick..=Step::Pin).contains(&step),
             "no load is pending",
         ),
         Fault::LeaseExpires | Fault::FencingIgnored => {
@@ -225,10 +224,7 @@
             matches!(flow, Flow::Request | Flow::Drain),
             "no entry takes part",
         ),
-        Fault::MessageLost
-        | Fault::MessageLate
-        | Fault::MessageTwice
-        | Fault::MessageSwapped => (
+        Fault::MessageLost | Fault::MessageLate | Fault::MessageTwice | Fault::MessageSwapped => (
             flow != Flow::Publish,
             "the publisher talks to table and store only",
         ),
--- a/crates/faults/src/record.rs
+++ b/crates/faults/src/record.rs
@@ -197,7 +197,10 @@
         for stop in &self.stops {
             let late = |at: Option<u64>| at.is_some_and(|at| at > stop.at + DRAIN_LIMIT_US);
             if late(stop.accepted) {
-                out.push(format!("process {} took work after 3 s: {stop:?}", stop.pid));
+                out.push(format!(
+                    "process {} took work after 3 s: {stop:?}",
+                    stop.pid
+                ));
             }
         }
         out
@@ -212,12 +215,16 @@
     fn config_forward(&self) -> Vec<String> {
         let mut out = Vec::new();
         for (name, heads) in &self.adopted {
-            let forward = heads.windows(2).all(|pair| pair[0].generation < pair[1].generation);
+            let forward = heads
+                .windows(2)
+                .all(|pair| pair[0].generation < pair[1].generation);
             if !forward {
                 out.push(format!("{name} put {heads:?} in force"));
             }
             if let Some(head) = heads.iter().find(|head| !self.accepted.contains(head)) {
-                out.push(format!("{name} put {head} in force, which was not accepted"));
+                out.push(format!(
+                    "{name} put {head} in force, which was not accepted"
+                ));
             }
         }
         let newest = self.accepted.last();
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -46,6 +46,8 @@
 pub(crate) const CALL_TIMEOUT: u64 = 300 * MS;
 /// The interval of ticks of every process.
 const TICK: u64 = 250 * MS;
+/// The happenings after which a run counts as endless; a sound case has a few thousand.
+const MAX_STEPS: u64 = 50_000;
 /// The usual lag of the membership list.
 const LIST_LAG: u64 = 500 * MS;
 /// The lag of the membership list while it lags.
@@ -106,7 +108,7 @@
     Report(Name, Box<Report>),
     Unlinked(Name, usize),
     Committed(TableReply),
-    Tick(u32),
+    Tick,
     Retry(usize, u32, Box<(Outcome, Option<usize>)>),
 }
 
@@ -270,7 +272,7 @@
     pub(crate) fn schedule_tick(&mut self, proc: Proc, delay: u64) {
         let life = self.node(proc).life;
         let happening = match proc {
-            Proc::Entry(index) => Happening::Entry(index, life, ToEntry::Tick(life)),
+            Proc::Entry(index) => Happening::Entry(index, life, ToEntry::Tick),
             Proc::Agent(pid) => Happening::Agent(pid, ToAgent::Tick),
         };
         self.at(delay, happening);
@@ -298,12 +300,18 @@
 
     /// Lets time pass until `end`, in microseconds.
     pub fn run(&mut self, end: u64) {
+        let mut steps = 0;
         while let Some(entry) = self.queue.first_entry() {
             let (at, _) = *entry.key();
             if at > end {
                 break;
             }
             let happening = entry.remove();
+            steps += 1;
+            assert!(
+                steps < MAX_STEPS,
+                "at {at} us: endless case at {happening:?}"
+            );
             self.now = self.now.max(at);
             self.happen(happening);
         }
@@ -415,7 +423,11 @@
             Asker::Row(entry, call, no) => {
                 let life = self.entries[entry].node.life;
                 let event = Box::new(crate::entries::row_event(reply));
-                self.happen(Happening::Entry(entry, life, ToEntry::Step(call, no, event)));
+                self.happen(Happening::Entry(
+                    entry,
+                    life,
+                    ToEntry::Step(call, no, event),
+                ));
             }
             Asker::Lease(pid) => {
                 let event = CoreEvent::Lease(crate::agents::lease_answer(reply));
@@ -452,7 +464,10 @@
 
     /// Notes a change of the membership list.
     pub(crate) fn update_list(&mut self) {
-        let mut list = self.list.last().map_or(Vec::new(), |(_, list)| list.clone());
+        let mut list = self
+            .list
+            .last()
+            .map_or(Vec::new(), |(_, list)| list.clone());
         let mut set = |listed: Listed| match list.iter_mut().find(|old| old.name == listed.name) {
             Some(old) => *old = listed,
             None => list.push(listed),
@@ -518,12 +533,6 @@
         &self.record
     }
 
-    /// Returns the number of the endpoint with this name.
-    pub(crate) fn endpoint(&self, name: &str) -> usize {
-        let found = self.engines.iter().position(|engine| *engine.name == *name);
-        found.unwrap_or(0)
-    }
-
     /// Returns the live agents of the list.
     pub(crate) fn listed_agents(&self) -> Map<Name, decision::place::Live> {
         let agents = self.listed().iter();
--- a/crates/faults/tests/single_faults.rs
+++ b/crates/faults/tests/single_faults.rs
@@ -37,5 +37,9 @@
     let case = Case::parse(&text).expect("the case is SEED,STEP/FAULT/SKIP,...");
     let outcome = case.run(None);
     println!("all faults injected: {}", outcome.reached);
-    assert!(outcome.violations.is_empty(), "{}", case.report(&outcome.violations));
+    assert!(
+        outcome.violations.is_empty(),
+        "{}",
+        case.report(&outcome.violations)
+    );
 }
