--- a/crates/faults/src/inject.rs
+++ b/crates/faults/src/inject.rs
@@ -177,6 +177,13 @@
         }
     }
 
+    /// Takes table and object store down, or brings them back.
+    pub fn set_storage(&mut self, up: bool) {
+        let mode = if up { Mode::Up } else { Mode::Down };
+        self.platform.table = mode;
+        self.platform.store = mode;
+    }
+
     /// Plans faults at steps.
     pub fn plan(&mut self, injections: &[Injection]) {
         self.plan.extend_from_slice(injections);
