--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -3,8 +3,8 @@
 //! Invariants: a case depends on its [`case::Case`] alone; the checks in [`record`] compare what
 //! the fakes did with what callers were told and never read a counter of the system under test.
 //!
-//! API boundary: [`matrix`] lists steps, faults and invariants, [`case`] runs one case, [`page`]
-//! renders `docs/FAULTS.md`. Nothing here opens a socket or reads a clock.
+//! API boundary: [`matrix`] lists steps, faults and invariants, and [`case`] runs one case. Nothing
+//! here opens a socket or reads a clock.
 
 mod adoption;
 mod agents;
@@ -14,7 +14,6 @@
 mod inject;
 pub mod matrix;
 pub mod mutant;
-pub mod page;
 mod platform;
 mod publisher;
 pub mod record;
