Judge a paused agent's drain from the moment at which it can know of the stop

The trace shows that the agent was paused when the stop was sent: on resuming at 13.4 s it accepted two jobs that had been sent before the stop, and handled the stop right after them; entries had sent their last job 0.2 and 0.4 s after the stop. Ruled out: acceptance after the stop was handled; the ledger. Conclusion: the cases are allowed; no decision was wrong.

--- a/crates/faults/src/agents.rs
+++ b/crates/faults/src/agents.rs
@@ -295,6 +295,9 @@
 
     pub(crate) fn give(&mut self, pid: usize, event: Event) {
         let now = self.time(Proc::Agent(pid));
+        if matches!(event, Event::Drain(Reason::Signal, true)) {
+            self.note_heard(pid);
+        }
         let actions = self.agents[pid].core.handle(now, event, &mut self.rng);
         for action in actions {
             if !self.agents[pid].node.up {
@@ -304,6 +307,13 @@
         }
     }
 
+    fn note_heard(&mut self, pid: usize) {
+        let now = self.now;
+        if let Some(stop) = self.record.stops.iter_mut().find(|stop| stop.pid == pid) {
+            stop.heard.get_or_insert(now);
+        }
+    }
+
     fn act(&mut self, pid: usize, action: Action) {
         match action {
             Action::Accept(key) => self.accept(pid, key),
--- a/crates/faults/src/case.rs
+++ b/crates/faults/src/case.rs
@@ -15,6 +15,9 @@
 
 /// The end of a case, in microseconds. The longest fault except a lagging list is over by then.
 const END: u64 = 22_000 * MS;
+/// What each further long pause adds to a case: pauses of one process can follow one another, and a
+/// process that is still paused at the end cannot have adopted anything.
+const FURTHER_PAUSE: u64 = 12_000 * MS;
 /// The time of the first call.
 const FIRST_CALL: u64 = 1_300 * MS;
 /// The time at which the flow under test begins.
@@ -111,7 +114,7 @@
         world.plan(&self.faults);
         let flows = self.faults.iter().map(|item| item.step.flow());
         world.script(&flows.collect::<Vec<_>>());
-        world.run(END);
+        world.run(self.end());
         let reached = world.injected.len() == self.faults.len();
         let violations = world.finish().violations();
         Outcome {
@@ -120,6 +123,17 @@
         }
     }
 
+    fn end(&self) -> u64 {
+        let long = |item: &&Injection| {
+            matches!(
+                item.fault,
+                Fault::LeaseExpires | Fault::FencingIgnored | Fault::InstanceReplaced
+            )
+        };
+        let pauses = self.faults.iter().filter(long).count() as u64;
+        END + pauses.saturating_sub(1) * FURTHER_PAUSE
+    }
+
     /// Returns a description of the broken invariants, with the command that repeats the case.
     pub fn report(&self, violations: &[Violation]) -> String {
         let mut text = format!("{self}\n  repeat: {}\n", self.command());
--- a/crates/faults/src/record.rs
+++ b/crates/faults/src/record.rs
@@ -69,6 +69,8 @@
     pub pid: usize,
     /// When it was told to stop, in microseconds.
     pub at: u64,
+    /// When it handled that; later than `at` if it was paused.
+    pub heard: Option<u64>,
     /// When an entry last sent it a job.
     pub sent: Option<u64>,
     /// When it last accepted a job.
@@ -195,8 +197,18 @@
     fn drain_fast(&self) -> Vec<String> {
         let mut out = Vec::new();
         for stop in &self.stops {
-            let late = |at: Option<u64>| at.is_some_and(|at| at > stop.at + DRAIN_LIMIT_US);
-            if late(stop.accepted) {
+            // A paused agent finds jobs that were sent before the stop ahead of it when it resumes,
+            // so its acceptance counts from the moment at which it could know of the stop. Entries
+            // are held to the stop itself.
+            let heard = stop.heard.unwrap_or(stop.at);
+            let late = |at: Option<u64>, from: u64| at.is_some_and(|at| at > from + DRAIN_LIMIT_US);
+            if late(stop.sent, stop.at) {
+                out.push(format!(
+                    "process {} was sent work after 3 s: {stop:?}",
+                    stop.pid
+                ));
+            }
+            if late(stop.accepted, heard) {
                 out.push(format!(
                     "process {} took work after 3 s: {stop:?}",
                     stop.pid
