Print the demo's addresses of peers, engines and the membership list

Cause: trying the daemons by hand against the demo's stand-ins needs them. Before: table and object store only.

--- a/crates/cli/src/demo/site.rs
+++ b/crates/cli/src/demo/site.rs
@@ -166,14 +166,20 @@
         let mut list = vec![
             ("entry, for callers".to_owned(), self.entry.addr()),
             ("entry, metrics and dump".to_owned(), self.entry.ops_addr()),
+            ("entry, for peers".to_owned(), self.entry.peer_addr()),
             ("table service".to_owned(), self.platform.table.addr()),
             ("object store".to_owned(), self.platform.objects.addr()),
+            ("membership list".to_owned(), self.platform.members.addr()),
         ];
+        for (number, engine) in self.engines.iter().enumerate() {
+            list.push((format!("engine {number}"), engine.addr()));
+        }
         for (number, agent) in self.agents.iter().enumerate() {
             list.push((
                 format!("agent {number}, metrics and dump"),
                 agent.ops_addr(),
             ));
+            list.push((format!("agent {number}, for peers"), agent.addr()));
         }
         list
     }
