--- a/crates/faults/src/case.rs
+++ b/crates/faults/src/case.rs
@@ -191,6 +191,26 @@
     }
 }
 
+/// Runs the cases on all processors and returns the reports of those that break an invariant.
+pub fn failures(cases: &[Case]) -> Vec<String> {
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let share = cases.len().div_ceil(threads).max(1);
+    let run = |case: &Case| {
+        let found = case.run(None).violations;
+        (!found.is_empty()).then(|| case.report(&found))
+    };
+    std::thread::scope(|scope| {
+        let parts = cases.chunks(share);
+        let tasks: Vec<_> = parts
+            .map(|part| scope.spawn(move || part.iter().filter_map(run).collect::<Vec<_>>()))
+            .collect();
+        let reports = tasks.into_iter().map(|task| task.join());
+        reports
+            .flat_map(|reports| reports.expect("no case panics"))
+            .collect()
+    })
+}
+
 /// Returns whether a list of violations has one of this invariant.
 pub fn breaks(violations: &[Violation], invariant: Invariant) -> bool {
     violations.iter().any(|found| found.invariant == invariant)
--- a/crates/faults/tests/fault_pairs.rs
+++ b/crates/faults/tests/fault_pairs.rs
@@ -1,6 +1,7 @@
 //! Every pair of faults at every step: the same fault twice, and two different ones together.
 
 use faults::case::Case;
+use faults::case::failures;
 use faults::matrix::Step;
 use faults::matrix::faults_of;
 
@@ -15,16 +16,7 @@
             cases.extend(pairs.map(|second| Case::pair(*step, *first, *second)));
         }
     }
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    let share = cases.len().div_ceil(threads);
-    let failed: Vec<String> = std::thread::scope(|scope| {
-        let parts = cases.chunks(share);
-        let tasks: Vec<_> = parts.map(|part| scope.spawn(|| failures(part))).collect();
-        tasks
-            .into_iter()
-            .flat_map(|task| task.join().expect("no case panics"))
-            .collect()
-    });
+    let failed = failures(&cases);
     println!("{} cases", cases.len());
     assert!(
         failed.is_empty(),
@@ -33,11 +25,3 @@
         failed.concat()
     );
 }
-
-fn failures(cases: &[Case]) -> Vec<String> {
-    let run = |case: &Case| {
-        let found = case.run(None).violations;
-        (!found.is_empty()).then(|| case.report(&found))
-    };
-    cases.iter().filter_map(run).collect()
-}
--- a/crates/faults/tests/random_schedules.rs
+++ b/crates/faults/tests/random_schedules.rs
@@ -9,6 +9,7 @@
 use bolero::produce;
 use faults::case::Case;
 use faults::case::Injection;
+use faults::case::failures;
 use faults::matrix::Step;
 use faults::matrix::faults_of;
 
@@ -50,15 +51,7 @@
     let cases: Vec<Case> = (0..SCHEDULES)
         .map(|number| schedule(FIRST_SEED + number))
         .collect();
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    let failed: Vec<String> = std::thread::scope(|scope| {
-        let parts = cases.chunks(cases.len().div_ceil(threads));
-        let tasks: Vec<_> = parts.map(|part| scope.spawn(|| failures(part))).collect();
-        tasks
-            .into_iter()
-            .flat_map(|task| task.join().expect("no case panics"))
-            .collect()
-    });
+    let failed = failures(&cases);
     assert!(
         failed.is_empty(),
         "{} failed:\n{}",
@@ -66,11 +59,3 @@
         failed.concat()
     );
 }
-
-fn failures(cases: &[Case]) -> Vec<String> {
-    let run = |case: &Case| {
-        let found = case.run(None).violations;
-        (!found.is_empty()).then(|| case.report(&found))
-    };
-    cases.iter().filter_map(run).collect()
-}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -37,10 +37,10 @@
 use crate::handler::Event;
 use crate::handler::Identity;
 use crate::handler::SINK_EVENTS;
+use crate::sink::SinkServer;
 use crate::thread;
 use crate::wire_capnp::peer;
 use crate::wire_capnp::session;
-use crate::wire_capnp::sink;
 
 /// The time within which a connection must be made and greeted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -201,11 +201,8 @@
             let mut call = session.dispatch_request();
             codec::write_job(call.get().init_job(), &job);
             call.get().set_body(&body);
-            let sink = SinkServer {
-                sender: RefCell::new(Some(sender)),
-                next: Cell::new(0),
-            };
-            call.get().set_sink(capnp_rpc::new_client(sink));
+            call.get()
+                .set_sink(capnp_rpc::new_client(SinkServer::new(sender)));
             call.send().promise.await.map(drop)
         })
         .await?;
@@ -459,69 +456,3 @@
     let client = hello.send().promise.await?.get()?.get_session()?;
     Ok(Session { client, broken })
 }
-
-/// Receives one answer and checks its order.
-struct SinkServer {
-    sender: RefCell<Option<mpsc::Sender<Event>>>,
-    next: Cell<u64>,
-}
-
-impl SinkServer {
-    fn forward(&self, event: Event) -> impl Future<Output = capnp::Result<()>> + use<> {
-        let sender = self.sender.borrow().clone();
-        async move {
-            let Some(sender) = sender else {
-                return Err(capnp::Error::failed("the answer is closed".to_owned()));
-            };
-            let closed = |_| capnp::Error::failed("the receiver is gone".to_owned());
-            sender.send(event).await.map_err(closed)
-        }
-    }
-
-    /// Closes the answer without an end, so that the receiver cannot take it for whole.
-    fn close(&self, reason: String) -> capnp::Error {
-        self.sender.borrow_mut().take();
-        capnp::Error::failed(reason)
-    }
-}
-
-impl sink::Server for SinkServer {
-    async fn begin(self: Rc<Self>, params: sink::BeginParams) -> capnp::Result<()> {
-        let params = params.get()?;
-        let content = params.get_content_type()?.to_string()?;
-        self.forward(Event::Begin {
-            status: params.get_status(),
-            content,
-        })
-        .await
-    }
-
-    async fn chunk(self: Rc<Self>, params: sink::ChunkParams) -> capnp::Result<()> {
-        let params = params.get()?;
-        let (seq, next) = (params.get_seq(), self.next.get());
-        if seq < next {
-            return Ok(());
-        }
-        if seq > next {
-            return Err(self.close(format!("chunk {seq} arrived where {next} was due")));
-        }
-        self.next.set(next + 1);
-        let data = Bytes::copy_from_slice(params.get_data()?);
-        self.forward(Event::Chunk(data)).await
-    }
-
-    async fn end(
-        self: Rc<Self>,
-        params: sink::EndParams,
-        _: sink::EndResults,
-    ) -> capnp::Result<()> {
-        let end: decision::job::End = codec::from_json(params.get()?.get_end()?)?;
-        if end.chunks != self.next.get() {
-            let got = self.next.get();
-            return Err(self.close(format!("{got} of {} chunks arrived", end.chunks)));
-        }
-        let sent = self.forward(Event::End(Box::new(end))).await;
-        self.sender.borrow_mut().take();
-        sent
-    }
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod handler;
 mod server;
+mod sink;
 mod thread;
 
 #[allow(clippy::all, clippy::unimplemented, missing_docs, unreachable_pub, rust_2018_idioms)]
