Add the commands audit show and audit trace

Cause: the monitor could verify chains and had no way to follow one request or one declared object. Before: audit verify only. Conclusion: a search reads all chains; it needs a time window at fleet size, as verify does.

--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -16,6 +16,7 @@
 mod published;
 mod record;
 mod runs;
+mod search;
 mod verify;
 
 pub use chain::Body;
@@ -31,6 +32,7 @@
 pub use record::Hasher;
 pub use record::Record;
 pub use record::digest;
+pub use search::search;
 pub use verify::Chain;
 pub use verify::Expected;
 pub use verify::Place;
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -14,6 +14,8 @@
 use crate::platform::unreachable;
 use crate::report::Exit;
 use crate::report::Report;
+use crate::story::ShowArgs;
+use crate::story::TraceArgs;
 
 /// The timeout of one read of the object store.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -35,6 +37,12 @@
     /// [`verify`].
     #[options(help = "check all audit records against the published generations")]
     Verify(VerifyArgs),
+    /// [`crate::story::show`].
+    #[options(help = "show the records of one request")]
+    Show(ShowArgs),
+    /// [`crate::story::trace`].
+    #[options(help = "show what ran under one declared object")]
+    Trace(TraceArgs),
 }
 
 /// The arguments of `audit verify`.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod report;
 pub mod rollback;
 pub mod serve;
+pub mod story;
 
 use gumdrop::Options;
 pub use operator::Operator;
@@ -66,7 +67,7 @@
     #[options(help = "print the state of one process")]
     Dump(peers::DumpArgs),
     /// [`audit`].
-    #[options(help = "check the audit records")]
+    #[options(help = "check and search the audit records")]
     Audit(audit::Args),
     /// [`serve`].
     #[options(help = "run an entry")]
@@ -101,6 +102,14 @@
                 let run = async |platform| audit::verify(&args, &platform).await;
                 on_platform(&args.config, args.json, run).await
             }
+            Some(audit::Command::Show(args)) => {
+                let run = async |platform| story::show(&args, &platform).await;
+                on_platform(&args.config, args.json, run).await
+            }
+            Some(audit::Command::Trace(args)) => {
+                let run = async |platform| story::trace(&args, &platform).await;
+                on_platform(&args.config, args.json, run).await
+            }
         },
         Some(Command::Diff(args)) => {
             let run = async |platform| diff::run(&args, &platform).await;
--- a/crates/cli/tests/audit_commands.rs
+++ b/crates/cli/tests/audit_commands.rs
@@ -94,3 +94,73 @@
     assert_eq!(problems.as_array().unwrap().len(), 1, "{problems}");
     assert!(problems[0].as_str().unwrap().contains("generation 5"));
 }
+
+/// Runs a search of the audit and returns its exit and its records.
+async fn search(platform: &Platform, args: &[&str]) -> (Exit, Vec<serde_json::Value>) {
+    let config = platform.root.path().join("operator.toml");
+    let config = config.display().to_string();
+    let all = [&["audit"], args, &["--json", "--config", &config]].concat();
+    let report = common::run(&all).await;
+    let records = document(&report)["records"].as_array().cloned();
+    (report.exit, records.unwrap_or_default())
+}
+
+/// Guards against a trace that leaves out what ran under an object, or shows what did not.
+#[tokio::test]
+async fn trace_finds_commands_of_version() {
+    let platform = Platform::start().await;
+    platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
+    write_chain(&platform, &[1, 1]).await;
+    for object in [["version", "a@1"], ["adapter", "a"], ["endpoint", "e1"]] {
+        let (exit, records) = search(&platform, &[&["trace"], &object[..]].concat()).await;
+        assert_eq!((exit, records.len()), (Exit::Done, 2), "{object:?}");
+    }
+    let (exit, records) = search(&platform, &["trace", "version", "a@2"]).await;
+    assert_eq!((exit, records.len()), (Exit::Refused, 0));
+    let (exit, _) = search(&platform, &["trace", "engine", "a"]).await;
+    assert_eq!(exit, Exit::Usage);
+}
+
+/// Guards against a request that cannot be followed, and against one that is mixed up with others.
+#[tokio::test]
+async fn show_finds_one_request() {
+    let platform = Platform::start().await;
+    platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
+    let log = Log::new(Settings::new("entry-1", Incarnation(3)));
+    let store = Arc::new(HttpObjects::new(platform.objects.addr()));
+    let writer = tokio::spawn({
+        let log = log.clone();
+        async move { log.run(store).await }
+    });
+    for number in 1..=3_u128 {
+        log.record(audit::AttemptRecord {
+            request: decision::ids::RequestId(number),
+            attempt: 1,
+            workspace: "harbor".into(),
+            head: Head::default(),
+            route: "tides".into(),
+            target: decision::job::Target::Model("base".into()),
+            endpoint: Some("e1".into()),
+            incarnation: None,
+            claim: None,
+            replay: false,
+            outcome: decision::job::Outcome::Ran,
+            start: 1,
+            end: 2,
+            asked: String::new(),
+            answered: None,
+        });
+    }
+    log.close().await.unwrap();
+    writer.await.unwrap();
+    let (exit, records) = search(&platform, &["show", &format!("{:032x}", 2)]).await;
+    assert_eq!((exit, records.len()), (Exit::Done, 1));
+    assert_eq!(
+        records[0]["record"]["attempt"]["request"],
+        format!("{:032x}", 2)
+    );
+    let (exit, _) = search(&platform, &["show", &format!("{:032x}", 9)]).await;
+    assert_eq!(exit, Exit::Refused);
+    let (exit, _) = search(&platform, &["show", "not-hex"]).await;
+    assert_eq!(exit, Exit::Usage);
+}
