Never present a repeated dispatch's empty answer as whole

Cause: an agent answered a second dispatch of an attempt that had ended with outcome "ran", no failure and no body, which an entry takes for a whole answer. Found by reading; no way to reach it over one TCP connection was seen. Before: the new test fails (failure None). Conclusion: whole-answer holds for repeated dispatches too.

--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -452,9 +452,11 @@
         let Some(held) = fresh.take() else {
             return;
         };
-        let end = self.end_of(outcome, None, Duration::ZERO, after);
-        // An attempt that was seen before is recorded at its own end.
+        // An attempt that was seen before is recorded at its own end, and its answer went to the
+        // first dispatch: without a failure, nothing at all would look like a whole answer.
         let is_first = matches!(outcome, Outcome::NotRun(_));
+        let failure = (!is_first).then_some(Failure::Truncated);
+        let end = self.end_of(outcome, failure, Duration::ZERO, after);
         let shell = self.clone();
         self.spawn(async move {
             if is_first {
--- a/crates/agent/tests/serve_jobs.rs
+++ b/crates/agent/tests/serve_jobs.rs
@@ -220,3 +220,18 @@
     );
     agent.stop().await;
 }
+
+/// Guards against a second dispatch of an attempt that ended whose empty answer looks whole
+/// (`whole-answer`).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeated_dispatch_is_not_whole() {
+    let (platform, engine, agent) = Platform::with_engine(engine_config(0)).await;
+    let first = platform.run(&agent, &job(1, "a@1", false), 5).await;
+    assert_eq!(first.end().failure, None);
+    let second = platform.run(&agent, &job(1, "a@1", false), 5).await;
+    assert_eq!((second.status, &*second.body), (None, ""));
+    assert_eq!(second.end().outcome, Outcome::Ran);
+    assert_eq!(second.end().failure, Some(Failure::Truncated));
+    assert_eq!(engine.record().executions.len(), 1);
+    agent.stop().await;
+}
