Keep an entry from being ready before it has heard from its agents

Cause: the demo's first bookings were refused with no_endpoint. The entry was ready as soon as it had a configuration, up to 200 ms before the first reports; a claim has to name an agent's incarnation, which only a report tells. Conclusion: readiness waits for every live endpoint's first report, for at most five seconds after the start. Errors in the demo's result are keyed by code.

--- a/crates/cli/src/demo/caller.rs
+++ b/crates/cli/src/demo/caller.rs
@@ -183,9 +183,10 @@
         Some("no") => Told::NotRun,
         _ => Told::Failed,
     };
+    let code = error["error"]["code"].as_str().unwrap_or("no code");
     Seen {
         told,
-        detail: format!("{}: {error}", seen.detail),
+        detail: format!("{} {code}", seen.detail),
         ..seen
     }
 }
--- a/crates/decision/src/place.rs
+++ b/crates/decision/src/place.rs
@@ -127,6 +127,12 @@
         self.names.values().map(|id| self.view(*id))
     }
 
+    /// Returns whether every live endpoint to which this entry routes has reported once.
+    pub fn is_contacted(&self) -> bool {
+        let mut routed = self.views().filter(|view| view.live && view.reachable);
+        routed.all(|view| view.reported.is_some())
+    }
+
     /// Returns the reasons of the last picks, the oldest first.
     pub fn traces(&self) -> impl Iterator<Item = &PickTrace> {
         self.traces.iter()
--- a/crates/decision/tests/place_pick.rs
+++ b/crates/decision/tests/place_pick.rs
@@ -272,3 +272,17 @@
     assert_eq!(counts.len(), 4);
     assert!(counts.values().all(|count| *count <= 20), "{counts:?}");
 }
+
+/// Guards against an entry that counts as ready while bookings have no agent incarnation to name.
+#[test]
+fn contact_needs_all_live_endpoints() {
+    let set = sample_set(3, 4);
+    let mut bench = Bench::new(&set);
+    let names: Vec<Name> = set.endpoints.keys().cloned().collect();
+    for name in &names {
+        assert!(!bench.places.is_contacted(), "before the report of {name}");
+        let report = report(name, 1, &[]);
+        assert!(bench.places.report(Time::from_ms(1), &report));
+    }
+    assert!(bench.places.is_contacted());
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,6 +29,7 @@
 use decision::problem::Problem;
 use decision::retry::RetryBudget;
 use decision::route::RouteTable;
+use decision::time::Time;
 use objects::ObjectSet;
 use objects::Priority;
 use objects::Workspace;
@@ -53,6 +54,9 @@
 /// The time after which a retry makes sense when a workspace has too much in flight.
 const INFLIGHT_AFTER: Duration = Duration::from_secs(1);
 
+/// The time after the start of the process from which an agent that was never heard from no longer
+/// keeps the entry from being ready.
+const CONTACT_LIMIT: Duration = Duration::from_secs(5);
 /// The unit in which memory for bodies is counted, in bytes.
 pub(crate) const BODY_UNIT: usize = 1 << 10;
 
@@ -192,7 +196,23 @@
         if self.stopping.is_cancelled() {
             return Err("the entry is stopping".to_owned());
         }
-        self.configured()
+        self.configured()?;
+        self.contacted(self.clock.now())
+    }
+
+    /// Returns whether the agents have been heard from, or have had the time for it. Before its
+    /// first report an agent gets no booking, as a claim has to name its incarnation.
+    fn contacted(&self, now: Time) -> Result<(), String> {
+        if now.since(Time(0)) >= CONTACT_LIMIT {
+            return Ok(());
+        }
+        if self.members.borrow().is_empty() {
+            return Err("the entry has no membership list yet".to_owned());
+        }
+        if !self.routing().places.is_contacted() {
+            return Err("the entry has not heard from all agents yet".to_owned());
+        }
+        Ok(())
     }
 
     /// Returns whether the configuration is known. A stopping entry still serves what reaches it.
