Name the audit search and the effects of faults plainly

Cause: the read-through found a module called story and a type called Sight. Before: those names. After: audit_search and Effect; the tests of the commands and of the fault page pass unchanged. Conclusion: no change of behavior.

--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -8,14 +8,14 @@
 use gumdrop::Options;
 use serde_json::json;
 
+use crate::audit_search::ShowArgs;
+use crate::audit_search::TraceArgs;
 use crate::platform::Fetched;
 use crate::platform::Platform;
 use crate::platform::PlatformError;
 use crate::platform::unreachable;
 use crate::report::Exit;
 use crate::report::Report;
-use crate::story::ShowArgs;
-use crate::story::TraceArgs;
 
 /// The timeout of one read of the object store.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -37,10 +37,10 @@
     /// [`verify`].
     #[options(help = "check all audit records against the published generations")]
     Verify(VerifyArgs),
-    /// [`crate::story::show`].
+    /// [`crate::audit_search::show`].
     #[options(help = "show the records of one request")]
     Show(ShowArgs),
-    /// [`crate::story::trace`].
+    /// [`crate::audit_search::trace`].
     #[options(help = "show what ran under one declared object")]
     Trace(TraceArgs),
 }
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/audit_search.rs
@@ -71,7 +71,7 @@
     pub help: bool,
 }
 
-/// Tells the story of one request; exits with 1 if no record names it.
+/// Shows the records of one request; exits with 1 if no record names it.
 pub async fn show(args: &ShowArgs, platform: &Platform) -> Report {
     let Ok(request) = RequestId::try_from(args.request.clone()) else {
         let message = format!("`{}` is no request of 32 hex digits", args.request);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 //! command is one more module and one more variant of [`Command`].
 
 pub mod audit;
+pub mod audit_search;
 pub mod check;
 pub mod demo;
 pub mod diff;
@@ -22,7 +23,6 @@
 pub mod report;
 pub mod rollback;
 pub mod serve;
-pub mod story;
 
 use gumdrop::Options;
 pub use operator::Operator;
@@ -103,11 +103,11 @@
                 on_platform(&args.config, args.json, run).await
             }
             Some(audit::Command::Show(args)) => {
-                let run = async |platform| story::show(&args, &platform).await;
+                let run = async |platform| audit_search::show(&args, &platform).await;
                 on_platform(&args.config, args.json, run).await
             }
             Some(audit::Command::Trace(args)) => {
-                let run = async |platform| story::trace(&args, &platform).await;
+                let run = async |platform| audit_search::trace(&args, &platform).await;
                 on_platform(&args.config, args.json, run).await
             }
         },
--- a/crates/faults/src/page.rs
+++ b/crates/faults/src/page.rs
@@ -11,69 +11,69 @@
 
 /// What a caller or an operator sees, with its code in the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Sight {
+struct Effect {
     code: &'static str,
     text: &'static str,
 }
 
-const fn sight(code: &'static str, text: &'static str) -> Sight {
-    Sight { code, text }
+const fn effect(code: &'static str, text: &'static str) -> Effect {
+    Effect { code, text }
 }
 
-const UNAFFECTED: Sight = sight("c0", "nothing: requests go on");
-const LATER: Sight = sight("c1", "the answer comes later, within the deadline");
-const ELSEWHERE: Sight = sight(
+const UNAFFECTED: Effect = effect("c0", "nothing: requests go on");
+const LATER: Effect = effect("c1", "the answer comes later, within the deadline");
+const ELSEWHERE: Effect = effect(
     "c2",
     "the answer comes from another endpoint; with none left, an error with `ran: no` and `Retry-After`",
 );
-const UNCERTAIN: Sight = sight(
+const UNCERTAIN: Effect = effect(
     "c3",
     "a repeatable request is retried before its first byte, later it ends with an error and without \
      `[DONE]`; a booking without proof ends as `outcome_unknown` and is never run again",
 );
-const NO_CLAIM: Sight = sight(
+const NO_CLAIM: Effect = effect(
     "c4",
     "a booking gets `storage_unavailable` with `ran: no` within a second; other requests go on",
 );
-const SAME_KEY: Sight = sight(
+const SAME_KEY: Effect = effect(
     "c5",
     "the connection is lost; the same idempotency key gives the stored outcome, or `outcome_unknown`",
 );
 
-const NOTHING: Sight = sight("o0", "nothing but latency");
-const UNREACHABLE: Sight = sight(
+const NOTHING: Effect = effect("o0", "nothing but latency");
+const UNREACHABLE: Effect = effect(
     "o1",
     "`publish` exits with 3 and says what may have happened",
 );
-const READ_BACK: Sight = sight(
+const READ_BACK: Effect = effect(
     "o2",
     "`publish` reads the head back and reports what is in force",
 );
-const CONFLICT: Sight = sight(
+const CONFLICT: Effect = effect(
     "o3",
     "`publish` exits with 4 and lists the objects that clash",
 );
-const BEHIND: Sight = sight(
+const BEHIND: Effect = effect(
     "o4",
     "`status` shows the older generation until the next exchange",
 );
-const NOT_READY: Sight = sight(
+const NOT_READY: Effect = effect(
     "o5",
     "the process stays not ready, `/readyz` says what it waits for",
 );
-const RETRIES: Sight = sight(
+const RETRIES: Effect = effect(
     "o6",
     "retries, refusals and an open breaker in metrics and dump",
 );
-const LEASE: Sight = sight(
+const LEASE: Effect = effect(
     "o7",
     "the agent's dump shows no lease; no commands until it has one",
 );
-const LOADS: Sight = sight("o8", "failed loads in the agent's metrics and log");
-const DRAINING: Sight = sight("o9", "the log says every 10 s what the stop waits for");
+const LOADS: Effect = effect("o8", "failed loads in the agent's metrics and log");
+const DRAINING: Effect = effect("o9", "the log says every 10 s what the stop waits for");
 
 /// Returns what a caller sees of `fault` at `step`.
-fn caller(step: Step, fault: Fault) -> Sight {
+fn caller(step: Step, fault: Fault) -> Effect {
     let submitted = (Step::Submit..=Step::Answer).contains(&step);
     match (step.flow(), fault) {
         (Flow::Publish | Flow::Adopt, _) => UNAFFECTED,
@@ -94,7 +94,7 @@
 }
 
 /// Returns what an operator sees of `fault` at `step`.
-fn operator(step: Step, fault: Fault) -> Sight {
+fn operator(step: Step, fault: Fault) -> Effect {
     match (step.flow(), fault) {
         (Flow::Publish, Fault::PublishConflict) => CONFLICT,
         (Flow::Publish, Fault::TableLost | Fault::StoreLost) => READ_BACK,
@@ -155,9 +155,9 @@
     text
 }
 
-const CALLER: [Sight; 6] = [UNAFFECTED, LATER, ELSEWHERE, UNCERTAIN, NO_CLAIM, SAME_KEY];
+const CALLER: [Effect; 6] = [UNAFFECTED, LATER, ELSEWHERE, UNCERTAIN, NO_CLAIM, SAME_KEY];
 
-const OPERATOR: [Sight; 10] = [
+const OPERATOR: [Effect; 10] = [
     NOTHING,
     UNREACHABLE,
     READ_BACK,
@@ -188,12 +188,12 @@
     engine that ignores fencing, is the remaining risk of section 6.1 of the design page.\n\
     * Pairs and schedules do not assert that every fault was reached.\n";
 
-fn legend(text: &mut String, title: &str, sights: &[Sight]) {
+fn legend(text: &mut String, title: &str, effects: &[Effect]) {
     let _ = write!(text, "\n## {title}\n\n| Code | Meaning |\n| --- | --- |\n");
-    for Sight {
+    for Effect {
         code,
         text: meaning,
-    } in sights
+    } in effects
     {
         let _ = writeln!(text, "| {code} | {meaning} |");
     }
