--- a/crates/cli/tests/audit_commands.rs
+++ b/crates/cli/tests/audit_commands.rs
@@ -8,6 +8,7 @@
 use audit::CommandKind;
 use audit::CommandRecord;
 use audit::Log;
+use audit::Record;
 use audit::Settings;
 use cli::Exit;
 use cli::Report;
@@ -21,37 +22,42 @@
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Writes a chain of unloads, one for each generation.
-async fn write_chain(platform: &Platform, generations: &[u64]) -> String {
-    let row = platform.table.row("config/head").unwrap();
-    let head: Head = serde_json::from_slice(&row.value).unwrap();
-    let log = Log::new(Settings::new("e1", Incarnation(7)));
+/// Writes a closed chain of these records and returns the key of its object.
+async fn write_chain(platform: &Platform, process: &str, records: Vec<Record>) -> String {
+    let log = Log::new(Settings::new(process, Incarnation(7)));
     let store = Arc::new(HttpObjects::new(platform.objects.addr()));
     let writer = tokio::spawn({
         let (log, store) = (log.clone(), store.clone());
         async move { log.run(store).await }
     });
-    for (token, generation) in (1..).zip(generations) {
-        log.record(CommandRecord {
-            endpoint: "e1".into(),
-            kind: CommandKind::Unload,
-            version: "a@1".into(),
-            weights: None,
-            token,
-            head: Head {
-                generation: *generation,
-                ..head.clone()
-            },
-            error: None,
-            start: 1,
-            end: 2,
-        });
-    }
+    records.into_iter().for_each(|record| log.record(record));
     log.close().await.unwrap();
     writer.await.unwrap();
     store.list("audit/", TIMEOUT).await.unwrap().remove(0)
 }
 
+/// Writes a chain of unloads, one for each generation.
+async fn write_unloads(platform: &Platform, generations: &[u64]) -> String {
+    let row = platform.table.row("config/head").unwrap();
+    let head: Head = serde_json::from_slice(&row.value).unwrap();
+    let unload = |(token, generation): (u64, &u64)| CommandRecord {
+        endpoint: "e1".into(),
+        kind: CommandKind::Unload,
+        version: "a@1".into(),
+        weights: None,
+        token,
+        head: Head {
+            generation: *generation,
+            ..head.clone()
+        },
+        error: None,
+        start: 1,
+        end: 2,
+    };
+    let records = (1..).zip(generations).map(unload).map(Record::from);
+    write_chain(platform, "e1", records.collect()).await
+}
+
 async fn verify(platform: &Platform) -> Report {
     let config = platform.root.path().join("operator.toml");
     let config = config.display().to_string();
@@ -64,7 +70,7 @@
 async fn altered_records_are_found() {
     let platform = Platform::start().await;
     platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
-    let key = write_chain(&platform, &[1, 1, 1]).await;
+    let key = write_unloads(&platform, &[1, 1, 1]).await;
     let clean = verify(&platform).await;
     assert_eq!(clean.exit, Exit::Done, "{clean:?}");
     assert_eq!(document(&clean)["records"], 3);
@@ -87,7 +93,7 @@
 async fn unexplained_command_is_found() {
     let platform = Platform::start().await;
     platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
-    write_chain(&platform, &[1, 5]).await;
+    write_unloads(&platform, &[1, 5]).await;
     let found = verify(&platform).await;
     assert_eq!(found.exit, Exit::Refused);
     let problems = document(&found)["problems"].clone();
@@ -110,7 +116,7 @@
 async fn trace_finds_commands_of_version() {
     let platform = Platform::start().await;
     platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
-    write_chain(&platform, &[1, 1]).await;
+    write_unloads(&platform, &[1, 1]).await;
     for object in [["version", "a@1"], ["adapter", "a"], ["endpoint", "e1"]] {
         let (exit, records) = search(&platform, &[&["trace"], &object[..]].concat()).await;
         assert_eq!((exit, records.len()), (Exit::Done, 2), "{object:?}");
@@ -126,33 +132,25 @@
 async fn show_finds_one_request() {
     let platform = Platform::start().await;
     platform.publish(&platform.dir("a", WORKSPACES), &[]).await;
-    let log = Log::new(Settings::new("entry-1", Incarnation(3)));
-    let store = Arc::new(HttpObjects::new(platform.objects.addr()));
-    let writer = tokio::spawn({
-        let log = log.clone();
-        async move { log.run(store).await }
-    });
-    for number in 1..=3_u128 {
-        log.record(audit::AttemptRecord {
-            request: decision::ids::RequestId(number),
-            attempt: 1,
-            workspace: "harbor".into(),
-            head: Head::default(),
-            route: "tides".into(),
-            target: decision::job::Target::Model("base".into()),
-            endpoint: Some("e1".into()),
-            incarnation: None,
-            claim: None,
-            replay: false,
-            outcome: decision::job::Outcome::Ran,
-            start: 1,
-            end: 2,
-            asked: String::new(),
-            answered: None,
-        });
-    }
-    log.close().await.unwrap();
-    writer.await.unwrap();
+    let attempt = |number| audit::AttemptRecord {
+        request: decision::ids::RequestId(number),
+        attempt: 1,
+        workspace: "harbor".into(),
+        head: Head::default(),
+        route: "tides".into(),
+        target: decision::job::Target::Model("base".into()),
+        endpoint: Some("e1".into()),
+        incarnation: None,
+        claim: None,
+        replay: false,
+        outcome: decision::job::Outcome::Ran,
+        start: 1,
+        end: 2,
+        asked: String::new(),
+        answered: None,
+    };
+    let records = (1..=3).map(attempt).map(Record::from);
+    write_chain(&platform, "entry-1", records.collect()).await;
     let (exit, records) = search(&platform, &["show", &format!("{:032x}", 2)]).await;
     assert_eq!((exit, records.len()), (Exit::Done, 1));
     assert_eq!(
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -10,7 +10,6 @@
 use decision::place::Live;
 use process::Config;
 use spdlog::error;
-use spdlog::info;
 use tokio::sync::watch;
 
 use crate::polls::agents_of;
@@ -67,7 +66,6 @@
     book.limits
         .retain(|name| config.set.workspaces.contains_key(name));
     drop(book);
-    info!("configuration {} is in force", config.head);
 }
 
 fn live_agents(view: &Membership) -> Map<Name, Live> {
