--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,6 +9,7 @@
 use gumdrop::Options;
 use process::shutdown::stop_signal;
 use spdlog::info;
+use tokio::runtime::Builder;
 
 /// The agent beside one endpoint.
 #[derive(Options)]
@@ -18,11 +19,60 @@
     /// The settings file.
     #[options(meta = "FILE", default = "agent.toml")]
     config: PathBuf,
+    /// What to run; by default the agent that carries requests to its endpoint.
+    #[options(command)]
+    command: Option<Command>,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+/// The commands.
+#[derive(Options)]
+enum Command {
+    /// Run the agent beside a runner of the users' platform, which entries call directly.
+    #[options(help = "run the agent beside a runner that entries call directly")]
+    Sidecar(SidecarArguments),
+}
+
+/// The arguments of `sidecar`.
+#[derive(Options)]
+struct SidecarArguments {
+    /// Print this help.
+    help: bool,
+    /// The settings file.
+    #[options(
+        meta = "FILE",
+        help = "the settings file; by default the one that the platform names"
+    )]
+    config: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    // A sidecar has a share of one core, where more threads only cost switches.
+    let mut builder = match arguments.command {
+        Some(Command::Sidecar(_)) => Builder::new_current_thread(),
+        None => Builder::new_multi_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("runtime cannot be set up: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(start(arguments))
+}
+
+async fn start(arguments: Arguments) -> ExitCode {
+    if let Some(Command::Sidecar(sidecar)) = arguments.command {
+        let path = sidecar.config.unwrap_or_else(platform::settings::path);
+        return match gateway::agent::run(&path).await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(report) => {
+                eprintln!("{report:?}");
+                ExitCode::from(2)
+            }
+        };
+    }
     let settings: Settings = match process::settings::load(&arguments.config) {
         Ok(settings) => settings,
         Err(report) => {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod demo;
 pub mod diff;
 pub mod directory;
+pub mod gateway;
 pub mod history;
 pub mod operator;
 pub mod peers;
@@ -72,6 +73,9 @@
     /// [`serve`].
     #[options(help = "run an entry")]
     Serve(serve::Args),
+    /// [`gateway`].
+    #[options(help = "run an entry on the users' platform, which calls runners directly")]
+    Gateway(gateway::Args),
     /// [`demo`].
     #[options(help = "run a whole site with stand-ins in one process")]
     Demo(demo::Args),
@@ -95,6 +99,7 @@
         Some(Command::Status(args)) => peers::status(&args).await,
         Some(Command::Dump(args)) => peers::dump(&args).await,
         Some(Command::Serve(args)) => serve::run(&args).await,
+        Some(Command::Gateway(args)) => gateway::run(&args).await,
         Some(Command::Demo(args)) => demo::run(&args).await,
         Some(Command::Audit(args)) => match args.command {
             None => usage_error("a command of `audit` is required"),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,10 +2,23 @@
 
 use std::process::ExitCode;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+use tokio::runtime::Builder;
+
+fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let report = cli::run(&args).await;
+    // The instances of the gateway have a share of one core, where more threads only cost switches.
+    let mut builder = match args.first().map(String::as_str) {
+        Some("gateway") => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("runtime cannot be set up: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let report = runtime.block_on(cli::run(&args));
     for line in &report.errors {
         eprintln!("{line}");
     }
--- a/crates/decision/src/health.rs
+++ b/crates/decision/src/health.rs
@@ -24,6 +24,27 @@
 /// breaker open forever.
 const PROBE_LIMIT: Duration = Duration::from_secs(60);
 
+/// How fast a breaker opens and how long it stays open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// The first open period.
+    pub open_min: Duration,
+    /// The longest open period before jitter.
+    pub open_max: Duration,
+    /// Consecutive failures that open the breaker.
+    pub max_consecutive: u32,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            open_min: OPEN_MIN,
+            open_max: OPEN_MAX,
+            max_consecutive: MAX_CONSECUTIVE,
+        }
+    }
+}
+
 /// Why a breaker is open.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Cause {
@@ -72,6 +93,7 @@
 /// The health of one endpoint.
 #[derive(Clone, Debug)]
 pub struct Health {
+    pace: Pace,
     breaker: Breaker,
     /// The last outcomes, one bit each, 1 for a failure.
     window: u32,
@@ -86,6 +108,7 @@
 impl Default for Health {
     fn default() -> Self {
         Health {
+            pace: Pace::default(),
             breaker: Breaker::Closed,
             window: 0,
             count: 0,
@@ -98,6 +121,14 @@
 }
 
 impl Health {
+    /// Creates the health of an endpoint whose breaker has another pace.
+    pub fn with_pace(pace: Pace) -> Self {
+        Health {
+            pace,
+            ..Health::default()
+        }
+    }
+
     /// Returns the state of the breaker.
     pub fn breaker(&self) -> Breaker {
         self.breaker
@@ -165,6 +196,15 @@
         }
     }
 
+    /// Records that the endpoint accepts no connection; the breaker opens at once.
+    pub fn record_unreachable(&mut self, now: Time, rng: &mut fastrand::Rng) {
+        self.push(true);
+        if matches!(self.breaker, Breaker::Open { until, .. } if now < until) {
+            return;
+        }
+        self.open(now, rng, Cause::Failures);
+    }
+
     /// Records an answer that names another adapter; the breaker opens at once.
     pub fn record_wrong(&mut self, now: Time, rng: &mut fastrand::Rng) {
         self.push(true);
@@ -187,13 +227,15 @@
 
     fn is_failing(&self) -> bool {
         let share = self.count >= MIN_OUTCOMES && self.window.count_ones() * 2 >= self.count;
-        self.consecutive >= MAX_CONSECUTIVE || share
+        self.consecutive >= self.pace.max_consecutive || share
     }
 
     fn open(&mut self, now: Time, rng: &mut fastrand::Rng, cause: Cause) {
-        let period = OPEN_MIN
+        let period = self
+            .pace
+            .open_min
             .saturating_mul(1 << self.openings.min(8))
-            .min(OPEN_MAX);
+            .min(self.pace.open_max);
         let jitter = period.mul_f64(rng.f64() * OPEN_JITTER);
         let until = now.after(period + jitter);
         self.openings += 1;
@@ -204,6 +246,7 @@
     /// it again.
     fn close(&mut self) {
         *self = Health {
+            pace: self.pace,
             latency: self.latency,
             ..Health::default()
         };
--- /dev/null
+++ b/crates/gateway/src/agent.rs
@@ -0,0 +1,370 @@
+//! The agent beside one runner: it alone orders loads there, and tells entries what the runner has.
+//!
+//! Invariants: one order is under way at a time, decided on a report that is read after the order
+//! before; an order names the runner's incarnation and the number of orders it has accepted, so that
+//! a late one has no effect.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::time::Time;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures::SinkExt;
+use futures::StreamExt;
+use platform::runner::Control;
+use platform::runner::Taken;
+use platform::settings;
+use process::ops::Ops;
+use process::ops::OpsState;
+use serde_json::json;
+use serving::Name;
+use serving::link::SILENCE_LIMIT;
+use serving::link::STATE_INTERVAL;
+use serving::link::State;
+use serving::link::ToAgent;
+use serving::slots::LinkId;
+use serving::slots::Order;
+use serving::slots::Slots;
+use spdlog::info;
+use spdlog::warn;
+use tokio::net::TcpStream;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LinesCodec;
+use tokio_util::task::TaskTracker;
+
+use crate::Timer;
+use crate::entry::Failure;
+use crate::front;
+use crate::links::MAX_LINE;
+use crate::logs;
+use crate::metrics::AgentMetrics;
+
+/// How often the report is read while nothing is on its way.
+const IDLE_POLL: Duration = Duration::from_millis(200);
+/// How often it is read while an adapter is on its way.
+const ACTIVE_POLL: Duration = Duration::from_millis(20);
+/// Orders that are given between two rounds at most.
+const MAX_ORDERS: usize = 8;
+/// How often a change of the load alone is told.
+const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+
+struct Shared {
+    settings: settings::Agent,
+    timer: Timer,
+    metrics: AgentMetrics,
+    control: Control,
+    slots: Mutex<Slots>,
+    /// The runner's identifier by the start of the incarnation, as entries told it.
+    names: Mutex<Map<u64, Name>>,
+    wake: Notify,
+    states: watch::Sender<State>,
+    links: AtomicU64,
+}
+
+impl Shared {
+    fn slots(&self) -> MutexGuard<'_, Slots> {
+        self.slots.lock().expect("no panics under the lock")
+    }
+
+    fn now(&self) -> Time {
+        self.timer.now()
+    }
+
+    fn name(&self, born: u64) -> Option<Name> {
+        let names = self.names.lock().expect("no panics under the lock");
+        names.get(&born).cloned()
+    }
+
+    fn entries(&self) -> u32 {
+        self.metrics.entries.get().try_into().unwrap_or(0)
+    }
+
+    fn dump(&self) -> String {
+        let state = self.states.borrow().clone();
+        json!({
+            "instance": self.settings.instance,
+            "runner": self.settings.runner,
+            "state": state,
+            "log_lines_dropped": logs::dropped(),
+        })
+        .to_string()
+    }
+}
+
+/// Runs an agent until a signal asks it to stop.
+///
+/// # Errors
+///
+/// Fails if the process cannot be set up.
+pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
+    let settings: settings::Agent =
+        process::settings::load(path).change_context(Failure::Settings)?;
+    logs::init().change_context(Failure::Setup)?;
+    let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
+    let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
+    let instance = settings.instance.clone();
+    info!("agent starts", kv: { instance = instance.as_str() });
+    let listener = front::listen(settings.listen).await.change_context(Failure::Bind)?;
+    let (states, _) = watch::channel(State::default());
+    let shared = Arc::new(Shared {
+        control: Control::new(settings.runner, &settings.instance),
+        timer: Timer::start(),
+        metrics: AgentMetrics::new().change_context(Failure::Setup)?,
+        slots: Mutex::new(Slots::default()),
+        names: Mutex::new(Map::default()),
+        wake: Notify::new(),
+        states,
+        links: AtomicU64::new(0),
+        settings,
+    });
+    let ops = start_ops(&shared).await?;
+    let tasks = TaskTracker::new();
+    let accept = {
+        let (shared, tasks) = (shared.clone(), tasks.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tasks.spawn(serve_entry(shared.clone(), stream));
+            }
+        })
+    };
+    let control = tokio::spawn(control_runner(shared.clone()));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => info!("settings are read at the next start", kv: { instance = instance.as_str() }),
+        }
+    }
+    info!("agent stops", kv: { instance = instance.as_str(), cause = "SIGTERM" });
+    control.abort();
+    accept.abort();
+    ops.stop().await;
+    Ok(())
+}
+
+async fn start_ops(shared: &Arc<Shared>) -> Result<Ops, Report<Failure>> {
+    let (ready, dump) = (shared.clone(), shared.clone());
+    let state = OpsState {
+        registry: shared.metrics.registry.clone(),
+        ready: Box::new(move || {
+            let up = ready.states.borrow().up;
+            up.then_some(()).ok_or_else(|| "the runner does not answer".into())
+        }),
+        dump: Box::new(move || dump.dump()),
+        secret: shared.settings.dump_secret.clone(),
+    };
+    Ops::start(shared.settings.metrics, state)
+        .await
+        .change_context(Failure::Bind)
+}
+
+/// Reads the runner's report, orders what is due and tells the entries.
+async fn control_runner(shared: Arc<Shared>) {
+    let mut up = false;
+    loop {
+        let answers = round(&shared).await;
+        if answers != up {
+            up = answers;
+            info!("runner", kv: { up, addr = shared.settings.runner.to_string().as_str() });
+        }
+        tell(&shared, up);
+        let active = shared.slots().is_active();
+        let pause = if active { ACTIVE_POLL } else { IDLE_POLL };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = shared.wake.notified() => {}
+        }
+    }
+}
+
+/// Gives the orders that are due; returns whether the runner answers.
+async fn round(shared: &Arc<Shared>) -> bool {
+    for _ in 0..MAX_ORDERS {
+        match shared.control.report().await {
+            Ok(report) => shared.slots().reported(shared.now(), report),
+            Err(error) => {
+                if shared.states.borrow().up {
+                    let error = error.to_string();
+                    warn!("runner lost", kv: { error = error.as_str() });
+                }
+                return false;
+            }
+        }
+        if !order_next(shared).await {
+            break;
+        }
+    }
+    true
+}
+
+/// Gives one order; returns whether another one may follow.
+async fn order_next(shared: &Arc<Shared>) -> bool {
+    let (order, born, sequence) = {
+        let mut slots = shared.slots();
+        let report = slots.report();
+        let (born, sequence) = (report.born, report.sequence);
+        if shared.name(born).is_none() {
+            return false;
+        }
+        let Some(order) = slots.next(shared.now()) else {
+            return false;
+        };
+        (order, born, sequence)
+    };
+    let Some(runner) = shared.name(born) else {
+        return false;
+    };
+    let taken = shared.control.order(&runner, &order, sequence).await;
+    let result = taken.to_string();
+    shared.metrics.orders.with_label_values(&[result.as_str()]).inc();
+    let (kind, subject, version) = describe(&order);
+    info!("order", kv: {
+        kind, subject, version, runner = &*runner, sequence, result = result.as_str()
+    });
+    taken == Taken::Yes
+}
+
+fn describe(order: &Order) -> (&'static str, &str, u64) {
+    match order {
+        Order::LoadModel { model } => ("load model", model, 0),
+        Order::Load { adapter, version } => ("load", adapter, version.unwrap_or(0)),
+        Order::Unload { adapter } => ("unload", adapter, 0),
+    }
+}
+
+/// Tells the entries what has changed; a change of the load alone waits a little.
+fn tell(shared: &Arc<Shared>, up: bool) {
+    let state = shared.slots().state(shared.now(), up, shared.entries());
+    shared.metrics.adapters.set(state.places.len() as i64);
+    shared.states.send_if_modified(|known| {
+        let changed = *known != state;
+        *known = state;
+        changed
+    });
+}
+
+/// Talks with one entry until its connection ends.
+async fn serve_entry(shared: Arc<Shared>, stream: TcpStream) {
+    let link = shared.links.fetch_add(1, Ordering::Relaxed);
+    shared.metrics.entries.inc();
+    let reason = talk(&shared, link, stream).await;
+    shared.metrics.entries.dec();
+    shared.slots().unlinked(link);
+    info!("entry lost", kv: { link, reason = reason.as_str() });
+}
+
+async fn talk(shared: &Arc<Shared>, link: LinkId, stream: TcpStream) -> String {
+    if let Err(e) = stream.set_nodelay(true) {
+        return e.to_string();
+    }
+    let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(MAX_LINE));
+    let mut states = shared.states.subscribe();
+    states.mark_changed();
+    let mut heard = Instant::now();
+    let mut told: Option<(State, Instant)> = None;
+    loop {
+        let due = told.as_ref().map_or(Instant::now(), |(_, at)| *at + STATE_INTERVAL);
+        let result = tokio::select! {
+            line = lines.next() => match line {
+                Some(Ok(line)) => {
+                    heard = Instant::now();
+                    take_message(shared, link, &line)
+                }
+                Some(Err(e)) => Err(e.to_string()),
+                None => Err("closed".into()),
+            },
+            changed = states.changed() => match changed {
+                Ok(()) => {
+                    let state = states.borrow_and_update().clone();
+                    tell_entry(&mut lines, &mut told, state, false).await
+                }
+                Err(_) => Err("stopping".into()),
+            },
+            () = tokio::time::sleep_until(due) => {
+                let state = states.borrow_and_update().clone();
+                tell_entry(&mut lines, &mut told, state, true).await
+            }
+            () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => Err("silent".into()),
+        };
+        if let Err(reason) = result {
+            return reason;
+        }
+    }
+}
+
+/// Sends a state unless it differs from the last one by the load alone and that is recent.
+async fn tell_entry(
+    lines: &mut Framed<TcpStream, LinesCodec>,
+    told: &mut Option<(State, Instant)>,
+    state: State,
+    due: bool,
+) -> Result<(), String> {
+    let now = Instant::now();
+    if let Some((known, at)) = told
+        && !due
+        && now < *at + LOAD_INTERVAL
+        && is_same_but_load(known, &state)
+    {
+        return Ok(());
+    }
+    let text = serde_json::to_string(&state).map_err(|e| e.to_string())?;
+    let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
+    sent.map_err(|_| "write timeout".to_owned())?.map_err(|e| e.to_string())?;
+    *told = Some((state, now));
+    Ok(())
+}
+
+/// Returns whether two states name the same adapters, models and phase; expected times of loads and
+/// the numbers of requests may differ.
+fn is_same_but_load(a: &State, b: &State) -> bool {
+    let names = |state: &State| -> Vec<(Name, u64, bool)> {
+        let places = state.places.iter();
+        places
+            .map(|place| (place.adapter.clone(), place.version, place.wait_ms > 0))
+            .collect()
+    };
+    (a.born, a.up, a.draining) == (b.born, b.up, b.draining)
+        && a.models == b.models
+        && (a.room == 0) == (b.room == 0)
+        && names(a) == names(b)
+}
+
+fn take_message(shared: &Arc<Shared>, link: LinkId, line: &str) -> Result<(), String> {
+    let message: ToAgent = serde_json::from_str(line).map_err(|e| e.to_string())?;
+    let now = shared.now();
+    match message {
+        ToAgent::Hello {
+            runner,
+            born,
+            capacity,
+        } => {
+            info!("entry connected", kv: { link, runner = &*runner, born });
+            let mut names = shared.names.lock().expect("no panics under the lock");
+            names.insert(born, runner);
+            drop(names);
+            shared.slots().set_capacity(capacity);
+            shared.wake.notify_one();
+        }
+        ToAgent::Want {
+            adapter,
+            version,
+            urgent,
+        } => {
+            shared.slots().want(now, &adapter, version, urgent);
+            shared.wake.notify_one();
+        }
+        ToAgent::Usage(usages) => shared.slots().used(now, link, &usages),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,409 @@
+//! The entry: its shared state, its tasks and its stop.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use decision::time::Time;
+use derive_more::Display;
+use derive_more::Error;
+use error_stack::Report;
+use error_stack::ResultExt;
+use platform::manifest::Announced;
+use platform::settings;
+use platform::store::Store;
+use platform::store::Table;
+use process::ops::Ops;
+use process::ops::OpsState;
+use serde_json::json;
+use serving::Name;
+use serving::budget::Allowance;
+use serving::budget::Budget;
+use serving::config::Config;
+use serving::fleet::Fleet;
+use serving::members::Change;
+use serving::members::Members;
+use serving::runner::Member;
+use serving::versions::Versions;
+use spdlog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::Timer;
+use crate::conns::Conns;
+use crate::front;
+use crate::links::Links;
+use crate::logs;
+use crate::metrics::EntryMetrics;
+use crate::watch::follow;
+
+/// The number of entries that share a budget until the agents have told it.
+const ASSUMED_ENTRIES: u32 = 8;
+/// How long a stopping entry still accepts connections, so that the platform notices first that it
+/// is not ready.
+const UNREADY_TIME: Duration = Duration::from_millis(2_500);
+/// The part of the time to SIGKILL that is left for the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// The pause between two rounds of upkeep.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A process that cannot start or go on.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// The settings cannot be used.
+    #[display("settings cannot be used")]
+    Settings,
+    /// Logs, metrics or signals cannot be set up.
+    #[display("process cannot be set up")]
+    Setup,
+    /// An address cannot be bound.
+    #[display("address cannot be bound")]
+    Bind,
+}
+
+/// What an entry knows; behind one lock, which is never held across an await.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force.
+    pub config: Option<Arc<Config>>,
+    /// The runners.
+    pub fleet: Fleet,
+    /// The versions that adapters must have.
+    pub versions: Versions,
+    /// The second attempts that are left.
+    pub budget: Budget,
+    /// The source of random choices.
+    pub rng: fastrand::Rng,
+    members: Members,
+    has_members: bool,
+}
+
+/// The shared parts of an entry.
+pub struct Entry {
+    /// The settings.
+    pub settings: settings::Entry,
+    /// The clock.
+    pub timer: Timer,
+    /// The metrics.
+    pub metrics: EntryMetrics,
+    /// The store.
+    pub store: Store,
+    /// The connections to runners.
+    pub conns: Conns,
+    /// The connections to agents.
+    pub links: Links,
+    state: Mutex<State>,
+    stopping: AtomicBool,
+}
+
+impl Entry {
+    /// Creates the entry without any task.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be registered.
+    pub fn new(settings: settings::Entry) -> Result<Arc<Entry>, Report<Failure>> {
+        let bounds = settings.bounds;
+        let allowance = Allowance {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: Duration::from_secs_f64(bounds.retry_window_s),
+        };
+        let state = State {
+            config: None,
+            fleet: Fleet::new(settings.domain.as_str().into()),
+            versions: Versions::default(),
+            budget: Budget::new(allowance, ASSUMED_ENTRIES),
+            rng: fastrand::Rng::new(),
+            members: Members::default(),
+            has_members: false,
+        };
+        Ok(Arc::new(Entry {
+            timer: Timer::start(),
+            metrics: EntryMetrics::new().change_context(Failure::Setup)?,
+            store: Store::new(settings.store),
+            conns: Conns::default(),
+            links: Links::default(),
+            state: Mutex::new(state),
+            stopping: AtomicBool::new(false),
+            settings,
+        }))
+    }
+
+    /// Locks the state.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panics under the lock")
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Time {
+        self.timer.now()
+    }
+
+    /// Returns whether the entry is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the entry can serve; `Err` says what it waits for.
+    pub fn ready(&self) -> Result<(), String> {
+        if self.is_stopping() {
+            return Err("stopping".into());
+        }
+        let state = self.state();
+        if state.config.is_none() {
+            return Err("no configuration".into());
+        }
+        if !state.has_members {
+            return Err("no membership".into());
+        }
+        Ok(())
+    }
+
+    /// Puts a configuration in force unless it is older than the present one.
+    pub fn adopt(&self, config: Config) {
+        let mut state = self.state();
+        let known = state.config.as_ref().map(|config| config.version);
+        let version = config.version;
+        if known.is_some_and(|known| version <= known) {
+            return;
+        }
+        state.config = Some(Arc::new(config));
+        drop(state);
+        let before = known.unwrap_or(0);
+        info!("configuration in force", kv: { version, before });
+    }
+
+    /// Notes an announced version of an adapter.
+    pub fn announced(&self, announced: &Announced) {
+        let Some(adapter) = &announced.adapter else {
+            return;
+        };
+        let now = self.now();
+        let version = announced.version;
+        if self.state().versions.announce(now, adapter, version) {
+            info!("adapter version announced", kv: { adapter = &**adapter, version });
+        }
+    }
+
+    /// Notes that the store does not answer.
+    pub fn store_lost(&self, table: Table) {
+        if table == Table::Members {
+            self.state().members.lost();
+        }
+    }
+
+    /// Applies an answer about the membership.
+    pub fn members_changed(self: &Arc<Self>, members: Vec<Member>, removed: &[Name], whole: bool) {
+        let now = self.now();
+        let mut state = self.state();
+        state.members.answered(now);
+        state.has_members = true;
+        let mut changes = if whole {
+            state.members.snapshot(now, members)
+        } else {
+            let written = members.into_iter();
+            written
+                .filter_map(|member| state.members.written(member))
+                .collect()
+        };
+        for id in removed {
+            changes.extend(state.members.removed(now, id));
+        }
+        drop(state);
+        self.apply(changes);
+    }
+
+    fn apply(self: &Arc<Self>, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Present(member) => self.present(member),
+                Change::Gone(id) => {
+                    info!("runner gone", kv: { runner = &*id });
+                    self.state().fleet.leave(&id);
+                    self.conns.forget(&id);
+                    self.links.close(&id);
+                }
+            }
+        }
+    }
+
+    fn present(self: &Arc<Self>, member: Member) {
+        let mut state = self.state();
+        let known = state.fleet.get(&member.id).map(|runner| &runner.member);
+        let restarted = known.is_some_and(|known| known.born != member.born);
+        let news = known.is_none_or(|known| restarted || known.phase != member.phase);
+        let engine = state
+            .config
+            .as_ref()
+            .and_then(|config| config.engine(&member.service).cloned());
+        state.fleet.join(member.clone());
+        drop(state);
+        if news {
+            let phase = format!("{:?}", member.phase);
+            let addr = member.addr.to_string();
+            info!("runner present", kv: {
+                runner = &*member.id, service = &*member.service, phase = phase.as_str(),
+                addr = addr.as_str(), born = member.born
+            });
+        }
+        if restarted {
+            self.conns.forget(&member.id);
+            self.links.close(&member.id);
+        }
+        if engine.is_some() {
+            self.links.open(self, &member);
+        }
+    }
+
+    /// Does what is due from time to time.
+    fn upkeep(self: &Arc<Self>) {
+        let now = self.now();
+        let mut state = self.state();
+        let changes = state.members.expire(now);
+        let entries = state.fleet.entries();
+        if entries > 0 {
+            state.budget.set_entries(entries);
+        }
+        let members: Vec<Member> = state.members.iter().cloned().collect();
+        drop(state);
+        self.apply(changes);
+        self.conns.sweep(now);
+        for member in members {
+            let has_engine = {
+                let state = self.state();
+                let config = state.config.as_ref();
+                config.is_some_and(|config| config.engine(&member.service).is_some())
+            };
+            if has_engine {
+                self.links.open(self, &member);
+            }
+        }
+    }
+
+    /// Returns the state as JSON.
+    pub fn dump(&self) -> String {
+        let now = self.now();
+        let state = self.state();
+        let runners: Vec<_> = state
+            .fleet
+            .runners()
+            .map(|runner| {
+                json!({
+                    "id": &*runner.member.id,
+                    "service": &*runner.member.service,
+                    "addr": runner.member.addr,
+                    "phase": format!("{:?}", runner.member.phase),
+                    "inflight": runner.inflight,
+                    "others": runner.others,
+                    "linked": runner.linked,
+                    "up": runner.up,
+                    "room": runner.room,
+                    "report_age_ms": now.since(runner.reported).as_millis() as u64,
+                    "error_rate": runner.health.error_rate(),
+                    "adapters": runner.held.iter().map(|(name, hold)| {
+                        format!("{name}@{}{}", hold.version, if hold.ready.is_some() { " coming" } else { "" })
+                    }).collect::<Vec<_>>(),
+                })
+            })
+            .collect();
+        let version = state.config.as_ref().map(|config| config.version);
+        json!({
+            "instance": self.settings.instance,
+            "config_version": version,
+            "entries": state.fleet.entries(),
+            "log_lines_dropped": logs::dropped(),
+            "runners": runners,
+        })
+        .to_string()
+    }
+}
+
+/// Runs an entry until a signal asks it to stop.
+///
+/// # Errors
+///
+/// Fails if the process cannot be set up.
+pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
+    let settings: settings::Entry =
+        process::settings::load(path).change_context(Failure::Settings)?;
+    logs::init().change_context(Failure::Setup)?;
+    let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
+    let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
+    let entry = Entry::new(settings)?;
+    let instance = entry.settings.instance.clone();
+    info!("entry starts", kv: { instance = instance.as_str() });
+    let (stop, stopped) = watch::channel(false);
+    let tasks = TaskTracker::new();
+    let front = front::listen(entry.settings.listen).await.change_context(Failure::Bind)?;
+    let ready = front::listen(entry.settings.ready).await.change_context(Failure::Bind)?;
+    let follow_config = tasks.spawn(follow(entry.clone(), Table::Operator));
+    let follow_members = tasks.spawn(follow(entry.clone(), Table::Members));
+    let upkeep = tasks.spawn(upkeep(entry.clone()));
+    let serve = tasks.spawn(front::serve(entry.clone(), front, stopped.clone()));
+    let answer = tasks.spawn(front::serve_ready(entry.clone(), ready));
+    let ops = start_ops(&entry).await?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => reload(&entry, path),
+        }
+    }
+    let begun = entry.now();
+    info!("entry stops", kv: { instance = instance.as_str(), cause = "SIGTERM" });
+    entry.stopping.store(true, Ordering::Relaxed);
+    tokio::time::sleep(UNREADY_TIME).await;
+    let _ = stop.send(true);
+    let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s).saturating_sub(STOP_MARGIN);
+    let limit = entry.timer.instant(begun.after(grace));
+    if tokio::time::timeout_at(limit, serve).await.is_err() {
+        info!("requests cut off at the stop", kv: { inflight = entry.metrics.inflight.get() });
+    }
+    for task in [follow_config, follow_members, upkeep, answer] {
+        task.abort();
+    }
+    ops.stop().await;
+    entry.links.stop();
+    info!("entry stopped", kv: { instance = instance.as_str() });
+    Ok(())
+}
+
+async fn upkeep(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        entry.upkeep();
+    }
+}
+
+/// Reads the settings again. The ones that shape running connections apply from the next start.
+fn reload(entry: &Arc<Entry>, path: &Path) {
+    match process::settings::load::<settings::Entry>(path) {
+        Ok(settings) => {
+            let changed = settings.store != entry.settings.store;
+            info!("settings reloaded", kv: { store_changed = changed });
+        }
+        Err(report) => {
+            let reason = format!("{report:?}");
+            spdlog::error!("settings kept, the new ones cannot be used", kv: { reason = reason.as_str() });
+        }
+    }
+}
+
+async fn start_ops(entry: &Arc<Entry>) -> Result<Ops, Report<Failure>> {
+    let (ready, dump) = (entry.clone(), entry.clone());
+    let state = OpsState {
+        registry: entry.metrics.registry.clone(),
+        ready: Box::new(move || ready.ready()),
+        dump: Box::new(move || dump.dump()),
+        secret: entry.settings.dump_secret.clone(),
+    };
+    Ops::start(entry.settings.metrics, state)
+        .await
+        .change_context(Failure::Bind)
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,176 @@
+//! The sockets of an entry: callers' connections and the platform's question for readiness.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use spdlog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::dispatch;
+use crate::entry::Entry;
+use crate::relay::Broken;
+
+/// The body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// The pause after a failed accept, which mostly means that descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The limits before a configuration is known.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+/// Room beyond the largest head, which the same buffer holds with the start of the body.
+const BUFFER_MARGIN: usize = 8 << 10;
+/// Descriptors that are not for callers: files, the store, agents, and connections to runners.
+const RESERVED_FILES: u32 = 1_200;
+
+/// Binds a listening socket.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts callers until `stopped`, then waits for the requests that are in progress.
+pub async fn serve(entry: Arc<Entry>, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
+    let tasks = TaskTracker::new();
+    let limit = entry.settings.max_files.saturating_sub(RESERVED_FILES).max(64) as usize;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, _)) if tasks.len() < limit => {
+                tasks.spawn(serve_caller(entry.clone(), stream, stopped.clone()));
+            }
+            Ok(_) => warn!("connection closed, too many are open", kv: { open = tasks.len() }),
+            Err(error) => {
+                let error = error.to_string();
+                warn!("accept failed", kv: { error = error.as_str() });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, mut stopped: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        let error = error.to_string();
+        warn!("connection cannot be set up", kv: { error = error.as_str() });
+        return;
+    }
+    let limits = entry.state().config.as_ref().map(|config| config.limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_timeout);
+    let head = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let service = service_fn(|request| respond(entry.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The timer also runs while a connection is idle, so it can't be the shorter time for a
+        // head that has begun.
+        .header_read_timeout(idle)
+        .max_buf_size(head + BUFFER_MARGIN)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    // How a connection ends is logged with the request that it ended.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn respond(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let inflight = entry.metrics.inflight.clone();
+    inflight.inc();
+    let guard = InflightGuard(inflight);
+    // The future is large; boxing it keeps the connections that are idle small.
+    let mut response = dispatch::handle(entry.clone(), request).boxed().await;
+    if entry.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    drop(guard);
+    Ok(response)
+}
+
+struct InflightGuard(prometheus::IntGauge);
+
+impl Drop for InflightGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// Answers the platform's question whether the entry is ready.
+pub async fn serve_ready(entry: Arc<Entry>, listener: TcpListener) {
+    let tasks = TaskTracker::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let entry = entry.clone();
+        tasks.spawn(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let ready = entry.ready().is_ok();
+                async move { Ok::<_, Infallible>(readiness(ready)) }
+            });
+            // The platform asks again, whatever becomes of this connection.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn readiness(ready: bool) -> Response<Empty<Bytes>> {
+    let mut response = Response::new(Empty::new());
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// Returns a body that is complete from the start.
+pub fn whole(bytes: Bytes) -> Body {
+    http_body_util::Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,49 @@
+//! The processes that serve requests by calling runners directly: the entry and the agent.
+//!
+//! Invariants: decisions are those of `serving`, words of the platform stay in `platform`; each
+//! task is tracked and joined by the process that started it; no lock is held across an await.
+//!
+//! API boundary: [`entry::run`] and [`agent::run`] are the two programs; all else is internal to
+//! them, public for tests.
+
+pub mod agent;
+pub mod conns;
+pub mod dispatch;
+pub mod entry;
+pub mod front;
+pub mod links;
+pub mod logs;
+pub mod metrics;
+pub mod relay;
+pub mod watch;
+
+use decision::time::Time;
+use process::Clock;
+use tokio::time::Instant;
+
+/// A process's clock, with the way back from its times to those of the runtime.
+#[derive(Clone, Copy, Debug)]
+pub struct Timer {
+    clock: Clock,
+    start: Instant,
+}
+
+impl Timer {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Timer {
+            clock: Clock::start(),
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns the runtime's instant of a time.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + std::time::Duration::from_micros(time.0)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,280 @@
+//! The entry's connections to the agents beside the runners.
+//!
+//! Invariants: one task per runner incarnation owns its connection and opens it again after a loss;
+//! a message that cannot be queued is dropped, as the request that needs it asks again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use decision::collections::Map;
+use futures::SinkExt;
+use futures::StreamExt;
+use serving::Name;
+use serving::config::Engine;
+use serving::link::Capacity;
+use serving::link::ModelSpec;
+use serving::link::SILENCE_LIMIT;
+use serving::link::State;
+use serving::link::ToAgent;
+use serving::link::USAGE_INTERVAL;
+use serving::runner::Member;
+use spdlog::info;
+use spdlog::warn;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LinesCodec;
+use tokio_util::task::TaskTracker;
+
+use crate::entry::Entry;
+
+/// Messages that wait for one agent at most.
+const QUEUE: usize = 256;
+/// The largest message, in bytes.
+pub const MAX_LINE: usize = 256 << 10;
+/// The time for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The pause before a lost connection is opened again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+/// The pause between replacements of an outdated version at the holders of one adapter, so that
+/// they are not all busy with it at once.
+const UPDATE_STAGGER: Duration = Duration::from_millis(800);
+/// The recent requests from which an idle adapter's outdated version is replaced in advance.
+const UPDATE_MIN_DEMAND: f64 = 0.05;
+
+struct Link {
+    queue: mpsc::Sender<ToAgent>,
+    changed: Arc<Notify>,
+    task: AbortHandle,
+}
+
+/// The connections to all agents.
+#[derive(Default)]
+pub struct Links {
+    links: Mutex<Map<Name, Link>>,
+    tasks: TaskTracker,
+}
+
+impl Links {
+    /// Connects to the agent beside a runner, unless a connection exists.
+    pub fn open(&self, entry: &Arc<Entry>, member: &Member) {
+        let mut links = self.links.lock().expect("no panics under the lock");
+        if links.contains_key(&member.id) {
+            return;
+        }
+        let (queue, messages) = mpsc::channel(QUEUE);
+        let changed = Arc::new(Notify::new());
+        let keeper = Keeper {
+            entry: entry.clone(),
+            member: member.clone(),
+            messages,
+            changed: changed.clone(),
+        };
+        let task = self.tasks.spawn(keeper.run()).abort_handle();
+        let link = Link {
+            queue,
+            changed,
+            task,
+        };
+        links.insert(member.id.clone(), link);
+    }
+
+    /// Closes the connection to the agent of a runner that is gone.
+    pub fn close(&self, runner: &str) {
+        let link = self
+            .links
+            .lock()
+            .expect("no panics under the lock")
+            .remove(runner);
+        if let Some(link) = link {
+            link.task.abort();
+        }
+    }
+
+    /// Closes all connections.
+    pub fn stop(&self) {
+        let mut links = self.links.lock().expect("no panics under the lock");
+        for (_, link) in links.drain() {
+            link.task.abort();
+        }
+    }
+
+    /// Asks an agent for an adapter.
+    pub fn want(&self, runner: &str, adapter: &Name, version: u64, urgent: bool) {
+        let links = self.links.lock().expect("no panics under the lock");
+        let Some(link) = links.get(runner) else {
+            return;
+        };
+        let message = ToAgent::Want {
+            adapter: adapter.clone(),
+            version,
+            urgent,
+        };
+        if link.queue.try_send(message).is_err() {
+            warn!("message to agent dropped", kv: { runner, adapter = &**adapter });
+        }
+    }
+
+    /// Waits until the state of a runner changes, at most until `limit`.
+    pub async fn changed(&self, runner: &str, limit: Instant) {
+        let changed = {
+            let links = self.links.lock().expect("no panics under the lock");
+            links.get(runner).map(|link| link.changed.clone())
+        };
+        match changed {
+            Some(changed) => {
+                let _ = timeout_at(limit, changed.notified()).await;
+            }
+            None => tokio::time::sleep_until(limit).await,
+        }
+    }
+}
+
+/// The task that keeps one connection.
+struct Keeper {
+    entry: Arc<Entry>,
+    member: Member,
+    messages: mpsc::Receiver<ToAgent>,
+    changed: Arc<Notify>,
+}
+
+/// Why a connection ended.
+type Lost = String;
+
+impl Keeper {
+    async fn run(mut self) {
+        let mut told = false;
+        loop {
+            let lost = self.connect_and_talk(&mut told).await;
+            self.entry.state().fleet.linked(&self.member.id, false);
+            if told {
+                info!("agent lost", kv: { runner = &*self.member.id, reason = lost.as_str() });
+                told = false;
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    async fn connect_and_talk(&mut self, told: &mut bool) -> Lost {
+        let addr = SocketAddr::new(self.member.addr.ip(), self.entry.settings.agent_port);
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let stream = match connect {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return e.to_string(),
+            Err(_) => return "connect timeout".into(),
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            return e.to_string();
+        }
+        let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(MAX_LINE));
+        let Some(hello) = self.hello() else {
+            return "no engine is configured".into();
+        };
+        if let Err(e) = send(&mut lines, &hello).await {
+            return e;
+        }
+        *told = true;
+        info!("agent connected", kv: { runner = &*self.member.id });
+        let mut heard = Instant::now();
+        let mut usage = tokio::time::interval(USAGE_INTERVAL);
+        usage.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let sent = tokio::select! {
+                line = lines.next() => match line {
+                    Some(Ok(line)) => {
+                        heard = Instant::now();
+                        self.take_state(&line)
+                    }
+                    Some(Err(e)) => Err(e.to_string()),
+                    None => Err("closed".into()),
+                },
+                message = self.messages.recv() => match message {
+                    Some(message) => send(&mut lines, &message).await,
+                    None => Err("no longer needed".into()),
+                },
+                _ = usage.tick() => self.report_usage(&mut lines).await,
+                () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => Err("silent".into()),
+            };
+            if let Err(lost) = sent {
+                return lost;
+            }
+        }
+    }
+
+    fn hello(&self) -> Option<ToAgent> {
+        let state = self.entry.state();
+        let config = state.config.as_ref()?;
+        let engine = config.engine(&self.member.service)?;
+        Some(ToAgent::Hello {
+            runner: self.member.id.clone(),
+            born: self.member.born,
+            capacity: capacity(engine),
+        })
+    }
+
+    fn take_state(&self, line: &str) -> Result<(), Lost> {
+        let state: State = serde_json::from_str(line).map_err(|e| e.to_string())?;
+        let now = self.entry.now();
+        self.entry.state().fleet.report(now, &self.member.id, &state);
+        self.changed.notify_waiters();
+        Ok(())
+    }
+
+    /// Tells how this entry uses the adapters, and asks for newer versions of outdated ones.
+    async fn report_usage(
+        &mut self,
+        lines: &mut Framed<TcpStream, LinesCodec>,
+    ) -> Result<(), Lost> {
+        let used = self.entry.state().fleet.take_usage(&self.member.id);
+        for message in self.updates() {
+            send(lines, &message).await?;
+        }
+        send(lines, &ToAgent::Usage(used)).await
+    }
+
+    fn updates(&self) -> Vec<ToAgent> {
+        let now = self.entry.now();
+        let state = self.entry.state();
+        let outdated = state.versions.outdated(now, UPDATE_STAGGER, |adapter| {
+            let rank = state.fleet.holder_rank(&self.member.id, adapter)?;
+            (state.fleet.demand.weight(now, adapter) >= UPDATE_MIN_DEMAND).then_some(rank)
+        });
+        outdated
+            .into_iter()
+            .filter(|(adapter, version)| {
+                let held = state.fleet.get(&self.member.id).and_then(|runner| runner.held.get(adapter));
+                held.is_some_and(|hold| hold.version < *version)
+            })
+            .map(|(adapter, version)| ToAgent::Want {
+                adapter,
+                version,
+                urgent: false,
+            })
+            .collect()
+    }
+}
+
+fn capacity(engine: &Engine) -> Capacity {
+    let models = engine.models.iter().map(|model| ModelSpec {
+        name: model.name.clone(),
+        weights_mb: model.weights_mb,
+        adapter_mb: model.adapter_mb,
+    });
+    Capacity {
+        weights_mb: engine.weights_mb,
+        slots: engine.adapter_slots,
+        models: models.collect(),
+    }
+}
+
+async fn send(lines: &mut Framed<TcpStream, LinesCodec>, message: &ToAgent) -> Result<(), Lost> {
+    let text = serde_json::to_string(message).map_err(|e| e.to_string())?;
+    let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
+    sent.map_err(|_| "write timeout".to_owned())?.map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/gateway/src/logs.rs
@@ -0,0 +1,51 @@
+//! Logs on standard output, written by a thread of their own.
+//!
+//! Invariants: a request never waits for the log; lines that do not fit the queue are dropped and
+//! counted.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use spdlog::ErrorHandler;
+use spdlog::Logger;
+use spdlog::ThreadPool;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::AsyncPoolSink;
+use spdlog::sink::OverflowPolicy;
+use spdlog::sink::StdStreamSink;
+
+/// Lines that wait for the writer at most.
+const QUEUE: usize = 2_048;
+
+/// The lines that were dropped because the queue was full.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of dropped lines.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sets up the logger of this process.
+///
+/// # Errors
+///
+/// Fails if the logger cannot be built.
+pub fn init() -> spdlog::Result<()> {
+    let mut output = StdStreamSink::builder().stdout();
+    output = output.formatter(JsonFormatter::new());
+    let pool = ThreadPool::builder()
+        .capacity(QUEUE.try_into().expect("the capacity is not zero"))
+        .build()?;
+    let queue = AsyncPoolSink::builder()
+        .thread_pool(Arc::new(pool))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(ErrorHandler::new(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }))
+        .sink(output.build_arc()?)
+        .build_arc()?;
+    let logger = Logger::builder().sink(queue).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,100 @@
+//! The tasks that follow the platform's store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::store::Batch;
+use platform::store::Feed;
+use platform::store::Row;
+use platform::store::Table;
+use spdlog::info;
+use spdlog::warn;
+
+use crate::entry::Entry;
+
+/// How long the store is asked to wait for a change. A connection that went silent is noticed
+/// after this time, and changes must be in force about two seconds after they were accepted.
+const WAIT: Duration = Duration::from_millis(1_200);
+/// The pause between two reads of the membership's changes. Each runner's heartbeat is a change,
+/// and each call is priced; a drain must be known within two seconds.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(600);
+/// The pauses after failed calls, the last one repeated.
+const RETRY_PAUSES: [Duration; 3] = [
+    Duration::from_millis(50),
+    Duration::from_millis(250),
+    Duration::from_millis(500),
+];
+
+/// Follows a table until the process ends.
+pub async fn follow(entry: Arc<Entry>, table: Table) {
+    let mut version = None;
+    let mut failures = 0;
+    loop {
+        let result = match version {
+            None => entry.store.read(table).await.map(Feed::Changes),
+            Some(after) => entry.store.feed(table, after, WAIT).await,
+        };
+        match result {
+            Ok(Feed::Changes(batch)) => {
+                if failures > 0 {
+                    info!("store regained", kv: { table = table.name(), failures });
+                }
+                failures = 0;
+                entry.metrics.store_calls.with_label_values(&["ok"]).inc();
+                if version.is_some_and(|known| batch.version < known) {
+                    warn!("store answered with older rows", kv: { table = table.name() });
+                    tokio::time::sleep(RETRY_PAUSES[1]).await;
+                    continue;
+                }
+                let whole = version.is_none();
+                version = Some(batch.version);
+                apply(&entry, table, batch, whole);
+                if table == Table::Members {
+                    tokio::time::sleep(MEMBERS_PAUSE).await;
+                }
+            }
+            Ok(Feed::Expired) => {
+                entry.metrics.store_calls.with_label_values(&["expired"]).inc();
+                info!("store history expired, reading all rows", kv: { table = table.name() });
+                version = None;
+            }
+            Err(error) => {
+                entry.metrics.store_calls.with_label_values(&["failed"]).inc();
+                if failures == 0 {
+                    let error = error.to_string();
+                    warn!("store lost", kv: { table = table.name(), error = error.as_str() });
+                    entry.store_lost(table);
+                }
+                // A restarted history or a missed removal shows only in a whole read.
+                version = None;
+                let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len() - 1)];
+                failures += 1;
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+fn apply(entry: &Arc<Entry>, table: Table, batch: Batch, whole: bool) {
+    let mut members = Vec::new();
+    let mut removed = Vec::new();
+    for row in batch.rows {
+        match row {
+            Row::Config(config) => entry.adopt(*config),
+            Row::Version(announced) => entry.announced(&announced),
+            Row::Member(member) => members.push(member),
+            Row::Removed(key) if table == Table::Members => removed.push(key),
+            Row::Unreadable(key, error) => {
+                let error = error.to_string();
+                warn!("row cannot be read", kv: { key = &*key, error = error.as_str() });
+                if table == Table::Members {
+                    removed.push(key);
+                }
+            }
+            Row::Removed(_) | Row::Other => {}
+        }
+    }
+    if table == Table::Members {
+        entry.members_changed(members, &removed, whole);
+    }
+}
--- /dev/null
+++ b/crates/serving/src/budget.rs
@@ -0,0 +1,108 @@
+//! The budget of second attempts, which all entries share.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::time::Time;
+
+use crate::Name;
+
+/// Parts into which the window is cut; the oldest one is dropped whole.
+const PARTS: u32 = 20;
+/// The share of the allowance that entries use, so that clocks and counts may differ a little.
+const USED_SHARE: f64 = 0.8;
+
+/// The allowance for one service over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Second attempts per request.
+    pub ratio: f64,
+    /// Second attempts that are allowed besides, over all entries.
+    pub slack: f64,
+    /// The span over which both are counted.
+    pub window: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    parts: VecDeque<Part>,
+}
+
+#[derive(Debug)]
+struct Part {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// The second attempts of one entry.
+#[derive(Debug)]
+pub struct Budget {
+    allowance: Allowance,
+    entries: u32,
+    services: Map<Name, Counts>,
+}
+
+impl Budget {
+    /// Creates a budget; `entries` is the number of entries that share the slack.
+    pub fn new(allowance: Allowance, entries: u32) -> Self {
+        Budget {
+            allowance,
+            entries: entries.max(1),
+            services: Map::default(),
+        }
+    }
+
+    /// Sets the number of entries that share the slack.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Counts a request for a service.
+    pub fn request(&mut self, now: Time, service: &Name) {
+        self.part(now, service).requests += 1;
+    }
+
+    /// Takes one second attempt from the budget; returns whether there was one.
+    pub fn take(&mut self, now: Time, service: &Name) -> bool {
+        let (allowance, entries) = (self.allowance, self.entries);
+        self.part(now, service);
+        let Some(counts) = self.services.get_mut(service) else {
+            return false;
+        };
+        let requests: u32 = counts.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = counts.parts.iter().map(|part| part.repeats).sum();
+        let share = allowance.slack / f64::from(entries);
+        let allowed = (allowance.ratio * f64::from(requests) + share) * USED_SHARE;
+        if f64::from(repeats + 1) > allowed {
+            return false;
+        }
+        if let Some(part) = counts.parts.back_mut() {
+            part.repeats += 1;
+        }
+        true
+    }
+
+    /// Returns the present part of a service's window and drops those that left it.
+    fn part(&mut self, now: Time, service: &Name) -> &mut Part {
+        let number = now.as_ms() / (self.allowance.window / PARTS).as_millis().max(1) as u64;
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Counts::default());
+        }
+        let counts = self.services.entry(service.clone()).or_default();
+        let first = number.saturating_sub(u64::from(PARTS) - 1);
+        while counts.parts.front().is_some_and(|part| part.number < first) {
+            counts.parts.pop_front();
+        }
+        if counts.parts.back().is_none_or(|part| part.number < number) {
+            counts.parts.push_back(Part {
+                number,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        let last = counts.parts.len() - 1;
+        &mut counts.parts[last]
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet.rs
@@ -0,0 +1,413 @@
+//! What an entry knows of each runner: membership, adapters, load and health.
+//!
+//! Invariants: a view belongs to one incarnation of a runner; a restart under the same id empties
+//! it. Every request counted by [`Fleet::begin`] is released once by [`Fleet::end`].
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::health::Health;
+use decision::health::Pace;
+use decision::time::Time;
+
+use crate::Name;
+use crate::demand::Demand;
+use crate::link::State;
+use crate::link::Usage;
+use crate::runner::Load;
+use crate::runner::Member;
+use crate::runner::Phase;
+
+/// Adapters that a runner is assumed to keep in its memory after they left its slots.
+const MAX_RECENT: usize = 100;
+/// The pace of the circuit breakers. Runners come back within seconds, and each request that waits
+/// for a breaker is late.
+const PACE: Pace = Pace {
+    open_min: Duration::from_millis(400),
+    open_max: Duration::from_millis(1_600),
+    max_consecutive: 3,
+};
+/// The weight of one latency in a runner's moving average.
+const LATENCY_ALPHA: f32 = 0.1;
+/// The assumed time of a plain request before one was measured, in milliseconds.
+const DEFAULT_SERVICE_MS: f32 = 30.0;
+
+/// An adapter at a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// Its version.
+    pub version: u64,
+    /// When it is expected; `None` if it is there.
+    pub ready: Option<Time>,
+}
+
+/// One request at a runner, to be handed back at its end.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// The runner.
+    pub runner: Name,
+    /// When the request was sent.
+    pub since: Time,
+    adapter: Option<Name>,
+    born: u64,
+    tokens: u32,
+    unread: bool,
+}
+
+/// How an attempt ended, as far as health and load depend on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The runner answered; the time to the answer or its first event.
+    Good(Duration),
+    /// The runner failed or did not answer in time.
+    Failed,
+    /// No connection could be opened.
+    Unreachable,
+    /// It says nothing about the runner's health.
+    Neutral,
+}
+
+/// What an entry knows of one incarnation of a runner.
+#[derive(Debug)]
+pub struct Runner {
+    /// Its membership entry.
+    pub member: Member,
+    /// The adapters there and on their way.
+    pub held: Map<Name, Hold>,
+    /// Requests of this entry that run or wait there.
+    pub inflight: u32,
+    /// Prompt tokens of this entry's requests that have not answered yet.
+    pub unread: u32,
+    /// Requests of all others, as last reported.
+    pub others: u32,
+    /// Its health as this entry observed it.
+    pub health: Health,
+    /// Adapters that can be loaded at once, as its agent reported.
+    pub room: u32,
+    /// Whether its agent is connected.
+    pub linked: bool,
+    /// Whether its agent reaches it.
+    pub up: bool,
+    /// When its agent last reported.
+    pub reported: Time,
+    /// The moving average of a request's time there, in milliseconds.
+    pub service_ms: f32,
+    recent: VecDeque<Name>,
+    usage: Map<Name, Usage>,
+}
+
+/// All runners that an entry may send requests to.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The entry's failure domain.
+    pub domain: Name,
+    /// The recent traffic per adapter.
+    pub demand: Demand,
+    pub(crate) replicated: Map<Name, Time>,
+    runners: Map<Name, Runner>,
+    entries: u32,
+}
+
+impl Fleet {
+    /// Creates a fleet without runners for an entry in this failure domain.
+    pub fn new(domain: Name) -> Self {
+        Fleet {
+            domain,
+            demand: Demand::default(),
+            replicated: Map::default(),
+            runners: Map::default(),
+            entries: 0,
+        }
+    }
+
+    /// Returns a runner.
+    pub fn get(&self, id: &str) -> Option<&Runner> {
+        self.runners.get(id)
+    }
+
+    /// Returns all runners.
+    pub fn runners(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
+    /// Returns the number of entries, as the agents last counted them; 0 if unknown.
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
+    /// Applies a membership entry.
+    pub fn join(&mut self, member: Member) {
+        let known = self.runners.get_mut(&member.id);
+        if let Some(runner) = known
+            && runner.member.born == member.born
+        {
+            runner.update(member);
+            return;
+        }
+        self.runners.insert(member.id.clone(), Runner::new(member));
+    }
+
+    /// Removes a runner that is gone.
+    pub fn leave(&mut self, id: &str) {
+        self.runners.remove(id);
+    }
+
+    /// Applies the state that a runner's agent sent.
+    pub fn report(&mut self, now: Time, id: &str, state: &State) {
+        self.entries = state.entries;
+        if let Some(runner) = self.runners.get_mut(id)
+            && state.born == runner.member.born
+        {
+            runner.report(now, state);
+        }
+    }
+
+    /// Notes whether a runner's agent is connected.
+    pub fn linked(&mut self, id: &str, linked: bool) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.linked = linked;
+        }
+    }
+
+    /// Notes the load that a runner told with an answer.
+    pub fn load(&mut self, id: &str, load: Load) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.note_load(load.running + load.waiting);
+        }
+    }
+
+    /// Notes that a runner turned a request away because it does not hold the adapter.
+    pub fn lacks(&mut self, id: &str, adapter: &str) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.held.remove(adapter);
+        }
+    }
+
+    /// Notes that an adapter was asked for at a runner and is expected there.
+    pub fn expect(&mut self, id: &str, adapter: &Name, version: u64, ready: Time) {
+        let Some(runner) = self.runners.get_mut(id) else {
+            return;
+        };
+        let hold = Hold {
+            version,
+            ready: Some(ready),
+        };
+        runner.held.insert(adapter.clone(), hold);
+    }
+
+    /// Counts a request that is sent to a runner now.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        id: &Name,
+        adapter: Option<&Name>,
+        tokens: u32,
+    ) -> Option<Lease> {
+        let runner = self.runners.get_mut(id)?;
+        runner.inflight += 1;
+        runner.unread = runner.unread.saturating_add(tokens);
+        if let Some(adapter) = adapter {
+            let usage = runner.usage(adapter);
+            usage.inflight += 1;
+            usage.hits += 1;
+        }
+        Some(Lease {
+            runner: id.clone(),
+            since: now,
+            adapter: adapter.cloned(),
+            born: runner.member.born,
+            tokens,
+            unread: true,
+        })
+    }
+
+    /// Notes that the runner has answered or sent the first event.
+    pub fn answered(&mut self, lease: &mut Lease) {
+        if !lease.unread {
+            return;
+        }
+        lease.unread = false;
+        if let Some(runner) = self.leased(lease) {
+            runner.unread = runner.unread.saturating_sub(lease.tokens);
+        }
+    }
+
+    /// Releases a request and notes how it ended.
+    pub fn end(&mut self, now: Time, mut lease: Lease, end: End, rng: &mut fastrand::Rng) {
+        self.answered(&mut lease);
+        let Some(runner) = self.leased(&lease) else {
+            return;
+        };
+        runner.inflight = runner.inflight.saturating_sub(1);
+        if let Some(adapter) = &lease.adapter {
+            let usage = runner.usage(adapter);
+            usage.inflight = usage.inflight.saturating_sub(1);
+        }
+        runner.observe(now, end, rng);
+    }
+
+    /// Notes an outcome at a runner to which no request was sent.
+    pub fn observe(&mut self, now: Time, id: &str, end: End, rng: &mut fastrand::Rng) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.observe(now, end, rng);
+        }
+    }
+
+    /// Returns how this entry has used a runner's adapters since the last call.
+    pub fn take_usage(&mut self, id: &str) -> Vec<Usage> {
+        let Some(runner) = self.runners.get_mut(id) else {
+            return Vec::new();
+        };
+        let used: Vec<Usage> = runner
+            .usage
+            .values()
+            .filter(|usage| usage.hits > 0 || usage.inflight > 0)
+            .cloned()
+            .collect();
+        runner.usage.retain(|_, usage| usage.inflight > 0);
+        for usage in runner.usage.values_mut() {
+            usage.hits = 0;
+        }
+        used
+    }
+
+    fn leased(&mut self, lease: &Lease) -> Option<&mut Runner> {
+        let runner = self.runners.get_mut(&lease.runner)?;
+        (runner.member.born == lease.born).then_some(runner)
+    }
+}
+
+impl Runner {
+    fn new(member: Member) -> Self {
+        let held = member
+            .adapters
+            .iter()
+            .map(|held| (held.adapter.clone(), resident(held.version)))
+            .collect();
+        Runner {
+            member,
+            held,
+            inflight: 0,
+            unread: 0,
+            others: 0,
+            health: Health::with_pace(PACE),
+            room: 0,
+            linked: false,
+            up: true,
+            reported: Time::default(),
+            service_ms: DEFAULT_SERVICE_MS,
+            recent: VecDeque::new(),
+            usage: Map::default(),
+        }
+    }
+
+    /// Returns whether new requests may be sent there.
+    pub fn is_open(&self) -> bool {
+        self.member.phase == Phase::Ready
+    }
+
+    /// Returns whether the runner holds a model, as far as is known.
+    pub fn holds_model(&self, model: &str) -> bool {
+        self.member.models.iter().any(|name| &**name == model)
+    }
+
+    /// Returns the requests there, those of other entries included.
+    pub fn load(&self) -> u32 {
+        self.inflight + self.others
+    }
+
+    /// Returns whether the runner held an adapter recently, so that a load is fast.
+    pub fn is_recent(&self, adapter: &str) -> bool {
+        self.recent.iter().any(|name| &**name == adapter)
+    }
+
+    /// Takes over a newer entry of the same incarnation. A drain is never taken back.
+    fn update(&mut self, member: Member) {
+        let draining = self.member.phase == Phase::Draining;
+        let models = std::mem::replace(&mut self.member, member).models;
+        if self.linked {
+            self.member.models = models;
+        }
+        if draining {
+            self.member.phase = Phase::Draining;
+        }
+        if !self.linked {
+            let held = self.member.adapters.iter();
+            self.held = held
+                .map(|held| (held.adapter.clone(), resident(held.version)))
+                .collect();
+        }
+    }
+
+    fn report(&mut self, now: Time, state: &State) {
+        self.reported = now;
+        self.linked = true;
+        self.up = state.up;
+        self.member.models.clone_from(&state.models);
+        self.room = state.room;
+        if state.draining {
+            self.member.phase = Phase::Draining;
+        }
+        self.note_load(state.running + state.queued);
+        let before = std::mem::take(&mut self.held);
+        for place in &state.places {
+            let wait = Duration::from_millis(u64::from(place.wait_ms));
+            let hold = Hold {
+                version: place.version,
+                ready: (place.wait_ms > 0).then(|| now.after(wait)),
+            };
+            self.held.insert(place.adapter.clone(), hold);
+        }
+        for (adapter, hold) in before {
+            if hold.ready.is_none() && !self.held.contains_key(&adapter) {
+                self.remember(adapter);
+            } else if hold.ready.is_some_and(|ready| ready > now) {
+                // The agent has not seen the demand for it yet.
+                self.held.entry(adapter).or_insert(hold);
+            }
+        }
+    }
+
+    fn remember(&mut self, adapter: Name) {
+        self.recent.retain(|name| *name != adapter);
+        if self.recent.len() >= MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(adapter);
+    }
+
+    fn note_load(&mut self, all: u32) {
+        self.others = all.saturating_sub(self.inflight);
+    }
+
+    fn observe(&mut self, now: Time, end: End, rng: &mut fastrand::Rng) {
+        match end {
+            End::Good(time) => {
+                // A success of a half-open breaker closes it, whichever request it was.
+                let probe = !matches!(self.health.breaker(), decision::health::Breaker::Closed);
+                self.health.record_success(time, probe);
+                let ms = time.as_secs_f32() * 1_000.0;
+                self.service_ms += LATENCY_ALPHA * (ms - self.service_ms);
+            }
+            End::Failed => self.health.record_failure(now, rng, true),
+            End::Unreachable => self.health.record_unreachable(now, rng),
+            End::Neutral => {}
+        }
+    }
+
+    fn usage(&mut self, adapter: &Name) -> &mut Usage {
+        self.usage.entry(adapter.clone()).or_insert_with(|| Usage {
+            adapter: adapter.clone(),
+            inflight: 0,
+            hits: 0,
+        })
+    }
+}
+
+fn resident(version: u64) -> Hold {
+    Hold {
+        version,
+        ready: None,
+    }
+}
--- /dev/null
+++ b/crates/serving/src/place.rs
@@ -0,0 +1,305 @@
+//! Which runner a request goes to, and where an adapter is loaded.
+//!
+//! Invariants: a runner that is leaving is never chosen; all entries rank the homes of an adapter
+//! alike, so that they do not load it at different runners.
+
+use std::time::Duration;
+
+use decision::hash;
+use decision::health::Standing;
+use decision::time::Time;
+use derive_more::Display;
+
+use crate::Name;
+use crate::fleet::Fleet;
+use crate::fleet::Hold;
+use crate::fleet::Runner;
+use crate::request::Artifact;
+
+/// The assumed speed of reading prompts, in tokens per millisecond.
+const PREFILL_TOKENS_PER_MS: f32 = 40.0;
+/// The cost of one more request in a runner's batch, in milliseconds.
+const BATCH_MS: f32 = 1.0;
+/// The cost of each request beyond a runner's slots, in milliseconds.
+const QUEUE_MS: f32 = 20.0;
+/// The cost of another failure domain, in milliseconds.
+const DOMAIN_MS: f32 = 2.0;
+/// The cost of a runner that always fails, in milliseconds.
+const HEALTH_MS: f32 = 800.0;
+/// The largest random part of a cost, in milliseconds; keeps entries from acting alike on reports
+/// that are equally old.
+const JITTER_MS: f32 = 2.0;
+/// The time of a load from the weight store.
+pub const LOAD: Duration = Duration::from_millis(280);
+/// The time of a load from a runner's memory.
+pub const RECENT_LOAD: Duration = Duration::from_millis(45);
+/// The cost of each step down in the order of an adapter's homes, in milliseconds.
+const HOME_MS: f32 = 15.0;
+/// The cost of a load at a runner without an adapter that can give way, in milliseconds.
+const NO_ROOM_MS: f32 = 400.0;
+/// The cost of replacing an older version, which waits for the requests that run on it.
+const REPLACE_MS: f32 = 500.0;
+/// The share of all traffic that one holder of an adapter serves, in shares of one runner.
+const HOLDER_SHARE: f64 = 0.6;
+/// The pause between two additional holders of one adapter.
+const REPLICATE_PAUSE: Duration = Duration::from_millis(300);
+
+/// What a request needs of a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model and adapter, if it needs one.
+    pub artifact: Option<&'a Artifact>,
+    /// The oldest version that may run.
+    pub required: u64,
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// Runners that are not chosen.
+    pub avoid: &'a [Name],
+    /// The only runner that may be chosen, if it is bound to one.
+    pub only: Option<&'a Name>,
+}
+
+/// What a runner has of the adapter.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Access {
+    /// It is there in this version, or none is needed.
+    #[display("ready")]
+    Ready {
+        /// The version; 0 if the request needs no adapter.
+        version: u64,
+    },
+    /// It is on its way.
+    #[display("coming")]
+    Coming(Time),
+    /// It has to be loaded.
+    #[display("absent")]
+    Absent,
+}
+
+/// The chosen runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    /// The runner.
+    pub runner: Name,
+    /// What it has of the adapter.
+    pub access: Access,
+    /// The expected wait, in milliseconds.
+    pub cost: f32,
+    /// Another runner that should load the adapter too.
+    pub replica: Option<Name>,
+}
+
+/// Why no runner can be chosen.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum NoRunner {
+    /// No runner of the service is known.
+    #[display("no runner of the service")]
+    Unknown,
+    /// All of them are leaving.
+    #[display("all runners are leaving")]
+    Leaving,
+    /// Those that are left were tried or do not hold the model.
+    #[display("no runner is left to try")]
+    Exhausted,
+}
+
+impl Fleet {
+    /// Chooses the runner with the least expected wait.
+    pub fn place(
+        &mut self,
+        now: Time,
+        rng: &mut fastrand::Rng,
+        want: &Want<'_>,
+    ) -> Result<Placed, NoRunner> {
+        let mut best: Option<(bool, f32, Name, Access)> = None;
+        let mut reason = NoRunner::Unknown;
+        for runner in self.runners() {
+            if *runner.member.service != *want.service {
+                continue;
+            }
+            let weighed = match self.weigh(now, want, runner) {
+                Ok(weighed) => weighed,
+                Err(cause) => {
+                    reason = cause;
+                    continue;
+                }
+            };
+            let (access, cost) = weighed;
+            let cost = cost + JITTER_MS * rng.f32();
+            let open = runner.health.standing(now) == Standing::Open;
+            let better = best
+                .as_ref()
+                .is_none_or(|(other, least, ..)| (open, cost) < (*other, *least));
+            if better {
+                best = Some((open, cost, runner.member.id.clone(), access));
+            }
+        }
+        let (_, cost, runner, access) = best.ok_or(reason)?;
+        let replica = match access {
+            Access::Absent => None,
+            Access::Ready { .. } | Access::Coming(_) => self.replica(now, want),
+        };
+        Ok(Placed {
+            runner,
+            access,
+            cost,
+            replica,
+        })
+    }
+
+    /// Returns what a runner has of the adapter and the expected wait there.
+    fn weigh(
+        &self,
+        now: Time,
+        want: &Want<'_>,
+        runner: &Runner,
+    ) -> Result<(Access, f32), NoRunner> {
+        if !runner.is_open() {
+            return Err(NoRunner::Leaving);
+        }
+        if want.only.is_some_and(|only| *only != runner.member.id) {
+            return Err(NoRunner::Exhausted);
+        }
+        if want.avoid.contains(&runner.member.id) {
+            return Err(NoRunner::Exhausted);
+        }
+        let access = access(now, want, runner).ok_or(NoRunner::Exhausted)?;
+        let mut cost = load_cost(runner, want.artifact.is_some());
+        if runner.member.domain != self.domain {
+            cost += DOMAIN_MS;
+        }
+        cost += runner.health.error_rate() * HEALTH_MS;
+        cost += self.access_cost(now, want, runner, access);
+        Ok((access, cost))
+    }
+
+    fn access_cost(&self, now: Time, want: &Want<'_>, runner: &Runner, access: Access) -> f32 {
+        match access {
+            Access::Ready { .. } => 0.0,
+            Access::Coming(ready) => ready.since(now).as_secs_f32() * 1_000.0 + 1.0,
+            Access::Absent => {
+                let adapter = want.artifact.and_then(|artifact| artifact.adapter.as_ref());
+                adapter.map_or(0.0, |adapter| self.load_cost(runner, adapter))
+            }
+        }
+    }
+
+    /// Returns the expected wait for a load, and what makes one home better than the next.
+    fn load_cost(&self, runner: &Runner, adapter: &Name) -> f32 {
+        let rank = self.home_rank(runner, adapter);
+        let mut cost = load_time(runner, adapter).as_secs_f32() * 1_000.0;
+        cost += HOME_MS * rank as f32;
+        if runner.held.contains_key(adapter) {
+            cost += REPLACE_MS;
+        } else if runner.room == 0 {
+            cost += NO_ROOM_MS;
+        }
+        cost
+    }
+
+    /// Returns the runner's position in the order of the adapter's homes; 0 is the first.
+    fn home_rank(&self, runner: &Runner, adapter: &Name) -> usize {
+        let key = hash::hash_text(adapter);
+        let own = hash::combine(key, hash::hash_text(&runner.member.id));
+        let before = self.runners().filter(|other| {
+            other.member.service == runner.member.service
+                && other.is_open()
+                && hash::combine(key, hash::hash_text(&other.member.id)) > own
+        });
+        before.count()
+    }
+
+    /// Returns the place of a runner among the holders of an adapter, in the order of its homes;
+    /// `None` if it does not hold it.
+    pub fn holder_rank(&self, id: &str, adapter: &str) -> Option<u32> {
+        let own = self.get(id)?;
+        own.held.get(adapter)?;
+        let key = hash::hash_text(adapter);
+        let order = |runner: &Runner| hash::combine(key, hash::hash_text(&runner.member.id));
+        let own = order(own);
+        let before = self
+            .runners()
+            .filter(|other| other.held.contains_key(adapter) && order(other) > own);
+        Some(before.count() as u32)
+    }
+
+    /// Returns a runner that should hold the adapter too, if its share of the traffic asks for it.
+    fn replica(&mut self, now: Time, want: &Want<'_>) -> Option<Name> {
+        let adapter = want.artifact?.adapter.as_ref()?;
+        let last = self.replicated.get(adapter);
+        if last.is_some_and(|last| now < last.after(REPLICATE_PAUSE)) {
+            return None;
+        }
+        let members: Vec<&Runner> = self
+            .runners()
+            .filter(|runner| *runner.member.service == *want.service && runner.is_open())
+            .collect();
+        let holders = members
+            .iter()
+            .filter(|runner| runner.held.contains_key(adapter))
+            .count();
+        let share = self.demand.share(now, adapter);
+        let wanted = (share * members.len() as f64 / HOLDER_SHARE).ceil() as usize;
+        if holders >= wanted.min(members.len()) {
+            return None;
+        }
+        let able = members.iter().filter(|runner| {
+            !runner.held.contains_key(adapter) && runner.linked && runner.up && runner.room > 0
+        });
+        let best = able.min_by_key(|runner| self.home_rank(runner, adapter))?;
+        let replica = best.member.id.clone();
+        self.replicated.insert(adapter.clone(), now);
+        Some(replica)
+    }
+}
+
+/// Returns what a runner has of the adapter; `None` if it can't serve the request.
+fn access(now: Time, want: &Want<'_>, runner: &Runner) -> Option<Access> {
+    let Some(artifact) = want.artifact else {
+        return Some(Access::Ready { version: 0 });
+    };
+    if !runner.up || !runner.holds_model(&artifact.model) {
+        return None;
+    }
+    let Some(adapter) = &artifact.adapter else {
+        return Some(Access::Ready { version: 0 });
+    };
+    match runner.held.get(adapter) {
+        Some(hold) if hold.version >= want.required => Some(held(now, hold)),
+        _ if runner.linked => Some(Access::Absent),
+        _ => None,
+    }
+}
+
+fn held(now: Time, hold: &Hold) -> Access {
+    match hold.ready {
+        None => Access::Ready {
+            version: hold.version,
+        },
+        Some(ready) => Access::Coming(ready.max(now)),
+    }
+}
+
+/// Returns the expected time of loading an adapter.
+pub fn load_time(runner: &Runner, adapter: &str) -> Duration {
+    if runner.is_recent(adapter) {
+        RECENT_LOAD
+    } else {
+        LOAD
+    }
+}
+
+/// Returns the expected wait because of the requests that a runner has.
+fn load_cost(runner: &Runner, engine: bool) -> f32 {
+    let load = runner.load();
+    let over = (load + 1).saturating_sub(runner.member.slots) as f32;
+    if engine {
+        let reading = runner.unread as f32 / PREFILL_TOKENS_PER_MS;
+        return reading + load as f32 * BATCH_MS + over * QUEUE_MS;
+    }
+    let slots = runner.member.slots.max(1) as f32;
+    let turn = runner.service_ms / slots;
+    over * turn + load as f32 / slots * JITTER_MS * 2.0
+}
--- /dev/null
+++ b/crates/serving/src/slots.rs
@@ -0,0 +1,305 @@
+//! Which order the agent gives its runner next.
+//!
+//! Invariants: one order is under way at a time; no order asks for more than the runner's memory
+//! and adapter slots hold, adapters on their way included; an adapter that a request uses is not
+//! unloaded; a version is never replaced by an older one.
+
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::time::Time;
+
+use crate::Name;
+use crate::demand::Demand;
+use crate::link::Capacity;
+use crate::link::Place;
+use crate::link::State;
+use crate::link::Usage;
+use crate::place::LOAD;
+use crate::runner::Held;
+use crate::runner::Report;
+
+/// Adapters that may be on their way to one runner at once.
+const MAX_COMING: usize = 4;
+/// The time after which an adapter that no request waits for any more is not loaded.
+const URGENT_TTL: Duration = Duration::from_millis(1_500);
+/// The time after which a load that nobody waits for is given up.
+const BACKGROUND_TTL: Duration = Duration::from_secs(6);
+/// The time that an adapter stays after its load, so that the request for it finds it.
+const MIN_STAY: Duration = Duration::from_millis(250);
+/// The pause before a model load is ordered once more, so that a failing one does not use up the
+/// weight store.
+const MODEL_PAUSE: Duration = Duration::from_secs(4);
+
+/// An order for the runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Load a model.
+    LoadModel {
+        /// The model.
+        model: Name,
+    },
+    /// Load an adapter or replace an older version of it.
+    Load {
+        /// Model and adapter as `MODEL/ADAPTER`.
+        adapter: Name,
+        /// The version; `None` for the newest one.
+        version: Option<u64>,
+    },
+    /// Unload an adapter.
+    Unload {
+        /// Model and adapter as `MODEL/ADAPTER`.
+        adapter: Name,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    version: u64,
+    urgent: bool,
+    since: Time,
+    renewed: Time,
+}
+
+/// Identifies the connection of one entry.
+pub type LinkId = u64;
+
+/// What an agent knows of its runner and of the entries' needs.
+#[derive(Debug, Default)]
+pub struct Slots {
+    capacity: Capacity,
+    report: Report,
+    wants: Map<Name, Wanted>,
+    demand: Demand,
+    inflight: Map<(LinkId, Name), u32>,
+    started: Map<Name, Time>,
+    arrived: Map<Name, Time>,
+    model_ordered: Option<Time>,
+}
+
+impl Slots {
+    /// Sets what the runner may hold.
+    pub fn set_capacity(&mut self, capacity: Capacity) {
+        self.capacity = capacity;
+    }
+
+    /// Returns the runner's last report.
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+
+    /// Takes over a report of the runner; a restart forgets what the old incarnation was asked for.
+    pub fn reported(&mut self, now: Time, report: Report) {
+        if report.born != self.report.born {
+            self.started.clear();
+            self.arrived.clear();
+            self.model_ordered = None;
+        }
+        for held in &report.adapters {
+            let known = self.report.adapters.contains(held);
+            if !known {
+                self.arrived.insert(held.adapter.clone(), now);
+            }
+        }
+        let coming = &report.coming;
+        self.started.retain(|name, _| coming.iter().any(|held| held.adapter == *name));
+        for held in coming {
+            self.started.entry(held.adapter.clone()).or_insert(now);
+        }
+        let adapters = &report.adapters;
+        self.arrived.retain(|name, _| adapters.iter().any(|held| held.adapter == *name));
+        self.report = report;
+    }
+
+    /// Notes that an entry needs an adapter.
+    pub fn want(&mut self, now: Time, adapter: &Name, version: u64, urgent: bool) {
+        let wanted = self.wants.entry(adapter.clone()).or_insert(Wanted {
+            version,
+            urgent,
+            since: now,
+            renewed: now,
+        });
+        wanted.version = wanted.version.max(version);
+        wanted.urgent |= urgent;
+        wanted.renewed = now;
+    }
+
+    /// Notes how one entry uses the adapters; what it does not name, it does not use.
+    pub fn used(&mut self, now: Time, link: LinkId, usages: &[Usage]) {
+        self.inflight.retain(|(other, _), _| *other != link);
+        for usage in usages {
+            if usage.hits > 0 {
+                self.demand.record(now, &usage.adapter, usage.hits);
+            }
+            if usage.inflight > 0 {
+                let key = (link, usage.adapter.clone());
+                self.inflight.insert(key, usage.inflight);
+            }
+        }
+    }
+
+    /// Forgets an entry whose connection ended.
+    pub fn unlinked(&mut self, link: LinkId) {
+        self.inflight.retain(|(other, _), _| *other != link);
+    }
+
+    /// Returns whether an adapter is on its way or wanted, so that the report should be read soon.
+    pub fn is_active(&self) -> bool {
+        !self.report.coming.is_empty() || !self.wants.is_empty() || self.report.busy
+    }
+
+    /// Returns the next order; the caller carries it out before it asks again.
+    pub fn next(&mut self, now: Time) -> Option<Order> {
+        self.drop_wants(now);
+        if self.report.busy || self.report.draining {
+            return None;
+        }
+        if let Some(model) = self.missing_model(now) {
+            self.model_ordered = Some(now);
+            return Some(Order::LoadModel { model });
+        }
+        if self.report.coming.len() >= MAX_COMING {
+            return None;
+        }
+        let adapter = self.most_wanted()?;
+        let wanted = self.wants[&adapter];
+        let version = (wanted.version > 0).then_some(wanted.version);
+        let replaces = self.report.adapters.iter().any(|held| held.adapter == adapter);
+        if replaces || self.fits(&adapter) {
+            return Some(Order::Load { adapter, version });
+        }
+        let adapter = self.victim(now)?;
+        Some(Order::Unload { adapter })
+    }
+
+    /// Returns the state for the entries.
+    pub fn state(&self, now: Time, up: bool, entries: u32) -> State {
+        let there = self.report.adapters.iter().filter(|held| {
+            let mut coming = self.report.coming.iter();
+            !coming.any(|other| other.adapter == held.adapter)
+        });
+        let mut places: Vec<Place> = there.map(|held| place(held, 0)).collect();
+        for held in &self.report.coming {
+            let age = self.started.get(&held.adapter).map_or(Duration::ZERO, |at| now.since(*at));
+            let wait = LOAD.saturating_sub(age).as_millis().max(5) as u32;
+            places.push(place(held, wait));
+        }
+        places.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+        State {
+            born: self.report.born,
+            up,
+            models: self.report.models.clone(),
+            draining: self.report.draining,
+            running: self.report.running,
+            queued: self.report.queued,
+            room: self.room(now),
+            entries,
+            places,
+        }
+    }
+
+    /// Returns how many more adapters can be loaded, after evictions if need be.
+    fn room(&self, now: Time) -> u32 {
+        let held = self.report.adapters.len() + self.report.coming.len();
+        let free = self.slots().saturating_sub(held);
+        let idle = self.idle(now).count();
+        (free + idle) as u32
+    }
+
+    fn slots(&self) -> usize {
+        self.capacity.slots as usize
+    }
+
+    /// Drops what is there by now and what nobody asks for any more.
+    fn drop_wants(&mut self, now: Time) {
+        let report = &self.report;
+        self.wants.retain(|adapter, wanted| {
+            let ttl = if wanted.urgent { URGENT_TTL } else { BACKGROUND_TTL };
+            let is_there = |held: &Held| held.adapter == *adapter && held.version >= wanted.version;
+            let is_late = now.since(wanted.renewed) > ttl;
+            !is_late && !report.adapters.iter().any(is_there)
+        });
+    }
+
+    /// Returns a model that fits and should be there, if none has been ordered recently.
+    fn missing_model(&self, now: Time) -> Option<Name> {
+        if self.model_ordered.is_some_and(|at| now < at.after(MODEL_PAUSE)) {
+            return None;
+        }
+        let specs = &self.capacity.models;
+        let used: f64 = specs
+            .iter()
+            .filter(|spec| self.report.models.contains(&spec.name))
+            .map(|spec| spec.weights_mb)
+            .sum();
+        let missing = specs.iter().find(|spec| {
+            let fits = used + spec.weights_mb <= self.capacity.weights_mb;
+            fits && !self.report.models.contains(&spec.name)
+        });
+        missing.map(|spec| spec.name.clone())
+    }
+
+    /// Returns the adapter to load first: one that a request waits for, the oldest first.
+    fn most_wanted(&self) -> Option<Name> {
+        let able = self.wants.iter().filter(|(adapter, _)| {
+            let coming = self.report.coming.iter().any(|held| held.adapter == **adapter);
+            !coming && self.report.models.iter().any(|model| is_of(adapter, model))
+        });
+        let first = able.min_by_key(|(name, wanted)| (!wanted.urgent, wanted.since, (*name).clone()))?;
+        Some(first.0.clone())
+    }
+
+    /// Returns whether one more adapter fits into slots and memory.
+    fn fits(&self, adapter: &str) -> bool {
+        let count = self.report.adapters.len() + self.report.coming.len();
+        if count >= self.slots() {
+            return false;
+        }
+        let size = self.adapter_mb(adapter);
+        let models = self.capacity.models.iter();
+        let weights: f64 = models
+            .filter(|spec| self.report.models.contains(&spec.name))
+            .map(|spec| spec.weights_mb)
+            .sum();
+        let all = self.report.adapters.iter().chain(&self.report.coming);
+        let adapters: f64 = all.map(|held| self.adapter_mb(&held.adapter)).sum();
+        weights + adapters + size <= self.capacity.weights_mb
+    }
+
+    fn adapter_mb(&self, adapter: &str) -> f64 {
+        let spec = self.capacity.models.iter().find(|spec| is_of(adapter, &spec.name));
+        spec.map_or(0.0, |spec| spec.adapter_mb)
+    }
+
+    /// Returns the adapter with the least recent demand among those that can be unloaded.
+    fn victim(&self, now: Time) -> Option<Name> {
+        let weight = |held: &&Held| self.demand.weight(now, &held.adapter);
+        let victim = self.idle(now).min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
+        Some(victim.adapter.clone())
+    }
+
+    /// Returns the adapters that no request uses or waits for.
+    fn idle(&self, now: Time) -> impl Iterator<Item = &Held> {
+        self.report.adapters.iter().filter(move |held| {
+            let used = self.inflight.keys().any(|(_, name)| *name == held.adapter);
+            let arrived = self.arrived.get(&held.adapter);
+            let fresh = arrived.is_some_and(|at| now < at.after(MIN_STAY));
+            let coming = self.report.coming.iter().any(|other| other.adapter == held.adapter);
+            !used && !fresh && !coming && !self.wants.contains_key(&held.adapter)
+        })
+    }
+}
+
+fn place(held: &Held, wait_ms: u32) -> Place {
+    Place {
+        adapter: held.adapter.clone(),
+        version: held.version,
+        wait_ms,
+    }
+}
+
+/// Returns whether an adapter, as `MODEL/ADAPTER`, belongs to a model.
+fn is_of(adapter: &str, model: &str) -> bool {
+    let rest = adapter.strip_prefix(model);
+    rest.is_some_and(|rest| rest.starts_with('/'))
+}
