Keep adapters at their homes, and wait after a runner turned one away

A refused request was sent again at once, up to three times in 8 ms, while the adapter was being replaced.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -66,6 +66,8 @@
 const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// The same for other requests.
 const MAX_IDLE: Duration = Duration::from_secs(60);
+/// The assumed time until an adapter is there again whose requests a runner turns away.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
 /// The largest answer that is not a stream, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 /// The time before a binding version's bound from which older ones are not used any more.
@@ -564,6 +566,7 @@
             }
             Meaning::Success | Meaning::Failure => self.whole_answer(run, answer, body).await,
             Meaning::NotRun => {
+                self.turned_away(run.runner());
                 finish_drained(run, answer, body, End::Neutral).await;
                 Err((Outcome::NotRun, None))
             }
@@ -585,6 +588,18 @@
         }
     }
 
+    /// Notes that a runner did not run the request. An engine does so while it replaces or unloads
+    /// the adapter, which is not there for a moment.
+    fn turned_away(&self, runner: &str) {
+        let now = self.entry.now();
+        let mut state = self.entry.state();
+        if let Some(adapter) = self.adapter() {
+            let version = state.versions.newest(adapter);
+            let back = now.after(TURNED_AWAY_PAUSE);
+            state.fleet.expect(runner, adapter, version, back);
+        }
+    }
+
     /// Reads a whole answer.
     async fn whole_answer(
         &mut self,
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -8,7 +8,7 @@
 use crate::Name;
 
 /// The time after which a request counts for 1/e of a new one.
-const DECAY: Duration = Duration::from_secs(4);
+const DECAY: Duration = Duration::from_secs(8);
 /// The weight below which an adapter is forgotten.
 const MIN_WEIGHT: f64 = 0.02;
 /// The number of adapters from which forgotten ones are removed.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -33,8 +33,12 @@
 pub const LOAD: Duration = Duration::from_millis(280);
 /// The time of a load from a runner's memory.
 pub const RECENT_LOAD: Duration = Duration::from_millis(45);
-/// The cost of each step down in the order of an adapter's homes, in milliseconds.
-const HOME_MS: f32 = 15.0;
+/// The time from an adapter's arrival until its runner's agent has told of it.
+const COMING_MARGIN: Duration = Duration::from_millis(10);
+/// The cost of each step down in the order of an adapter's homes, in milliseconds. It outweighs
+/// passing differences of load: an adapter that moves is fetched from the weight store again, while
+/// its home brings it back from memory.
+const HOME_MS: f32 = 120.0;
 /// The cost of a load at a runner without an adapter that can give way, in milliseconds.
 const NO_ROOM_MS: f32 = 400.0;
 /// The cost of replacing an older version, which waits for the requests that run on it.
@@ -166,31 +170,26 @@
             return Err(NoRunner::Exhausted);
         }
         let access = access(now, want, runner).ok_or(NoRunner::Exhausted)?;
-        let mut cost = load_cost(runner, want.artifact.is_some());
+        // The requests ahead are served while the adapter is on its way.
+        let queue = load_cost(runner, want.artifact.is_some());
+        let mut cost = queue.max(access_wait(now, want, runner, access));
         if runner.member.domain != self.domain {
             cost += DOMAIN_MS;
         }
         cost += runner.health.error_rate() * HEALTH_MS;
-        cost += self.access_cost(now, want, runner, access);
-        Ok((access, cost))
-    }
-
-    fn access_cost(&self, now: Time, want: &Want<'_>, runner: &Runner, access: Access) -> f32 {
-        match access {
-            Access::Ready { .. } => 0.0,
-            Access::Coming(ready) => ready.since(now).as_secs_f32() * 1_000.0 + 1.0,
-            Access::Absent => {
-                let adapter = want.artifact.and_then(|artifact| artifact.adapter.as_ref());
-                adapter.map_or(0.0, |adapter| self.load_cost(runner, adapter))
-            }
+        if access == Access::Absent {
+            cost += self.absent_cost(want, runner);
         }
+        Ok((access, cost))
     }
 
-    /// Returns the expected wait for a load, and what makes one home better than the next.
-    fn load_cost(&self, runner: &Runner, adapter: &Name) -> f32 {
-        let rank = self.home_rank(runner, adapter);
-        let mut cost = load_time(runner, adapter).as_secs_f32() * 1_000.0;
-        cost += HOME_MS * rank as f32;
+    /// Returns the cost of loading the adapter at this runner beside the wait for the load.
+    fn absent_cost(&self, want: &Want<'_>, runner: &Runner) -> f32 {
+        let adapter = want.artifact.and_then(|artifact| artifact.adapter.as_ref());
+        let Some(adapter) = adapter else {
+            return 0.0;
+        };
+        let mut cost = HOME_MS * self.home_rank(runner, adapter) as f32;
         if runner.held.contains_key(adapter) {
             cost += REPLACE_MS;
         } else if runner.room == 0 {
@@ -282,6 +281,19 @@
     }
 }
 
+/// Returns the expected wait for the adapter, in milliseconds.
+fn access_wait(now: Time, want: &Want<'_>, runner: &Runner, access: Access) -> f32 {
+    let wait = match access {
+        Access::Ready { .. } => Duration::ZERO,
+        Access::Coming(ready) => ready.since(now) + COMING_MARGIN,
+        Access::Absent => {
+            let adapter = want.artifact.and_then(|artifact| artifact.adapter.as_ref());
+            adapter.map_or(Duration::ZERO, |adapter| load_time(runner, adapter))
+        }
+    };
+    wait.as_secs_f32() * 1_000.0
+}
+
 /// Returns the expected time of loading an adapter.
 pub fn load_time(runner: &Runner, adapter: &str) -> Duration {
     if runner.is_recent(adapter) {
