Count the adapters that wait for a load against a home

Ruled out: the weight store's limit on parallel loads (load times stayed at 250 ms). The agent tells its queue with expected times, and entries add the turns ahead to a home's cost.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -192,7 +192,15 @@
 async fn round(shared: &Arc<Shared>) -> bool {
     for _ in 0..MAX_ORDERS {
         match shared.control.report().await {
-            Ok(report) => shared.slots().reported(shared.now(), report),
+            Ok(report) => {
+                let arrivals = shared.slots().reported(shared.now(), report);
+                for (held, time) in arrivals {
+                    info!("adapter loaded", kv: {
+                        adapter = &*held.adapter, version = held.version,
+                        took_ms = time.as_millis() as u64
+                    });
+                }
+            }
             Err(error) => {
                 if shared.states.borrow().up {
                     let error = error.to_string();
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -317,6 +317,11 @@
         self.inflight + self.others
     }
 
+    /// Returns the adapters that are on their way or wait for their turn.
+    pub fn coming(&self) -> usize {
+        self.held.values().filter(|hold| hold.ready.is_some()).count()
+    }
+
     /// Returns whether the runner held an adapter recently, so that a load is fast.
     pub fn is_recent(&self, adapter: &str) -> bool {
         self.recent.iter().any(|name| &**name == adapter)
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -39,6 +39,8 @@
 /// passing differences of load: an adapter that moves is fetched from the weight store again, while
 /// its home brings it back from memory.
 const HOME_MS: f32 = 120.0;
+/// Adapters that may be on their way to one runner at once.
+pub const PARALLEL_LOADS: usize = 4;
 /// The cost of a load at a runner without an adapter that can give way, in milliseconds.
 const NO_ROOM_MS: f32 = 400.0;
 /// The cost of replacing an older version, which waits for the requests that run on it.
@@ -190,6 +192,8 @@
             return 0.0;
         };
         let mut cost = HOME_MS * self.home_rank(runner, adapter) as f32;
+        let ahead = (runner.coming() + 1).saturating_sub(PARALLEL_LOADS);
+        cost += ahead as f32 * LOAD.as_secs_f32() * 1_000.0 / PARALLEL_LOADS as f32;
         if runner.held.contains_key(adapter) {
             cost += REPLACE_MS;
         } else if runner.room == 0 {
--- a/crates/serving/src/slots.rs
+++ b/crates/serving/src/slots.rs
@@ -16,11 +16,10 @@
 use crate::link::State;
 use crate::link::Usage;
 use crate::place::LOAD;
+use crate::place::PARALLEL_LOADS;
 use crate::runner::Held;
 use crate::runner::Report;
 
-/// Adapters that may be on their way to one runner at once.
-const MAX_COMING: usize = 4;
 /// The time after which an adapter that no request waits for any more is not loaded.
 const URGENT_TTL: Duration = Duration::from_millis(1_500);
 /// The time after which a load that nobody waits for is given up.
@@ -89,7 +88,10 @@
     }
 
     /// Takes over a report of the runner; a restart forgets what the old incarnation was asked for.
-    pub fn reported(&mut self, now: Time, report: Report) {
+    ///
+    /// Returns the adapters that arrived since the last one, with the time that they took.
+    pub fn reported(&mut self, now: Time, report: Report) -> Vec<(Held, Duration)> {
+        let mut arrivals = Vec::new();
         if report.born != self.report.born {
             self.started.clear();
             self.arrived.clear();
@@ -99,6 +101,8 @@
             let known = self.report.adapters.contains(held);
             if !known {
                 self.arrived.insert(held.adapter.clone(), now);
+                let begun = self.started.get(&held.adapter);
+                arrivals.extend(begun.map(|begun| (held.clone(), now.since(*begun))));
             }
         }
         let coming = &report.coming;
@@ -109,6 +113,7 @@
         let adapters = &report.adapters;
         self.arrived.retain(|name, _| adapters.iter().any(|held| held.adapter == *name));
         self.report = report;
+        arrivals
     }
 
     /// Notes that an entry needs an adapter.
@@ -158,7 +163,7 @@
             self.model_ordered = Some(now);
             return Some(Order::LoadModel { model });
         }
-        if self.report.coming.len() >= MAX_COMING {
+        if self.report.coming.len() >= PARALLEL_LOADS {
             return None;
         }
         let adapter = self.most_wanted()?;
@@ -174,6 +179,7 @@
 
     /// Returns the state for the entries.
     pub fn state(&self, now: Time, up: bool, entries: u32) -> State {
+        // While a newer version is on its way, the older one is not counted as there.
         let there = self.report.adapters.iter().filter(|held| {
             let mut coming = self.report.coming.iter();
             !coming.any(|other| other.adapter == held.adapter)
@@ -184,6 +190,7 @@
             let wait = LOAD.saturating_sub(age).as_millis().max(5) as u32;
             places.push(place(held, wait));
         }
+        places.extend(self.queued_places());
         places.sort_by(|a, b| a.adapter.cmp(&b.adapter));
         State {
             born: self.report.born,
@@ -198,6 +205,19 @@
         }
     }
 
+    /// Returns the adapters that wait for their turn, with their expected time, so that other
+    /// entries see them and do not ask elsewhere.
+    fn queued_places(&self) -> Vec<Place> {
+        let queued = self.queue();
+        let turn = LOAD.as_millis() as u32 / PARALLEL_LOADS as u32;
+        let places = queued.enumerate().map(|(index, (adapter, wanted))| Place {
+            adapter: adapter.clone(),
+            version: wanted.version,
+            wait_ms: LOAD.as_millis() as u32 + turn * index as u32,
+        });
+        places.collect()
+    }
+
     /// Returns how many more adapters can be loaded, after evictions if need be.
     fn room(&self, now: Time) -> u32 {
         let held = self.report.adapters.len() + self.report.coming.len();
@@ -239,14 +259,25 @@
         missing.map(|spec| spec.name.clone())
     }
 
-    /// Returns the adapter to load first: one that a request waits for, the oldest first.
+    /// Returns the adapter to load first.
     fn most_wanted(&self) -> Option<Name> {
-        let able = self.wants.iter().filter(|(adapter, _)| {
+        let (adapter, _) = self.queue().next()?;
+        Some(adapter.clone())
+    }
+
+    /// Returns the adapters to load in their order: those that a request waits for come first, then
+    /// the ones that were asked for earlier.
+    fn queue(&self) -> impl Iterator<Item = (&Name, &Wanted)> {
+        let able = self.wants.iter().filter(|(adapter, wanted)| {
             let coming = self.report.coming.iter().any(|held| held.adapter == **adapter);
-            !coming && self.report.models.iter().any(|model| is_of(adapter, model))
+            let there = |held: &Held| held.adapter == **adapter && held.version >= wanted.version;
+            let is_there = self.report.adapters.iter().any(there);
+            let of_model = self.report.models.iter().any(|model| is_of(adapter, model));
+            !coming && !is_there && of_model
         });
-        let first = able.min_by_key(|(name, wanted)| (!wanted.urgent, wanted.since, (*name).clone()))?;
-        Some(first.0.clone())
+        let mut queue: Vec<(&Name, &Wanted)> = able.collect();
+        queue.sort_by_key(|(name, wanted)| (!wanted.urgent, wanted.since, (*name).clone()));
+        queue.into_iter()
     }
 
     /// Returns whether one more adapter fits into slots and memory.
