--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -240,7 +240,8 @@
     info!("order", kv: {
         kind, subject, version, runner = &*runner, sequence, result = result.as_str()
     });
-    taken == Taken::Yes
+    // Without an answer, the next report tells whether it took effect.
+    matches!(taken, Taken::Yes | Taken::Unknown)
 }
 
 fn describe(order: &Order) -> (&'static str, &str, u64) {
