--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -59,6 +59,8 @@
 const STREAM_PATIENCE_GOALS: f64 = 1.4;
 /// The shortest such time.
 const MIN_PATIENCE: Duration = Duration::from_millis(250);
+/// How often a request tells an agent that it still waits for an adapter.
+const RENEW_INTERVAL: Duration = Duration::from_millis(350);
 /// The longest wait for one change before a runner is chosen again.
 const RECHECK: Duration = Duration::from_millis(150);
 /// How recently a connection must have been used for a request that may run once only; a request
@@ -188,6 +190,7 @@
     avoid: Vec<Name>,
     held: Duration,
     sends: u32,
+    last: Option<Placed>,
 }
 
 /// Serves one request of a caller.
@@ -233,6 +236,7 @@
         avoid: Vec::new(),
         held: Duration::ZERO,
         sends: 0,
+        last: None,
         route,
         head,
         entry,
@@ -320,12 +324,20 @@
     /// Logs the end of a request that no runner answered in full.
     pub fn failed(&self, outcome: &'static str, cause: Cause) {
         let cause = cause.to_string();
-        let runner = self.attempts.tried().last().map_or("", |name| &**name);
-        let artifact = self.head.request.artifact.as_ref();
-        let adapter = artifact.and_then(|artifact| artifact.adapter.as_deref()).unwrap_or("");
+        let runner = self.last.as_ref().map_or("", |placed| &*placed.runner);
+        let access = self.last.as_ref().map(|placed| placed.access.to_string());
+        let access = access.unwrap_or_default();
+        let adapter = self.adapter().map_or("", |adapter| &**adapter);
+        let state = self.entry.state();
+        let view = state.fleet.get(runner);
+        let report_ms = view.map(|view| self.entry.now().since(view.reported).as_millis() as u64);
+        let coming = view.map_or(0, serving::fleet::Runner::coming);
+        let room = view.map_or(0, |view| view.room);
+        drop(state);
         warn!("request ended", kv: {
             id = &*self.head.request.id, outcome, cause = cause.as_str(),
             route = &*self.route.name, service = &*self.service, adapter, runner,
+            access = access.as_str(), report_ms = report_ms.unwrap_or(0), coming, room,
             sends = self.sends, held_ms = self.held.as_millis() as u64,
             total_ms = self.entry.now().since(self.arrival).as_millis() as u64
         });
@@ -403,6 +415,7 @@
         let patience = self.deadline.since(begun).mul_f64(HOLD_PATIENCE);
         let hold = self.route.goal.mul_f64(HOLD_GOALS).min(patience);
         let limit = begun.after(hold);
+        let mut asked = begun;
         loop {
             let now = self.entry.now();
             let placed = match self.place(now) {
@@ -417,8 +430,16 @@
                     self.held += now.since(begun);
                     return Ok(placed);
                 }
-                Access::Coming(ready) => ready,
-                Access::Absent => self.ask_for_adapter(now, &placed.runner, true),
+                Access::Coming(ready) if now < asked.after(RENEW_INTERVAL) => ready,
+                Access::Coming(ready) => {
+                    asked = now;
+                    self.renew_want(&placed.runner);
+                    ready
+                }
+                Access::Absent => {
+                    asked = now;
+                    self.ask_for_adapter(now, &placed.runner, true)
+                }
             };
             if now >= limit {
                 self.held += now.since(begun);
@@ -465,6 +486,7 @@
             placed = state.fleet.place(now, &mut state.rng, &want);
         }
         let placed = placed?;
+        self.last = Some(placed.clone());
         if let (Some(replica), Some(adapter)) = (&placed.replica, adapter) {
             let version = state.versions.newest(adapter);
             entry.links.want(replica, adapter, version, false);
@@ -488,6 +510,14 @@
         ready
     }
 
+    /// Tells a runner's agent that the adapter is still waited for.
+    fn renew_want(&self, runner: &str) {
+        if let Some(adapter) = self.adapter() {
+            let version = self.entry.state().versions.newest(adapter);
+            self.entry.links.want(runner, adapter, version, true);
+        }
+    }
+
     /// Makes one attempt; an error holds how it ended and the runner's failure, if it sent one.
     async fn attempt(
         &mut self,
@@ -669,6 +699,7 @@
         }
     }
 
+    /// Returns the adapter that the request names.
     fn adapter(&self) -> Option<&Name> {
         let artifact = self.head.request.artifact.as_ref()?;
         artifact.adapter.as_ref()
--- a/crates/serving/src/slots.rs
+++ b/crates/serving/src/slots.rs
@@ -21,7 +21,7 @@
 use crate::runner::Report;
 
 /// The time after which an adapter that no request waits for any more is not loaded.
-const URGENT_TTL: Duration = Duration::from_millis(1_500);
+const URGENT_TTL: Duration = Duration::from_millis(800);
 /// The time after which a load that nobody waits for is given up.
 const BACKGROUND_TTL: Duration = Duration::from_secs(6);
 /// The time that an adapter stays after its load, so that the request for it finds it.
