Test the decisions of the direct path; judge each announced version by its own age

Cause: a test of overlapping announcements failed: the second one made the first binding at once. An entry that has just started gave versions that were announced long ago a new grace, so that it could have used an older one when it counts as in touch again. Conclusion: announcements keep their own time, and those of unknown age bind at once.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -116,7 +116,9 @@
     let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
     let instance = settings.instance.clone();
     info!("agent starts", kv: { instance = instance.as_str() });
-    let listener = front::listen(settings.listen).await.change_context(Failure::Bind)?;
+    let listener = front::listen(settings.listen)
+        .await
+        .change_context(Failure::Bind)?;
     let (states, _) = watch::channel(State::default());
     let shared = Arc::new(Shared {
         control: Control::new(settings.runner, &settings.instance),
@@ -159,7 +161,8 @@
         registry: shared.metrics.registry.clone(),
         ready: Box::new(move || {
             let up = ready.states.borrow().up;
-            up.then_some(()).ok_or_else(|| "the runner does not answer".into())
+            up.then_some(())
+                .ok_or_else(|| "the runner does not answer".into())
         }),
         dump: Box::new(move || dump.dump()),
         secret: shared.settings.dump_secret.clone(),
@@ -235,7 +238,11 @@
     };
     let taken = shared.control.order(&runner, &order, sequence).await;
     let result = taken.to_string();
-    shared.metrics.orders.with_label_values(&[result.as_str()]).inc();
+    shared
+        .metrics
+        .orders
+        .with_label_values(&[result.as_str()])
+        .inc();
     let (kind, subject, version) = describe(&order);
     info!("order", kv: {
         kind, subject, version, runner = &*runner, sequence, result = result.as_str()
@@ -283,7 +290,9 @@
     let mut heard = Instant::now();
     let mut told: Option<(State, Instant)> = None;
     loop {
-        let due = told.as_ref().map_or(Instant::now(), |(_, at)| *at + STATE_INTERVAL);
+        let due = told
+            .as_ref()
+            .map_or(Instant::now(), |(_, at)| *at + STATE_INTERVAL);
         let result = tokio::select! {
             line = lines.next() => match line {
                 Some(Ok(line)) => {
@@ -329,7 +338,8 @@
     }
     let text = serde_json::to_string(&state).map_err(|e| e.to_string())?;
     let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
-    sent.map_err(|_| "write timeout".to_owned())?.map_err(|e| e.to_string())?;
+    sent.map_err(|_| "write timeout".to_owned())?
+        .map_err(|e| e.to_string())?;
     *told = Some((state, now));
     Ok(())
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -226,7 +226,10 @@
     let Some(service) = route.target(draw).cloned() else {
         return own(&entry, Own::Refused(UNCONFIGURED_RETRY), Some(&id));
     };
-    let patience = head.request.patience.map_or(route.timeout, |wait| wait.min(route.timeout));
+    let patience = head
+        .request
+        .patience
+        .map_or(route.timeout, |wait| wait.min(route.timeout));
     let job = Job {
         attempts: Attempts::new(route.kind, route.max_attempts),
         arrival,
@@ -246,7 +249,11 @@
 
 fn own(entry: &Entry, answer: Own, id: Option<&str>) -> Response<Body> {
     let outcome = answer.to_string();
-    entry.metrics.requests.with_label_values(&[outcome.as_str()]).inc();
+    entry
+        .metrics
+        .requests
+        .with_label_values(&[outcome.as_str()])
+        .inc();
     answer.response(id).map(whole)
 }
 
@@ -298,7 +305,11 @@
     fn refuse(self, cause: Cause) -> Response<Body> {
         let spread = RETRY_SPREAD.mul_f64(self.entry.state().rng.f64());
         self.failed("refused", cause);
-        own(&self.entry, Own::Refused(RETRY_MIN + spread), Some(&self.head.request.id))
+        own(
+            &self.entry,
+            Own::Refused(RETRY_MIN + spread),
+            Some(&self.head.request.id),
+        )
     }
 
     fn fail(self, cause: Cause) -> Response<Body> {
@@ -312,7 +323,11 @@
 
     /// Logs and counts the end of a request that a runner answered.
     pub fn done(&self, outcome: &'static str) {
-        self.entry.metrics.requests.with_label_values(&[outcome]).inc();
+        self.entry
+            .metrics
+            .requests
+            .with_label_values(&[outcome])
+            .inc();
         let runner = self.attempts.tried().last().map_or("", |name| &**name);
         info!("request ended", kv: {
             id = &*self.head.request.id, outcome, route = &*self.route.name, runner,
@@ -377,7 +392,8 @@
     pub fn next(&mut self, outcome: Outcome) -> Next {
         let now = self.entry.now();
         let (entry, service) = (&self.entry, &self.service);
-        self.attempts.ended(outcome, || entry.state().budget.take(now, service))
+        self.attempts
+            .ended(outcome, || entry.state().budget.take(now, service))
     }
 
     /// Avoids all runners that the request was sent to.
@@ -387,7 +403,11 @@
 
     fn log_attempt(&self, placed: &Placed, outcome: Outcome) {
         let outcome = format!("{outcome:?}");
-        self.entry.metrics.attempts.with_label_values(&[outcome.as_str()]).inc();
+        self.entry
+            .metrics
+            .attempts
+            .with_label_values(&[outcome.as_str()])
+            .inc();
         let access = placed.access.to_string();
         info!("attempt ended", kv: {
             id = &*self.head.request.id, runner = &*placed.runner, outcome = outcome.as_str(),
@@ -450,7 +470,10 @@
                     Ended::Refused(cause)
                 });
             }
-            let wake = until.after(Duration::from_millis(20)).min(now.after(RECHECK)).min(limit);
+            let wake = until
+                .after(Duration::from_millis(20))
+                .min(now.after(RECHECK))
+                .min(limit);
             let wake = self.entry.timer.instant(wake);
             self.entry.links.changed(&placed.runner, wake).await;
         }
@@ -462,8 +485,8 @@
         let state = &mut *state;
         let artifact = self.head.request.artifact.as_ref();
         let adapter = artifact.and_then(|artifact| artifact.adapter.as_ref());
-        let grace = Duration::from_millis(entry.settings.bounds.version_ms)
-            .saturating_sub(VERSION_MARGIN);
+        let grace =
+            Duration::from_millis(entry.settings.bounds.version_ms).saturating_sub(VERSION_MARGIN);
         let required = adapter.map_or(0, |adapter| state.versions.required(now, adapter, grace));
         let mut want = Want {
             service: &self.service,
@@ -502,7 +525,10 @@
         };
         let mut state = self.entry.state();
         let version = state.versions.newest(adapter);
-        let time = state.fleet.get(runner).map(|runner| load_time(runner, adapter));
+        let time = state
+            .fleet
+            .get(runner)
+            .map(|runner| load_time(runner, adapter));
         let ready = now.after(time.unwrap_or(RECHECK));
         state.fleet.expect(runner, adapter, version, ready);
         drop(state);
@@ -530,7 +556,10 @@
         let adapter = self.adapter().cloned();
         let lease = {
             let mut state = self.entry.state();
-            let open = state.fleet.get(runner).is_some_and(|runner| runner.is_open());
+            let open = state
+                .fleet
+                .get(runner)
+                .is_some_and(|runner| runner.is_open());
             let tokens = self.head.request.prompt_tokens;
             let lease = open.then(|| state.fleet.begin(now, runner, adapter.as_ref(), tokens));
             lease.flatten().ok_or((Outcome::NotSent, None))?
@@ -566,7 +595,11 @@
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().is_some();
                 run.finish(if unsent { End::Neutral } else { End::Failed }, false);
-                let outcome = if unsent { Outcome::NotSent } else { Outcome::Unknown };
+                let outcome = if unsent {
+                    Outcome::NotSent
+                } else {
+                    Outcome::Unknown
+                };
                 return Err((outcome, None));
             }
             Err(_) => {
@@ -737,7 +770,9 @@
                 let now = self.entry.now();
                 let mut state = self.entry.state();
                 let state = &mut *state;
-                state.fleet.observe(now, runner, End::Unreachable, &mut state.rng);
+                state
+                    .fleet
+                    .observe(now, runner, End::Unreachable, &mut state.rng);
                 let error = error.to_string();
                 warn!("runner unreachable", kv: { runner = &**runner, error = error.as_str() });
                 None
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -180,14 +180,15 @@
         info!("configuration in force", kv: { version, before });
     }
 
-    /// Notes an announced version of an adapter.
-    pub fn announced(&self, announced: &Announced) {
+    /// Notes an announced version of an adapter; `fresh` says whether it was announced just now.
+    pub fn announced(&self, announced: &Announced, fresh: bool) {
         let Some(adapter) = &announced.adapter else {
             return;
         };
         let now = self.now();
         let version = announced.version;
-        if self.state().versions.announce(now, adapter, version) {
+        let since = fresh.then_some(now);
+        if self.state().versions.announce(since, adapter, version) {
             info!("adapter version announced", kv: { adapter = &**adapter, version });
         }
     }
@@ -341,8 +342,12 @@
     info!("entry starts", kv: { instance = instance.as_str() });
     let (stop, stopped) = watch::channel(false);
     let tasks = TaskTracker::new();
-    let front = front::listen(entry.settings.listen).await.change_context(Failure::Bind)?;
-    let ready = front::listen(entry.settings.ready).await.change_context(Failure::Bind)?;
+    let front = front::listen(entry.settings.listen)
+        .await
+        .change_context(Failure::Bind)?;
+    let ready = front::listen(entry.settings.ready)
+        .await
+        .change_context(Failure::Bind)?;
     let follow_config = tasks.spawn(follow(entry.clone(), Table::Operator));
     let follow_members = tasks.spawn(follow(entry.clone(), Table::Members));
     let upkeep = tasks.spawn(upkeep(entry.clone()));
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -61,7 +61,11 @@
 /// Accepts callers until `stopped`, then waits for the requests that are in progress.
 pub async fn serve(entry: Arc<Entry>, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
     let tasks = TaskTracker::new();
-    let limit = entry.settings.max_files.saturating_sub(RESERVED_FILES).max(64) as usize;
+    let limit = entry
+        .settings
+        .max_files
+        .saturating_sub(RESERVED_FILES)
+        .max(64) as usize;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -221,7 +221,10 @@
     fn take_state(&self, line: &str) -> Result<(), Lost> {
         let state: State = serde_json::from_str(line).map_err(|e| e.to_string())?;
         let now = self.entry.now();
-        self.entry.state().fleet.report(now, &self.member.id, &state);
+        self.entry
+            .state()
+            .fleet
+            .report(now, &self.member.id, &state);
         self.changed.notify_waiters();
         Ok(())
     }
@@ -248,7 +251,10 @@
         outdated
             .into_iter()
             .filter(|(adapter, version)| {
-                let held = state.fleet.get(&self.member.id).and_then(|runner| runner.held.get(adapter));
+                let held = state
+                    .fleet
+                    .get(&self.member.id)
+                    .and_then(|runner| runner.held.get(adapter));
                 held.is_some_and(|hold| hold.version < *version)
             })
             .map(|(adapter, version)| ToAgent::Want {
@@ -276,5 +282,6 @@
 async fn send(lines: &mut Framed<TcpStream, LinesCodec>, message: &ToAgent) -> Result<(), Lost> {
     let text = serde_json::to_string(message).map_err(|e| e.to_string())?;
     let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
-    sent.map_err(|_| "write timeout".to_owned())?.map_err(|e| e.to_string())
+    sent.map_err(|_| "write timeout".to_owned())?
+        .map_err(|e| e.to_string())
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,7 +44,12 @@
     /// Fails if two of them have the same name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let requests = counters(&registry, "requests_total", "Requests by outcome", "outcome")?;
+        let requests = counters(
+            &registry,
+            "requests_total",
+            "Requests by outcome",
+            "outcome",
+        )?;
         let attempts = counters(&registry, "attempts_total", "Attempts by result", "result")?;
         let store_calls = counters(&registry, "store_calls_total", "Store calls", "result")?;
         let first_s = histogram(&registry, "first_answer_seconds", "Time to the first event")?;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -54,12 +54,20 @@
                 }
             }
             Ok(Feed::Expired) => {
-                entry.metrics.store_calls.with_label_values(&["expired"]).inc();
+                entry
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["expired"])
+                    .inc();
                 info!("store history expired, reading all rows", kv: { table = table.name() });
                 version = None;
             }
             Err(error) => {
-                entry.metrics.store_calls.with_label_values(&["failed"]).inc();
+                entry
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["failed"])
+                    .inc();
                 if failures == 0 {
                     let error = error.to_string();
                     warn!("store lost", kv: { table = table.name(), error = error.as_str() });
@@ -81,7 +89,7 @@
     for row in batch.rows {
         match row {
             Row::Config(config) => entry.adopt(*config),
-            Row::Version(announced) => entry.announced(&announced),
+            Row::Version(announced) => entry.announced(&announced, !whole),
             Row::Member(member) => members.push(member),
             Row::Removed(key) if table == Table::Members => removed.push(key),
             Row::Unreadable(key, error) => {
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -163,7 +163,11 @@
 impl Route {
     /// Returns the service for a request; `draw` is a random number that spreads by weight.
     pub fn target(&self, draw: u64) -> Option<&Name> {
-        let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
         if total == 0 {
             return None;
         }
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -44,7 +44,8 @@
             at: now,
         });
         if self.adapters.len() >= MAX_ADAPTERS && !self.adapters.contains_key(adapter) {
-            self.adapters.retain(|_, weight| weight.value(now) >= MIN_WEIGHT);
+            self.adapters
+                .retain(|_, weight| weight.value(now) >= MIN_WEIGHT);
         }
         let weight = self.weight(now, adapter);
         let next = Weight {
@@ -56,7 +57,9 @@
 
     /// Returns the decayed count of an adapter.
     pub fn weight(&self, now: Time, adapter: &str) -> f64 {
-        self.adapters.get(adapter).map_or(0.0, |weight| weight.value(now))
+        self.adapters
+            .get(adapter)
+            .map_or(0.0, |weight| weight.value(now))
     }
 
     /// Returns the adapter's share of all recent requests, from 0 to 1.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -319,7 +319,10 @@
 
     /// Returns the adapters that are on their way or wait for their turn.
     pub fn coming(&self) -> usize {
-        self.held.values().filter(|hold| hold.ready.is_some()).count()
+        self.held
+            .values()
+            .filter(|hold| hold.ready.is_some())
+            .count()
     }
 
     /// Returns whether the runner held an adapter recently, so that a load is fast.
--- a/crates/serving/src/slots.rs
+++ b/crates/serving/src/slots.rs
@@ -106,12 +106,14 @@
             }
         }
         let coming = &report.coming;
-        self.started.retain(|name, _| coming.iter().any(|held| held.adapter == *name));
+        self.started
+            .retain(|name, _| coming.iter().any(|held| held.adapter == *name));
         for held in coming {
             self.started.entry(held.adapter.clone()).or_insert(now);
         }
         let adapters = &report.adapters;
-        self.arrived.retain(|name, _| adapters.iter().any(|held| held.adapter == *name));
+        self.arrived
+            .retain(|name, _| adapters.iter().any(|held| held.adapter == *name));
         self.report = report;
         arrivals
     }
@@ -169,7 +171,11 @@
         let adapter = self.most_wanted()?;
         let wanted = self.wants[&adapter];
         let version = (wanted.version > 0).then_some(wanted.version);
-        let replaces = self.report.adapters.iter().any(|held| held.adapter == adapter);
+        let replaces = self
+            .report
+            .adapters
+            .iter()
+            .any(|held| held.adapter == adapter);
         if replaces || self.fits(&adapter) {
             return Some(Order::Load { adapter, version });
         }
@@ -186,7 +192,10 @@
         });
         let mut places: Vec<Place> = there.map(|held| place(held, 0)).collect();
         for held in &self.report.coming {
-            let age = self.started.get(&held.adapter).map_or(Duration::ZERO, |at| now.since(*at));
+            let age = self
+                .started
+                .get(&held.adapter)
+                .map_or(Duration::ZERO, |at| now.since(*at));
             let wait = LOAD.saturating_sub(age).as_millis().max(5) as u32;
             places.push(place(held, wait));
         }
@@ -234,7 +243,11 @@
     fn drop_wants(&mut self, now: Time) {
         let report = &self.report;
         self.wants.retain(|adapter, wanted| {
-            let ttl = if wanted.urgent { URGENT_TTL } else { BACKGROUND_TTL };
+            let ttl = if wanted.urgent {
+                URGENT_TTL
+            } else {
+                BACKGROUND_TTL
+            };
             let is_there = |held: &Held| held.adapter == *adapter && held.version >= wanted.version;
             let is_late = now.since(wanted.renewed) > ttl;
             !is_late && !report.adapters.iter().any(is_there)
@@ -243,7 +256,10 @@
 
     /// Returns a model that fits and should be there, if none has been ordered recently.
     fn missing_model(&self, now: Time) -> Option<Name> {
-        if self.model_ordered.is_some_and(|at| now < at.after(MODEL_PAUSE)) {
+        if self
+            .model_ordered
+            .is_some_and(|at| now < at.after(MODEL_PAUSE))
+        {
             return None;
         }
         let specs = &self.capacity.models;
@@ -269,7 +285,11 @@
     /// the ones that were asked for earlier.
     fn queue(&self) -> impl Iterator<Item = (&Name, &Wanted)> {
         let able = self.wants.iter().filter(|(adapter, wanted)| {
-            let coming = self.report.coming.iter().any(|held| held.adapter == **adapter);
+            let coming = self
+                .report
+                .coming
+                .iter()
+                .any(|held| held.adapter == **adapter);
             let there = |held: &Held| held.adapter == **adapter && held.version >= wanted.version;
             let is_there = self.report.adapters.iter().any(there);
             let of_model = self.report.models.iter().any(|model| is_of(adapter, model));
@@ -298,14 +318,20 @@
     }
 
     fn adapter_mb(&self, adapter: &str) -> f64 {
-        let spec = self.capacity.models.iter().find(|spec| is_of(adapter, &spec.name));
+        let spec = self
+            .capacity
+            .models
+            .iter()
+            .find(|spec| is_of(adapter, &spec.name));
         spec.map_or(0.0, |spec| spec.adapter_mb)
     }
 
     /// Returns the adapter with the least recent demand among those that can be unloaded.
     fn victim(&self, now: Time) -> Option<Name> {
         let weight = |held: &&Held| self.demand.weight(now, &held.adapter);
-        let victim = self.idle(now).min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
+        let victim = self
+            .idle(now)
+            .min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
         Some(victim.adapter.clone())
     }
 
@@ -315,7 +341,11 @@
             let used = self.inflight.keys().any(|(_, name)| *name == held.adapter);
             let arrived = self.arrived.get(&held.adapter);
             let fresh = arrived.is_some_and(|at| now < at.after(MIN_STAY));
-            let coming = self.report.coming.iter().any(|other| other.adapter == held.adapter);
+            let coming = self
+                .report
+                .coming
+                .iter()
+                .any(|other| other.adapter == held.adapter);
             !used && !fresh && !coming && !self.wants.contains_key(&held.adapter)
         })
     }
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -7,57 +7,60 @@
 
 use crate::Name;
 
+/// Announcements of one adapter that are remembered; the oldest one is binding by then.
+const MAX_ANNOUNCED: usize = 8;
+
 #[derive(Clone, Copy, Debug)]
-struct Newest {
+struct Announced {
     version: u64,
-    before: u64,
-    since: Time,
+    /// `None` if it was found among all rows, so that its age is unknown.
+    since: Option<Time>,
 }
 
-/// The versions that were announced.
+/// The versions that were announced, the newest one last.
 #[derive(Debug, Default)]
 pub struct Versions {
-    newest: Map<Name, Newest>,
+    announced: Map<Name, Vec<Announced>>,
 }
 
 impl Versions {
-    /// Notes an announced version; returns whether it is newer than the known one.
-    pub fn announce(&mut self, now: Time, adapter: &Name, version: u64) -> bool {
-        let known = self.newest.get(adapter).copied();
-        let before = known.map_or(0, |newest| newest.version);
-        if version <= before {
+    /// Notes a version that was announced at `since`, or at an unknown earlier time; returns
+    /// whether it is newer than the known one.
+    pub fn announce(&mut self, since: Option<Time>, adapter: &Name, version: u64) -> bool {
+        if version <= self.newest(adapter) {
             return false;
         }
-        let since = now;
-        self.newest.insert(
-            adapter.clone(),
-            Newest {
-                version,
-                before,
-                since,
-            },
-        );
+        let list = self.announced.entry(adapter.clone()).or_default();
+        if list.len() >= MAX_ANNOUNCED {
+            list.remove(0);
+        }
+        list.push(Announced { version, since });
         true
     }
 
     /// Returns the newest version; 0 if none was announced.
     pub fn newest(&self, adapter: &str) -> u64 {
-        self.newest.get(adapter).map_or(0, |newest| newest.version)
+        self.last(adapter).map_or(0, |last| last.version)
     }
 
-    /// Returns the oldest version that may still run; an announced version becomes binding after
-    /// `grace`.
+    /// Returns the oldest version that may still run: each announced version becomes binding
+    /// `grace` after its announcement, and at once if its age is unknown.
     pub fn required(&self, now: Time, adapter: &str, grace: Duration) -> u64 {
-        let Some(newest) = self.newest.get(adapter) else {
+        let Some(list) = self.announced.get(adapter) else {
             return 0;
         };
-        if newest.before > 0 && now < newest.since.after(grace) {
-            newest.before
-        } else if newest.before == 0 && now < newest.since.after(grace) {
-            0
-        } else {
-            newest.version
-        }
+        let binding = list.iter().filter(|announced| {
+            let since = announced.since;
+            since.is_none_or(|since| now >= since.after(grace))
+        });
+        binding
+            .map(|announced| announced.version)
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn last(&self, adapter: &str) -> Option<&Announced> {
+        self.announced.get(adapter)?.last()
     }
 
     /// Returns the adapters with their newest version whose holder should have it by now. `rank`
@@ -68,11 +71,16 @@
         stagger: Duration,
         rank: impl Fn(&str) -> Option<u32>,
     ) -> Vec<(Name, u64)> {
-        let due = self.newest.iter().filter(|(adapter, newest)| {
-            let turn = rank(adapter).map(|rank| newest.since.after(stagger * rank));
+        let newest = self
+            .announced
+            .iter()
+            .filter_map(|(adapter, list)| Some((adapter, list.last()?)));
+        let due = newest.filter(|(adapter, last)| {
+            let since = last.since.unwrap_or_default();
+            let turn = rank(adapter).map(|rank| since.after(stagger * rank));
             turn.is_some_and(|turn| now >= turn)
         });
-        due.map(|(adapter, newest)| (adapter.clone(), newest.version))
+        due.map(|(adapter, last)| (adapter.clone(), last.version))
             .collect()
     }
 }
--- /dev/null
+++ b/crates/serving/tests/common/mod.rs
@@ -0,0 +1,83 @@
+//! A fleet of runners with one model, for tests of the choice.
+
+// Each test file uses a part of these.
+#![allow(dead_code)]
+
+use decision::time::Time;
+use serving::fleet::Fleet;
+use serving::link::Place;
+use serving::link::State;
+use serving::place::Want;
+use serving::request::Artifact;
+use serving::runner::Member;
+use serving::runner::Phase;
+
+pub(crate) fn member(id: &str) -> Member {
+    Member {
+        id: id.into(),
+        service: "chat".into(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        domain: "z".into(),
+        slots: 64,
+        phase: Phase::Ready,
+        models: vec!["m".into()],
+        adapters: Vec::new(),
+        born: 1,
+    }
+}
+
+pub(crate) fn state(places: &[(&str, u64, u32)]) -> State {
+    let places = places.iter().map(|(adapter, version, wait_ms)| Place {
+        adapter: (*adapter).into(),
+        version: *version,
+        wait_ms: *wait_ms,
+    });
+    State {
+        born: 1,
+        up: true,
+        models: vec!["m".into()],
+        room: 17,
+        entries: 4,
+        places: places.collect(),
+        ..State::default()
+    }
+}
+
+pub(crate) fn fleet(count: u32, now: Time) -> Fleet {
+    let mut fleet = Fleet::new("z".into());
+    for index in 0..count {
+        let id = format!("r{index}");
+        fleet.join(member(&id));
+        fleet.report(now, &id, &state(&[]));
+    }
+    fleet
+}
+
+pub(crate) fn chat(index: u32) -> Artifact {
+    Artifact {
+        model: "m".into(),
+        adapter: Some(format!("m/a{index}").into()),
+    }
+}
+
+pub(crate) fn want(artifact: &Artifact, required: u64) -> Want<'_> {
+    Want {
+        service: "chat",
+        artifact: Some(artifact),
+        required,
+        tokens: 500,
+        avoid: &[],
+        only: None,
+    }
+}
+
+pub(crate) fn plain() -> Want<'static> {
+    Want {
+        service: "chat",
+        artifact: None,
+        required: 0,
+        tokens: 0,
+        avoid: &[],
+        only: None,
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/home_choice.rs
@@ -0,0 +1,224 @@
+//! Guards against adapters that wander between runners, and against requests to runners that leave.
+
+mod common;
+
+use std::time::Duration;
+
+use common::chat;
+use common::fleet;
+use common::state;
+use common::want;
+use decision::collections::Map;
+use decision::time::Time;
+use serving::Name;
+use serving::fleet::End;
+use serving::place::Access;
+use serving::place::NoRunner;
+use serving::runner::Phase;
+
+#[test]
+fn entries_choose_the_same_home_for_an_absent_adapter() {
+    let now = Time::from_ms(10);
+    for index in 0..200 {
+        let artifact = chat(index);
+        let mut homes = Vec::new();
+        for seed in 0..4 {
+            let mut fleet = fleet(9, now);
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let placed = fleet
+                .place(now, &mut rng, &want(&artifact, 0))
+                .expect("a runner");
+            assert_eq!(placed.access, Access::Absent);
+            homes.push(placed.runner);
+        }
+        homes.dedup();
+        assert_eq!(homes.len(), 1, "adapter {index} has several homes");
+    }
+}
+
+#[test]
+fn passing_load_does_not_move_a_home() {
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(9, now);
+    let home = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner")
+        .runner;
+    for _ in 0..30 {
+        let lease = fleet.begin(now, &home, None, 400);
+        assert!(lease.is_some());
+    }
+    let again = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner")
+        .runner;
+    assert_eq!(home, again);
+}
+
+#[test]
+fn losing_a_runner_moves_only_its_adapters() {
+    let now = Time::from_ms(10);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(9, now);
+    let homes = |fleet: &mut serving::fleet::Fleet, rng: &mut fastrand::Rng| -> Map<u32, Name> {
+        let place = |index| {
+            (
+                index,
+                fleet
+                    .place(now, rng, &want(&chat(index), 0))
+                    .expect("one")
+                    .runner,
+            )
+        };
+        (0..300).map(place).collect()
+    };
+    let before = homes(&mut fleet, &mut rng);
+    fleet.leave("r3");
+    let after = homes(&mut fleet, &mut rng);
+    for (index, home) in before {
+        if &*home != "r3" {
+            assert_eq!(home, after[&index]);
+        }
+    }
+}
+
+#[test]
+fn holder_is_preferred_to_a_home() {
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let adapter = artifact.adapter.clone().expect("an adapter");
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(9, now);
+    let home = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner")
+        .runner;
+    let other = if &*home == "r0" { "r1" } else { "r0" };
+    fleet.report(now, other, &state(&[(&adapter, 1, 0)]));
+    let placed = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner");
+    assert_eq!(
+        (&*placed.runner, placed.access),
+        (other, Access::Ready { version: 1 })
+    );
+}
+
+#[test]
+fn outdated_version_is_not_ready() {
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let adapter = artifact.adapter.clone().expect("an adapter");
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(1, now);
+    fleet.report(now, "r0", &state(&[(&adapter, 1, 0)]));
+    let placed = fleet
+        .place(now, &mut rng, &want(&artifact, 2))
+        .expect("a runner");
+    assert_eq!(placed.access, Access::Absent);
+}
+
+#[test]
+fn leaving_runner_is_never_chosen() {
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(1, now);
+    let mut draining = state(&[]);
+    draining.draining = true;
+    fleet.report(now, "r0", &draining);
+    let refused = fleet.place(now, &mut rng, &want(&artifact, 0));
+    assert_eq!(refused.err(), Some(NoRunner::Leaving));
+    // A membership entry that was written before the drain does not take it back.
+    let mut member = common::member("r0");
+    member.phase = Phase::Ready;
+    fleet.join(member);
+    assert!(fleet.place(now, &mut rng, &want(&artifact, 0)).is_err());
+}
+
+#[test]
+fn restart_under_the_same_id_empties_the_view() {
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let adapter = artifact.adapter.clone().expect("an adapter");
+    let mut fleet = fleet(1, now);
+    fleet.report(now, "r0", &state(&[(&adapter, 1, 0)]));
+    let lease = fleet
+        .begin(now, &Name::from("r0"), None, 0)
+        .expect("a lease");
+    let mut member = common::member("r0");
+    member.born = 99;
+    fleet.join(member);
+    let runner = fleet.get("r0").expect("the runner");
+    assert!(runner.held.is_empty());
+    assert_eq!(runner.inflight, 0);
+    // The old incarnation's request ends without touching the new one's count.
+    fleet.end(
+        now,
+        lease,
+        End::Good(Duration::ZERO),
+        &mut fastrand::Rng::with_seed(1),
+    );
+    assert_eq!(fleet.get("r0").map(|runner| runner.inflight), Some(0));
+}
+
+#[test]
+fn unreachable_runner_is_avoided_and_tried_again() {
+    let now = Time::from_ms(10);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(2, now);
+    fleet.observe(now, "r0", End::Unreachable, &mut rng);
+    let plain = common::plain();
+    for _ in 0..20 {
+        let placed = fleet.place(now, &mut rng, &plain).expect("a runner");
+        assert_eq!(&*placed.runner, "r1");
+    }
+    fleet.leave("r1");
+    assert!(
+        fleet.place(now, &mut rng, &plain).is_ok(),
+        "the last one is better than none"
+    );
+}
+
+#[test]
+fn popular_adapter_gets_more_holders() {
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let adapter = artifact.adapter.clone().expect("an adapter");
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(9, now);
+    fleet.report(now, "r0", &state(&[(&adapter, 1, 0)]));
+    fleet.demand.record(now, &adapter, 30);
+    fleet.demand.record(now, &"m/others".into(), 70);
+    let placed = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner");
+    assert_eq!(&*placed.runner, "r0");
+    assert!(placed.replica.is_some_and(|replica| &*replica != "r0"));
+    let again = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner");
+    assert_eq!(again.replica, None, "holders are added one at a time");
+}
+
+#[test]
+fn home_with_a_long_queue_of_loads_passes_adapters_on() {
+    // A crash wave sends the adapters of several runners to the homes that are left.
+    let now = Time::from_ms(10);
+    let artifact = chat(1);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(9, now);
+    let home = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner")
+        .runner;
+    let names: Vec<String> = (100..114).map(|index| format!("m/a{index}")).collect();
+    let coming: Vec<(&str, u64, u32)> = names.iter().map(|name| (name.as_str(), 1, 300)).collect();
+    fleet.report(now, &home, &state(&coming));
+    let placed = fleet
+        .place(now, &mut rng, &want(&artifact, 0))
+        .expect("a runner");
+    assert_ne!(placed.runner, home);
+}
--- /dev/null
+++ b/crates/serving/tests/retry_budget.rs
@@ -0,0 +1,62 @@
+//! Guards against more second attempts than all entries may send together.
+
+use std::time::Duration;
+
+use decision::time::Time;
+use serving::Name;
+use serving::budget::Allowance;
+use serving::budget::Budget;
+
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 56.0,
+    window: Duration::from_secs(10),
+};
+
+fn taken(budget: &mut Budget, now: Time, service: &Name, tries: u32) -> u32 {
+    (0..tries)
+        .map(|_| u32::from(budget.take(now, service)))
+        .sum()
+}
+
+#[test]
+fn entries_share_the_slack() {
+    let service = Name::from("chat");
+    let mut all = 0;
+    for _ in 0..4 {
+        let mut budget = Budget::new(ALLOWANCE, 4);
+        all += taken(&mut budget, Time::from_ms(100), &service, 1_000);
+    }
+    assert!(all > 0);
+    assert!(f64::from(all) <= ALLOWANCE.slack);
+}
+
+#[test]
+fn requests_earn_their_share() {
+    let service = Name::from("chat");
+    let mut budget = Budget::new(ALLOWANCE, 4);
+    for ms in 0..1_000 {
+        budget.request(Time::from_ms(ms), &service);
+    }
+    let taken = taken(&mut budget, Time::from_ms(1_000), &service, 10_000);
+    assert!(f64::from(taken) <= 0.2 * 1_000.0 + 56.0 / 4.0);
+    assert!(taken > 150);
+}
+
+#[test]
+fn window_slides() {
+    let service = Name::from("chat");
+    let mut budget = Budget::new(ALLOWANCE, 1);
+    let first = taken(&mut budget, Time::from_ms(0), &service, 1_000);
+    assert_eq!(taken(&mut budget, Time::from_ms(9_400), &service, 1_000), 0);
+    let second = taken(&mut budget, Time::from_ms(10_600), &service, 1_000);
+    assert_eq!(first, second);
+}
+
+#[test]
+fn services_are_counted_apart() {
+    let mut budget = Budget::new(ALLOWANCE, 1);
+    let now = Time::from_ms(5);
+    assert!(taken(&mut budget, now, &Name::from("chat"), 1_000) > 0);
+    assert!(budget.take(now, &Name::from("desk")));
+}
--- /dev/null
+++ b/crates/serving/tests/version_bounds.rs
@@ -0,0 +1,64 @@
+//! Guards against requests on an adapter version that is no longer allowed.
+
+use std::time::Duration;
+
+use decision::time::Time;
+use serving::Name;
+use serving::versions::Versions;
+
+const GRACE: Duration = Duration::from_millis(3_500);
+
+#[test]
+fn older_version_may_run_within_the_grace_only() {
+    let adapter = Name::from("m/a1");
+    let mut versions = Versions::default();
+    assert_eq!(versions.required(Time::from_ms(0), &adapter, GRACE), 0);
+    assert!(versions.announce(Some(Time::from_ms(1_000)), &adapter, 2));
+    assert_eq!(versions.required(Time::from_ms(4_499), &adapter, GRACE), 0);
+    assert_eq!(versions.required(Time::from_ms(4_500), &adapter, GRACE), 2);
+}
+
+#[test]
+fn each_announcement_counts_from_its_own_time() {
+    let adapter = Name::from("m/a1");
+    let mut versions = Versions::default();
+    versions.announce(Some(Time::from_ms(0)), &adapter, 2);
+    versions.announce(Some(Time::from_ms(2_000)), &adapter, 3);
+    assert_eq!(versions.required(Time::from_ms(3_400), &adapter, GRACE), 0);
+    assert_eq!(versions.required(Time::from_ms(3_500), &adapter, GRACE), 2);
+    assert_eq!(versions.required(Time::from_ms(5_500), &adapter, GRACE), 3);
+}
+
+#[test]
+fn versions_never_go_back() {
+    let adapter = Name::from("m/a1");
+    let mut versions = Versions::default();
+    assert!(versions.announce(Some(Time::from_ms(0)), &adapter, 5));
+    assert!(!versions.announce(Some(Time::from_ms(10)), &adapter, 4));
+    assert!(!versions.announce(Some(Time::from_ms(20)), &adapter, 5));
+    assert_eq!(versions.newest(&adapter), 5);
+}
+
+#[test]
+fn holders_take_their_turns() {
+    let adapter = Name::from("m/a1");
+    let mut versions = Versions::default();
+    versions.announce(Some(Time::from_ms(0)), &adapter, 2);
+    let stagger = Duration::from_millis(800);
+    let due = |ms, rank| {
+        let list = versions.outdated(Time::from_ms(ms), stagger, |_| Some(rank));
+        !list.is_empty()
+    };
+    assert!(due(0, 0));
+    assert!(!due(700, 1));
+    assert!(due(800, 1));
+}
+
+#[test]
+fn version_of_unknown_age_is_binding_at_once() {
+    let adapter = Name::from("m/a1");
+    let mut versions = Versions::default();
+    // An entry that has just started reads a version that may have been announced long ago.
+    assert!(versions.announce(None, &adapter, 4));
+    assert_eq!(versions.required(Time::from_ms(1), &adapter, GRACE), 4);
+}
