--- a/crates/cli/src/gateway.rs
+++ b/crates/cli/src/gateway.rs
@@ -25,7 +25,7 @@
 /// Runs an entry that calls runners directly, until SIGTERM.
 pub async fn run(args: &Args) -> Report {
     let path = args.config.clone().unwrap_or_else(platform::settings::path);
-    match ::gateway::entry::run(&path).await {
+    match ::gateway::process::run(&path).await {
         Ok(()) => Report::text(String::new()),
         Err(err) => Report::error(Exit::Usage, format!("{err:?}")),
     }
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -12,6 +12,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use ::process::ops::Ops;
+use ::process::ops::OpsState;
 use decision::collections::Map;
 use decision::time::Time;
 use error_stack::Report;
@@ -21,8 +23,6 @@
 use platform::runner::Control;
 use platform::runner::Taken;
 use platform::settings;
-use process::ops::Ops;
-use process::ops::OpsState;
 use serde_json::json;
 use serving::Name;
 use serving::link::SILENCE_LIMIT;
@@ -45,11 +45,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::Timer;
-use crate::entry::Failure;
 use crate::front;
 use crate::links::MAX_LINE;
 use crate::logs;
 use crate::metrics::AgentMetrics;
+use crate::process::Failure;
 
 /// How often the report is read while nothing is on its way.
 const IDLE_POLL: Duration = Duration::from_millis(200);
@@ -110,7 +110,7 @@
 /// Fails if the process cannot be set up.
 pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
     let settings: settings::Agent =
-        process::settings::load(path).change_context(Failure::Settings)?;
+        ::process::settings::load(path).change_context(Failure::Settings)?;
     logs::init().change_context(Failure::Setup)?;
     let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
     let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,6 +1,8 @@
-//! The entry: its shared state, its tasks and its stop.
+//! What an entry shares between its tasks.
+//!
+//! Invariants: one lock holds all that the entry knows, and it is never held across an await; the
+//! configuration in force only moves to higher versions.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,16 +11,12 @@
 use std::time::Duration;
 
 use decision::time::Time;
-use derive_more::Display;
-use derive_more::Error;
 use error_stack::Report;
 use error_stack::ResultExt;
 use platform::manifest::Announced;
 use platform::settings;
 use platform::store::Store;
 use platform::store::Table;
-use process::ops::Ops;
-use process::ops::OpsState;
 use serde_json::json;
 use serving::Name;
 use serving::budget::Allowance;
@@ -30,42 +28,16 @@
 use serving::runner::Member;
 use serving::versions::Versions;
 use spdlog::info;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
-use tokio::sync::watch;
-use tokio_util::task::TaskTracker;
 
 use crate::Timer;
 use crate::conns::Conns;
-use crate::front;
 use crate::links::Links;
 use crate::logs;
 use crate::metrics::EntryMetrics;
-use crate::watch::follow;
+use crate::process::Failure;
 
 /// The number of entries that share a budget until the agents have told it.
 const ASSUMED_ENTRIES: u32 = 8;
-/// How long a stopping entry still accepts connections, so that the platform notices first that it
-/// is not ready.
-const UNREADY_TIME: Duration = Duration::from_millis(2_500);
-/// The part of the time to SIGKILL that is left for the end of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// The pause between two rounds of upkeep.
-const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
-
-/// A process that cannot start or go on.
-#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-pub enum Failure {
-    /// The settings cannot be used.
-    #[display("settings cannot be used")]
-    Settings,
-    /// Logs, metrics or signals cannot be set up.
-    #[display("process cannot be set up")]
-    Setup,
-    /// An address cannot be bound.
-    #[display("address cannot be bound")]
-    Bind,
-}
 
 /// What an entry knows; behind one lock, which is never held across an await.
 #[derive(Debug)]
@@ -146,6 +118,11 @@
         self.timer.now()
     }
 
+    /// Makes the entry unready for good.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether the entry is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -264,7 +241,7 @@
     }
 
     /// Does what is due from time to time.
-    fn upkeep(self: &Arc<Self>) {
+    pub fn upkeep(self: &Arc<Self>) {
         let now = self.now();
         let mut state = self.state();
         let changes = state.members.expire(now);
@@ -325,90 +302,3 @@
         .to_string()
     }
 }
-
-/// Runs an entry until a signal asks it to stop.
-///
-/// # Errors
-///
-/// Fails if the process cannot be set up.
-pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
-    let settings: settings::Entry =
-        process::settings::load(path).change_context(Failure::Settings)?;
-    logs::init().change_context(Failure::Setup)?;
-    let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
-    let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
-    let entry = Entry::new(settings)?;
-    let instance = entry.settings.instance.clone();
-    info!("entry starts", kv: { instance = instance.as_str() });
-    let (stop, stopped) = watch::channel(false);
-    let tasks = TaskTracker::new();
-    let front = front::listen(entry.settings.listen)
-        .await
-        .change_context(Failure::Bind)?;
-    let ready = front::listen(entry.settings.ready)
-        .await
-        .change_context(Failure::Bind)?;
-    let follow_config = tasks.spawn(follow(entry.clone(), Table::Operator));
-    let follow_members = tasks.spawn(follow(entry.clone(), Table::Members));
-    let upkeep = tasks.spawn(upkeep(entry.clone()));
-    let serve = tasks.spawn(front::serve(entry.clone(), front, stopped.clone()));
-    let answer = tasks.spawn(front::serve_ready(entry.clone(), ready));
-    let ops = start_ops(&entry).await?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => reload(&entry, path),
-        }
-    }
-    let begun = entry.now();
-    info!("entry stops", kv: { instance = instance.as_str(), cause = "SIGTERM" });
-    entry.stopping.store(true, Ordering::Relaxed);
-    tokio::time::sleep(UNREADY_TIME).await;
-    let _ = stop.send(true);
-    let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s).saturating_sub(STOP_MARGIN);
-    let limit = entry.timer.instant(begun.after(grace));
-    if tokio::time::timeout_at(limit, serve).await.is_err() {
-        info!("requests cut off at the stop", kv: { inflight = entry.metrics.inflight.get() });
-    }
-    for task in [follow_config, follow_members, upkeep, answer] {
-        task.abort();
-    }
-    ops.stop().await;
-    entry.links.stop();
-    info!("entry stopped", kv: { instance = instance.as_str() });
-    Ok(())
-}
-
-async fn upkeep(entry: Arc<Entry>) {
-    loop {
-        tokio::time::sleep(UPKEEP_INTERVAL).await;
-        entry.upkeep();
-    }
-}
-
-/// Reads the settings again. The ones that shape running connections apply from the next start.
-fn reload(entry: &Arc<Entry>, path: &Path) {
-    match process::settings::load::<settings::Entry>(path) {
-        Ok(settings) => {
-            let changed = settings.store != entry.settings.store;
-            info!("settings reloaded", kv: { store_changed = changed });
-        }
-        Err(report) => {
-            let reason = format!("{report:?}");
-            spdlog::error!("settings kept, the new ones cannot be used", kv: { reason = reason.as_str() });
-        }
-    }
-}
-
-async fn start_ops(entry: &Arc<Entry>) -> Result<Ops, Report<Failure>> {
-    let (ready, dump) = (entry.clone(), entry.clone());
-    let state = OpsState {
-        registry: entry.metrics.registry.clone(),
-        ready: Box::new(move || ready.ready()),
-        dump: Box::new(move || dump.dump()),
-        secret: entry.settings.dump_secret.clone(),
-    };
-    Ops::start(entry.settings.metrics, state)
-        .await
-        .change_context(Failure::Bind)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Invariants: decisions are those of `serving`, words of the platform stay in `platform`; each
 //! task is tracked and joined by the process that started it; no lock is held across an await.
 //!
-//! API boundary: [`entry::run`] and [`agent::run`] are the two programs; all else is internal to
+//! API boundary: [`process::run`] and [`agent::run`] are the two programs; all else is internal to
 //! them, public for tests.
 
 pub mod agent;
@@ -14,11 +14,12 @@
 pub mod links;
 pub mod logs;
 pub mod metrics;
+pub mod process;
 pub mod relay;
 pub mod watch;
 
+use ::process::Clock;
 use decision::time::Time;
-use process::Clock;
 use tokio::time::Instant;
 
 /// A process's clock, with the way back from its times to those of the runtime.
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -97,12 +97,13 @@
         }
     }
 
-    /// Closes all connections.
-    pub fn stop(&self) {
-        let mut links = self.links.lock().expect("no panics under the lock");
-        for (_, link) in links.drain() {
+    /// Closes all connections and waits for their tasks.
+    pub async fn stop(&self) {
+        for (_, link) in self.links.lock().expect("no panics under the lock").drain() {
             link.task.abort();
         }
+        self.tasks.close();
+        self.tasks.wait().await;
     }
 
     /// Asks an agent for an adapter.
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,186 @@
+//! The start and stop of an entry's process.
+//!
+//! Invariants: every task that is started here is joined or ended by [`Running::stop`]; at a stop
+//! the platform learns first that the entry is not ready, then new connections end, and requests in
+//! progress are finished.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::process::ops::Ops;
+use ::process::ops::OpsState;
+use derive_more::Display;
+use derive_more::Error;
+use error_stack::Report;
+use error_stack::ResultExt;
+use platform::settings;
+use platform::store::Table;
+use spdlog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::entry::Entry;
+use crate::front;
+use crate::logs;
+use crate::watch::follow;
+
+/// How long a stopping entry still accepts connections, so that the platform notices first that it
+/// is not ready.
+const UNREADY_TIME: Duration = Duration::from_millis(2_500);
+/// The part of the time to SIGKILL that is left for the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// The pause between two rounds of upkeep.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A process that cannot start or go on.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// The settings cannot be used.
+    #[display("settings cannot be used")]
+    Settings,
+    /// Logs, metrics or signals cannot be set up.
+    #[display("process cannot be set up")]
+    Setup,
+    /// An address cannot be bound.
+    #[display("address cannot be bound")]
+    Bind,
+}
+
+/// Runs an entry until a signal asks it to stop.
+///
+/// # Errors
+///
+/// Fails if the process cannot be set up.
+pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
+    let settings: settings::Entry =
+        ::process::settings::load(path).change_context(Failure::Settings)?;
+    logs::init().change_context(Failure::Setup)?;
+    let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
+    let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
+    let running = Running::start(settings).await?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => reload(&running.entry, path),
+        }
+    }
+    running.stop(UNREADY_TIME).await;
+    Ok(())
+}
+
+/// The tasks of a started entry.
+pub struct Running {
+    /// The entry.
+    pub entry: Arc<Entry>,
+    stop: watch::Sender<bool>,
+    serve: JoinHandle<()>,
+    others: Vec<JoinHandle<()>>,
+    ops: Ops,
+}
+
+impl Running {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(settings: settings::Entry) -> Result<Running, Report<Failure>> {
+        let entry = Entry::new(settings)?;
+        let instance = entry.settings.instance.as_str();
+        info!("entry starts", kv: { instance });
+        let bind = |addr| front::listen(addr);
+        let callers = bind(entry.settings.listen)
+            .await
+            .change_context(Failure::Bind)?;
+        let ready = bind(entry.settings.ready)
+            .await
+            .change_context(Failure::Bind)?;
+        let ops = start_ops(&entry).await?;
+        let (stop, stopped) = watch::channel(false);
+        let others = vec![
+            tokio::spawn(follow(entry.clone(), Table::Operator)),
+            tokio::spawn(follow(entry.clone(), Table::Members)),
+            tokio::spawn(upkeep(entry.clone())),
+            tokio::spawn(front::serve_ready(entry.clone(), ready)),
+        ];
+        let serve = tokio::spawn(front::serve(entry.clone(), callers, stopped));
+        Ok(Running {
+            entry,
+            stop,
+            serve,
+            others,
+            ops,
+        })
+    }
+
+    /// Stops the entry: it is unready for `unready`, then accepts no connections and finishes what
+    /// is in progress, within the time that the settings allow.
+    pub async fn stop(self, unready: Duration) {
+        let Running {
+            entry,
+            stop,
+            serve,
+            others,
+            ops,
+        } = self;
+        let begun = entry.now();
+        let instance = entry.settings.instance.as_str();
+        let inflight = entry.metrics.inflight.get();
+        info!("entry stops", kv: { instance, inflight });
+        entry.begin_stop();
+        tokio::time::sleep(unready).await;
+        stop.send_replace(true);
+        let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s);
+        let limit = begun.after(grace.saturating_sub(STOP_MARGIN));
+        let limit = entry.timer.instant(limit);
+        if tokio::time::timeout_at(limit, serve).await.is_err() {
+            let inflight = entry.metrics.inflight.get();
+            info!("requests cut off at the stop", kv: { inflight });
+        }
+        for task in others {
+            task.abort();
+            // The task was ended here; its result says nothing.
+            let _ = task.await;
+        }
+        ops.stop().await;
+        entry.links.stop().await;
+        info!("entry stopped", kv: { instance });
+    }
+}
+
+async fn upkeep(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        entry.upkeep();
+    }
+}
+
+/// Reads the settings again. The ones that shape running connections apply from the next start.
+fn reload(entry: &Arc<Entry>, path: &Path) {
+    match ::process::settings::load::<settings::Entry>(path) {
+        Ok(settings) => {
+            let changed = settings.store != entry.settings.store;
+            info!("settings reloaded", kv: { store_changed = changed });
+        }
+        Err(report) => {
+            let reason = format!("{report:?}");
+            spdlog::error!("settings kept, the new ones cannot be used", kv: { reason = reason.as_str() });
+        }
+    }
+}
+
+async fn start_ops(entry: &Arc<Entry>) -> Result<Ops, Report<Failure>> {
+    let (ready, dump) = (entry.clone(), entry.clone());
+    let state = OpsState {
+        registry: entry.metrics.registry.clone(),
+        ready: Box::new(move || ready.ready()),
+        dump: Box::new(move || dump.dump()),
+        secret: entry.settings.dump_secret.clone(),
+    };
+    Ops::start(entry.settings.metrics, state)
+        .await
+        .change_context(Failure::Bind)
+}
--- /dev/null
+++ b/crates/gateway/tests/rig/mod.rs
@@ -0,0 +1,192 @@
+//! Small stand-ins of the platform's store and of runners, an entry in this process, and a caller.
+
+// Each test file uses a part of these.
+#![allow(dead_code)]
+
+pub(crate) mod runner;
+pub(crate) mod store;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gateway::process::Running;
+use platform::settings::Bounds;
+use platform::settings::Entry;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use self::runner::Runner;
+use self::store::Store;
+
+/// The limit for whatever a test waits for.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A store, runners of one plain service and an entry.
+pub(crate) struct Rig {
+    pub(crate) store: Store,
+    pub(crate) runners: Vec<Runner>,
+    pub(crate) running: Running,
+}
+
+impl Rig {
+    /// Starts an entry before `count` runners and waits until it is ready.
+    pub(crate) async fn start(count: usize) -> Rig {
+        let store = Store::start().await;
+        let mut runners = Vec::new();
+        for index in 0..count {
+            let runner = Runner::start(&format!("i-{index}")).await;
+            store.put("servers", &runner.id, &runner.entry("ready"));
+            runners.push(runner);
+        }
+        store.put("op", "config", &manifest(1, "s"));
+        let running = Running::start(settings(store.addr))
+            .await
+            .expect("the entry starts");
+        let rig = Rig {
+            store,
+            runners,
+            running,
+        };
+        rig.until(|rig| rig.running.entry.ready().is_ok()).await;
+        rig
+    }
+
+    /// Waits until a condition holds.
+    pub(crate) async fn until(&self, condition: impl Fn(&Rig) -> bool) {
+        let limit = tokio::time::Instant::now() + PATIENCE;
+        while !condition(self) {
+            assert!(
+                tokio::time::Instant::now() < limit,
+                "the condition never held"
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Sends a request on a new connection and reads the answer until the connection closes.
+    pub(crate) async fn call(&self, path: &str) -> Reply {
+        self.begin(path).await.reply().await
+    }
+
+    /// Sends a request on a new connection.
+    pub(crate) async fn begin(&self, path: &str) -> Caller {
+        let addr = self.running.entry.settings.listen;
+        let mut stream = TcpStream::connect(addr).await.expect("the entry accepts");
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: q1\r\n\
+             x-deadline-ms: 3000\r\nconnection: close\r\n\r\n"
+        );
+        stream
+            .write_all(head.as_bytes())
+            .await
+            .expect("the request is sent");
+        Caller { stream }
+    }
+
+    /// Returns the requests that all runners have run, as `RUNNER LAST_EVENT`.
+    pub(crate) fn runs(&self) -> Vec<String> {
+        self.runners.iter().flat_map(Runner::runs).collect()
+    }
+
+    pub(crate) async fn stop(self) {
+        self.running.stop(Duration::ZERO).await;
+        for runner in self.runners {
+            runner.stop().await;
+        }
+        self.store.stop().await;
+    }
+}
+
+/// A caller whose request is under way.
+pub(crate) struct Caller {
+    pub(crate) stream: TcpStream,
+}
+
+impl Caller {
+    /// Reads what is there now, at least one byte.
+    pub(crate) async fn some(&mut self) -> String {
+        let mut buffer = vec![0; 4_096];
+        let read = tokio::time::timeout(PATIENCE, self.stream.read(&mut buffer)).await;
+        let count = read.expect("an answer in time").expect("a readable answer");
+        String::from_utf8_lossy(&buffer[..count]).into_owned()
+    }
+
+    pub(crate) async fn reply(mut self) -> Reply {
+        let mut bytes = Vec::new();
+        let read = tokio::time::timeout(PATIENCE, self.stream.read_to_end(&mut bytes)).await;
+        // A reset in the middle of an answer is one of the ends that tests look for.
+        let _ = read.expect("an answer in time");
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        Reply {
+            status: status.unwrap_or(0),
+            head: head.to_ascii_lowercase(),
+            whole: body.ends_with("0\r\n\r\n") || head.contains("content-length"),
+            body: body.to_owned(),
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the body looks complete.
+    pub(crate) whole: bool,
+}
+
+fn settings(store: SocketAddr) -> Entry {
+    let free = || {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.local_addr().expect("its address")
+    };
+    Entry {
+        instance: "e1".into(),
+        domain: "z".into(),
+        listen: free(),
+        ready: free(),
+        metrics: free(),
+        store,
+        agent_port: 9,
+        dump_secret: "secret".into(),
+        max_files: 4_000,
+        memory_mb: 100,
+        bounds: Bounds {
+            stop_s: 8.0,
+            version_ms: 5_000,
+            retry_ratio: 0.2,
+            retry_slack: 56.0,
+            retry_window_s: 10.0,
+        },
+    }
+}
+
+/// Returns a manifest whose routes lead to `service`.
+pub(crate) fn manifest(version: u64, service: &str) -> String {
+    let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
+        format!(
+            r#"{{"name":"{name}","host":"a.example","prefix":"/{name}/","kind":"{kind}",
+            "timeout_ms":3000,"goal_ms":150,"priority":1,"service":"{service}",
+            "max_attempts":{attempts},"resumable":{resumable},"gap_goal_ms":400}}"#
+        )
+    };
+    let routes = [
+        route("safe", "idempotent", 2, false),
+        route("once", "non_idempotent", 2, false),
+        route("stream", "stream", 2, true),
+        route("single", "stream", 1, false),
+    ];
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","max_conns":9}},
+        {{"name":"t","max_conns":9}}],"limits":{{"header_bytes":16384,"body_bytes":4194304,
+        "header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
+        routes.join(",")
+    )
+}
