--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -57,8 +57,8 @@
 const ACTIVE_POLL: Duration = Duration::from_millis(20);
 /// Orders that are given between two rounds at most.
 const MAX_ORDERS: usize = 8;
-/// How often a change of the load alone is told.
-const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+/// How often changes are told for which no request waits, such as the load.
+const CALM_INTERVAL: Duration = Duration::from_millis(200);
 
 struct Shared {
     settings: settings::Agent,
@@ -96,7 +96,7 @@
         json!({
             "instance": self.settings.instance,
             "runner": self.settings.runner,
-            "state": state,
+            "state": state.update_since(None),
             "log_lines_dropped": logs::dropped(),
         })
         .to_string()
@@ -321,7 +321,7 @@
     }
 }
 
-/// Sends a state unless it differs from the last one by the load alone and that is recent.
+/// Tells an entry what has changed since the last message; what is not urgent waits a little.
 async fn tell_entry(
     lines: &mut Framed<TcpStream, LinesCodec>,
     told: &mut Option<(State, Instant)>,
@@ -331,12 +331,14 @@
     let now = Instant::now();
     if let Some((known, at)) = told
         && !due
-        && now < *at + LOAD_INTERVAL
-        && is_same_but_load(known, &state)
+        && now < *at + CALM_INTERVAL
+        && !state.is_urgent_after(known)
     {
         return Ok(());
     }
-    let text = serde_json::to_string(&state).map_err(|e| e.to_string())?;
+    let known = told.as_ref().map(|(known, _)| known);
+    let update = state.update_since(known);
+    let text = serde_json::to_string(&update).map_err(|e| e.to_string())?;
     let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
     sent.map_err(|_| "write timeout".to_owned())?
         .map_err(|e| e.to_string())?;
@@ -344,21 +346,6 @@
     Ok(())
 }
 
-/// Returns whether two states name the same adapters, models and phase; expected times of loads and
-/// the numbers of requests may differ.
-fn is_same_but_load(a: &State, b: &State) -> bool {
-    let names = |state: &State| -> Vec<(Name, u64, bool)> {
-        let places = state.places.iter();
-        places
-            .map(|place| (place.adapter.clone(), place.version, place.wait_ms > 0))
-            .collect()
-    };
-    (a.born, a.up, a.draining) == (b.born, b.up, b.draining)
-        && a.models == b.models
-        && (a.room == 0) == (b.room == 0)
-        && names(a) == names(b)
-}
-
 fn take_message(shared: &Arc<Shared>, link: LinkId, line: &str) -> Result<(), String> {
     let message: ToAgent = serde_json::from_str(line).map_err(|e| e.to_string())?;
     let now = shared.now();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -16,9 +16,9 @@
 use serving::link::Capacity;
 use serving::link::ModelSpec;
 use serving::link::SILENCE_LIMIT;
-use serving::link::State;
 use serving::link::ToAgent;
 use serving::link::USAGE_INTERVAL;
+use serving::link::Update;
 use serving::runner::Member;
 use spdlog::info;
 use spdlog::warn;
@@ -190,7 +190,7 @@
                 line = lines.next() => match line {
                     Some(Ok(line)) => {
                         heard = Instant::now();
-                        self.take_state(&line)
+                        self.take_update(&line)
                     }
                     Some(Err(e)) => Err(e.to_string()),
                     None => Err("closed".into()),
@@ -219,14 +219,15 @@
         })
     }
 
-    fn take_state(&self, line: &str) -> Result<(), Lost> {
-        let state: State = serde_json::from_str(line).map_err(|e| e.to_string())?;
+    fn take_update(&self, line: &str) -> Result<(), Lost> {
+        let update: Update = serde_json::from_str(line).map_err(|e| e.to_string())?;
         let now = self.entry.now();
-        self.entry
-            .state()
-            .fleet
-            .report(now, &self.member.id, &state);
-        self.changed.notify_waiters();
+        let mut state = self.entry.state();
+        let changed = state.fleet.report(now, &self.member.id, &update);
+        drop(state);
+        if changed {
+            self.changed.notify_waiters();
+        }
         Ok(())
     }
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use decision::collections::Map;
+use decision::hash;
 use decision::health::Health;
 use decision::health::Pace;
 use decision::time::Time;
 
 use crate::Name;
 use crate::demand::Demand;
-use crate::link::State;
+use crate::link::Update;
 use crate::link::Usage;
 use crate::runner::Load;
 use crate::runner::Member;
@@ -40,6 +41,8 @@
     pub version: u64,
     /// When it is expected; `None` if it is there.
     pub ready: Option<Time>,
+    /// Whether this entry expects it without word from the runner's agent.
+    pub assumed: bool,
 }
 
 /// One request at a runner, to be handed back at its end.
@@ -93,6 +96,8 @@
     pub reported: Time,
     /// The moving average of a request's time there, in milliseconds.
     pub service_ms: f32,
+    /// The hash of its identifier.
+    pub(crate) key: u64,
     recent: VecDeque<Name>,
     usage: Map<Name, Usage>,
 }
@@ -105,6 +110,7 @@
     /// The recent traffic per adapter.
     pub demand: Demand,
     pub(crate) replicated: Map<Name, Time>,
+    pub(crate) orders: Vec<u64>,
     runners: Map<Name, Runner>,
     entries: u32,
 }
@@ -116,6 +122,7 @@
             domain,
             demand: Demand::default(),
             replicated: Map::default(),
+            orders: Vec::new(),
             runners: Map::default(),
             entries: 0,
         }
@@ -153,13 +160,13 @@
         self.runners.remove(id);
     }
 
-    /// Applies the state that a runner's agent sent.
-    pub fn report(&mut self, now: Time, id: &str, state: &State) {
-        self.entries = state.entries;
-        if let Some(runner) = self.runners.get_mut(id)
-            && state.born == runner.member.born
-        {
-            runner.report(now, state);
+    /// Applies what a runner's agent told; returns whether a request that waits for an adapter there
+    /// should look again.
+    pub fn report(&mut self, now: Time, id: &str, update: &Update) -> bool {
+        self.entries = update.entries;
+        match self.runners.get_mut(id) {
+            Some(runner) if update.born == runner.member.born => runner.report(now, update),
+            _ => false,
         }
     }
 
@@ -192,6 +199,7 @@
         let hold = Hold {
             version,
             ready: Some(ready),
+            assumed: true,
         };
         runner.held.insert(adapter.clone(), hold);
     }
@@ -286,6 +294,7 @@
             .map(|held| (held.adapter.clone(), resident(held.version)))
             .collect();
         Runner {
+            key: hash::hash_text(&member.id),
             member,
             held,
             inflight: 0,
@@ -348,33 +357,45 @@
         }
     }
 
-    fn report(&mut self, now: Time, state: &State) {
+    fn report(&mut self, now: Time, update: &Update) -> bool {
+        let opened = self.up != update.up || update.models.is_some();
         self.reported = now;
         self.linked = true;
-        self.up = state.up;
-        self.member.models.clone_from(&state.models);
-        self.room = state.room;
-        if state.draining {
+        self.up = update.up;
+        self.room = update.room;
+        if let Some(models) = &update.models {
+            self.member.models.clone_from(models);
+        }
+        if update.draining {
             self.member.phase = Phase::Draining;
         }
-        self.note_load(state.running + state.queued);
-        let before = std::mem::take(&mut self.held);
-        for place in &state.places {
+        self.note_load(update.running + update.queued);
+        // Requests that run there keep an assumed adapter from being asked for twice until the
+        // agent has had the time to tell of it.
+        self.held
+            .retain(|_, hold| !hold.assumed || hold.ready.is_some_and(|ready| ready > now));
+        if update.whole {
+            self.held.retain(|_, hold| hold.assumed);
+        }
+        for adapter in &update.gone {
+            if self
+                .held
+                .remove(adapter)
+                .is_some_and(|hold| hold.ready.is_none())
+            {
+                self.remember(adapter.clone());
+            }
+        }
+        for place in &update.places {
             let wait = Duration::from_millis(u64::from(place.wait_ms));
             let hold = Hold {
                 version: place.version,
                 ready: (place.wait_ms > 0).then(|| now.after(wait)),
+                assumed: false,
             };
             self.held.insert(place.adapter.clone(), hold);
         }
-        for (adapter, hold) in before {
-            if hold.ready.is_none() && !self.held.contains_key(&adapter) {
-                self.remember(adapter);
-            } else if hold.ready.is_some_and(|ready| ready > now) {
-                // The agent has not seen the demand for it yet.
-                self.held.entry(adapter).or_insert(hold);
-            }
-        }
+        opened || update.draining || !update.places.is_empty() || !update.gone.is_empty()
     }
 
     fn remember(&mut self, adapter: Name) {
@@ -417,5 +438,6 @@
     Hold {
         version,
         ready: None,
+        assumed: false,
     }
 }
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -98,20 +98,40 @@
     pub wait_ms: u32,
 }
 
-/// A message of an agent: the state of its runner.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// The state of a runner as its agent knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct State {
     /// When the runner started, in milliseconds of the Unix epoch.
-    #[serde(rename = "b")]
     pub born: u64,
     /// Whether the agent reaches the runner.
-    #[serde(rename = "u")]
     pub up: bool,
     /// The models that it holds.
-    #[serde(rename = "m")]
     pub models: Vec<Name>,
     /// Whether the runner has announced its exit.
-    #[serde(rename = "d")]
+    pub draining: bool,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Adapters that can be loaded at once, after an eviction if need be.
+    pub room: u32,
+    /// Entries that are connected to the agent.
+    pub entries: u32,
+    /// The adapters there and on their way, by name.
+    pub places: Vec<Place>,
+}
+
+/// A message of an agent: what has changed in the state of its runner.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// When the runner started, in milliseconds of the Unix epoch.
+    #[serde(rename = "b")]
+    pub born: u64,
+    /// Whether the agent reaches the runner.
+    #[serde(rename = "u")]
+    pub up: bool,
+    /// Whether the runner has announced its exit.
+    #[serde(rename = "d", default, skip_serializing_if = "is_false")]
     pub draining: bool,
     /// Requests that run.
     #[serde(rename = "r")]
@@ -125,7 +145,80 @@
     /// Entries that are connected to the agent.
     #[serde(rename = "e")]
     pub entries: u32,
-    /// The adapters there and on their way.
-    #[serde(rename = "p")]
+    /// Whether `places` names all adapters, not only those that changed.
+    #[serde(rename = "w", default, skip_serializing_if = "is_false")]
+    pub whole: bool,
+    /// The models that it holds, if they changed.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub models: Option<Vec<Name>>,
+    /// The adapters that are new, or whose version or arrival changed.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub places: Vec<Place>,
+    /// The adapters that are gone.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<Name>,
+}
+
+// The signature is the one that the serializer asks for.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
+impl State {
+    /// Returns what an entry that knows `known` has to be told; everything if it knows nothing of
+    /// this incarnation.
+    pub fn update_since(&self, known: Option<&State>) -> Update {
+        let known = known.filter(|known| known.born == self.born);
+        let places = self.places.iter().filter(|place| {
+            let before = known.and_then(|known| known.place(&place.adapter));
+            before.is_none_or(|before| before.differs(place))
+        });
+        let gone = known.map(|known| {
+            let gone = known.places.iter();
+            gone.filter(|place| self.place(&place.adapter).is_none())
+        });
+        let models = known.is_none_or(|known| known.models != self.models);
+        Update {
+            born: self.born,
+            up: self.up,
+            draining: self.draining,
+            running: self.running,
+            queued: self.queued,
+            room: self.room,
+            entries: self.entries,
+            whole: known.is_none(),
+            models: models.then(|| self.models.clone()),
+            places: places.cloned().collect(),
+            gone: gone.map_or(Vec::new(), |gone| {
+                gone.map(|place| place.adapter.clone()).collect()
+            }),
+        }
+    }
+
+    /// Returns whether entries must learn at once what has changed: requests may wait for an
+    /// adapter that arrived, and none may be sent to a runner that leaves.
+    pub fn is_urgent_after(&self, known: &State) -> bool {
+        let same = (self.born, self.up, self.draining) == (known.born, known.up, known.draining);
+        let arrived = self.places.iter().any(|place| {
+            let before = known.place(&place.adapter);
+            place.wait_ms == 0 && before.is_none_or(|before| before.differs(place))
+        });
+        !same || arrived || self.models != known.models
+    }
+
+    /// Returns the place of an adapter; the places are in order of their names.
+    fn place(&self, adapter: &str) -> Option<&Place> {
+        let found = self
+            .places
+            .binary_search_by(|place| (*place.adapter).cmp(adapter));
+        found.ok().map(|index| &self.places[index])
+    }
+}
+
+impl Place {
+    /// Returns whether the version or the arrival differ; the expected time alone is no news.
+    fn differs(&self, other: &Place) -> bool {
+        self.version != other.version || (self.wait_ms == 0) != (other.wait_ms == 0)
+    }
 }
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -119,13 +119,14 @@
         rng: &mut fastrand::Rng,
         want: &Want<'_>,
     ) -> Result<Placed, NoRunner> {
-        let mut best: Option<(bool, f32, Name, Access)> = None;
+        let ranks = self.rank_homes(want);
+        let mut best: Option<(bool, f32, &Name, Access)> = None;
         let mut reason = NoRunner::Unknown;
         for runner in self.runners() {
             if *runner.member.service != *want.service {
                 continue;
             }
-            let weighed = match self.weigh(now, want, runner) {
+            let weighed = match self.weigh(now, want, &ranks, runner) {
                 Ok(weighed) => weighed,
                 Err(cause) => {
                     reason = cause;
@@ -139,10 +140,12 @@
                 .as_ref()
                 .is_none_or(|(other, least, ..)| (open, cost) < (*other, *least));
             if better {
-                best = Some((open, cost, runner.member.id.clone(), access));
+                best = Some((open, cost, &runner.member.id, access));
             }
         }
-        let (_, cost, runner, access) = best.ok_or(reason)?;
+        let best = best.map(|(_, cost, runner, access)| (cost, runner.clone(), access));
+        self.orders = ranks.orders;
+        let (cost, runner, access) = best.ok_or(reason)?;
         let replica = match access {
             Access::Absent => None,
             Access::Ready { .. } | Access::Coming(_) => self.replica(now, want),
@@ -160,6 +163,7 @@
         &self,
         now: Time,
         want: &Want<'_>,
+        ranks: &Ranks,
         runner: &Runner,
     ) -> Result<(Access, f32), NoRunner> {
         if !runner.is_open() {
@@ -180,38 +184,26 @@
         }
         cost += runner.health.error_rate() * HEALTH_MS;
         if access == Access::Absent {
-            cost += self.absent_cost(want, runner);
+            cost += absent_cost(want, ranks, runner);
         }
         Ok((access, cost))
     }
 
-    /// Returns the cost of loading the adapter at this runner beside the wait for the load.
-    fn absent_cost(&self, want: &Want<'_>, runner: &Runner) -> f32 {
+    /// Returns the order of the adapter's homes among the runners that take requests.
+    fn rank_homes(&mut self, want: &Want<'_>) -> Ranks {
+        let mut orders = std::mem::take(&mut self.orders);
+        orders.clear();
         let adapter = want.artifact.and_then(|artifact| artifact.adapter.as_ref());
         let Some(adapter) = adapter else {
-            return 0.0;
+            return Ranks { key: 0, orders };
         };
-        let mut cost = HOME_MS * self.home_rank(runner, adapter) as f32;
-        let ahead = (runner.coming() + 1).saturating_sub(PARALLEL_LOADS);
-        cost += ahead as f32 * LOAD.as_secs_f32() * 1_000.0 / PARALLEL_LOADS as f32;
-        if runner.held.contains_key(adapter) {
-            cost += REPLACE_MS;
-        } else if runner.room == 0 {
-            cost += NO_ROOM_MS;
-        }
-        cost
-    }
-
-    /// Returns the runner's position in the order of the adapter's homes; 0 is the first.
-    fn home_rank(&self, runner: &Runner, adapter: &Name) -> usize {
         let key = hash::hash_text(adapter);
-        let own = hash::combine(key, hash::hash_text(&runner.member.id));
-        let before = self.runners().filter(|other| {
-            other.member.service == runner.member.service
-                && other.is_open()
-                && hash::combine(key, hash::hash_text(&other.member.id)) > own
-        });
-        before.count()
+        let open = self
+            .runners()
+            .filter(|runner| *runner.member.service == *want.service && runner.is_open());
+        orders.extend(open.map(|runner| hash::combine(key, runner.key)));
+        orders.sort_unstable_by(|a, b| b.cmp(a));
+        Ranks { key, orders }
     }
 
     /// Returns the place of a runner among the holders of an adapter, in the order of its homes;
@@ -220,7 +212,7 @@
         let own = self.get(id)?;
         own.held.get(adapter)?;
         let key = hash::hash_text(adapter);
-        let order = |runner: &Runner| hash::combine(key, hash::hash_text(&runner.member.id));
+        let order = |runner: &Runner| hash::combine(key, runner.key);
         let own = order(own);
         let before = self
             .runners()
@@ -251,13 +243,46 @@
         let able = members.iter().filter(|runner| {
             !runner.held.contains_key(adapter) && runner.linked && runner.up && runner.room > 0
         });
-        let best = able.min_by_key(|runner| self.home_rank(runner, adapter))?;
+        let key = hash::hash_text(adapter);
+        let best = able.max_by_key(|runner| hash::combine(key, runner.key))?;
         let replica = best.member.id.clone();
         self.replicated.insert(adapter.clone(), now);
         Some(replica)
     }
 }
 
+/// The order of an adapter's homes.
+struct Ranks {
+    key: u64,
+    /// The orders of all runners, the first home's first.
+    orders: Vec<u64>,
+}
+
+impl Ranks {
+    /// Returns the runner's position in the order; 0 is the first home.
+    fn rank(&self, runner: &Runner) -> usize {
+        let own = hash::combine(self.key, runner.key);
+        self.orders.partition_point(|order| *order > own)
+    }
+}
+
+/// Returns the cost of loading the adapter at this runner beside the wait for the load.
+fn absent_cost(want: &Want<'_>, ranks: &Ranks, runner: &Runner) -> f32 {
+    let adapter = want.artifact.and_then(|artifact| artifact.adapter.as_ref());
+    let Some(adapter) = adapter else {
+        return 0.0;
+    };
+    let mut cost = HOME_MS * ranks.rank(runner) as f32;
+    let ahead = (runner.coming() + 1).saturating_sub(PARALLEL_LOADS);
+    cost += ahead as f32 * LOAD.as_secs_f32() * 1_000.0 / PARALLEL_LOADS as f32;
+    if runner.held.contains_key(adapter) {
+        cost += REPLACE_MS;
+    } else if runner.room == 0 {
+        cost += NO_ROOM_MS;
+    }
+    cost
+}
+
 /// Returns what a runner has of the adapter; `None` if it can't serve the request.
 fn access(now: Time, want: &Want<'_>, runner: &Runner) -> Option<Access> {
     let Some(artifact) = want.artifact else {
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use serving::fleet::Fleet;
 use serving::link::Place;
 use serving::link::State;
+use serving::link::Update;
 use serving::place::Want;
 use serving::request::Artifact;
 use serving::runner::Member;
@@ -32,23 +33,30 @@
         version: *version,
         wait_ms: *wait_ms,
     });
+    let mut places: Vec<Place> = places.collect();
+    places.sort_by(|a, b| a.adapter.cmp(&b.adapter));
     State {
         born: 1,
         up: true,
         models: vec!["m".into()],
         room: 17,
         entries: 4,
-        places: places.collect(),
+        places,
         ..State::default()
     }
 }
 
+/// Returns the message that tells an entry all of a state.
+pub(crate) fn update(places: &[(&str, u64, u32)]) -> Update {
+    state(places).update_since(None)
+}
+
 pub(crate) fn fleet(count: u32, now: Time) -> Fleet {
     let mut fleet = Fleet::new("z".into());
     for index in 0..count {
         let id = format!("r{index}");
         fleet.join(member(&id));
-        fleet.report(now, &id, &state(&[]));
+        fleet.report(now, &id, &update(&[]));
     }
     fleet
 }
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -6,7 +6,7 @@
 
 use common::chat;
 use common::fleet;
-use common::state;
+use common::update;
 use common::want;
 use decision::collections::Map;
 use decision::time::Time;
@@ -96,7 +96,7 @@
         .expect("a runner")
         .runner;
     let other = if &*home == "r0" { "r1" } else { "r0" };
-    fleet.report(now, other, &state(&[(&adapter, 1, 0)]));
+    fleet.report(now, other, &update(&[(&adapter, 1, 0)]));
     let placed = fleet
         .place(now, &mut rng, &want(&artifact, 0))
         .expect("a runner");
@@ -113,7 +113,7 @@
     let adapter = artifact.adapter.clone().expect("an adapter");
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(1, now);
-    fleet.report(now, "r0", &state(&[(&adapter, 1, 0)]));
+    fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
     let placed = fleet
         .place(now, &mut rng, &want(&artifact, 2))
         .expect("a runner");
@@ -126,7 +126,7 @@
     let artifact = chat(1);
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(1, now);
-    let mut draining = state(&[]);
+    let mut draining = update(&[]);
     draining.draining = true;
     fleet.report(now, "r0", &draining);
     let refused = fleet.place(now, &mut rng, &want(&artifact, 0));
@@ -144,7 +144,7 @@
     let artifact = chat(1);
     let adapter = artifact.adapter.clone().expect("an adapter");
     let mut fleet = fleet(1, now);
-    fleet.report(now, "r0", &state(&[(&adapter, 1, 0)]));
+    fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
     let lease = fleet
         .begin(now, &Name::from("r0"), None, 0)
         .expect("a lease");
@@ -189,7 +189,7 @@
     let adapter = artifact.adapter.clone().expect("an adapter");
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(9, now);
-    fleet.report(now, "r0", &state(&[(&adapter, 1, 0)]));
+    fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
     fleet.demand.record(now, &adapter, 30);
     fleet.demand.record(now, &"m/others".into(), 70);
     let placed = fleet
@@ -216,7 +216,7 @@
         .runner;
     let names: Vec<String> = (100..114).map(|index| format!("m/a{index}")).collect();
     let coming: Vec<(&str, u64, u32)> = names.iter().map(|name| (name.as_str(), 1, 300)).collect();
-    fleet.report(now, &home, &state(&coming));
+    fleet.report(now, &home, &update(&coming));
     let placed = fleet
         .place(now, &mut rng, &want(&artifact, 0))
         .expect("a runner");
