--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -197,14 +197,17 @@
     }
 
     /// Returns whether entries must learn at once what has changed: requests may wait for an
-    /// adapter that arrived, and none may be sent to a runner that leaves.
+    /// adapter that arrived, a request for one that is gone would be turned away, and none may be
+    /// sent to a runner that leaves.
     pub fn is_urgent_after(&self, known: &State) -> bool {
         let same = (self.born, self.up, self.draining) == (known.born, known.up, known.draining);
         let arrived = self.places.iter().any(|place| {
             let before = known.place(&place.adapter);
             place.wait_ms == 0 && before.is_none_or(|before| before.differs(place))
         });
-        !same || arrived || self.models != known.models
+        let mut before = known.places.iter();
+        let gone = before.any(|place| place.wait_ms == 0 && self.place(&place.adapter).is_none());
+        !same || arrived || gone || self.models != known.models
     }
 
     /// Returns the place of an adapter; the places are in order of their names.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -45,8 +45,9 @@
 const NO_ROOM_MS: f32 = 400.0;
 /// The cost of replacing an older version, which waits for the requests that run on it.
 const REPLACE_MS: f32 = 500.0;
-/// The share of all traffic that one holder of an adapter serves, in shares of one runner.
-const HOLDER_SHARE: f64 = 0.6;
+/// The share of all traffic that one holder of an adapter serves, in shares of one runner. An entry
+/// sees only a part of the traffic, and a replica takes the place of another adapter.
+const HOLDER_SHARE: f64 = 0.8;
 /// The pause between two additional holders of one adapter.
 const REPLICATE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -236,7 +237,7 @@
             .filter(|runner| runner.held.contains_key(adapter))
             .count();
         let share = self.demand.share(now, adapter);
-        let wanted = (share * members.len() as f64 / HOLDER_SHARE).ceil() as usize;
+        let wanted = (share * members.len() as f64 / HOLDER_SHARE).round() as usize;
         if holders >= wanted.min(members.len()) {
             return None;
         }
--- a/crates/serving/tests/state_updates.rs
+++ b/crates/serving/tests/state_updates.rs
@@ -76,6 +76,8 @@
     assert!(after.is_urgent_after(&before));
     assert!(state(&[("m/a", 1, 0)]).is_urgent_after(&before));
     assert!(!state(&[]).is_urgent_after(&before));
+    // A request for an adapter that was unloaded would be turned away.
+    assert!(state(&[]).is_urgent_after(&state(&[("m/a", 1, 0)])));
 }
 
 #[test]
