Do not tell adapters as there that are being replaced or unloaded

Ruled out: full runners, and entries with an old view (only 20 were answered 421). Also: the holders of an adapter take their turns within the time before the version binds, however many they are (14 holders needed 11 s before).

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -237,6 +237,9 @@
         return false;
     };
     let taken = shared.control.order(&runner, &order, sequence).await;
+    if taken == Taken::Yes {
+        shared.slots().accepted(shared.now(), &order);
+    }
     let result = taken.to_string();
     shared
         .metrics
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -72,8 +72,6 @@
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
 /// The largest answer that is not a stream, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
-/// The time before a binding version's bound from which older ones are not used any more.
-const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// Why a request ended without a runner's answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -191,6 +189,7 @@
     held: Duration,
     sends: u32,
     last: Option<Placed>,
+    meaning: Option<Meaning>,
 }
 
 /// Serves one request of a caller.
@@ -240,6 +239,7 @@
         held: Duration::ZERO,
         sends: 0,
         last: None,
+        meaning: None,
         route,
         head,
         entry,
@@ -409,9 +409,11 @@
             .with_label_values(&[outcome.as_str()])
             .inc();
         let access = placed.access.to_string();
+        let meaning = self.meaning.map(|meaning| meaning.to_string());
+        let adapter = self.adapter().map_or("", |adapter| &**adapter);
         info!("attempt ended", kv: {
             id = &*self.head.request.id, runner = &*placed.runner, outcome = outcome.as_str(),
-            access = access.as_str(), cost_ms = placed.cost,
+            meaning = meaning.as_deref().unwrap_or("none"), adapter, access = access.as_str(), cost_ms = placed.cost,
             total_ms = self.entry.now().since(self.arrival).as_millis() as u64
         });
     }
@@ -485,8 +487,7 @@
         let state = &mut *state;
         let artifact = self.head.request.artifact.as_ref();
         let adapter = artifact.and_then(|artifact| artifact.adapter.as_ref());
-        let grace =
-            Duration::from_millis(entry.settings.bounds.version_ms).saturating_sub(VERSION_MARGIN);
+        let grace = entry.version_grace();
         let required = adapter.map_or(0, |adapter| state.versions.required(now, adapter, grace));
         let mut want = Want {
             service: &self.service,
@@ -583,6 +584,7 @@
         };
         let request = runner::request(&self.head, self.body.clone(), &sending);
         let limit = self.attempt_limit(now);
+        self.meaning = None;
         let limit_at = self.entry.timer.instant(limit);
         self.attempts.sent(runner);
         self.sends += 1;
@@ -610,6 +612,7 @@
         let (parts, body) = response.into_parts();
         let answer = runner::answer(&parts, &self.head.request.id, runner);
         run.idle = answer.idle;
+        self.meaning = Some(answer.meaning);
         if let Some(load) = answer.load {
             self.entry.state().fleet.load(runner, load);
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -36,6 +36,8 @@
 use crate::metrics::EntryMetrics;
 use crate::process::Failure;
 
+/// The time before the bound of an announced version from which older ones are not used any more.
+const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
 /// The number of entries that share a budget until the agents have told it.
 const ASSUMED_ENTRIES: u32 = 8;
 
@@ -123,6 +125,11 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the time after its announcement in which an older version may still be used.
+    pub fn version_grace(&self) -> Duration {
+        Duration::from_millis(self.settings.bounds.version_ms).saturating_sub(VERSION_MARGIN)
+    }
+
     /// Returns whether the entry is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -42,9 +42,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The pause before a lost connection is opened again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
-/// The pause between replacements of an outdated version at the holders of one adapter, so that
-/// they are not all busy with it at once.
-const UPDATE_STAGGER: Duration = Duration::from_millis(800);
+/// The share of the time before an announced version binds in which its adapter's holders take
+/// their turns, so that they are not all busy with it at once.
+const UPDATE_SPREAD: f64 = 0.7;
 /// The recent requests from which an idle adapter's outdated version is replaced in advance.
 const UPDATE_MIN_DEMAND: f64 = 0.05;
 
@@ -246,9 +246,10 @@
     fn updates(&self) -> Vec<ToAgent> {
         let now = self.entry.now();
         let state = self.entry.state();
-        let outdated = state.versions.outdated(now, UPDATE_STAGGER, |adapter| {
-            let rank = state.fleet.holder_rank(&self.member.id, adapter)?;
-            (state.fleet.demand.weight(now, adapter) >= UPDATE_MIN_DEMAND).then_some(rank)
+        let spread = self.entry.version_grace().mul_f64(UPDATE_SPREAD);
+        let outdated = state.versions.outdated(now, spread, |adapter| {
+            let turn = state.fleet.holder_turn(&self.member.id, adapter)?;
+            (state.fleet.demand.weight(now, adapter) >= UPDATE_MIN_DEMAND).then_some(turn)
         });
         outdated
             .into_iter()
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -207,18 +207,21 @@
         Ranks { key, orders }
     }
 
-    /// Returns the place of a runner among the holders of an adapter, in the order of its homes;
-    /// `None` if it does not hold it.
-    pub fn holder_rank(&self, id: &str, adapter: &str) -> Option<u32> {
+    /// Returns the turn of a runner among the holders of an adapter, from 0 to less than 1 in the
+    /// order of its homes; `None` if it does not hold it.
+    pub fn holder_turn(&self, id: &str, adapter: &str) -> Option<f64> {
         let own = self.get(id)?;
         own.held.get(adapter)?;
         let key = hash::hash_text(adapter);
         let order = |runner: &Runner| hash::combine(key, runner.key);
         let own = order(own);
-        let before = self
+        let holders = self
             .runners()
-            .filter(|other| other.held.contains_key(adapter) && order(other) > own);
-        Some(before.count() as u32)
+            .filter(|other| other.held.contains_key(adapter));
+        let (before, all) = holders.fold((0, 0), |(before, all), other| {
+            (before + u32::from(order(other) > own), all + 1)
+        });
+        Some(f64::from(before) / f64::from(all))
     }
 
     /// Returns a runner that should hold the adapter too, if its share of the traffic asks for it.
--- a/crates/serving/src/slots.rs
+++ b/crates/serving/src/slots.rs
@@ -60,6 +60,23 @@
     renewed: Time,
 }
 
+/// The assumed time until a newer version is there, which waits for the requests on the older one.
+const REPLACE_TIME: Duration = Duration::from_millis(700);
+/// The time after which an order to replace or unload an adapter is taken to have had no effect.
+const LEAVING_TTL: Duration = Duration::from_secs(4);
+
+/// Why an adapter that the runner still reports turns requests away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leaving {
+    /// A newer version takes its place.
+    Replaced {
+        /// The newer version; 0 for the newest.
+        by: u64,
+    },
+    /// It is being unloaded.
+    Unloaded,
+}
+
 /// Identifies the connection of one entry.
 pub type LinkId = u64;
 
@@ -73,6 +90,7 @@
     inflight: Map<(LinkId, Name), u32>,
     started: Map<Name, Time>,
     arrived: Map<Name, Time>,
+    leaving: Map<Name, (Leaving, Time)>,
     model_ordered: Option<Time>,
 }
 
@@ -95,6 +113,7 @@
         if report.born != self.report.born {
             self.started.clear();
             self.arrived.clear();
+            self.leaving.clear();
             self.model_ordered = None;
         }
         for held in &report.adapters {
@@ -114,10 +133,39 @@
         let adapters = &report.adapters;
         self.arrived
             .retain(|name, _| adapters.iter().any(|held| held.adapter == *name));
+        self.leaving.retain(|name, (leaving, since)| {
+            let held = report.adapters.iter().find(|held| held.adapter == *name);
+            let under_way = held.is_some_and(|held| match leaving {
+                Leaving::Replaced { by } => held.version < *by,
+                Leaving::Unloaded => true,
+            });
+            under_way && now < since.after(LEAVING_TTL)
+        });
         self.report = report;
         arrivals
     }
 
+    /// Notes that the runner has accepted an order. Until an adapter has made way, the runner
+    /// reports it but turns its requests away.
+    pub fn accepted(&mut self, now: Time, order: &Order) {
+        let (adapter, leaving) = match order {
+            Order::LoadModel { .. } => return,
+            Order::Load { adapter, version } => {
+                let by = version.unwrap_or(0);
+                (adapter, Leaving::Replaced { by })
+            }
+            Order::Unload { adapter } => (adapter, Leaving::Unloaded),
+        };
+        if self
+            .report
+            .adapters
+            .iter()
+            .any(|held| held.adapter == *adapter)
+        {
+            self.leaving.insert(adapter.clone(), (leaving, now));
+        }
+    }
+
     /// Notes that an entry needs an adapter.
     pub fn want(&mut self, now: Time, adapter: &Name, version: u64, urgent: bool) {
         let wanted = self.wants.entry(adapter.clone()).or_insert(Wanted {
@@ -185,12 +233,28 @@
 
     /// Returns the state for the entries.
     pub fn state(&self, now: Time, up: bool, entries: u32) -> State {
-        // While a newer version is on its way, the older one is not counted as there.
-        let there = self.report.adapters.iter().filter(|held| {
-            let mut coming = self.report.coming.iter();
-            !coming.any(|other| other.adapter == held.adapter)
-        });
-        let mut places: Vec<Place> = there.map(|held| place(held, 0)).collect();
+        let mut places = Vec::new();
+        for held in &self.report.adapters {
+            // While a newer version is on its way, the older one is not counted as there.
+            let coming = self
+                .report
+                .coming
+                .iter()
+                .any(|other| other.adapter == held.adapter);
+            match self.leaving.get(&held.adapter) {
+                None if !coming => places.push(place(held, 0)),
+                Some((Leaving::Replaced { by }, since)) if !coming => {
+                    let left = REPLACE_TIME.saturating_sub(now.since(*since));
+                    let wait_ms = left.as_millis().max(5) as u32;
+                    places.push(Place {
+                        adapter: held.adapter.clone(),
+                        version: *by,
+                        wait_ms,
+                    });
+                }
+                None | Some(_) => {}
+            }
+        }
         for held in &self.report.coming {
             let age = self
                 .started
@@ -293,7 +357,8 @@
             let there = |held: &Held| held.adapter == **adapter && held.version >= wanted.version;
             let is_there = self.report.adapters.iter().any(there);
             let of_model = self.report.models.iter().any(|model| is_of(adapter, model));
-            !coming && !is_there && of_model
+            let leaving = self.leaving.contains_key(*adapter);
+            !coming && !is_there && !leaving && of_model
         });
         let mut queue: Vec<(&Name, &Wanted)> = able.collect();
         queue.sort_by_key(|(name, wanted)| (!wanted.urgent, wanted.since, (*name).clone()));
@@ -346,7 +411,8 @@
                 .coming
                 .iter()
                 .any(|other| other.adapter == held.adapter);
-            !used && !fresh && !coming && !self.wants.contains_key(&held.adapter)
+            let leaving = self.leaving.contains_key(&held.adapter);
+            !used && !fresh && !coming && !leaving && !self.wants.contains_key(&held.adapter)
         })
     }
 }
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -63,13 +63,14 @@
         self.announced.get(adapter)?.last()
     }
 
-    /// Returns the adapters with their newest version whose holder should have it by now. `rank`
-    /// returns the holder's place among all holders, which take their turns `stagger` apart.
+    /// Returns the adapters with their newest version whose holder should have it by now. `turn`
+    /// returns the holder's turn among all holders, from 0 to 1; the turns fill the time `spread`
+    /// from the announcement.
     pub fn outdated(
         &self,
         now: Time,
-        stagger: Duration,
-        rank: impl Fn(&str) -> Option<u32>,
+        spread: Duration,
+        turn: impl Fn(&str) -> Option<f64>,
     ) -> Vec<(Name, u64)> {
         let newest = self
             .announced
@@ -77,8 +78,8 @@
             .filter_map(|(adapter, list)| Some((adapter, list.last()?)));
         let due = newest.filter(|(adapter, last)| {
             let since = last.since.unwrap_or_default();
-            let turn = rank(adapter).map(|rank| since.after(stagger * rank));
-            turn.is_some_and(|turn| now >= turn)
+            let due = turn(adapter).map(|turn| since.after(spread.mul_f64(turn)));
+            due.is_some_and(|due| now >= due)
         });
         due.map(|(adapter, last)| (adapter.clone(), last.version))
             .collect()
--- a/crates/serving/tests/load_orders.rs
+++ b/crates/serving/tests/load_orders.rs
@@ -207,3 +207,34 @@
     slots.want(Time::from_ms(0), &"m/a".into(), 0, true);
     assert_eq!(slots.next(Time::from_ms(0)), None);
 }
+
+#[test]
+fn adapter_that_makes_way_is_not_told_as_there() {
+    // The runner reports an adapter until its requests have ended, but turns new ones away.
+    let mut slots = slots(2, report(&[("m/old", 1), ("m/cold", 1)], &[]));
+    let now = Time::from_ms(0).after(LATER);
+    let replace = load("m/old", Some(2)).expect("an order");
+    slots.accepted(now, &replace);
+    slots.accepted(now, &unload("m/cold").expect("an order"));
+    let state = slots.state(now, true, 1);
+    let places: Vec<(&str, u64, bool)> = state
+        .places
+        .iter()
+        .map(|place| (&*place.adapter, place.version, place.wait_ms > 0))
+        .collect();
+    assert_eq!(places, [("m/old", 2, true)]);
+    slots.reported(now, report(&[("m/old", 2)], &[]));
+    let state = slots.state(now, true, 1);
+    assert_eq!((state.places.len(), state.places[0].wait_ms), (1, 0));
+}
+
+#[test]
+fn order_without_effect_does_not_hide_an_adapter_for_ever() {
+    let held = report(&[("m/a", 1)], &[]);
+    let mut slots = slots(2, held.clone());
+    slots.accepted(Time::from_ms(0), &unload("m/a").expect("an order"));
+    assert!(slots.state(Time::from_ms(1), true, 1).places.is_empty());
+    let later = Time::from_ms(0).after(LATER);
+    slots.reported(later, held);
+    assert_eq!(slots.state(later, true, 1).places.len(), 1);
+}
