Refuse at once what can't be in time, and free adapters sooner under pressure

Ruled out: the weight store (loads took 250 ms), ghosts in the membership, links to old incarnations. A request whose expected wait exceeds its hold is refused before it asks for the adapter; entries tell the use of adapters every 40 ms while fewer than four can give way.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -447,6 +447,11 @@
                 }
                 Err(cause) => return Err(Ended::Refused(Cause::NoRunner(cause))),
             };
+            if placed.wait > limit.since(now) && !matches!(placed.access, Access::Ready { .. }) {
+                // Its demand would only delay the adapters of requests that can still be in time.
+                self.held += now.since(begun);
+                return Err(self.held_too_long());
+            }
             let until = match placed.access {
                 Access::Ready { .. } => {
                     self.held += now.since(begun);
@@ -465,12 +470,7 @@
             };
             if now >= limit {
                 self.held += now.since(begun);
-                let cause = Cause::HeldTooLong;
-                return Err(if self.attempts.may_have_run() {
-                    Ended::Unknown(cause)
-                } else {
-                    Ended::Refused(cause)
-                });
+                return Err(self.held_too_long());
             }
             let wake = until
                 .after(Duration::from_millis(20))
@@ -481,6 +481,15 @@
         }
     }
 
+    fn held_too_long(&self) -> Ended {
+        let cause = Cause::HeldTooLong;
+        if self.attempts.may_have_run() {
+            Ended::Unknown(cause)
+        } else {
+            Ended::Refused(cause)
+        }
+    }
+
     fn place(&mut self, now: Time) -> Result<Placed, NoRunner> {
         let entry = self.entry.clone();
         let mut state = entry.state();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -15,6 +15,8 @@
 use serving::config::Engine;
 use serving::link::Capacity;
 use serving::link::ModelSpec;
+use serving::link::SCARCE_ROOM;
+use serving::link::SCARCE_USAGE_INTERVAL;
 use serving::link::SILENCE_LIMIT;
 use serving::link::ToAgent;
 use serving::link::USAGE_INTERVAL;
@@ -183,9 +185,9 @@
         *told = true;
         info!("agent connected", kv: { runner = &*self.member.id });
         let mut heard = Instant::now();
-        let mut usage = tokio::time::interval(USAGE_INTERVAL);
-        usage.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut reported = Instant::now();
         loop {
+            let due = reported + self.usage_interval();
             let sent = tokio::select! {
                 line = lines.next() => match line {
                     Some(Ok(line)) => {
@@ -199,7 +201,10 @@
                     Some(message) => send(&mut lines, &message).await,
                     None => Err("no longer needed".into()),
                 },
-                _ = usage.tick() => self.report_usage(&mut lines).await,
+                () = tokio::time::sleep_until(due) => {
+                    reported = Instant::now();
+                    self.report_usage(&mut lines).await
+                }
                 () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => Err("silent".into()),
             };
             if let Err(lost) = sent {
@@ -208,6 +213,15 @@
         }
     }
 
+    fn usage_interval(&self) -> Duration {
+        let state = self.entry.state();
+        let room = state.fleet.get(&self.member.id).map(|runner| runner.room);
+        match room {
+            Some(room) if room < SCARCE_ROOM => SCARCE_USAGE_INTERVAL,
+            _ => USAGE_INTERVAL,
+        }
+    }
+
     fn hello(&self) -> Option<ToAgent> {
         let state = self.entry.state();
         let config = state.config.as_ref()?;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -13,6 +13,11 @@
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
 /// How often an entry tells how its requests use a runner's adapters.
 pub const USAGE_INTERVAL: Duration = Duration::from_millis(200);
+/// The same while few adapters can give way: one whose last request has ended can then be unloaded
+/// sooner.
+pub const SCARCE_USAGE_INTERVAL: Duration = Duration::from_millis(40);
+/// The adapters that can be loaded below which few can give way.
+pub const SCARCE_ROOM: u32 = 4;
 
 /// A model as an agent needs to know it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -92,8 +92,10 @@
     pub runner: Name,
     /// What it has of the adapter.
     pub access: Access,
-    /// The expected wait, in milliseconds.
+    /// The cost by which it was chosen, in milliseconds.
     pub cost: f32,
+    /// The expected wait until the request runs there.
+    pub wait: Duration,
     /// Another runner that should load the adapter too.
     pub replica: Option<Name>,
 }
@@ -121,7 +123,7 @@
         want: &Want<'_>,
     ) -> Result<Placed, NoRunner> {
         let ranks = self.rank_homes(want);
-        let mut best: Option<(bool, f32, &Name, Access)> = None;
+        let mut best: Option<(bool, f32, &Runner, Access)> = None;
         let mut reason = NoRunner::Unknown;
         for runner in self.runners() {
             if *runner.member.service != *want.service {
@@ -141,12 +143,15 @@
                 .as_ref()
                 .is_none_or(|(other, least, ..)| (open, cost) < (*other, *least));
             if better {
-                best = Some((open, cost, &runner.member.id, access));
+                best = Some((open, cost, runner, access));
             }
         }
-        let best = best.map(|(_, cost, runner, access)| (cost, runner.clone(), access));
+        let best = best.map(|(_, cost, runner, access)| {
+            let wait = expected_wait(now, want, runner, access);
+            (cost, wait, runner.member.id.clone(), access)
+        });
         self.orders = ranks.orders;
-        let (cost, runner, access) = best.ok_or(reason)?;
+        let (cost, wait, runner, access) = best.ok_or(reason)?;
         let replica = match access {
             Access::Absent => None,
             Access::Ready { .. } | Access::Coming(_) => self.replica(now, want),
@@ -155,6 +160,7 @@
             runner,
             access,
             cost,
+            wait,
             replica,
         })
     }
@@ -277,8 +283,7 @@
         return 0.0;
     };
     let mut cost = HOME_MS * ranks.rank(runner) as f32;
-    let ahead = (runner.coming() + 1).saturating_sub(PARALLEL_LOADS);
-    cost += ahead as f32 * LOAD.as_secs_f32() * 1_000.0 / PARALLEL_LOADS as f32;
+    cost += turn_wait(runner).as_secs_f32() * 1_000.0;
     if runner.held.contains_key(adapter) {
         cost += REPLACE_MS;
     } else if runner.room == 0 {
@@ -327,6 +332,23 @@
     wait.as_secs_f32() * 1_000.0
 }
 
+/// Returns the expected wait until a load can begin at a runner.
+fn turn_wait(runner: &Runner) -> Duration {
+    let ahead = (runner.coming() + 1).saturating_sub(PARALLEL_LOADS);
+    LOAD.mul_f64(ahead as f64 / PARALLEL_LOADS as f64)
+}
+
+/// Returns the expected wait until a request runs at a runner.
+fn expected_wait(now: Time, want: &Want<'_>, runner: &Runner, access: Access) -> Duration {
+    let queue = load_cost(runner, want.artifact.is_some());
+    let wait = queue.max(access_wait(now, want, runner, access));
+    let wait = Duration::from_secs_f32(wait / 1_000.0);
+    match access {
+        Access::Ready { .. } | Access::Coming(_) => wait,
+        Access::Absent => wait + turn_wait(runner),
+    }
+}
+
 /// Returns the expected time of loading an adapter.
 pub fn load_time(runner: &Runner, adapter: &str) -> Duration {
     if runner.is_recent(adapter) {
