--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,12 +12,12 @@
 
 use crate::entry::Entry;
 
-/// How long the store is asked to wait for a change. A connection that went silent is noticed
-/// after this time, and changes must be in force about two seconds after they were accepted.
-const WAIT: Duration = Duration::from_millis(1_200);
-/// The pause between two reads of the membership's changes. Each runner's heartbeat is a change,
-/// and each call is priced; a drain must be known within two seconds.
-const MEMBERS_PAUSE: Duration = Duration::from_millis(600);
+/// The part of the time to be in touch again that a silent connection may take until it is noticed:
+/// what is left covers the store's answer timeout and the read of all rows.
+const WAIT_SHARE: f64 = 0.6;
+/// The part of the drain bound between two reads of the membership's changes. Each runner's
+/// heartbeat is a change and each call is priced, so that they are read together.
+const MEMBERS_SHARE: f64 = 0.45;
 /// The pauses after failed calls, the last one repeated.
 const RETRY_PAUSES: [Duration; 3] = [
     Duration::from_millis(50),
@@ -27,12 +27,15 @@
 
 /// Follows a table until the process ends.
 pub async fn follow(entry: Arc<Entry>, table: Table) {
+    let bounds = entry.settings.bounds;
+    let wait = Duration::from_millis(bounds.contact_ms).mul_f64(WAIT_SHARE);
+    let pause = Duration::from_millis(bounds.drain_ms).mul_f64(MEMBERS_SHARE);
     let mut version = None;
     let mut failures = 0;
     loop {
         let result = match version {
             None => entry.store.read(table).await.map(Feed::Changes),
-            Some(after) => entry.store.feed(table, after, WAIT).await,
+            Some(after) => entry.store.feed(table, after, wait).await,
         };
         match result {
             Ok(Feed::Changes(batch)) => {
@@ -50,7 +53,7 @@
                 version = Some(batch.version);
                 apply(&entry, table, batch, whole);
                 if table == Table::Members {
-                    tokio::time::sleep(MEMBERS_PAUSE).await;
+                    tokio::time::sleep(pause).await;
                 }
             }
             Ok(Feed::Expired) => {
--- a/crates/gateway/tests/rig/mod.rs
+++ b/crates/gateway/tests/rig/mod.rs
@@ -160,6 +160,8 @@
         memory_mb: 100,
         bounds: Bounds {
             stop_s: 8.0,
+            drain_ms: 500,
+            contact_ms: 3_000,
             version_ms: 5_000,
             retry_ratio: 0.2,
             retry_slack: 56.0,
