Send nothing to a runner whose address another one has

A newer member at the same address, or an answer that names another runner, now rules the old one out, in whichever order the entries are read.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -653,6 +653,8 @@
                 Err((Outcome::NotRun, None))
             }
             Meaning::OtherRunner => {
+                info!("runner replaced", kv: { runner = run.runner() });
+                self.entry.state().fleet.replaced(run.runner());
                 run.finish(End::Unreachable, false);
                 Err((Outcome::NotRun, None))
             }
--- a/crates/gateway/tests/direct_path.rs
+++ b/crates/gateway/tests/direct_path.rs
@@ -88,6 +88,24 @@
     rig.stop().await;
 }
 
+#[tokio::test]
+async fn address_of_another_runner_is_asked_once() {
+    let rig = Rig::start(2).await;
+    rig.runners[0].script(&[Act::Misplace; 9]);
+    for _ in 0..6 {
+        assert_eq!(rig.call("/once/a").await.status, 200);
+    }
+    let state = rig.running.entry.state();
+    let open = state
+        .fleet
+        .runners()
+        .filter(|runner| runner.is_open())
+        .count();
+    assert_eq!(open, 1);
+    drop(state);
+    rig.stop().await;
+}
+
 #[tokio::test]
 async fn broken_stream_goes_on_after_its_last_whole_event() {
     let rig = Rig::start(2).await;
--- a/crates/gateway/tests/rig/runner.rs
+++ b/crates/gateway/tests/rig/runner.rs
@@ -23,6 +23,8 @@
     Fail,
     /// Answers that it did not run it.
     TurnAway,
+    /// Answers that another runner has the address.
+    Misplace,
     /// Runs it and closes the connection without an answer.
     Drop,
     /// Runs it and never answers.
@@ -140,7 +142,7 @@
             .expect("the script")
             .pop_front()
             .unwrap_or(usual);
-        if act != Act::TurnAway {
+        if !matches!(act, Act::TurnAway | Act::Misplace) {
             let run = format!("{name} {after}");
             record.runs.lock().expect("the runs").push(run);
         }
@@ -163,6 +165,9 @@
         Act::Serve => format!("{}content-length: 2\r\n\r\nok", sealed(200, id)),
         Act::Fail => format!("{}content-length: 3\r\n\r\nbad", sealed(500, id)),
         Act::TurnAway => "HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".into(),
+        Act::Misplace => {
+            "HTTP/1.1 421 x\r\nx-instance-id: i-99\r\ncontent-length: 0\r\n\r\n".into()
+        }
         Act::Misname => format!("{}content-length: 2\r\n\r\nok", sealed(200, "other")),
         Act::Tear => format!("{}content-length: 9\r\n\r\nhalf", sealed(200, id)),
         Act::Drop => return false,
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -88,6 +88,8 @@
     pub health: Health,
     /// Adapters that can be loaded at once, as its agent reported.
     pub room: u32,
+    /// Whether another runner has its address by now.
+    pub replaced: bool,
     /// Whether its agent is connected.
     pub linked: bool,
     /// Whether its agent reaches it.
@@ -152,7 +154,23 @@
             runner.update(member);
             return;
         }
-        self.runners.insert(member.id.clone(), Runner::new(member));
+        // The membership keeps an entry for some heartbeats after its runner has crashed.
+        let mut replaced = false;
+        for other in self.runners.values_mut() {
+            let same = other.member.addr == member.addr;
+            other.replaced |= same && other.member.born < member.born;
+            replaced |= same && other.member.born > member.born;
+        }
+        let mut runner = Runner::new(member);
+        runner.replaced = replaced;
+        self.runners.insert(runner.member.id.clone(), runner);
+    }
+
+    /// Notes that another runner answers at a runner's address.
+    pub fn replaced(&mut self, id: &str) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.replaced = true;
+        }
     }
 
     /// Removes a runner that is gone.
@@ -302,6 +320,7 @@
             others: 0,
             health: Health::with_pace(PACE),
             room: 0,
+            replaced: false,
             linked: false,
             up: true,
             reported: Time::default(),
@@ -313,7 +332,7 @@
 
     /// Returns whether new requests may be sent there.
     pub fn is_open(&self) -> bool {
-        self.member.phase == Phase::Ready
+        self.member.phase == Phase::Ready && !self.replaced
     }
 
     /// Returns whether the runner holds a model, as far as is known.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -13,11 +13,13 @@
 use serving::runner::Member;
 use serving::runner::Phase;
 
+/// Returns a member whose address follows from its id.
 pub(crate) fn member(id: &str) -> Member {
+    let port: u16 = id[1..].parse().expect("a number after the first letter");
     Member {
         id: id.into(),
         service: "chat".into(),
-        addr: "10.0.0.1:80".parse().expect("an address"),
+        addr: ([10, 0, 0, 1], port).into(),
         domain: "z".into(),
         slots: 64,
         phase: Phase::Ready,
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -164,6 +164,30 @@
     assert_eq!(fleet.get("r0").map(|runner| runner.inflight), Some(0));
 }
 
+#[test]
+fn runner_whose_address_another_one_has_is_not_chosen() {
+    let now = Time::from_ms(10);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(2, now);
+    let mut successor = common::member("r9");
+    successor.born = 5;
+    successor.addr = common::member("r0").addr;
+    fleet.join(successor.clone());
+    // The members of this fleet share one address, so that only the successor is left.
+    let placed = fleet
+        .place(now, &mut rng, &common::plain())
+        .expect("a runner");
+    assert_eq!(&*placed.runner, "r9");
+    fleet.replaced("r9");
+    assert!(fleet.place(now, &mut rng, &common::plain()).is_err());
+    // An entry of an older start may be read after the newer one.
+    let mut late = common::member("r8");
+    late.born = 0;
+    late.addr = successor.addr;
+    fleet.join(late);
+    assert!(fleet.get("r8").is_some_and(|runner| runner.replaced));
+}
+
 #[test]
 fn unreachable_runner_is_avoided_and_tried_again() {
     let now = Time::from_ms(10);
