--- a/crates/gateway/tests/direct_path.rs
+++ b/crates/gateway/tests/direct_path.rs
@@ -95,14 +95,15 @@
     for _ in 0..6 {
         assert_eq!(rig.call("/once/a").await.status, 200);
     }
-    let state = rig.running.entry.state();
-    let open = state
-        .fleet
-        .runners()
-        .filter(|runner| runner.is_open())
-        .count();
-    assert_eq!(open, 1);
-    drop(state);
+    let open = |rig: &Rig| {
+        let state = rig.running.entry.state();
+        state
+            .fleet
+            .runners()
+            .filter(|runner| runner.is_open())
+            .count()
+    };
+    assert_eq!(open(&rig), 1);
     rig.stop().await;
 }
 
