--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -11,7 +11,6 @@
 use crate::baseline::Pick;
 use crate::bound::Rule;
 use crate::bound::bound;
-use crate::frozen::First;
 use crate::ours::Ours;
 use crate::sim::Fault;
 use crate::sim::Policy;
@@ -153,7 +152,6 @@
 
 const POLICIES: &[(&str, Make)] = &[
     ("ours", |site, seed| Box::new(Ours::new(site, seed))),
-    ("first", |site, seed| Box::new(First::new(site, seed))),
     ("random_lru", |site, seed| {
         Box::new(Baseline::new(site, Pick::Random, seed))
     }),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod bound;
 pub mod command;
 pub mod engine;
-pub mod frozen;
 pub mod measure;
 pub mod ours;
 pub mod sim;
--- a/crates/serving/tests/attempt_rules.rs
+++ b/crates/serving/tests/attempt_rules.rs
@@ -1,5 +1,8 @@
 //! Guards against a request that runs twice, runs after a refusal, or visits too many runners.
 
+mod common;
+
+use common::cases::each;
 use serving::Name;
 use serving::attempt::Attempts;
 use serving::attempt::Next;
@@ -79,14 +82,12 @@
 
 #[test]
 fn any_sequence_of_outcomes_keeps_the_promises() {
-    bolero::check!()
-        .with_type::<(u8, u8, Vec<u8>)>()
-        .for_each(|(kind, max, outcomes)| {
-            let kinds = [Kind::Idempotent, Kind::Once, STREAM, RESUMABLE];
-            let kind = kinds[usize::from(kind % 4)];
-            let max = u32::from(max % 3) + 1;
-            replay(kind, max, outcomes);
-        });
+    each(|(kind, max, outcomes): (u8, u8, Vec<u8>)| {
+        let kinds = [Kind::Idempotent, Kind::Once, STREAM, RESUMABLE];
+        let kind = kinds[usize::from(kind % 4)];
+        let max = u32::from(max % 3) + 1;
+        replay(kind, max, &outcomes);
+    });
 }
 
 /// Follows what the decisions say and checks each promise on the way.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of these.
 #![allow(dead_code)]
 
+pub(crate) mod cases;
+
 use decision::time::Time;
 use serving::fleet::Fleet;
 use serving::link::Place;
--- a/crates/serving/tests/event_split.rs
+++ b/crates/serving/tests/event_split.rs
@@ -1,6 +1,9 @@
 //! Guards against torn, repeated or reordered events in a stream.
 
+mod common;
+
 use bytes::BytesMut;
+use common::cases::each;
 use serving::events::Events;
 
 #[test]
@@ -34,7 +37,7 @@
 
 #[test]
 fn any_cut_gives_the_same_bytes() {
-    bolero::check!().with_type::<Vec<u8>>().for_each(|cuts| {
+    each(|cuts: Vec<u8>| {
         let text: Vec<u8> = (1..6)
             .flat_map(|id| format!("id: {id}\ndata: {}\n\n", "x".repeat(id)).into_bytes())
             .collect();
@@ -42,7 +45,7 @@
         let mut passed = BytesMut::new();
         let mut rest = &text[..];
         for cut in cuts {
-            let (part, left) = rest.split_at(usize::from(*cut).min(rest.len()));
+            let (part, left) = rest.split_at(usize::from(cut % 24).min(rest.len()));
             passed.extend_from_slice(&events.push(part));
             rest = left;
         }
--- a/crates/serving/tests/state_updates.rs
+++ b/crates/serving/tests/state_updates.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::cases::each;
 use common::fleet;
 use common::state;
 use decision::time::Time;
@@ -27,32 +28,34 @@
 
 #[test]
 fn changes_add_up_to_the_state() {
-    bolero::check!()
-        .with_type::<Vec<Vec<(u8, u8, bool)>>>()
-        .for_each(|steps| {
-            let now = Time::from_ms(10);
-            let mut fleet = fleet(1, now);
-            let mut known: Option<State> = None;
-            for step in steps {
-                let mut list: Vec<(String, u64, u32)> = step
-                    .iter()
-                    .map(|(name, version, coming)| {
-                        let wait = if *coming { 100 } else { 0 };
-                        (format!("m/a{}", name % 8), u64::from(*version), wait)
-                    })
-                    .collect();
-                list.sort();
-                list.dedup_by(|a, b| a.0 == b.0);
-                let list: Vec<(&str, u64, u32)> = list
-                    .iter()
-                    .map(|(name, v, wait)| (name.as_str(), *v, *wait))
-                    .collect();
-                let next = state(&list);
-                fleet.report(now, "r0", &next.update_since(known.as_ref()));
-                assert_eq!(view(&fleet), expected(&next));
-                known = Some(next);
-            }
-        });
+    each(|steps: Vec<Vec<(u8, u8, bool)>>| {
+        let now = Time::from_ms(10);
+        let mut fleet = fleet(1, now);
+        let mut known: Option<State> = None;
+        for step in steps {
+            let next = random_state(&step);
+            fleet.report(now, "r0", &next.update_since(known.as_ref()));
+            assert_eq!(view(&fleet), expected(&next));
+            known = Some(next);
+        }
+    });
+}
+
+fn random_state(step: &[(u8, u8, bool)]) -> State {
+    let mut places: Vec<(String, u64, u32)> = step
+        .iter()
+        .map(|(name, version, coming)| {
+            let wait = if *coming { 100 } else { 0 };
+            (format!("m/a{}", name % 8), u64::from(*version), wait)
+        })
+        .collect();
+    places.sort();
+    places.dedup_by(|a, b| a.0 == b.0);
+    let places: Vec<(&str, u64, u32)> = places
+        .iter()
+        .map(|(name, version, wait)| (name.as_str(), *version, *wait))
+        .collect();
+    state(&places)
 }
 
 #[test]
