Split the dispatch of requests by step, with a typed end of an attempt

Moved without a change of behavior: run.rs (a request at a runner), locate.rs (the search for a runner), send.rs (one attempt); dispatch.rs keeps the order of the steps.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,10 +12,13 @@
 pub mod entry;
 pub mod front;
 pub mod links;
+mod locate;
 pub mod logs;
 pub mod metrics;
 pub mod process;
 pub mod relay;
+pub mod run;
+mod send;
 pub mod watch;
 
 use ::process::Clock;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,10 +26,10 @@
 use crate::dispatch::Cause;
 use crate::dispatch::Ended;
 use crate::dispatch::Job;
-use crate::dispatch::Live;
-use crate::dispatch::Opened;
-use crate::dispatch::Run;
 use crate::front::Body;
+use crate::run::Live;
+use crate::run::Opened;
+use crate::run::Run;
 
 /// The silence after which another runner goes on with a stream, in multiples of the longest pause
 /// that is on time.
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,299 @@
+//! One attempt: the connection, the request, and what the runner's answer means.
+//!
+//! Invariants: a runner is counted as tried before the first byte is written; a connection is kept
+//! only after a whole answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::time::Time;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use platform::runner;
+use platform::runner::Answer;
+use platform::runner::Meaning;
+use platform::runner::Sending;
+use serving::Name;
+use serving::attempt::Outcome;
+use serving::config::Kind;
+use serving::events::Events;
+use serving::fleet::End;
+use serving::place::Access;
+use serving::place::Placed;
+use spdlog::info;
+use spdlog::warn;
+use tokio::time::timeout_at;
+
+use crate::conns::Conn;
+use crate::dispatch::Job;
+use crate::run::Live;
+use crate::run::Missed;
+use crate::run::Opened;
+use crate::run::Run;
+
+/// The time after which a repeatable request is sent to another runner, in multiples of its goal.
+const PLAIN_PATIENCE_GOALS: f64 = 2.0;
+const STREAM_PATIENCE_GOALS: f64 = 1.4;
+/// The shortest such time.
+const MIN_PATIENCE: Duration = Duration::from_millis(250);
+/// How recently a connection must have been used for a request that may run once only; a request
+/// on a connection that the runner closes at that moment may have run.
+const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_500);
+/// The same for other requests.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+/// The assumed time until an adapter is there again whose requests a runner turns away.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
+/// The largest answer that is not a stream, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+impl Job {
+    /// Makes one attempt; an error holds how it ended and the runner's failure, if it sent one.
+    pub(crate) async fn attempt(
+        &mut self,
+        placed: &Placed,
+        resume: Option<u64>,
+    ) -> Result<Opened, Missed> {
+        let runner = &placed.runner;
+        let conn = self
+            .connect(runner)
+            .await
+            .ok_or(Missed::from(Outcome::NotSent))?;
+        let now = self.entry.now();
+        let adapter = self.adapter().cloned();
+        let lease = {
+            let mut state = self.entry.state();
+            let open = state
+                .fleet
+                .get(runner)
+                .is_some_and(|runner| runner.is_open());
+            let tokens = self.head.request.prompt_tokens;
+            let lease = open.then(|| state.fleet.begin(now, runner, adapter.as_ref(), tokens));
+            lease.flatten().ok_or(Missed::from(Outcome::NotSent))?
+        };
+        let mut run = Run {
+            entry: self.entry.clone(),
+            lease: Some(lease),
+            conn: Some(conn),
+            idle: None,
+        };
+        let version = match placed.access {
+            Access::Ready { version } if version > 0 => Some(version),
+            _ => None,
+        };
+        let sending = Sending {
+            runner,
+            left: self.deadline.since(now),
+            version,
+            priority: self.route.priority,
+            resume,
+        };
+        let request = runner::request(&self.head, self.body.clone(), &sending);
+        let limit = self.attempt_limit(now);
+        self.meaning = None;
+        let limit_at = self.entry.timer.instant(limit);
+        self.attempts.sent(runner);
+        self.sends += 1;
+        let sender = run.conn.as_mut().map(|conn| &mut conn.sender);
+        let Some(sender) = sender else {
+            return Err(Outcome::NotSent.into());
+        };
+        let response = match timeout_at(limit_at, sender.try_send_request(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message().is_some();
+                run.finish(if unsent { End::Neutral } else { End::Failed }, false);
+                let outcome = if unsent {
+                    Outcome::NotSent
+                } else {
+                    Outcome::Unknown
+                };
+                return Err(outcome.into());
+            }
+            Err(_) => {
+                run.finish(End::Failed, false);
+                return Err(Outcome::Unknown.into());
+            }
+        };
+        let (parts, body) = response.into_parts();
+        let answer = runner::answer(&parts, &self.head.request.id, runner);
+        run.idle = answer.idle;
+        self.meaning = Some(answer.meaning);
+        if let Some(load) = answer.load {
+            self.entry.state().fleet.load(runner, load);
+        }
+        self.take_answer(run, answer, body, limit).await
+    }
+
+    async fn take_answer(
+        &mut self,
+        run: Run,
+        answer: Answer,
+        body: Incoming,
+        limit: Time,
+    ) -> Result<Opened, Missed> {
+        match answer.meaning {
+            Meaning::Success if self.route.kind.is_stream() => {
+                self.first_events(run, answer, body, limit).await
+            }
+            Meaning::Success | Meaning::Failure => self.whole_answer(run, answer, body).await,
+            Meaning::NotRun => {
+                self.turned_away(run.runner());
+                finish_drained(run, answer, body, End::Neutral).await;
+                Err(Outcome::NotRun.into())
+            }
+            Meaning::NotHeld => {
+                if let Some(adapter) = self.adapter() {
+                    self.entry.state().fleet.lacks(run.runner(), adapter);
+                }
+                finish_drained(run, answer, body, End::Neutral).await;
+                Err(Outcome::NotRun.into())
+            }
+            Meaning::OtherRunner => {
+                info!("runner replaced", kv: { runner = run.runner() });
+                self.entry.state().fleet.replaced(run.runner());
+                run.finish(End::Unreachable, false);
+                Err(Outcome::NotRun.into())
+            }
+            Meaning::Foreign => {
+                run.finish(End::Failed, false);
+                Err(Outcome::Unknown.into())
+            }
+        }
+    }
+
+    /// Notes that a runner did not run the request. An engine does so while it replaces or unloads
+    /// the adapter, which is not there for a moment.
+    fn turned_away(&self, runner: &str) {
+        let now = self.entry.now();
+        let mut state = self.entry.state();
+        if let Some(adapter) = self.adapter() {
+            let version = state.versions.newest(adapter);
+            let back = now.after(TURNED_AWAY_PAUSE);
+            state.fleet.expect(runner, adapter, version, back);
+        }
+    }
+
+    /// Reads a whole answer.
+    async fn whole_answer(
+        &mut self,
+        run: Run,
+        answer: Answer,
+        body: Incoming,
+    ) -> Result<Opened, Missed> {
+        let limit = self.entry.timer.instant(self.deadline);
+        let collect = Limited::new(body, MAX_ANSWER).collect();
+        let Ok(Ok(body)) = timeout_at(limit, collect).await else {
+            run.finish(End::Failed, false);
+            return Err(Outcome::Unknown.into());
+        };
+        let body = body.to_bytes();
+        let time = self.entry.now().since(self.arrival);
+        let failed = answer.meaning == Meaning::Failure;
+        let end = match (failed, answer.status.is_client_error()) {
+            (true, true) => End::Neutral,
+            (true, false) => End::Failed,
+            (false, _) => End::Good(time),
+        };
+        let keep = !answer.closes;
+        run.finish(end, keep);
+        let answer = Box::new(answer);
+        if failed {
+            return Err(Missed {
+                outcome: Outcome::Failed,
+                failure: Some((answer, body)),
+            });
+        }
+        Ok(Opened::Whole(answer, body))
+    }
+
+    /// Reads a stream up to its first whole event.
+    async fn first_events(
+        &mut self,
+        mut run: Run,
+        answer: Answer,
+        mut body: Incoming,
+        limit: Time,
+    ) -> Result<Opened, Missed> {
+        let limit = self.entry.timer.instant(limit);
+        let mut events = Events::default();
+        loop {
+            let frame = match timeout_at(limit, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_)) | None) | Err(_) => {
+                    run.finish(End::Failed, false);
+                    return Err(Outcome::Unknown.into());
+                }
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let first = events.push(&data);
+            if first.is_empty() {
+                continue;
+            }
+            if let Some(lease) = run.lease.as_mut() {
+                self.entry.state().fleet.answered(lease);
+            }
+            return Ok(Opened::Live(Box::new(Live {
+                closes: answer.closes,
+                answer,
+                run,
+                body,
+                first,
+                events,
+            })));
+        }
+    }
+
+    /// Returns when an attempt is given up in favor of another one, or the request's time is up.
+    fn attempt_limit(&self, now: Time) -> Time {
+        let other = self.route.kind.is_repeatable() && self.attempts.tried().is_empty();
+        if !other || self.route.max_attempts < 2 {
+            return self.deadline;
+        }
+        let goals = match self.route.kind {
+            Kind::Stream { .. } => STREAM_PATIENCE_GOALS,
+            Kind::Idempotent | Kind::Once => PLAIN_PATIENCE_GOALS,
+        };
+        let patience = self.route.goal.mul_f64(goals).max(MIN_PATIENCE);
+        now.after(patience).min(self.deadline)
+    }
+
+    async fn connect(&self, runner: &Name) -> Option<Conn> {
+        let now = self.entry.now();
+        let max_idle = if self.route.kind.is_repeatable() {
+            MAX_IDLE
+        } else {
+            ONCE_MAX_IDLE
+        };
+        if let Some(conn) = self.entry.conns.reuse(now, runner, max_idle) {
+            return Some(conn);
+        }
+        let addr = self.entry.state().fleet.get(runner)?.member.addr;
+        self.entry.metrics.connects.inc();
+        match self.entry.conns.open(addr).await {
+            Ok(conn) => Some(conn),
+            Err(error) => {
+                let now = self.entry.now();
+                let mut state = self.entry.state();
+                let state = &mut *state;
+                state
+                    .fleet
+                    .observe(now, runner, End::Unreachable, &mut state.rng);
+                let error = error.to_string();
+                warn!("runner unreachable", kv: { runner = &**runner, error = error.as_str() });
+                None
+            }
+        }
+    }
+}
+
+/// Reads the short body of a refusal, so that its connection can be used again.
+async fn finish_drained(run: Run, answer: Answer, body: Incoming, end: End) {
+    const LIMIT: usize = 16 << 10;
+    const TIMEOUT: Duration = Duration::from_millis(50);
+    let collect = Limited::new(body, LIMIT).collect();
+    let whole = matches!(tokio::time::timeout(TIMEOUT, collect).await, Ok(Ok(_)));
+    run.finish(end, whole && !answer.closes);
+}
