--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use decision::time::Time;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
