Compute a runner's wait once, and keep one copy of messages and signals

The wait at a runner was computed in the cost and once more for the chosen runner; the open runners of a service were filtered in two places; entry and agent each wrote JSON lines and caught signals.

Real faults mended with it: times of replicas and names of ended incarnations were kept for ever; the agent left the tasks it had spawned to the end of its runtime instead of joining them, and stopped accepting entries for good after one failed accept; an address that another runner answers on counted for the circuit breaker although the runner is closed by it anyway.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -18,7 +18,6 @@
 use decision::time::Time;
 use error_stack::Report;
 use error_stack::ResultExt;
-use futures::SinkExt;
 use futures::StreamExt;
 use platform::runner::Control;
 use platform::runner::Taken;
@@ -34,22 +33,23 @@
 use serving::slots::Slots;
 use spdlog::info;
 use spdlog::warn;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LinesCodec;
-use tokio_util::task::TaskTracker;
+use tokio_util::sync::CancellationToken;
 
 use crate::Timer;
 use crate::front;
-use crate::links::MAX_LINE;
+use crate::front::ACCEPT_PAUSE;
+use crate::lines;
+use crate::lines::Lines;
 use crate::logs;
 use crate::metrics::AgentMetrics;
 use crate::process::Failure;
+use crate::signals::Signals;
 
 /// How often the report is read while nothing is on its way.
 const IDLE_POLL: Duration = Duration::from_millis(200);
@@ -87,6 +87,12 @@
         names.get(&born).cloned()
     }
 
+    /// Forgets the names of the incarnations before the present one.
+    fn forget_before(&self, born: u64) {
+        let mut names = self.names.lock().expect("no panics under the lock");
+        names.retain(|known, _| *known >= born);
+    }
+
     fn entries(&self) -> u32 {
         self.metrics.entries.get().try_into().unwrap_or(0)
     }
@@ -112,8 +118,7 @@
     let settings: settings::Agent =
         ::process::settings::load(path).change_context(Failure::Settings)?;
     logs::init().change_context(Failure::Setup)?;
-    let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
-    let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
+    let mut signals = Signals::catch()?;
     let instance = settings.instance.clone();
     info!("agent starts", kv: { instance = instance.as_str() });
     let listener = front::listen(settings.listen)
@@ -132,25 +137,20 @@
         settings,
     });
     let ops = start_ops(&shared).await?;
-    let tasks = TaskTracker::new();
-    let accept = {
-        let (shared, tasks) = (shared.clone(), tasks.clone());
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tasks.spawn(serve_entry(shared.clone(), stream));
-            }
-        })
-    };
-    let control = tokio::spawn(control_runner(shared.clone()));
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => info!("settings are read at the next start", kv: { instance = instance.as_str() }),
-        }
-    }
+    let stop = CancellationToken::new();
+    let accept = accept_entries(shared.clone(), listener, stop.clone());
+    let accept = tokio::spawn(accept);
+    let control = stop
+        .clone()
+        .run_until_cancelled_owned(control_runner(shared));
+    let control = tokio::spawn(control);
+    let reload =
+        || info!("settings are read at the next start", kv: { instance = instance.as_str() });
+    signals.stop(reload).await;
     info!("agent stops", kv: { instance = instance.as_str(), cause = "SIGTERM" });
-    control.abort();
-    accept.abort();
+    stop.cancel();
+    accept.await.change_context(Failure::Task)?;
+    control.await.change_context(Failure::Task)?;
     ops.stop().await;
     Ok(())
 }
@@ -196,6 +196,7 @@
     for _ in 0..MAX_ORDERS {
         match shared.control.report().await {
             Ok(report) => {
+                shared.forget_before(report.born);
                 let arrivals = shared.slots().reported(shared.now(), report);
                 for (held, time) in arrivals {
                     info!("adapter loaded", kv: {
@@ -273,6 +274,29 @@
     });
 }
 
+/// Talks with all entries until the agent stops, and then ends their connections.
+async fn accept_entries(shared: Arc<Shared>, listener: TcpListener, stop: CancellationToken) {
+    let mut links = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = links.join_next() => continue,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                links.spawn(serve_entry(shared.clone(), stream));
+            }
+            Err(error) => {
+                let error = error.to_string();
+                warn!("accept failed", kv: { error = error.as_str() });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    links.shutdown().await;
+}
+
 /// Talks with one entry until its connection ends.
 async fn serve_entry(shared: Arc<Shared>, stream: TcpStream) {
     let link = shared.links.fetch_add(1, Ordering::Relaxed);
@@ -284,10 +308,10 @@
 }
 
 async fn talk(shared: &Arc<Shared>, link: LinkId, stream: TcpStream) -> String {
-    if let Err(e) = stream.set_nodelay(true) {
-        return e.to_string();
-    }
-    let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(MAX_LINE));
+    let mut lines = match lines::wrap(stream) {
+        Ok(lines) => lines,
+        Err(reason) => return reason,
+    };
     let mut states = shared.states.subscribe();
     states.mark_changed();
     let mut heard = Instant::now();
@@ -326,7 +350,7 @@
 
 /// Tells an entry what has changed since the last message; what is not urgent waits a little.
 async fn tell_entry(
-    lines: &mut Framed<TcpStream, LinesCodec>,
+    lines: &mut Lines,
     told: &mut Option<(State, Instant)>,
     state: State,
     due: bool,
@@ -341,10 +365,7 @@
     }
     let known = told.as_ref().map(|(known, _)| known);
     let update = state.update_since(known);
-    let text = serde_json::to_string(&update).map_err(|e| e.to_string())?;
-    let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
-    sent.map_err(|_| "write timeout".to_owned())?
-        .map_err(|e| e.to_string())?;
+    lines::send(lines, &update).await?;
     *told = Some((state, now));
     Ok(())
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! What an entry shares between its tasks.
 //!
 //! Invariants: one lock holds all that the entry knows, and it is never held across an await; the
+//! lock of the connections to agents may be taken under it, never the other way round; the
 //! configuration in force only moves to higher versions.
 
 use std::sync::Arc;
@@ -76,6 +77,14 @@
     stopping: AtomicBool,
 }
 
+impl State {
+    /// Returns whether the runners of a service have a model engine.
+    fn has_engine(&self, service: &str) -> bool {
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.engine(service).is_some())
+    }
+}
+
 impl Entry {
     /// Creates the entry without any task.
     ///
@@ -224,10 +233,7 @@
         let known = state.fleet.get(&member.id).map(|runner| &runner.member);
         let restarted = known.is_some_and(|known| known.born != member.born);
         let news = known.is_none_or(|known| restarted || known.phase != member.phase);
-        let engine = state
-            .config
-            .as_ref()
-            .and_then(|config| config.engine(&member.service).cloned());
+        let has_engine = state.has_engine(&member.service);
         state.fleet.join(member.clone());
         drop(state);
         if news {
@@ -242,7 +248,7 @@
             self.conns.forget(&member.id);
             self.links.close(&member.id);
         }
-        if engine.is_some() {
+        if has_engine {
             self.links.open(self, &member);
         }
     }
@@ -256,20 +262,17 @@
         if entries > 0 {
             state.budget.set_entries(entries);
         }
-        let members: Vec<Member> = state.members.iter().cloned().collect();
+        let unlinked = state
+            .members
+            .iter()
+            .filter(|member| state.has_engine(&member.service) && !self.links.contains(&member.id));
+        let unlinked: Vec<Member> = unlinked.cloned().collect();
         drop(state);
+        for member in &unlinked {
+            self.links.open(self, member);
+        }
         self.apply(changes);
         self.conns.sweep(now);
-        for member in members {
-            let has_engine = {
-                let state = self.state();
-                let config = state.config.as_ref();
-                config.is_some_and(|config| config.engine(&member.service).is_some())
-            };
-            if has_engine {
-                self.links.open(self, &member);
-            }
-        }
     }
 
     /// Returns the state as JSON.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -37,7 +37,7 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// The pause after a failed accept, which mostly means that descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The limits before a configuration is known.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 const DEFAULT_HEADER_BYTES: usize = 16 << 10;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod entry;
 pub mod front;
+pub mod lines;
 pub mod links;
 mod locate;
 pub mod logs;
@@ -19,6 +20,7 @@
 pub mod relay;
 pub mod run;
 mod send;
+mod signals;
 pub mod watch;
 
 use ::process::Clock;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use decision::collections::Map;
-use futures::SinkExt;
 use futures::StreamExt;
 use serving::Name;
 use serving::config::Engine;
@@ -30,16 +29,15 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LinesCodec;
 use tokio_util::task::TaskTracker;
 
 use crate::entry::Entry;
+use crate::lines;
+use crate::lines::Lines;
+use crate::lines::send;
 
 /// Messages that wait for one agent at most.
 const QUEUE: usize = 256;
-/// The largest message, in bytes.
-pub const MAX_LINE: usize = 256 << 10;
 /// The time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The pause before a lost connection is opened again.
@@ -64,6 +62,12 @@
 }
 
 impl Links {
+    /// Returns whether a connection to a runner's agent exists or is being opened.
+    pub fn contains(&self, runner: &str) -> bool {
+        let links = self.links.lock().expect("no panics under the lock");
+        links.contains_key(runner)
+    }
+
     /// Connects to the agent beside a runner, unless a connection exists.
     pub fn open(&self, entry: &Arc<Entry>, member: &Member) {
         let mut links = self.links.lock().expect("no panics under the lock");
@@ -172,10 +176,10 @@
             Ok(Err(e)) => return e.to_string(),
             Err(_) => return "connect timeout".into(),
         };
-        if let Err(e) = stream.set_nodelay(true) {
-            return e.to_string();
-        }
-        let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(MAX_LINE));
+        let mut lines = match lines::wrap(stream) {
+            Ok(lines) => lines,
+            Err(reason) => return reason,
+        };
         let Some(hello) = self.hello() else {
             return "no engine is configured".into();
         };
@@ -246,10 +250,7 @@
     }
 
     /// Tells how this entry uses the adapters, and asks for newer versions of outdated ones.
-    async fn report_usage(
-        &mut self,
-        lines: &mut Framed<TcpStream, LinesCodec>,
-    ) -> Result<(), Lost> {
+    async fn report_usage(&mut self, lines: &mut Lines) -> Result<(), Lost> {
         let used = self.entry.state().fleet.take_usage(&self.member.id);
         for message in self.updates() {
             send(lines, &message).await?;
@@ -295,10 +296,3 @@
         models: models.collect(),
     }
 }
-
-async fn send(lines: &mut Framed<TcpStream, LinesCodec>, message: &ToAgent) -> Result<(), Lost> {
-    let text = serde_json::to_string(message).map_err(|e| e.to_string())?;
-    let sent = tokio::time::timeout(SILENCE_LIMIT, lines.send(text)).await;
-    sent.map_err(|_| "write timeout".to_owned())?
-        .map_err(|e| e.to_string())
-}
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -22,6 +22,8 @@
 const HOLD_PATIENCE: f64 = 0.6;
 /// How often a request tells an agent that it still waits for an adapter.
 const RENEW_INTERVAL: Duration = Duration::from_millis(350);
+/// How much later than expected an adapter may arrive before a runner is chosen again.
+const ARRIVAL_MARGIN: Duration = Duration::from_millis(20);
 /// The longest wait for one change before a runner is chosen again.
 const RECHECK: Duration = Duration::from_millis(150);
 
@@ -60,7 +62,7 @@
                 }
                 Access::Absent => {
                     asked = now;
-                    self.ask_for_adapter(now, &placed.runner, true)
+                    self.ask_for_adapter(now, &placed.runner)
                 }
             };
             if now >= limit {
@@ -68,7 +70,7 @@
                 return Err(self.held_too_long());
             }
             let wake = until
-                .after(Duration::from_millis(20))
+                .after(ARRIVAL_MARGIN)
                 .min(now.after(RECHECK))
                 .min(limit);
             let wake = self.entry.timer.instant(wake);
@@ -97,7 +99,6 @@
             service: &self.service,
             artifact,
             required,
-            tokens: self.head.request.prompt_tokens,
             avoid: &self.avoid,
             only: self.attempts.confined(),
         };
@@ -105,12 +106,10 @@
             state.fleet.demand.record(now, adapter, 1);
         }
         let mut placed = state.fleet.place(now, &mut state.rng, &want);
-        if placed.is_err() && self.attempts.tried().len() < self.avoid.len() + 1 {
+        let barred = self.attempts.barred();
+        if placed.is_err() && barred.len() < self.avoid.len() {
             // Every other runner is unfit; the one that turned the request away is better than none.
-            want.avoid = &[];
-            if self.attempts.may_have_run() {
-                want.avoid = self.attempts.tried();
-            }
+            want.avoid = barred;
             placed = state.fleet.place(now, &mut state.rng, &want);
         }
         let placed = placed?;
@@ -123,7 +122,7 @@
     }
 
     /// Asks a runner's agent for the adapter and returns when it is expected.
-    fn ask_for_adapter(&self, now: Time, runner: &Name, urgent: bool) -> Time {
+    fn ask_for_adapter(&self, now: Time, runner: &Name) -> Time {
         let artifact = self.head.request.artifact.as_ref();
         let Some(adapter) = artifact.and_then(|artifact| artifact.adapter.as_ref()) else {
             return now;
@@ -137,7 +136,7 @@
         let ready = now.after(time.unwrap_or(RECHECK));
         state.fleet.expect(runner, adapter, version, ready);
         drop(state);
-        self.entry.links.want(runner, adapter, version, urgent);
+        self.entry.links.want(runner, adapter, version, true);
         ready
     }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,14 +17,13 @@
 use platform::settings;
 use platform::store::Table;
 use spdlog::info;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::entry::Entry;
 use crate::front;
 use crate::logs;
+use crate::signals::Signals;
 use crate::watch::follow;
 
 /// How long a stopping entry still accepts connections, so that the platform notices first that it
@@ -44,6 +43,9 @@
     /// Logs, metrics or signals cannot be set up.
     #[display("process cannot be set up")]
     Setup,
+    /// A task of the process panicked.
+    #[display("a task panicked")]
+    Task,
     /// An address cannot be bound.
     #[display("address cannot be bound")]
     Bind,
@@ -58,15 +60,9 @@
     let settings: settings::Entry =
         ::process::settings::load(path).change_context(Failure::Settings)?;
     logs::init().change_context(Failure::Setup)?;
-    let mut term = signal(SignalKind::terminate()).change_context(Failure::Setup)?;
-    let mut hup = signal(SignalKind::hangup()).change_context(Failure::Setup)?;
+    let mut signals = Signals::catch()?;
     let running = Running::start(settings).await?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => reload(&running.entry, path),
-        }
-    }
+    signals.stop(|| reload(&running.entry, path)).await;
     running.stop(UNREADY_TIME).await;
     Ok(())
 }
@@ -147,6 +143,7 @@
         }
         ops.stop().await;
         entry.links.stop().await;
+        entry.conns.stop().await;
         info!("entry stopped", kv: { instance });
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -45,6 +45,10 @@
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
 /// The largest answer that is not a stream, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
+/// The largest body of a refusal that is read for the sake of its connection, in bytes.
+const MAX_REFUSAL: usize = 16 << 10;
+/// The time for reading it.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl Job {
     /// Makes one attempt; an error holds how it ended and the runner's failure, if it sent one.
@@ -67,7 +71,7 @@
                 .get(runner)
                 .is_some_and(|runner| runner.is_open());
             let tokens = self.head.request.prompt_tokens;
-            let lease = open.then(|| state.fleet.begin(now, runner, adapter.as_ref(), tokens));
+            let lease = open.then(|| state.fleet.begin(runner, adapter.as_ref(), tokens));
             lease.flatten().ok_or(Missed::from(Outcome::NotSent))?
         };
         let mut run = Run {
@@ -151,7 +155,7 @@
             Meaning::OtherRunner => {
                 info!("runner replaced", kv: { runner = run.runner() });
                 self.entry.state().fleet.replaced(run.runner());
-                run.finish(End::Unreachable, false);
+                run.finish(End::Neutral, false);
                 Err(Outcome::NotRun.into())
             }
             Meaning::Foreign => {
@@ -290,9 +294,10 @@
 
 /// Reads the short body of a refusal, so that its connection can be used again.
 async fn finish_drained(run: Run, answer: Answer, body: Incoming, end: End) {
-    const LIMIT: usize = 16 << 10;
-    const TIMEOUT: Duration = Duration::from_millis(50);
-    let collect = Limited::new(body, LIMIT).collect();
-    let whole = matches!(tokio::time::timeout(TIMEOUT, collect).await, Ok(Ok(_)));
+    let collect = Limited::new(body, MAX_REFUSAL).collect();
+    let whole = matches!(
+        tokio::time::timeout(REFUSAL_TIMEOUT, collect).await,
+        Ok(Ok(_))
+    );
     run.finish(end, whole && !answer.closes);
 }
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -79,6 +79,11 @@
         self.tried.last()
     }
 
+    /// Returns the runners that must not be asked again, even if no other one is fit.
+    pub fn barred(&self) -> &[Name] {
+        if self.may_have_run { &self.tried } else { &[] }
+    }
+
     /// Returns whether an attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/crates/serving/src/budget.rs
+++ b/crates/serving/src/budget.rs
@@ -29,7 +29,7 @@
     parts: VecDeque<Part>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Part {
     number: u64,
     requests: u32,
@@ -61,48 +61,51 @@
 
     /// Counts a request for a service.
     pub fn request(&mut self, now: Time, service: &Name) {
-        self.part(now, service).requests += 1;
+        self.counts(now, service).last_mut().requests += 1;
     }
 
     /// Takes one second attempt from the budget; returns whether there was one.
     pub fn take(&mut self, now: Time, service: &Name) -> bool {
-        let (allowance, entries) = (self.allowance, self.entries);
-        self.part(now, service);
-        let Some(counts) = self.services.get_mut(service) else {
-            return false;
-        };
+        let allowance = self.allowance;
+        let share = allowance.slack / f64::from(self.entries);
+        let counts = self.counts(now, service);
         let requests: u32 = counts.parts.iter().map(|part| part.requests).sum();
         let repeats: u32 = counts.parts.iter().map(|part| part.repeats).sum();
-        let share = allowance.slack / f64::from(entries);
         let allowed = (allowance.ratio * f64::from(requests) + share) * USED_SHARE;
         if f64::from(repeats + 1) > allowed {
             return false;
         }
-        if let Some(part) = counts.parts.back_mut() {
-            part.repeats += 1;
-        }
+        counts.last_mut().repeats += 1;
         true
     }
 
-    /// Returns the present part of a service's window and drops those that left it.
-    fn part(&mut self, now: Time, service: &Name) -> &mut Part {
+    /// Returns the counts of a service, without the parts that left the window.
+    fn counts(&mut self, now: Time, service: &Name) -> &mut Counts {
         let number = now.as_ms() / (self.allowance.window / PARTS).as_millis().max(1) as u64;
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Counts::default());
-        }
         let counts = self.services.entry(service.clone()).or_default();
+        counts.advance(number);
+        counts
+    }
+}
+
+impl Counts {
+    /// Drops the parts that left the window which ends with the part of this number.
+    fn advance(&mut self, number: u64) {
         let first = number.saturating_sub(u64::from(PARTS) - 1);
-        while counts.parts.front().is_some_and(|part| part.number < first) {
-            counts.parts.pop_front();
-        }
-        if counts.parts.back().is_none_or(|part| part.number < number) {
-            counts.parts.push_back(Part {
+        self.parts.retain(|part| part.number >= first);
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(Part {
                 number,
-                requests: 0,
-                repeats: 0,
+                ..Part::default()
             });
         }
-        let last = counts.parts.len() - 1;
-        &mut counts.parts[last]
+    }
+
+    fn last_mut(&mut self) -> &mut Part {
+        if self.parts.is_empty() {
+            self.parts.push_back(Part::default());
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
     }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -50,8 +50,6 @@
 pub struct Lease {
     /// The runner.
     pub runner: Name,
-    /// When the request was sent.
-    pub since: Time,
     adapter: Option<Name>,
     born: u64,
     tokens: u32,
@@ -223,13 +221,7 @@
     }
 
     /// Counts a request that is sent to a runner now.
-    pub fn begin(
-        &mut self,
-        now: Time,
-        id: &Name,
-        adapter: Option<&Name>,
-        tokens: u32,
-    ) -> Option<Lease> {
+    pub fn begin(&mut self, id: &Name, adapter: Option<&Name>, tokens: u32) -> Option<Lease> {
         let runner = self.runners.get_mut(id)?;
         runner.inflight += 1;
         runner.unread = runner.unread.saturating_add(tokens);
@@ -240,7 +232,6 @@
         }
         Some(Lease {
             runner: id.clone(),
-            since: now,
             adapter: adapter.cloned(),
             born: runner.member.born,
             tokens,
--- a/crates/serving/src/members.rs
+++ b/crates/serving/src/members.rs
@@ -40,14 +40,12 @@
         self.away = true;
     }
 
-    /// Notes an answer of the store; returns whether it is the first one after an outage.
-    pub fn answered(&mut self, now: Time) -> bool {
-        let first = self.away;
-        if first {
+    /// Notes an answer of the store.
+    pub fn answered(&mut self, now: Time) {
+        if self.away {
             self.away = false;
             self.returned = Some(now);
         }
-        first
     }
 
     /// Applies one entry that was written.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -60,8 +60,6 @@
     pub artifact: Option<&'a Artifact>,
     /// The oldest version that may run.
     pub required: u64,
-    /// Tokens of the prompt.
-    pub tokens: u32,
     /// Runners that are not chosen.
     pub avoid: &'a [Name],
     /// The only runner that may be chosen, if it is bound to one.
@@ -123,7 +121,7 @@
         want: &Want<'_>,
     ) -> Result<Placed, NoRunner> {
         let ranks = self.rank_homes(want);
-        let mut best: Option<(bool, f32, &Runner, Access)> = None;
+        let mut best: Option<(bool, f32, &Runner, Weighed)> = None;
         let mut reason = NoRunner::Unknown;
         for runner in self.runners() {
             if *runner.member.service != *want.service {
@@ -136,43 +134,39 @@
                     continue;
                 }
             };
-            let (access, cost) = weighed;
-            let cost = cost + JITTER_MS * rng.f32();
+            let cost = weighed.cost + JITTER_MS * rng.f32();
             let open = runner.health.standing(now) == Standing::Open;
             let better = best
                 .as_ref()
                 .is_none_or(|(other, least, ..)| (open, cost) < (*other, *least));
             if better {
-                best = Some((open, cost, runner, access));
+                best = Some((open, cost, runner, weighed));
             }
         }
-        let best = best.map(|(_, cost, runner, access)| {
-            let wait = expected_wait(now, want, runner, access);
-            (cost, wait, runner.member.id.clone(), access)
-        });
+        let best = best.map(|(_, cost, runner, weighed)| (cost, runner.member.id.clone(), weighed));
         self.orders = ranks.orders;
-        let (cost, wait, runner, access) = best.ok_or(reason)?;
-        let replica = match access {
+        let (cost, runner, weighed) = best.ok_or(reason)?;
+        let replica = match weighed.access {
             Access::Absent => None,
             Access::Ready { .. } | Access::Coming(_) => self.replica(now, want),
         };
         Ok(Placed {
             runner,
-            access,
+            access: weighed.access,
             cost,
-            wait,
+            wait: Duration::from_secs_f32(weighed.wait / 1_000.0),
             replica,
         })
     }
 
-    /// Returns what a runner has of the adapter and the expected wait there.
+    /// Returns what a runner has of the adapter, the expected wait and the cost there.
     fn weigh(
         &self,
         now: Time,
         want: &Want<'_>,
         ranks: &Ranks,
         runner: &Runner,
-    ) -> Result<(Access, f32), NoRunner> {
+    ) -> Result<Weighed, NoRunner> {
         if !runner.is_open() {
             return Err(NoRunner::Leaving);
         }
@@ -185,7 +179,11 @@
         let access = access(now, want, runner).ok_or(NoRunner::Exhausted)?;
         // The requests ahead are served while the adapter is on its way.
         let queue = load_cost(runner, want.artifact.is_some());
-        let mut cost = queue.max(access_wait(now, want, runner, access));
+        let mut wait = queue.max(access_wait(now, want, runner, access));
+        if access == Access::Absent {
+            wait += turn_wait(runner);
+        }
+        let mut cost = wait;
         if runner.member.domain != self.domain {
             cost += DOMAIN_MS;
         }
@@ -193,7 +191,13 @@
         if access == Access::Absent {
             cost += absent_cost(want, ranks, runner);
         }
-        Ok((access, cost))
+        Ok(Weighed { access, wait, cost })
+    }
+
+    /// Returns the runners of a service that take requests.
+    fn open_runners<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Runner> {
+        self.runners()
+            .filter(move |runner| *runner.member.service == *service && runner.is_open())
     }
 
     /// Returns the order of the adapter's homes among the runners that take requests.
@@ -205,9 +209,7 @@
             return Ranks { key: 0, orders };
         };
         let key = hash::hash_text(adapter);
-        let open = self
-            .runners()
-            .filter(|runner| *runner.member.service == *want.service && runner.is_open());
+        let open = self.open_runners(want.service);
         orders.extend(open.map(|runner| hash::combine(key, runner.key)));
         orders.sort_unstable_by(|a, b| b.cmp(a));
         Ranks { key, orders }
@@ -233,14 +235,12 @@
     /// Returns a runner that should hold the adapter too, if its share of the traffic asks for it.
     fn replica(&mut self, now: Time, want: &Want<'_>) -> Option<Name> {
         let adapter = want.artifact?.adapter.as_ref()?;
-        let last = self.replicated.get(adapter);
-        if last.is_some_and(|last| now < last.after(REPLICATE_PAUSE)) {
+        self.replicated
+            .retain(|_, last| now < last.after(REPLICATE_PAUSE));
+        if self.replicated.contains_key(adapter) {
             return None;
         }
-        let members: Vec<&Runner> = self
-            .runners()
-            .filter(|runner| *runner.member.service == *want.service && runner.is_open())
-            .collect();
+        let members: Vec<&Runner> = self.open_runners(want.service).collect();
         let holders = members
             .iter()
             .filter(|runner| runner.held.contains_key(adapter))
@@ -261,6 +261,15 @@
     }
 }
 
+/// How a runner compares with the others for one request; times are in milliseconds.
+struct Weighed {
+    access: Access,
+    /// The expected wait until the request runs.
+    wait: f32,
+    /// The wait and what else speaks against the runner.
+    cost: f32,
+}
+
 /// The order of an adapter's homes.
 struct Ranks {
     key: u64,
@@ -283,7 +292,6 @@
         return 0.0;
     };
     let mut cost = HOME_MS * ranks.rank(runner) as f32;
-    cost += turn_wait(runner).as_secs_f32() * 1_000.0;
     if runner.held.contains_key(adapter) {
         cost += REPLACE_MS;
     } else if runner.room == 0 {
@@ -332,21 +340,10 @@
     wait.as_secs_f32() * 1_000.0
 }
 
-/// Returns the expected wait until a load can begin at a runner.
-fn turn_wait(runner: &Runner) -> Duration {
+/// Returns the expected wait until a load can begin at a runner, in milliseconds.
+fn turn_wait(runner: &Runner) -> f32 {
     let ahead = (runner.coming() + 1).saturating_sub(PARALLEL_LOADS);
-    LOAD.mul_f64(ahead as f64 / PARALLEL_LOADS as f64)
-}
-
-/// Returns the expected wait until a request runs at a runner.
-fn expected_wait(now: Time, want: &Want<'_>, runner: &Runner, access: Access) -> Duration {
-    let queue = load_cost(runner, want.artifact.is_some());
-    let wait = queue.max(access_wait(now, want, runner, access));
-    let wait = Duration::from_secs_f32(wait / 1_000.0);
-    match access {
-        Access::Ready { .. } | Access::Coming(_) => wait,
-        Access::Absent => wait + turn_wait(runner),
-    }
+    LOAD.as_secs_f32() * 1_000.0 * ahead as f32 / PARALLEL_LOADS as f32
 }
 
 /// Returns the expected time of loading an adapter.
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -68,6 +68,18 @@
     pub born: u64,
 }
 
+impl Report {
+    /// Returns the adapter that the runner holds under this name.
+    pub fn held(&self, adapter: &str) -> Option<&Held> {
+        self.adapters.iter().find(|held| *held.adapter == *adapter)
+    }
+
+    /// Returns whether an adapter is on its way.
+    pub fn is_coming(&self, adapter: &str) -> bool {
+        self.coming.iter().any(|held| *held.adapter == *adapter)
+    }
+}
+
 /// The load that a runner tells with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
--- a/crates/serving/src/slots.rs
+++ b/crates/serving/src/slots.rs
@@ -29,6 +29,10 @@
 /// The pause before a model load is ordered once more, so that a failing one does not use up the
 /// weight store.
 const MODEL_PAUSE: Duration = Duration::from_secs(4);
+/// The assumed time until a newer version is there, which waits for the requests on the older one.
+const REPLACE_TIME: Duration = Duration::from_millis(700);
+/// The time after which an order to replace or unload an adapter is taken to have had no effect.
+const LEAVING_TTL: Duration = Duration::from_secs(4);
 
 /// An order for the runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,10 +64,13 @@
     renewed: Time,
 }
 
-/// The assumed time until a newer version is there, which waits for the requests on the older one.
-const REPLACE_TIME: Duration = Duration::from_millis(700);
-/// The time after which an order to replace or unload an adapter is taken to have had no effect.
-const LEAVING_TTL: Duration = Duration::from_secs(4);
+impl Wanted {
+    /// Returns whether the runner holds the adapter in the wanted version.
+    fn is_met(&self, report: &Report, adapter: &str) -> bool {
+        let held = report.held(adapter);
+        held.is_some_and(|held| held.version >= self.version)
+    }
+}
 
 /// Why an adapter that the runner still reports turns requests away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,18 +131,13 @@
                 arrivals.extend(begun.map(|begun| (held.clone(), now.since(*begun))));
             }
         }
-        let coming = &report.coming;
-        self.started
-            .retain(|name, _| coming.iter().any(|held| held.adapter == *name));
-        for held in coming {
+        self.started.retain(|name, _| report.is_coming(name));
+        for held in &report.coming {
             self.started.entry(held.adapter.clone()).or_insert(now);
         }
-        let adapters = &report.adapters;
-        self.arrived
-            .retain(|name, _| adapters.iter().any(|held| held.adapter == *name));
+        self.arrived.retain(|name, _| report.held(name).is_some());
         self.leaving.retain(|name, (leaving, since)| {
-            let held = report.adapters.iter().find(|held| held.adapter == *name);
-            let under_way = held.is_some_and(|held| match leaving {
+            let under_way = report.held(name).is_some_and(|held| match leaving {
                 Leaving::Replaced { by } => held.version < *by,
                 Leaving::Unloaded => true,
             });
@@ -156,12 +158,7 @@
             }
             Order::Unload { adapter } => (adapter, Leaving::Unloaded),
         };
-        if self
-            .report
-            .adapters
-            .iter()
-            .any(|held| held.adapter == *adapter)
-        {
+        if self.report.held(adapter).is_some() {
             self.leaving.insert(adapter.clone(), (leaving, now));
         }
     }
@@ -219,11 +216,7 @@
         let adapter = self.most_wanted()?;
         let wanted = self.wants[&adapter];
         let version = (wanted.version > 0).then_some(wanted.version);
-        let replaces = self
-            .report
-            .adapters
-            .iter()
-            .any(|held| held.adapter == adapter);
+        let replaces = self.report.held(&adapter).is_some();
         if replaces || self.fits(&adapter) {
             return Some(Order::Load { adapter, version });
         }
@@ -236,11 +229,7 @@
         let mut places = Vec::new();
         for held in &self.report.adapters {
             // While a newer version is on its way, the older one is not counted as there.
-            let coming = self
-                .report
-                .coming
-                .iter()
-                .any(|other| other.adapter == held.adapter);
+            let coming = self.report.is_coming(&held.adapter);
             match self.leaving.get(&held.adapter) {
                 None if !coming => places.push(place(held, 0)),
                 Some((Leaving::Replaced { by }, since)) if !coming => {
@@ -312,9 +301,8 @@
             } else {
                 BACKGROUND_TTL
             };
-            let is_there = |held: &Held| held.adapter == *adapter && held.version >= wanted.version;
             let is_late = now.since(wanted.renewed) > ttl;
-            !is_late && !report.adapters.iter().any(is_there)
+            !is_late && !wanted.is_met(report, adapter)
         });
     }
 
@@ -327,11 +315,7 @@
             return None;
         }
         let specs = &self.capacity.models;
-        let used: f64 = specs
-            .iter()
-            .filter(|spec| self.report.models.contains(&spec.name))
-            .map(|spec| spec.weights_mb)
-            .sum();
+        let used = self.models_mb();
         let missing = specs.iter().find(|spec| {
             let fits = used + spec.weights_mb <= self.capacity.weights_mb;
             fits && !self.report.models.contains(&spec.name)
@@ -349,13 +333,8 @@
     /// the ones that were asked for earlier.
     fn queue(&self) -> impl Iterator<Item = (&Name, &Wanted)> {
         let able = self.wants.iter().filter(|(adapter, wanted)| {
-            let coming = self
-                .report
-                .coming
-                .iter()
-                .any(|held| held.adapter == **adapter);
-            let there = |held: &Held| held.adapter == **adapter && held.version >= wanted.version;
-            let is_there = self.report.adapters.iter().any(there);
+            let coming = self.report.is_coming(adapter);
+            let is_there = wanted.is_met(&self.report, adapter);
             let of_model = self.report.models.iter().any(|model| is_of(adapter, model));
             let leaving = self.leaving.contains_key(*adapter);
             !coming && !is_there && !leaving && of_model
@@ -372,16 +351,19 @@
             return false;
         }
         let size = self.adapter_mb(adapter);
-        let models = self.capacity.models.iter();
-        let weights: f64 = models
-            .filter(|spec| self.report.models.contains(&spec.name))
-            .map(|spec| spec.weights_mb)
-            .sum();
+        let weights = self.models_mb();
         let all = self.report.adapters.iter().chain(&self.report.coming);
         let adapters: f64 = all.map(|held| self.adapter_mb(&held.adapter)).sum();
         weights + adapters + size <= self.capacity.weights_mb
     }
 
+    /// Returns the memory of the models that the runner holds.
+    fn models_mb(&self) -> f64 {
+        let specs = self.capacity.models.iter();
+        let held = specs.filter(|spec| self.report.models.contains(&spec.name));
+        held.map(|spec| spec.weights_mb).sum()
+    }
+
     fn adapter_mb(&self, adapter: &str) -> f64 {
         let spec = self
             .capacity
@@ -406,11 +388,7 @@
             let used = self.inflight.keys().any(|(_, name)| *name == held.adapter);
             let arrived = self.arrived.get(&held.adapter);
             let fresh = arrived.is_some_and(|at| now < at.after(MIN_STAY));
-            let coming = self
-                .report
-                .coming
-                .iter()
-                .any(|other| other.adapter == held.adapter);
+            let coming = self.report.is_coming(&held.adapter);
             let leaving = self.leaving.contains_key(&held.adapter);
             !used && !fresh && !coming && !leaving && !self.wants.contains_key(&held.adapter)
         })
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -77,7 +77,6 @@
         service: "chat",
         artifact: Some(artifact),
         required,
-        tokens: 500,
         avoid: &[],
         only: None,
     }
@@ -88,7 +87,6 @@
         service: "chat",
         artifact: None,
         required: 0,
-        tokens: 0,
         avoid: &[],
         only: None,
     }
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -12,10 +12,18 @@
 use decision::time::Time;
 use serving::Name;
 use serving::fleet::End;
+use serving::fleet::Fleet;
 use serving::place::Access;
 use serving::place::NoRunner;
+use serving::place::Placed;
+use serving::place::Want;
 use serving::runner::Phase;
 
+/// Returns the runner that a request is sent to.
+fn choose(fleet: &mut Fleet, now: Time, rng: &mut fastrand::Rng, want: &Want<'_>) -> Placed {
+    fleet.place(now, rng, want).expect("a runner")
+}
+
 #[test]
 fn entries_choose_the_same_home_for_an_absent_adapter() {
     let now = Time::from_ms(10);
@@ -25,9 +33,7 @@
         for seed in 0..4 {
             let mut fleet = fleet(9, now);
             let mut rng = fastrand::Rng::with_seed(seed);
-            let placed = fleet
-                .place(now, &mut rng, &want(&artifact, 0))
-                .expect("a runner");
+            let placed = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
             assert_eq!(placed.access, Access::Absent);
             homes.push(placed.runner);
         }
@@ -42,18 +48,12 @@
     let artifact = chat(1);
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(9, now);
-    let home = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner")
-        .runner;
+    let home = choose(&mut fleet, now, &mut rng, &want(&artifact, 0)).runner;
     for _ in 0..30 {
-        let lease = fleet.begin(now, &home, None, 400);
+        let lease = fleet.begin(&home, None, 400);
         assert!(lease.is_some());
     }
-    let again = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner")
-        .runner;
+    let again = choose(&mut fleet, now, &mut rng, &want(&artifact, 0)).runner;
     assert_eq!(home, again);
 }
 
@@ -62,14 +62,11 @@
     let now = Time::from_ms(10);
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(9, now);
-    let homes = |fleet: &mut serving::fleet::Fleet, rng: &mut fastrand::Rng| -> Map<u32, Name> {
+    let homes = |fleet: &mut Fleet, rng: &mut fastrand::Rng| -> Map<u32, Name> {
         let place = |index| {
             (
                 index,
-                fleet
-                    .place(now, rng, &want(&chat(index), 0))
-                    .expect("one")
-                    .runner,
+                choose(fleet, now, rng, &want(&chat(index), 0)).runner,
             )
         };
         (0..300).map(place).collect()
@@ -91,15 +88,10 @@
     let adapter = artifact.adapter.clone().expect("an adapter");
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(9, now);
-    let home = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner")
-        .runner;
+    let home = choose(&mut fleet, now, &mut rng, &want(&artifact, 0)).runner;
     let other = if &*home == "r0" { "r1" } else { "r0" };
     fleet.report(now, other, &update(&[(&adapter, 1, 0)]));
-    let placed = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner");
+    let placed = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
     assert_eq!(
         (&*placed.runner, placed.access),
         (other, Access::Ready { version: 1 })
@@ -114,9 +106,7 @@
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(1, now);
     fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
-    let placed = fleet
-        .place(now, &mut rng, &want(&artifact, 2))
-        .expect("a runner");
+    let placed = choose(&mut fleet, now, &mut rng, &want(&artifact, 2));
     assert_eq!(placed.access, Access::Absent);
 }
 
@@ -145,9 +135,7 @@
     let adapter = artifact.adapter.clone().expect("an adapter");
     let mut fleet = fleet(1, now);
     fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
-    let lease = fleet
-        .begin(now, &Name::from("r0"), None, 0)
-        .expect("a lease");
+    let lease = fleet.begin(&Name::from("r0"), None, 0).expect("a lease");
     let mut member = common::member("r0");
     member.born = 99;
     fleet.join(member);
@@ -216,14 +204,10 @@
     fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
     fleet.demand.record(now, &adapter, 30);
     fleet.demand.record(now, &"m/others".into(), 70);
-    let placed = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner");
+    let placed = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
     assert_eq!(&*placed.runner, "r0");
     assert!(placed.replica.is_some_and(|replica| &*replica != "r0"));
-    let again = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner");
+    let again = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
     assert_eq!(again.replica, None, "holders are added one at a time");
 }
 
@@ -234,15 +218,10 @@
     let artifact = chat(1);
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(9, now);
-    let home = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner")
-        .runner;
+    let home = choose(&mut fleet, now, &mut rng, &want(&artifact, 0)).runner;
     let names: Vec<String> = (100..114).map(|index| format!("m/a{index}")).collect();
     let coming: Vec<(&str, u64, u32)> = names.iter().map(|name| (name.as_str(), 1, 300)).collect();
     fleet.report(now, &home, &update(&coming));
-    let placed = fleet
-        .place(now, &mut rng, &want(&artifact, 0))
-        .expect("a runner");
+    let placed = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
     assert_ne!(placed.runner, home);
 }
