Add a soak that plays faults against the real programs

dotterelwheel-soak starts entries and agents as processes on loopback addresses, with stand-ins of store and runners behind a proxy that delays, silences, cuts one way or resets, and brings faults that follow from the seed: pauses, kills, SIGTERM, SIGHUP, crashes, reused addresses, drains, manifests, versions, store outages.

Cause: callers were cut off at the end with requests under way that were never noted. They now finish their last request.

--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,691 @@
+//! The programs, stand-ins and callers of one run, and the faults that are brought upon them.
+//!
+//! Invariants: a fault is noted as a span before it begins and until it is over, so that no check
+//! counts what it excuses; every task and process that is started here has ended when [`run`]
+//! returns.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use derive_more::Display;
+use derive_more::Error;
+use error_stack::Report;
+use error_stack::ResultExt;
+use rig::deploy;
+use rig::engine::Engine;
+use rig::engine::MODEL;
+use rig::engine::Newest;
+use rig::runner::Act;
+use rig::runner::LAST_EVENT;
+use rig::runner::Runner;
+use rig::runner::Spec;
+use rig::store::Store;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+
+use crate::caller::Caller;
+use crate::caller::Scene;
+use crate::history::Arrival;
+use crate::history::Bounds;
+use crate::history::Call;
+use crate::history::History;
+use crate::history::Ms;
+use crate::history::Order;
+use crate::history::Span;
+use crate::history::Target;
+use crate::plan::Fault;
+use crate::plan::Harm;
+use crate::plan::Program;
+use crate::plan::Size;
+use crate::plan::plan;
+use crate::program::Process;
+use crate::proxy::Proxy;
+
+/// The bounds of the deployment.
+pub const BOUNDS: Bounds = Bounds {
+    contact: 4_000,
+    drain: 3_000,
+    config: 3_000,
+    rollback: 250,
+    version: 5_000,
+    retry_ratio: 0.2,
+    retry_slack: 12.0,
+    retry_window: 10_000,
+    recovery: 15_000,
+    gone: 500,
+    stop: 8_000,
+};
+/// The ports on a runner's address: its proxy, itself, its agent's proxy, its agent, metrics.
+const RUNNER_PORT: u16 = 7_000;
+const RUNNER_REAL_PORT: u16 = 7_001;
+const AGENT_PORT: u16 = 7_100;
+const AGENT_REAL_PORT: u16 = 7_101;
+const METRICS_PORT: u16 = 9_464;
+/// The ports on an entry's address: callers, readiness, and the proxy in front of the store.
+const ENTRY_PORT: u16 = 8_080;
+const READY_PORT: u16 = 8_081;
+const STORE_PORT: u16 = 6_000;
+/// The last numbers of the first entry's and the first runner's address.
+const ENTRY_BASE: usize = 10;
+const RUNNER_BASE: usize = 100;
+/// Adapters that an engine holds, fewer than are asked for.
+const SLOTS: usize = 5;
+/// The time of an adapter's load.
+const LOAD: Duration = Duration::from_millis(120);
+/// The time that runners work on a request, and between two events.
+const WORK: Duration = Duration::from_millis(20);
+/// The pause between a runner's crash and the end of its membership entry.
+const LAPSE: Duration = Duration::from_millis(800);
+/// The time that a leaving runner still takes part.
+const DRAIN_TIME: Duration = Duration::from_millis(4_000);
+/// How often programs that ended by themselves are looked for.
+const EXIT_POLL: Duration = Duration::from_millis(500);
+/// How often service is looked for after all programs were killed.
+const RECOVERY_POLL: Duration = Duration::from_millis(500);
+/// What runners do besides serving, with odds in a thousand.
+const ODDS: [(Act, u32); 7] = [
+    (Act::Drop, 8),
+    (Act::Tear, 6),
+    (Act::Fail, 10),
+    (Act::Misname, 4),
+    (Act::TurnAway, 20),
+    (Act::Hang, 4),
+    (Act::Break { last: 2 }, 20),
+];
+
+/// A run that could not be played.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// A directory or file cannot be written.
+    #[display("logs and settings cannot be written")]
+    Files,
+    /// A stand-in or proxy cannot be started.
+    #[display("a stand-in cannot be started")]
+    StandIn,
+    /// A program cannot be started or signaled.
+    #[display("a program cannot be started or signaled")]
+    Program,
+    /// A task of the run panicked.
+    #[display("a task of the run panicked")]
+    Task,
+}
+
+/// Where the programs are and where logs go.
+#[derive(Clone, Debug)]
+pub struct Paths {
+    /// The directory with the two programs.
+    pub programs: PathBuf,
+    /// The directory for logs and settings.
+    pub logs: PathBuf,
+}
+
+struct Place {
+    proxy: Proxy,
+    agent_proxy: Option<Proxy>,
+    /// The present incarnation; `None` while it is down.
+    runner: tokio::sync::Mutex<Option<Runner>>,
+}
+
+struct World {
+    start: Instant,
+    net: Net,
+    size: Size,
+    store: Store,
+    store_links: Vec<Proxy>,
+    entries: Vec<Process>,
+    agents: Vec<Process>,
+    places: Vec<Place>,
+    listen: Vec<SocketAddr>,
+    newest: Newest,
+    manifest: AtomicU64,
+    births: AtomicU32,
+    over: AtomicBool,
+    history: Mutex<History>,
+}
+
+/// The loopback addresses of one run, which differ between runs that overlap.
+#[derive(Clone, Copy, Debug)]
+struct Net(u8, u8);
+
+impl Net {
+    fn own() -> Net {
+        let id = std::process::id();
+        Net((10 + id / 256 % 200) as u8, (id % 256) as u8)
+    }
+
+    fn addr(self, host: usize, port: u16) -> SocketAddr {
+        (Ipv4Addr::new(127, self.0, self.1, host as u8), port).into()
+    }
+}
+
+/// Plays one seed for `length` milliseconds and returns what was seen.
+///
+/// # Errors
+///
+/// Fails if the run cannot be set up.
+pub async fn run(
+    seed: u64,
+    length: Ms,
+    size: Size,
+    paths: &Paths,
+) -> Result<History, Report<Failure>> {
+    let world = Arc::new(World::start(size, paths).await?);
+    let mut callers = JoinSet::new();
+    for index in 0..size.callers {
+        let caller = Caller::new(world.clone(), format!("c{index}"), seed ^ index as u64);
+        callers.spawn(caller.run());
+    }
+    let mut faults = JoinSet::new();
+    for (at, fault) in plan(seed, length, size) {
+        let world = world.clone();
+        faults.spawn(async move {
+            world.until(at).await;
+            world.bring(fault).await
+        });
+    }
+    let mut watch = JoinSet::new();
+    watch.spawn(watch_exits(world.clone()));
+    while let Some(result) = faults.join_next().await {
+        result.change_context(Failure::Task)??;
+    }
+    world.until(length).await;
+    watch.shutdown().await;
+    kill_all(&world).await?;
+    world.over.store(true, Ordering::SeqCst);
+    while let Some(result) = callers.join_next().await {
+        result.change_context(Failure::Task)?;
+    }
+    let Some(world) = Arc::into_inner(world) else {
+        return Err(Report::new(Failure::Task));
+    };
+    world.stop().await
+}
+
+/// Kills all programs at once and waits until requests are served again, or the bound is over.
+async fn kill_all(world: &Arc<World>) -> Result<(), Report<Failure>> {
+    let from = world.now();
+    let entries = (0..world.size.entries).map(Program::Entry);
+    let agents = (0..world.size.engines).map(Program::Agent);
+    let mut kills = JoinSet::new();
+    for program in entries.chain(agents) {
+        let world = world.clone();
+        kills.spawn(async move { world.bring(Fault::Kill(program, 300)).await });
+    }
+    while let Some(result) = kills.join_next().await {
+        result.change_context(Failure::Task)??;
+    }
+    world.history().killed = Some(from);
+    let limit = from + BOUNDS.recovery + 2_000;
+    let mut since = world.now();
+    while world.now() < limit {
+        tokio::time::sleep(RECOVERY_POLL).await;
+        let history = world.history();
+        let recent = history.calls.iter().filter(|call| call.sent >= since);
+        let (served, all) = recent.fold((0, 0), |(served, all), call| {
+            (served + u32::from(call.is_served()), all + 1)
+        });
+        drop(history);
+        if all > 0 && served * 4 >= all {
+            return Ok(());
+        }
+        since = world.now();
+    }
+    Ok(())
+}
+
+async fn watch_exits(world: Arc<World>) {
+    loop {
+        tokio::time::sleep(EXIT_POLL).await;
+        for process in world.entries.iter().chain(&world.agents) {
+            match process.ended().await {
+                Ok(None) => {}
+                Ok(Some(exit)) => world.history().exits.push(exit),
+                Err(error) => world.history().exits.push(error.to_string()),
+            }
+        }
+    }
+}
+
+impl World {
+    async fn start(size: Size, paths: &Paths) -> Result<World, Report<Failure>> {
+        std::fs::create_dir_all(&paths.logs).change_context(Failure::Files)?;
+        let net = Net::own();
+        let store = Store::start(net.addr(1, STORE_PORT)).await;
+        let store = store.change_context(Failure::StandIn)?;
+        store.put("op", "config", &deploy::dated_manifest(1, SLOTS));
+        let mut world = World {
+            start: Instant::now(),
+            net,
+            size,
+            store,
+            store_links: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            places: Vec::new(),
+            listen: Vec::new(),
+            newest: Newest::default(),
+            manifest: AtomicU64::new(1),
+            births: AtomicU32::new(0),
+            over: AtomicBool::new(false),
+            history: Mutex::new(History::new(BOUNDS, LAST_EVENT)),
+        };
+        world.history().configs.push((1, 0));
+        for index in 0..size.runners() {
+            world.add_runner(index, paths).await?;
+        }
+        for index in 0..size.entries {
+            world.add_entry(index, paths).await?;
+        }
+        Ok(world)
+    }
+
+    async fn add_entry(&mut self, index: usize, paths: &Paths) -> Result<(), Report<Failure>> {
+        let host = ENTRY_BASE + index;
+        let store = self.net.addr(host, STORE_PORT);
+        let link = Proxy::start(store, self.store.addr).await;
+        self.store_links
+            .push(link.change_context(Failure::StandIn)?);
+        let listen = self.net.addr(host, ENTRY_PORT);
+        let settings = format!(
+            "instance = \"entry-{index}\"\ndomain = \"z\"\nlisten = \"{listen}\"\nready = \"{}\"\n\
+             metrics = \"{}\"\nstore = \"{store}\"\nagent_port = {AGENT_PORT}\nmax_files = 4000\n\
+             memory_mb = 256\ndump_secret = \"state-dump\"\n\n[bounds]\nstop_s = {}\n\
+             drain_ms = {}\ncontact_ms = {}\nversion_ms = {}\nretry_ratio = {}\n\
+             retry_slack = {}\nretry_window_s = {}\n",
+            self.net.addr(host, READY_PORT),
+            self.net.addr(host, METRICS_PORT),
+            BOUNDS.stop as f64 / 1_000.0,
+            BOUNDS.drain,
+            BOUNDS.contact,
+            BOUNDS.version,
+            BOUNDS.retry_ratio,
+            BOUNDS.retry_slack,
+            BOUNDS.retry_window as f64 / 1_000.0,
+        );
+        let process = program(
+            paths,
+            &format!("entry-{index}"),
+            "dotterelwheel",
+            "gateway",
+            &settings,
+        )?;
+        process.start().await.change_context(Failure::Program)?;
+        self.listen.push(listen);
+        self.entries.push(process);
+        Ok(())
+    }
+
+    async fn add_runner(&mut self, index: usize, paths: &Paths) -> Result<(), Report<Failure>> {
+        let at = |port| self.net.addr(RUNNER_BASE + index, port);
+        let proxy = Proxy::start(at(RUNNER_PORT), at(RUNNER_REAL_PORT)).await;
+        let proxy = proxy.change_context(Failure::StandIn)?;
+        let mut agent_proxy = None;
+        if index < self.size.engines {
+            let link = Proxy::start(at(AGENT_PORT), at(AGENT_REAL_PORT)).await;
+            agent_proxy = Some(link.change_context(Failure::StandIn)?);
+            let settings = format!(
+                "instance = \"agent-{index}\"\nlisten = \"{}\"\nmetrics = \"{}\"\n\
+                 runner = \"{}\"\ndump_secret = \"state-dump\"\n",
+                at(AGENT_REAL_PORT),
+                at(METRICS_PORT),
+                at(RUNNER_REAL_PORT),
+            );
+            let name = format!("agent-{index}");
+            let process = program(paths, &name, "dotterelwheel-agent", "sidecar", &settings)?;
+            process.start().await.change_context(Failure::Program)?;
+            self.agents.push(process);
+        }
+        self.places.push(Place {
+            proxy,
+            agent_proxy,
+            runner: tokio::sync::Mutex::new(None),
+        });
+        let mut runner = self.places[index].runner.lock().await;
+        *runner = Some(self.bear(index, self.service(index)).await?);
+        drop(runner);
+        Ok(())
+    }
+
+    fn service(&self, index: usize) -> &'static str {
+        if index < self.size.engines { "e" } else { "s" }
+    }
+
+    /// Starts a new incarnation of the runner at a position and announces it.
+    async fn bear(&self, index: usize, service: &str) -> Result<Runner, Report<Failure>> {
+        let birth = self.births.fetch_add(1, Ordering::SeqCst) + 1;
+        let id = format!("{service}-{index}.{birth}");
+        let engine = (service == "e").then(|| Engine::new(SLOTS, LOAD, self.newest.clone()));
+        let runner = Runner::start(Spec {
+            service: service.into(),
+            listen: self.net.addr(RUNNER_BASE + index, RUNNER_REAL_PORT),
+            slots: 8,
+            born: u64::from(birth),
+            work: WORK,
+            odds: ODDS.to_vec(),
+            engine,
+            ..Spec::plain(&id)
+        });
+        let runner = runner.await.change_context(Failure::StandIn)?;
+        self.announce(index, &runner, "ready");
+        Ok(runner)
+    }
+
+    fn announce(&self, index: usize, runner: &Runner, state: &str) {
+        let addr = self.net.addr(RUNNER_BASE + index, RUNNER_PORT);
+        self.store
+            .put("servers", &runner.id, &runner.entry(addr, state));
+    }
+
+    fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().expect("no panics under the lock")
+    }
+
+    async fn until(&self, at: Ms) {
+        let at = self.start + Duration::from_millis(at);
+        tokio::time::sleep_until(at.into()).await;
+    }
+
+    fn ms(&self, at: Instant) -> Ms {
+        at.saturating_duration_since(self.start).as_millis() as Ms
+    }
+
+    /// Notes the start of a fault; the span is closed by [`World::close`].
+    fn open(&self, target: Target, planned: bool) -> usize {
+        let from = self.ms(Instant::now());
+        let mut history = self.history();
+        history.spans.push(Span {
+            target,
+            planned,
+            from,
+            to: Ms::MAX,
+        });
+        history.spans.len() - 1
+    }
+
+    fn close(&self, span: usize) {
+        let to = self.ms(Instant::now());
+        self.history().spans[span].to = to;
+    }
+
+    async fn bring(&self, fault: Fault) -> Result<(), Report<Failure>> {
+        let ms = Duration::from_millis;
+        match fault {
+            Fault::StoreDown(length) => {
+                let span = self.open(Target::Store, false);
+                self.store.set_down(true);
+                tokio::time::sleep(ms(length)).await;
+                self.store.set_down(false);
+                self.close(span);
+            }
+            Fault::HistoryGone => self.store.forget_history(),
+            Fault::StoreLink(entry, harm, length) => {
+                let link = &self.store_links[entry];
+                self.harm(Target::Entry(entry), link, harm, length).await;
+            }
+            Fault::RunnerLink(index, harm, length) => {
+                let link = &self.places[index].proxy;
+                self.harm(Target::Runner(index), link, harm, length).await;
+            }
+            Fault::AgentLink(index, harm, length) => {
+                if let Some(link) = &self.places[index].agent_proxy {
+                    self.harm(Target::Runner(index), link, harm, length).await;
+                }
+            }
+            Fault::Pause(program, length) => {
+                let span = self.open_program(program, false);
+                let paused = self.process(program).pause(ms(length)).await;
+                paused.change_context(Failure::Program)?;
+                self.close(span);
+            }
+            Fault::Kill(program, length) => {
+                let span = self.open_program(program, false);
+                let killed = self.process(program).kill(ms(length)).await;
+                killed.change_context(Failure::Program)?;
+                self.close(span);
+            }
+            Fault::Stop(program) => self.stop_program(program).await?,
+            Fault::Reload(entry) => {
+                let span = self.open(Target::Entry(entry), true);
+                let sent = self.entries[entry].signal(Signal::HUP).await;
+                sent.change_context(Failure::Program)?;
+                self.close(span);
+            }
+            Fault::Crash(index, length) => self.crash(index, length).await?,
+            Fault::Reuse(index) => self.reuse(index).await?,
+            Fault::Drain(index) => self.drain(index).await?,
+            Fault::Manifest => {
+                let version = self.manifest.fetch_add(1, Ordering::SeqCst) + 1;
+                let text = deploy::dated_manifest(version, SLOTS);
+                self.store.put("op", "config", &text);
+                let at = self.ms(Instant::now());
+                self.history().configs.push((version, at));
+            }
+            Fault::Version(index) => self.announce_version(index),
+        }
+        Ok(())
+    }
+
+    async fn harm(&self, target: Target, link: &Proxy, harm: Harm, length: Ms) {
+        let span = self.open(target, false);
+        link.harm(Some(harm));
+        if harm != Harm::Reset {
+            tokio::time::sleep(Duration::from_millis(length)).await;
+            link.harm(None);
+        }
+        self.close(span);
+    }
+
+    fn process(&self, program: Program) -> &Process {
+        match program {
+            Program::Entry(index) => &self.entries[index],
+            Program::Agent(index) => &self.agents[index],
+        }
+    }
+
+    fn open_program(&self, program: Program, planned: bool) -> usize {
+        match program {
+            Program::Entry(index) => self.open(Target::Entry(index), planned),
+            Program::Agent(index) => self.open(Target::Runner(index), planned),
+        }
+    }
+
+    async fn stop_program(&self, program: Program) -> Result<(), Report<Failure>> {
+        let span = self.open_program(program, true);
+        let limit = Duration::from_millis(BOUNDS.stop);
+        let stopped = self.process(program).stop(limit).await;
+        if !stopped.change_context(Failure::Program)? {
+            let exit = format!("{program} still ran {} ms after SIGTERM", BOUNDS.stop);
+            self.history().exits.push(exit);
+        }
+        self.close(span);
+        Ok(())
+    }
+
+    async fn crash(&self, index: usize, length: Ms) -> Result<(), Report<Failure>> {
+        let span = self.open(Target::Runner(index), false);
+        let mut place = self.places[index].runner.lock().await;
+        if let Some(runner) = place.take() {
+            self.lose(runner).await;
+        }
+        tokio::time::sleep(Duration::from_millis(length)).await;
+        *place = Some(self.bear(index, self.service(index)).await?);
+        drop(place);
+        self.close(span);
+        Ok(())
+    }
+
+    /// Lets a plain runner take the address of a crashed one before the membership names it.
+    async fn reuse(&self, index: usize) -> Result<(), Report<Failure>> {
+        let span = self.open(Target::Runner(index), false);
+        let mut place = self.places[index].runner.lock().await;
+        let lost = place.take();
+        if let Some(runner) = lost {
+            self.collect(&runner);
+            let id = runner.id.clone();
+            runner.stop().await;
+            let other = self.bear(index, "t").await?;
+            tokio::time::sleep(LAPSE).await;
+            self.leave(&id);
+            tokio::time::sleep(DRAIN_TIME).await;
+            self.lose(other).await;
+        }
+        *place = Some(self.bear(index, self.service(index)).await?);
+        drop(place);
+        self.close(span);
+        Ok(())
+    }
+
+    async fn drain(&self, index: usize) -> Result<(), Report<Failure>> {
+        let mut place = self.places[index].runner.lock().await;
+        if let Some(runner) = place.as_ref() {
+            self.announce(index, runner, "draining");
+            let at = self.ms(Instant::now());
+            let id = runner.id.clone();
+            self.history().leaving.push((id, at));
+            tokio::time::sleep(DRAIN_TIME).await;
+        }
+        if let Some(runner) = place.take() {
+            self.lose(runner).await;
+        }
+        *place = Some(self.bear(index, self.service(index)).await?);
+        Ok(())
+    }
+
+    /// Ends a runner; its membership entry lapses a little later.
+    async fn lose(&self, runner: Runner) {
+        self.collect(&runner);
+        let id = runner.id.clone();
+        runner.stop().await;
+        tokio::time::sleep(LAPSE).await;
+        self.leave(&id);
+    }
+
+    fn leave(&self, id: &str) {
+        self.store.remove("servers", id);
+        let at = self.ms(Instant::now());
+        self.history().leaving.push((id.to_owned(), at));
+    }
+
+    fn announce_version(&self, index: usize) {
+        let adapter = format!("a{index}");
+        let mut newest = self.newest.lock().expect("no panics under the lock");
+        let version = newest.entry(adapter.clone()).or_insert(1);
+        *version += 1;
+        let version = *version;
+        drop(newest);
+        let text = deploy::announcement(MODEL, &adapter, version);
+        self.store
+            .put("op", &format!("version/{MODEL}.{adapter}"), &text);
+        let at = self.ms(Instant::now());
+        self.history().versions.push((adapter, version, at));
+    }
+
+    /// Takes over what a runner has recorded; called once, when it ends.
+    fn collect(&self, runner: &Runner) {
+        let arrivals = runner.arrivals().into_iter().map(|arrival| Arrival {
+            runner: arrival.runner,
+            service: runner.service.clone(),
+            request: arrival.request,
+            ran: arrival.ran,
+            adapter: arrival.adapter,
+            begun: self.ms(arrival.begun),
+            ended: arrival.ended.map(|at| self.ms(at)),
+        });
+        let orders = runner.accepted().into_iter().map(|order| Order {
+            runner: runner.id.clone(),
+            holder: order.holder,
+            at: self.ms(order.at),
+            over: order.over,
+        });
+        let mut history = self.history();
+        history.arrivals.extend(arrivals);
+        history.orders.extend(orders);
+    }
+
+    async fn stop(self) -> Result<History, Report<Failure>> {
+        // Work for callers that have just left ends before the records are taken.
+        tokio::time::sleep(Duration::from_millis(BOUNDS.gone)).await;
+        for process in self.entries.iter().chain(&self.agents) {
+            process.end().await.change_context(Failure::Program)?;
+        }
+        for place in &self.places {
+            if let Some(runner) = place.runner.lock().await.take() {
+                self.collect(&runner);
+                runner.stop().await;
+            }
+        }
+        for place in self.places {
+            place.proxy.stop().await;
+            if let Some(proxy) = place.agent_proxy {
+                proxy.stop().await;
+            }
+        }
+        for link in self.store_links {
+            link.stop().await;
+        }
+        self.store.stop().await;
+        Ok(self.history.into_inner().expect("no panics under the lock"))
+    }
+}
+
+impl Scene for World {
+    fn now(&self) -> Ms {
+        self.ms(Instant::now())
+    }
+
+    fn entries(&self) -> &[SocketAddr] {
+        &self.listen
+    }
+
+    fn life(&self, entry: usize) -> u32 {
+        self.entries[entry].lives()
+    }
+
+    fn manifest(&self) -> u64 {
+        self.manifest.load(Ordering::SeqCst)
+    }
+
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    fn ended(&self, call: Call) {
+        self.history().calls.push(call);
+    }
+}
+
+/// Writes the settings of a program and describes it.
+fn program(
+    paths: &Paths,
+    name: &str,
+    binary: &str,
+    verb: &str,
+    settings: &str,
+) -> Result<Process, Report<Failure>> {
+    let file = paths.logs.join(format!("{name}.toml"));
+    std::fs::write(&file, settings).change_context(Failure::Files)?;
+    let file = file.to_string_lossy();
+    let args = [verb, "--config", &*file];
+    let log = paths.logs.join(format!("{name}.log"));
+    Ok(Process::new(
+        name,
+        &binary_path(&paths.programs, binary),
+        &args,
+        log,
+    ))
+}
+
+fn binary_path(directory: &Path, name: &str) -> PathBuf {
+    directory.join(name)
+}
