--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod caller;
 pub mod checks;
+mod faults;
 pub mod history;
 pub mod plan;
 pub mod program;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -24,14 +24,12 @@
 use error_stack::ResultExt;
 use rig::deploy;
 use rig::engine::Engine;
-use rig::engine::MODEL;
 use rig::engine::Newest;
 use rig::runner::Act;
 use rig::runner::LAST_EVENT;
 use rig::runner::Runner;
 use rig::runner::Spec;
 use rig::store::Store;
-use rustix::process::Signal;
 use tokio::task::JoinSet;
 
 use crate::caller::Caller;
@@ -42,10 +40,7 @@
 use crate::history::History;
 use crate::history::Ms;
 use crate::history::Order;
-use crate::history::Span;
-use crate::history::Target;
 use crate::plan::Fault;
-use crate::plan::Harm;
 use crate::plan::Program;
 use crate::plan::Size;
 use crate::plan::plan;
@@ -80,15 +75,11 @@
 const ENTRY_BASE: usize = 10;
 const RUNNER_BASE: usize = 100;
 /// Adapters that an engine holds, fewer than are asked for.
-const SLOTS: usize = 5;
+pub(crate) const SLOTS: usize = 5;
 /// The time of an adapter's load.
 const LOAD: Duration = Duration::from_millis(120);
 /// The time that runners work on a request, and between two events.
 const WORK: Duration = Duration::from_millis(20);
-/// The pause between a runner's crash and the end of its membership entry.
-const LAPSE: Duration = Duration::from_millis(800);
-/// The time that a leaving runner still takes part.
-const DRAIN_TIME: Duration = Duration::from_millis(4_000);
 /// How often programs that ended by themselves are looked for.
 const EXIT_POLL: Duration = Duration::from_millis(500);
 /// How often service is looked for after all programs were killed.
@@ -130,25 +121,27 @@
     pub logs: PathBuf,
 }
 
-struct Place {
-    proxy: Proxy,
-    agent_proxy: Option<Proxy>,
+/// The position of a runner, which outlives its incarnations.
+pub(crate) struct Place {
+    pub(crate) proxy: Proxy,
+    pub(crate) agent_proxy: Option<Proxy>,
     /// The present incarnation; `None` while it is down.
-    runner: tokio::sync::Mutex<Option<Runner>>,
+    pub(crate) runner: tokio::sync::Mutex<Option<Runner>>,
 }
 
-struct World {
+/// What one run has started, and what it has seen so far.
+pub(crate) struct World {
     start: Instant,
     net: Net,
     size: Size,
-    store: Store,
-    store_links: Vec<Proxy>,
-    entries: Vec<Process>,
-    agents: Vec<Process>,
-    places: Vec<Place>,
+    pub(crate) store: Store,
+    pub(crate) store_links: Vec<Proxy>,
+    pub(crate) entries: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) places: Vec<Place>,
     listen: Vec<SocketAddr>,
-    newest: Newest,
-    manifest: AtomicU64,
+    pub(crate) newest: Newest,
+    pub(crate) manifest: AtomicU64,
     births: AtomicU32,
     over: AtomicBool,
     history: Mutex<History>,
@@ -357,12 +350,16 @@
         Ok(())
     }
 
-    fn service(&self, index: usize) -> &'static str {
+    pub(crate) fn service(&self, index: usize) -> &'static str {
         if index < self.size.engines { "e" } else { "s" }
     }
 
     /// Starts a new incarnation of the runner at a position and announces it.
-    async fn bear(&self, index: usize, service: &str) -> Result<Runner, Report<Failure>> {
+    pub(crate) async fn bear(
+        &self,
+        index: usize,
+        service: &str,
+    ) -> Result<Runner, Report<Failure>> {
         let birth = self.births.fetch_add(1, Ordering::SeqCst) + 1;
         let id = format!("{service}-{index}.{birth}");
         let engine = (service == "e").then(|| Engine::new(SLOTS, LOAD, self.newest.clone()));
@@ -381,13 +378,13 @@
         Ok(runner)
     }
 
-    fn announce(&self, index: usize, runner: &Runner, state: &str) {
+    pub(crate) fn announce(&self, index: usize, runner: &Runner, state: &str) {
         let addr = self.net.addr(RUNNER_BASE + index, RUNNER_PORT);
         self.store
             .put("servers", &runner.id, &runner.entry(addr, state));
     }
 
-    fn history(&self) -> MutexGuard<'_, History> {
+    pub(crate) fn history(&self) -> MutexGuard<'_, History> {
         self.history.lock().expect("no panics under the lock")
     }
 
@@ -396,203 +393,12 @@
         tokio::time::sleep_until(at.into()).await;
     }
 
-    fn ms(&self, at: Instant) -> Ms {
+    pub(crate) fn ms(&self, at: Instant) -> Ms {
         at.saturating_duration_since(self.start).as_millis() as Ms
     }
 
-    /// Notes the start of a fault; the span is closed by [`World::close`].
-    fn open(&self, target: Target, planned: bool) -> usize {
-        let from = self.ms(Instant::now());
-        let mut history = self.history();
-        history.spans.push(Span {
-            target,
-            planned,
-            from,
-            to: Ms::MAX,
-        });
-        history.spans.len() - 1
-    }
-
-    fn close(&self, span: usize) {
-        let to = self.ms(Instant::now());
-        self.history().spans[span].to = to;
-    }
-
-    async fn bring(&self, fault: Fault) -> Result<(), Report<Failure>> {
-        let ms = Duration::from_millis;
-        match fault {
-            Fault::StoreDown(length) => {
-                let span = self.open(Target::Store, false);
-                self.store.set_down(true);
-                tokio::time::sleep(ms(length)).await;
-                self.store.set_down(false);
-                self.close(span);
-            }
-            Fault::HistoryGone => self.store.forget_history(),
-            Fault::StoreLink(entry, harm, length) => {
-                let link = &self.store_links[entry];
-                self.harm(Target::Entry(entry), link, harm, length).await;
-            }
-            Fault::RunnerLink(index, harm, length) => {
-                let link = &self.places[index].proxy;
-                self.harm(Target::Runner(index), link, harm, length).await;
-            }
-            Fault::AgentLink(index, harm, length) => {
-                if let Some(link) = &self.places[index].agent_proxy {
-                    self.harm(Target::Runner(index), link, harm, length).await;
-                }
-            }
-            Fault::Pause(program, length) => {
-                let span = self.open_program(program, false);
-                let paused = self.process(program).pause(ms(length)).await;
-                paused.change_context(Failure::Program)?;
-                self.close(span);
-            }
-            Fault::Kill(program, length) => {
-                let span = self.open_program(program, false);
-                let killed = self.process(program).kill(ms(length)).await;
-                killed.change_context(Failure::Program)?;
-                self.close(span);
-            }
-            Fault::Stop(program) => self.stop_program(program).await?,
-            Fault::Reload(entry) => {
-                let span = self.open(Target::Entry(entry), true);
-                let sent = self.entries[entry].signal(Signal::HUP).await;
-                sent.change_context(Failure::Program)?;
-                self.close(span);
-            }
-            Fault::Crash(index, length) => self.crash(index, length).await?,
-            Fault::Reuse(index) => self.reuse(index).await?,
-            Fault::Drain(index) => self.drain(index).await?,
-            Fault::Manifest => {
-                let version = self.manifest.fetch_add(1, Ordering::SeqCst) + 1;
-                let text = deploy::dated_manifest(version, SLOTS);
-                self.store.put("op", "config", &text);
-                let at = self.ms(Instant::now());
-                self.history().configs.push((version, at));
-            }
-            Fault::Version(index) => self.announce_version(index),
-        }
-        Ok(())
-    }
-
-    async fn harm(&self, target: Target, link: &Proxy, harm: Harm, length: Ms) {
-        let span = self.open(target, false);
-        link.harm(Some(harm));
-        if harm != Harm::Reset {
-            tokio::time::sleep(Duration::from_millis(length)).await;
-            link.harm(None);
-        }
-        self.close(span);
-    }
-
-    fn process(&self, program: Program) -> &Process {
-        match program {
-            Program::Entry(index) => &self.entries[index],
-            Program::Agent(index) => &self.agents[index],
-        }
-    }
-
-    fn open_program(&self, program: Program, planned: bool) -> usize {
-        match program {
-            Program::Entry(index) => self.open(Target::Entry(index), planned),
-            Program::Agent(index) => self.open(Target::Runner(index), planned),
-        }
-    }
-
-    async fn stop_program(&self, program: Program) -> Result<(), Report<Failure>> {
-        let span = self.open_program(program, true);
-        let limit = Duration::from_millis(BOUNDS.stop);
-        let stopped = self.process(program).stop(limit).await;
-        if !stopped.change_context(Failure::Program)? {
-            let exit = format!("{program} still ran {} ms after SIGTERM", BOUNDS.stop);
-            self.history().exits.push(exit);
-        }
-        self.close(span);
-        Ok(())
-    }
-
-    async fn crash(&self, index: usize, length: Ms) -> Result<(), Report<Failure>> {
-        let span = self.open(Target::Runner(index), false);
-        let mut place = self.places[index].runner.lock().await;
-        if let Some(runner) = place.take() {
-            self.lose(runner).await;
-        }
-        tokio::time::sleep(Duration::from_millis(length)).await;
-        *place = Some(self.bear(index, self.service(index)).await?);
-        drop(place);
-        self.close(span);
-        Ok(())
-    }
-
-    /// Lets a plain runner take the address of a crashed one before the membership names it.
-    async fn reuse(&self, index: usize) -> Result<(), Report<Failure>> {
-        let span = self.open(Target::Runner(index), false);
-        let mut place = self.places[index].runner.lock().await;
-        let lost = place.take();
-        if let Some(runner) = lost {
-            self.collect(&runner);
-            let id = runner.id.clone();
-            runner.stop().await;
-            let other = self.bear(index, "t").await?;
-            tokio::time::sleep(LAPSE).await;
-            self.leave(&id);
-            tokio::time::sleep(DRAIN_TIME).await;
-            self.lose(other).await;
-        }
-        *place = Some(self.bear(index, self.service(index)).await?);
-        drop(place);
-        self.close(span);
-        Ok(())
-    }
-
-    async fn drain(&self, index: usize) -> Result<(), Report<Failure>> {
-        let mut place = self.places[index].runner.lock().await;
-        if let Some(runner) = place.as_ref() {
-            self.announce(index, runner, "draining");
-            let at = self.ms(Instant::now());
-            let id = runner.id.clone();
-            self.history().leaving.push((id, at));
-            tokio::time::sleep(DRAIN_TIME).await;
-        }
-        if let Some(runner) = place.take() {
-            self.lose(runner).await;
-        }
-        *place = Some(self.bear(index, self.service(index)).await?);
-        Ok(())
-    }
-
-    /// Ends a runner; its membership entry lapses a little later.
-    async fn lose(&self, runner: Runner) {
-        self.collect(&runner);
-        let id = runner.id.clone();
-        runner.stop().await;
-        tokio::time::sleep(LAPSE).await;
-        self.leave(&id);
-    }
-
-    fn leave(&self, id: &str) {
-        self.store.remove("servers", id);
-        let at = self.ms(Instant::now());
-        self.history().leaving.push((id.to_owned(), at));
-    }
-
-    fn announce_version(&self, index: usize) {
-        let adapter = format!("a{index}");
-        let mut newest = self.newest.lock().expect("no panics under the lock");
-        let version = newest.entry(adapter.clone()).or_insert(1);
-        *version += 1;
-        let version = *version;
-        drop(newest);
-        let text = deploy::announcement(MODEL, &adapter, version);
-        self.store
-            .put("op", &format!("version/{MODEL}.{adapter}"), &text);
-        let at = self.ms(Instant::now());
-        self.history().versions.push((adapter, version, at));
-    }
-
     /// Takes over what a runner has recorded; called once, when it ends.
-    fn collect(&self, runner: &Runner) {
+    pub(crate) fn collect(&self, runner: &Runner) {
         let arrivals = runner.arrivals().into_iter().map(|arrival| Arrival {
             runner: arrival.runner,
             service: runner.service.clone(),
