Let the operator's feed wait longer, and doubt it when the membership's fails

Cause: of the calls to the store two fifths were waits for the operator's changes that ended after 2.4 s so that a silent connection is noticed. The membership's calls notice it as soon: when one fails, the operator's wait is given up and all rows are read. The wait itself is now 20 s.

A test leaves the calls under way without an answer: with the longer wait alone the manifest never came within 10 s; with the doubt it is in force within contact_ms + 3 s.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -29,6 +29,7 @@
 use serving::runner::Member;
 use serving::versions::Versions;
 use spdlog::info;
+use tokio::sync::Notify;
 
 use crate::Timer;
 use crate::conns::Conns;
@@ -74,6 +75,7 @@
     /// The connections to agents.
     pub links: Links,
     state: Mutex<State>,
+    members_lost: Notify,
     stopping: AtomicBool,
 }
 
@@ -114,6 +116,7 @@
             conns: Conns::default(),
             links: Links::default(),
             state: Mutex::new(state),
+            members_lost: Notify::new(),
             stopping: AtomicBool::new(false),
             settings,
         }))
@@ -190,6 +193,16 @@
     pub fn store_lost(&self, table: Table) {
         if table == Table::Members {
             self.state().members.lost();
+            self.members_lost.notify_waiters();
+        }
+    }
+
+    /// Waits until a call about another table has failed, so that one about this table may be
+    /// waiting on a connection that carries nothing any more.
+    pub async fn store_doubted(&self, table: Table) {
+        match table {
+            Table::Operator => self.members_lost.notified().await,
+            Table::Members => std::future::pending().await,
         }
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -15,6 +15,9 @@
 /// The part of the time to be in touch again that a silent connection may take until it is noticed:
 /// what is left covers the store's answer timeout and the read of all rows.
 const WAIT_SHARE: f64 = 0.6;
+/// How long the store holds a call for the operator's changes. A silent connection is noticed with
+/// the membership's calls, which are more frequent.
+const OPERATOR_WAIT: Duration = Duration::from_secs(20);
 /// The part of the drain bound between two reads of the membership's changes. Each runner's
 /// heartbeat is a change and each call is priced, so that they are read together.
 const MEMBERS_SHARE: f64 = 0.45;
@@ -28,14 +31,23 @@
 /// Follows a table until the process ends.
 pub async fn follow(entry: Arc<Entry>, table: Table) {
     let bounds = entry.settings.bounds;
-    let wait = Duration::from_millis(bounds.contact_ms).mul_f64(WAIT_SHARE);
+    let wait = match table {
+        Table::Operator => OPERATOR_WAIT,
+        Table::Members => Duration::from_millis(bounds.contact_ms).mul_f64(WAIT_SHARE),
+    };
     let pause = Duration::from_millis(bounds.drain_ms).mul_f64(MEMBERS_SHARE);
     let mut version = None;
     let mut failures = 0;
     loop {
         let result = match version {
             None => entry.store.read(table).await.map(Feed::Changes),
-            Some(after) => entry.store.feed(table, after, wait).await,
+            Some(after) => tokio::select! {
+                feed = entry.store.feed(table, after, wait) => feed,
+                () = entry.store_doubted(table) => {
+                    version = None;
+                    continue;
+                }
+            },
         };
         match result {
             Ok(Feed::Changes(batch)) => {
@@ -74,8 +86,8 @@
                 if failures == 0 {
                     let error = error.to_string();
                     warn!("store lost", kv: { table = table.name(), error = error.as_str() });
-                    entry.store_lost(table);
                 }
+                entry.store_lost(table);
                 // A restarted history or a missed removal shows only in a whole read.
                 version = None;
                 let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len() - 1)];
