Tell agents only of changed use, and give only busy holders help

Each entry repeated its use of each runner every 40 to 200 ms, and each agent its state every 500 ms, whether or not a request used the connection. An entry now tells a change at once and repeats an unchanged use as a heartbeat (0.5 s; 4 s if it uses nothing); an agent tells idle entries at 1 s. An adapter got another holder by its share of the traffic alone; now also only once its best holder is busy.

The test of more holders now also asks for none while the holder is idle.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -24,10 +24,13 @@
 use platform::settings;
 use serde_json::json;
 use serving::Name;
+use serving::link::IDLE_SILENCE_LIMIT;
+use serving::link::IDLE_STATE_INTERVAL;
 use serving::link::SILENCE_LIMIT;
 use serving::link::STATE_INTERVAL;
 use serving::link::State;
 use serving::link::ToAgent;
+use serving::link::USED_TIME;
 use serving::slots::LinkId;
 use serving::slots::Order;
 use serving::slots::Slots;
@@ -315,16 +318,32 @@
     let mut states = shared.states.subscribe();
     states.mark_changed();
     let mut heard = Instant::now();
+    let mut used = Instant::now();
     let mut told: Option<(State, Instant)> = None;
     loop {
+        let in_use = used.elapsed() < USED_TIME;
+        let interval = if in_use {
+            STATE_INTERVAL
+        } else {
+            IDLE_STATE_INTERVAL
+        };
         let due = told
             .as_ref()
-            .map_or(Instant::now(), |(_, at)| *at + STATE_INTERVAL);
+            .map_or(Instant::now(), |(_, at)| *at + interval);
+        let silence = if shared.slots().is_used_by(link) {
+            SILENCE_LIMIT
+        } else {
+            IDLE_SILENCE_LIMIT
+        };
         let result = tokio::select! {
             line = lines.next() => match line {
                 Some(Ok(line)) => {
                     heard = Instant::now();
-                    take_message(shared, link, &line)
+                    take_message(shared, link, &line).map(|is_use| {
+                        if is_use {
+                            used = heard;
+                        }
+                    })
                 }
                 Some(Err(e)) => Err(e.to_string()),
                 None => Err("closed".into()),
@@ -332,15 +351,16 @@
             changed = states.changed() => match changed {
                 Ok(()) => {
                     let state = states.borrow_and_update().clone();
-                    tell_entry(&mut lines, &mut told, state, false).await
+                    let pause = if in_use { CALM_INTERVAL } else { interval };
+                    tell_entry(&mut lines, &mut told, state, pause).await
                 }
                 Err(_) => Err("stopping".into()),
             },
             () = tokio::time::sleep_until(due) => {
                 let state = states.borrow_and_update().clone();
-                tell_entry(&mut lines, &mut told, state, true).await
+                tell_entry(&mut lines, &mut told, state, Duration::ZERO).await
             }
-            () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => Err("silent".into()),
+            () = tokio::time::sleep_until(heard + silence) => Err("silent".into()),
         };
         if let Err(reason) = result {
             return reason;
@@ -348,17 +368,17 @@
     }
 }
 
-/// Tells an entry what has changed since the last message; what is not urgent waits a little.
+/// Tells an entry what has changed since the last message; what is not urgent waits until `pause`
+/// has passed since then.
 async fn tell_entry(
     lines: &mut Lines,
     told: &mut Option<(State, Instant)>,
     state: State,
-    due: bool,
+    pause: Duration,
 ) -> Result<(), String> {
     let now = Instant::now();
     if let Some((known, at)) = told
-        && !due
-        && now < *at + CALM_INTERVAL
+        && now < *at + pause
         && !state.is_urgent_after(known)
     {
         return Ok(());
@@ -370,7 +390,8 @@
     Ok(())
 }
 
-fn take_message(shared: &Arc<Shared>, link: LinkId, line: &str) -> Result<(), String> {
+/// Takes a message of an entry; returns whether it tells that the entry uses the runner.
+fn take_message(shared: &Arc<Shared>, link: LinkId, line: &str) -> Result<bool, String> {
     let message: ToAgent = serde_json::from_str(line).map_err(|e| e.to_string())?;
     let now = shared.now();
     match message {
@@ -385,6 +406,7 @@
             drop(names);
             shared.slots().set_capacity(capacity);
             shared.wake.notify_one();
+            Ok(true)
         }
         ToAgent::Want {
             adapter,
@@ -393,8 +415,11 @@
         } => {
             shared.slots().want(now, &adapter, version, urgent);
             shared.wake.notify_one();
+            Ok(true)
+        }
+        ToAgent::Usage(usages) => {
+            shared.slots().used(now, link, &usages);
+            Ok(!usages.is_empty())
         }
-        ToAgent::Usage(usages) => shared.slots().used(now, link, &usages),
     }
-    Ok(())
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -21,6 +21,7 @@
 use serving::link::USAGE_INTERVAL;
 use serving::link::Update;
 use serving::runner::Member;
+use serving::usage::Reports;
 use spdlog::info;
 use spdlog::warn;
 use tokio::net::TcpStream;
@@ -190,6 +191,7 @@
         info!("agent connected", kv: { runner = &*self.member.id });
         let mut heard = Instant::now();
         let mut reported = Instant::now();
+        let mut reports = Reports::default();
         loop {
             let due = reported + self.usage_interval();
             let sent = tokio::select! {
@@ -207,7 +209,7 @@
                 },
                 () = tokio::time::sleep_until(due) => {
                     reported = Instant::now();
-                    self.report_usage(&mut lines).await
+                    self.report_usage(&mut lines, &mut reports).await
                 }
                 () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => Err("silent".into()),
             };
@@ -250,12 +252,16 @@
     }
 
     /// Tells how this entry uses the adapters, and asks for newer versions of outdated ones.
-    async fn report_usage(&mut self, lines: &mut Lines) -> Result<(), Lost> {
+    async fn report_usage(&mut self, lines: &mut Lines, reports: &mut Reports) -> Result<(), Lost> {
+        let now = self.entry.now();
         let used = self.entry.state().fleet.take_usage(&self.member.id);
         for message in self.updates() {
             send(lines, &message).await?;
         }
-        send(lines, &ToAgent::Usage(used)).await
+        match reports.due(now, used) {
+            Some(used) => send(lines, &ToAgent::Usage(used)).await,
+            None => Ok(()),
+        }
     }
 
     fn updates(&self) -> Vec<ToAgent> {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod request;
 pub mod runner;
 pub mod slots;
+pub mod usage;
 pub mod versions;
 
 use std::sync::Arc;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -9,8 +9,14 @@
 
 /// How often an agent sends its state at least; also the heartbeat of the connection.
 pub const STATE_INTERVAL: Duration = Duration::from_millis(500);
-/// The silence after which either side gives up the connection.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
+/// The same for an entry that has not used the runner for [`USED_TIME`].
+pub const IDLE_STATE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long an entry counts as using a runner after its last request or wish for an adapter.
+pub const USED_TIME: Duration = Duration::from_secs(2);
+/// The silence after which a connection is given up that is in use.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(2_400);
+/// The silence after which an agent gives up the connection of an entry that uses nothing.
+pub const IDLE_SILENCE_LIMIT: Duration = Duration::from_secs(10);
 /// How often an entry tells how its requests use a runner's adapters.
 pub const USAGE_INTERVAL: Duration = Duration::from_millis(200);
 /// The same while few adapters can give way: one whose last request has ended can then be unloaded
@@ -61,6 +67,16 @@
     pub hits: u32,
 }
 
+impl Usage {
+    /// Returns the use that goes on.
+    pub(crate) fn without_hits(&self) -> Usage {
+        Usage {
+            hits: 0,
+            ..self.clone()
+        }
+    }
+}
+
 /// A message of an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -48,6 +48,9 @@
 /// The share of all traffic that one holder of an adapter serves, in shares of one runner. An entry
 /// sees only a part of the traffic, and a replica takes the place of another adapter.
 const HOLDER_SHARE: f64 = 0.8;
+/// The best holder of an adapter is busy, so that another one is worth a slot and a load, from one
+/// in this many of its slots on.
+const BUSY_PART: u32 = 4;
 /// The pause between two additional holders of one adapter.
 const REPLICATE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -143,12 +146,15 @@
                 best = Some((open, cost, runner, weighed));
             }
         }
-        let best = best.map(|(_, cost, runner, weighed)| (cost, runner.member.id.clone(), weighed));
+        let best = best.map(|(_, cost, runner, weighed)| {
+            let busy = runner.load() >= runner.member.slots / BUSY_PART;
+            (cost, runner.member.id.clone(), weighed, busy)
+        });
         self.orders = ranks.orders;
-        let (cost, runner, weighed) = best.ok_or(reason)?;
+        let (cost, runner, weighed, busy) = best.ok_or(reason)?;
         let replica = match weighed.access {
-            Access::Absent => None,
-            Access::Ready { .. } | Access::Coming(_) => self.replica(now, want),
+            Access::Ready { .. } | Access::Coming(_) if busy => self.replica(now, want),
+            Access::Ready { .. } | Access::Coming(_) | Access::Absent => None,
         };
         Ok(Placed {
             runner,
--- a/crates/serving/src/slots.rs
+++ b/crates/serving/src/slots.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Returns whether requests of an entry use adapters here.
+    pub fn is_used_by(&self, link: LinkId) -> bool {
+        self.inflight.keys().any(|(other, _)| *other == link)
+    }
+
     /// Forgets an entry whose connection ended.
     pub fn unlinked(&mut self, link: LinkId) {
         self.inflight.retain(|(other, _), _| *other != link);
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -195,7 +195,7 @@
 }
 
 #[test]
-fn popular_adapter_gets_more_holders() {
+fn popular_adapter_of_a_busy_runner_gets_more_holders() {
     let now = Time::from_ms(10);
     let artifact = chat(1);
     let adapter = artifact.adapter.clone().expect("an adapter");
@@ -204,6 +204,12 @@
     fleet.report(now, "r0", &update(&[(&adapter, 1, 0)]));
     fleet.demand.record(now, &adapter, 30);
     fleet.demand.record(now, &"m/others".into(), 70);
+    let idle = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
+    assert_eq!(idle.replica, None, "an idle holder needs no help");
+    for _ in 0..20 {
+        let lease = fleet.begin(&"r0".into(), None, 0);
+        assert!(lease.is_some());
+    }
     let placed = choose(&mut fleet, now, &mut rng, &want(&artifact, 0));
     assert_eq!(&*placed.runner, "r0");
     assert!(placed.replica.is_some_and(|replica| &*replica != "r0"));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -94,6 +94,11 @@
             Fault::Crash(index, length) => self.crash(index, length).await?,
             Fault::Reuse(index) => self.reuse(index).await?,
             Fault::Drain(index) => self.drain(index).await?,
+            Fault::Full(index, length) => {
+                self.set_full(index, true).await;
+                tokio::time::sleep(ms(length)).await;
+                self.set_full(index, false).await;
+            }
             Fault::Manifest => {
                 let version = self.manifest.fetch_add(1, Ordering::SeqCst) + 1;
                 let text = deploy::dated_manifest(version, SLOTS);
@@ -142,6 +147,12 @@
         Ok(())
     }
 
+    async fn set_full(&self, index: usize, full: bool) {
+        if let Some(runner) = self.places[index].runner.lock().await.as_ref() {
+            runner.set_full(full);
+        }
+    }
+
     async fn crash(&self, index: usize, length: Ms) -> Result<(), Report<Failure>> {
         let span = self.open(Target::Runner(index), false);
         let mut place = self.places[index].runner.lock().await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -99,6 +99,9 @@
     /// A runner announces that it leaves, finishes, and starts again.
     #[display("runner {_0} drains")]
     Drain(usize),
+    /// A runner turns every request away for this time.
+    #[display("runner {_0} full for {_1} ms")]
+    Full(usize, Ms),
     /// A new manifest.
     #[display("new manifest")]
     Manifest,
@@ -140,7 +143,7 @@
     } else {
         Program::Agent(agent)
     };
-    match rng.u32(..28) {
+    match rng.u32(..30) {
         0 => Fault::StoreDown(long),
         1 => Fault::HistoryGone,
         2 | 3 => Fault::StoreLink(entry, harm(rng), long),
@@ -155,6 +158,7 @@
         19 => Fault::Reuse(runner),
         20 | 21 => Fault::Drain(runner),
         22..=24 => Fault::Manifest,
+        25 | 26 => Fault::Full(runner, long),
         _ => Fault::Version(rng.usize(..ADAPTERS)),
     }
 }
--- a/crates/soak/tests/fault_plan.rs
+++ b/crates/soak/tests/fault_plan.rs
@@ -32,7 +32,7 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 14);
+    assert_eq!(kinds.len(), 15);
 }
 
 #[test]
@@ -45,6 +45,7 @@
                 Fault::AgentLink(agent, ..) => (agent, size.engines),
                 Fault::RunnerLink(runner, ..)
                 | Fault::Crash(runner, _)
+                | Fault::Full(runner, _)
                 | Fault::Reuse(runner)
                 | Fault::Drain(runner) => (runner, size.runners()),
                 _ => continue,
