--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -8,6 +8,9 @@
 mod verdict;
 
 use gumdrop::Options;
+use process::logs;
+use process::logs::LogForm;
+use process::logs::LogLevel;
 
 use crate::demo::drive::Drive;
 use crate::demo::site::Site;
@@ -30,6 +33,12 @@
 
 /// Runs the demo; with `--requests` the last line is one JSON object.
 pub async fn run(args: &Args) -> Report {
+    // The output is for scripts; what the site logs goes to standard error.
+    if args.requests.is_some()
+        && let Err(err) = logs::init(LogForm::Text, LogLevel::Info)
+    {
+        return Report::error(Exit::Unreachable, format!("set up logs: {err}"));
+    }
     let site = match Site::start(Speed::Lifelike).await {
         Ok(site) => site,
         Err(err) => return Report::error(Exit::Unreachable, err),
