Tell refused callers when they can be served

Cause: Retry-After was a random 150 to 500 ms for every refusal. After a power loss callers came back while every runner was still loading its model, and were refused again. A refusal now tells the rest of the first runner's model load, or the expected wait for the adapter, with the same random part on top.

Unit test: two empty runners, the wait is the rest of the earlier load, and nothing once it is overdue.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -38,8 +38,9 @@
 
 /// The wait before the return of a caller that an entry without a configuration refuses.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(400);
-/// The shortest wait before the return of a refused caller, and the random part on top of it.
+/// The bounds of the wait before the return of a refused caller, and the random part on top of it.
 const RETRY_MIN: Duration = Duration::from_millis(150);
+const RETRY_MAX: Duration = Duration::from_millis(1_500);
 const RETRY_SPREAD: Duration = Duration::from_millis(350);
 
 /// Why a request ended without a runner's answer.
@@ -208,14 +209,24 @@
 
     fn refuse(self, cause: Cause) -> Response<Body> {
         let spread = RETRY_SPREAD.mul_f64(self.entry.state().rng.f64());
+        let wait = self.back_in(cause).unwrap_or(RETRY_MIN);
         self.failed("refused", cause);
         own(
             &self.entry,
-            Own::Refused(RETRY_MIN + spread),
+            Own::Refused(wait.clamp(RETRY_MIN, RETRY_MAX) + spread),
             Some(&self.head.request.id),
         )
     }
 
+    /// Returns when a refused caller can be served at the earliest, as far as is known.
+    fn back_in(&self, cause: Cause) -> Option<Duration> {
+        match cause {
+            Cause::NoRunner(cause) => cause.back_in(),
+            Cause::HeldTooLong => self.last.as_ref().map(|placed| placed.wait),
+            Cause::TurnedAway | Cause::Lost | Cause::TimeUp => None,
+        }
+    }
+
     fn fail(self, cause: Cause) -> Response<Body> {
         let answer = match cause {
             Cause::TimeUp => Own::Timeout,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -26,6 +26,7 @@
 use serving::fleet::Fleet;
 use serving::members::Change;
 use serving::members::Members;
+use serving::request::Artifact;
 use serving::runner::Member;
 use serving::versions::Versions;
 use spdlog::info;
@@ -85,6 +86,20 @@
         let config = self.config.as_ref();
         config.is_some_and(|config| config.engine(service).is_some())
     }
+
+    /// Returns the time of a load of the model that a request needs; 0 if it needs none.
+    pub(crate) fn model_load(&self, service: &str, artifact: Option<&Artifact>) -> Duration {
+        let engine = self
+            .config
+            .as_ref()
+            .and_then(|config| config.engine(service));
+        let Some((engine, artifact)) = engine.zip(artifact) else {
+            return Duration::ZERO;
+        };
+        let mut models = engine.models.iter();
+        let model = models.find(|model| model.name == artifact.model);
+        model.map_or(Duration::ZERO, |model| model.load)
+    }
 }
 
 impl Entry {
@@ -242,12 +257,13 @@
     }
 
     fn present(self: &Arc<Self>, member: Member) {
+        let now = self.now();
         let mut state = self.state();
         let known = state.fleet.get(&member.id).map(|runner| &runner.member);
         let restarted = known.is_some_and(|known| known.born != member.born);
         let news = known.is_none_or(|known| restarted || known.phase != member.phase);
         let has_engine = state.has_engine(&member.service);
-        state.fleet.join(member.clone());
+        state.fleet.join(now, member.clone());
         drop(state);
         if news {
             let phase = format!("{:?}", member.phase);
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -70,6 +70,8 @@
     pub weights_mb: f64,
     /// The size of one of its adapters, in MB.
     pub adapter_mb: f64,
+    /// The time of a load of its weights from the weight store.
+    pub load: Duration,
 }
 
 /// The model engine of a service.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -74,6 +74,8 @@
 pub struct Runner {
     /// Its membership entry.
     pub member: Member,
+    /// When this incarnation was first heard of.
+    pub since: Time,
     /// The adapters there and on their way.
     pub held: Map<Name, Hold>,
     /// Requests of this entry that run or wait there.
@@ -144,7 +146,7 @@
     }
 
     /// Applies a membership entry.
-    pub fn join(&mut self, member: Member) {
+    pub fn join(&mut self, now: Time, member: Member) {
         let known = self.runners.get_mut(&member.id);
         if let Some(runner) = known
             && runner.member.born == member.born
@@ -159,7 +161,7 @@
             other.replaced |= same && other.member.born < member.born;
             replaced |= same && other.member.born > member.born;
         }
-        let mut runner = Runner::new(member);
+        let mut runner = Runner::new(now, member);
         runner.replaced = replaced;
         self.runners.insert(runner.member.id.clone(), runner);
     }
@@ -296,7 +298,7 @@
 }
 
 impl Runner {
-    fn new(member: Member) -> Self {
+    fn new(now: Time, member: Member) -> Self {
         let held = member
             .adapters
             .iter()
@@ -304,6 +306,7 @@
             .collect();
         Runner {
             key: hash::hash_text(&member.id),
+            since: now,
             member,
             held,
             inflight: 0,
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -63,6 +63,8 @@
     pub artifact: Option<&'a Artifact>,
     /// The oldest version that may run.
     pub required: u64,
+    /// The time of a load of the model's weights.
+    pub model_load: Duration,
     /// Runners that are not chosen.
     pub avoid: &'a [Name],
     /// The only runner that may be chosen, if it is bound to one.
@@ -110,9 +112,32 @@
     /// All of them are leaving.
     #[display("all runners are leaving")]
     Leaving,
-    /// Those that are left were tried or do not hold the model.
+    /// Those that are left were tried or do not answer.
     #[display("no runner is left to try")]
     Exhausted,
+    /// The model is on its way to those that are left; the time until the first one has it.
+    #[display("the model is being loaded")]
+    Loading(Duration),
+}
+
+impl NoRunner {
+    /// Returns the cause that says more of two.
+    fn or(self, other: NoRunner) -> NoRunner {
+        match (self, other) {
+            (NoRunner::Loading(a), NoRunner::Loading(b)) => NoRunner::Loading(a.min(b)),
+            (NoRunner::Loading(_), _) | (NoRunner::Exhausted, NoRunner::Leaving) => self,
+            (_, NoRunner::Unknown) => self,
+            _ => other,
+        }
+    }
+
+    /// Returns when a refused caller should return at the earliest, if that is known.
+    pub fn back_in(self) -> Option<Duration> {
+        match self {
+            NoRunner::Loading(left) => Some(left),
+            NoRunner::Unknown | NoRunner::Leaving | NoRunner::Exhausted => None,
+        }
+    }
 }
 
 impl Fleet {
@@ -133,7 +158,7 @@
             let weighed = match self.weigh(now, want, &ranks, runner) {
                 Ok(weighed) => weighed,
                 Err(cause) => {
-                    reason = cause;
+                    reason = reason.or(cause);
                     continue;
                 }
             };
@@ -182,7 +207,7 @@
         if want.avoid.contains(&runner.member.id) {
             return Err(NoRunner::Exhausted);
         }
-        let access = access(now, want, runner).ok_or(NoRunner::Exhausted)?;
+        let access = access(now, want, runner).ok_or_else(|| lacking(now, want, runner))?;
         // The requests ahead are served while the adapter is on its way.
         let queue = load_cost(runner, want.artifact.is_some());
         let mut wait = queue.max(access_wait(now, want, runner, access));
@@ -324,6 +349,16 @@
     }
 }
 
+/// Returns why a runner cannot serve a request although it takes others.
+fn lacking(now: Time, want: &Want<'_>, runner: &Runner) -> NoRunner {
+    let artifact = want.artifact;
+    if artifact.is_none_or(|artifact| runner.holds_model(&artifact.model)) {
+        return NoRunner::Exhausted;
+    }
+    let left = want.model_load.saturating_sub(now.since(runner.since));
+    NoRunner::Loading(left)
+}
+
 fn held(now: Time, hold: &Hold) -> Access {
     match hold.ready {
         None => Access::Ready {
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -5,6 +5,8 @@
 
 pub(crate) mod cases;
 
+use std::time::Duration;
+
 use decision::time::Time;
 use serving::fleet::Fleet;
 use serving::link::Place;
@@ -59,7 +61,7 @@
     let mut fleet = Fleet::new("z".into());
     for index in 0..count {
         let id = format!("r{index}");
-        fleet.join(member(&id));
+        fleet.join(now, member(&id));
         fleet.report(now, &id, &update(&[]));
     }
     fleet
@@ -77,6 +79,7 @@
         service: "chat",
         artifact: Some(artifact),
         required,
+        model_load: Duration::from_millis(600),
         avoid: &[],
         only: None,
     }
@@ -87,6 +90,7 @@
         service: "chat",
         artifact: None,
         required: 0,
+        model_load: Duration::ZERO,
         avoid: &[],
         only: None,
     }
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -124,7 +124,7 @@
     // A membership entry that was written before the drain does not take it back.
     let mut member = common::member("r0");
     member.phase = Phase::Ready;
-    fleet.join(member);
+    fleet.join(now, member);
     assert!(fleet.place(now, &mut rng, &want(&artifact, 0)).is_err());
 }
 
@@ -138,7 +138,7 @@
     let lease = fleet.begin(&Name::from("r0"), None, 0).expect("a lease");
     let mut member = common::member("r0");
     member.born = 99;
-    fleet.join(member);
+    fleet.join(now, member);
     let runner = fleet.get("r0").expect("the runner");
     assert!(runner.held.is_empty());
     assert_eq!(runner.inflight, 0);
@@ -160,7 +160,7 @@
     let mut successor = common::member("r9");
     successor.born = 5;
     successor.addr = common::member("r0").addr;
-    fleet.join(successor.clone());
+    fleet.join(now, successor.clone());
     for _ in 0..20 {
         let placed = fleet.place(now, &mut rng, &common::plain());
         assert_ne!(&*placed.expect("a runner").runner, "r0");
@@ -172,7 +172,7 @@
     let mut late = common::member("r8");
     late.born = 0;
     late.addr = successor.addr;
-    fleet.join(late);
+    fleet.join(now, late);
     assert!(fleet.get("r8").is_some_and(|runner| runner.replaced));
 }
 
@@ -217,6 +217,27 @@
     assert_eq!(again.replica, None, "holders are added one at a time");
 }
 
+#[test]
+fn caller_returns_when_the_first_runner_has_the_model() {
+    // After a power loss all runners are empty, and each load of the model takes as long.
+    let artifact = chat(1);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = Fleet::new("z".into());
+    for (id, ms) in [("r0", 1_000), ("r1", 1_200)] {
+        let mut member = common::member(id);
+        member.models.clear();
+        fleet.join(Time::from_ms(ms), member);
+    }
+    let mut refused = |ms| {
+        let now = Time::from_ms(ms);
+        let placed = fleet.place(now, &mut rng, &want(&artifact, 0));
+        placed.map_err(NoRunner::back_in)
+    };
+    let ms = Duration::from_millis;
+    assert_eq!(refused(1_250), Err(Some(ms(350))), "the first one's load");
+    assert_eq!(refused(1_900), Err(Some(ms(0))), "it is overdue");
+}
+
 #[test]
 fn home_with_a_long_queue_of_loads_passes_adapters_on() {
     // A crash wave sends the adapters of several runners to the homes that are left.
