Refuse requests that an entry cannot keep up with

Cause: entries have 160 to 512 MB and 0.09 to 0.5 of a core, and nothing but the number of connections was sized by that. A guard now bounds requests in progress by the memory that the settings state, and refuses, the least urgent first, once the process ran late three times in a row (100 and 200 ms). One long pause, as after a freeze, does not count.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -38,6 +38,8 @@
 
 /// The wait before the return of a caller that an entry without a configuration refuses.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(400);
+/// The same for an entry that cannot keep up.
+const OVERLOAD_RETRY: Duration = Duration::from_millis(500);
 /// The bounds of the wait before the return of a refused caller, and the random part on top of it.
 const RETRY_MIN: Duration = Duration::from_millis(150);
 const RETRY_MAX: Duration = Duration::from_millis(1_500);
@@ -119,6 +121,11 @@
         info!("no route", kv: { id = &*id, host = &*head.request.host, path, config = version });
         return own(&entry, Own::NoRoute, Some(&id));
     };
+    let inflight = entry.metrics.inflight.get().try_into().unwrap_or(0);
+    if !entry.state().overload.admits(inflight, route.priority) {
+        warn!("request refused, the entry is overloaded", kv: { id = &*id, inflight });
+        return own(&entry, Own::Refused(OVERLOAD_RETRY), Some(&id));
+    }
     let body = match read_body(incoming, &config.limits).await {
         Ok(body) => body,
         Err(answer) => {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -26,6 +26,7 @@
 use serving::fleet::Fleet;
 use serving::members::Change;
 use serving::members::Members;
+use serving::overload::Overload;
 use serving::request::Artifact;
 use serving::runner::Member;
 use serving::versions::Versions;
@@ -55,6 +56,8 @@
     pub versions: Versions,
     /// The second attempts that are left.
     pub budget: Budget,
+    /// Whether the entry keeps up with its own load.
+    pub overload: Overload,
     /// The source of random choices.
     pub rng: fastrand::Rng,
     members: Members,
@@ -120,6 +123,7 @@
             fleet: Fleet::new(settings.domain.as_str().into()),
             versions: Versions::default(),
             budget: Budget::new(allowance, ASSUMED_ENTRIES),
+            overload: Overload::new(settings.memory_mb),
             rng: fastrand::Rng::new(),
             members: Members::default(),
             has_members: false,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -19,6 +19,7 @@
 use spdlog::info;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::entry::Entry;
 use crate::front;
@@ -33,6 +34,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// The pause between two rounds of upkeep.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause between two measurements of the scheduling delay.
+const DELAY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A process that cannot start or go on.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -100,6 +103,7 @@
             tokio::spawn(follow(entry.clone(), Table::Operator)),
             tokio::spawn(follow(entry.clone(), Table::Members)),
             tokio::spawn(upkeep(entry.clone())),
+            tokio::spawn(measure_delay(entry.clone())),
             tokio::spawn(front::serve_ready(entry.clone(), ready)),
         ];
         let serve = tokio::spawn(front::serve(entry.clone(), callers, stopped));
@@ -155,6 +159,15 @@
     }
 }
 
+/// Measures how late the process gets to run.
+async fn measure_delay(entry: Arc<Entry>) {
+    loop {
+        let due = Instant::now() + DELAY_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        entry.state().overload.delayed(due.elapsed());
+    }
+}
+
 /// Reads the settings again. The ones that shape running connections apply from the next start.
 fn reload(entry: &Arc<Entry>, path: &Path) {
     match ::process::settings::load::<settings::Entry>(path) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod link;
 pub mod members;
+pub mod overload;
 pub mod place;
 pub mod request;
 pub mod runner;
