End an entry in time beside requests that do not end

Cause: a soak run of a broken program (no wait for requests at a stop) showed an entry that ran 8 s after SIGTERM.

--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -20,6 +20,7 @@
 use serving::Name;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// The time for opening a connection; a lost packet is sent again only after about a second.
@@ -69,6 +70,7 @@
 pub struct Conns {
     idle: Mutex<Map<Name, Vec<Idle>>>,
     tasks: TaskTracker,
+    cut: CancellationToken,
 }
 
 impl Conns {
@@ -103,8 +105,9 @@
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| error(e.to_string()))?;
         // The task ends with the connection; what went wrong is told to the request on it.
+        let cut = self.cut.clone();
         let task = self.tasks.spawn(async move {
-            let _ = connection.await;
+            let _ = cut.run_until_cancelled(connection).await;
         });
         Ok(Conn {
             sender,
@@ -142,9 +145,10 @@
         }
     }
 
-    /// Closes all idle connections and waits for the end of all others.
+    /// Closes all connections.
     pub async fn stop(&self) {
         self.idle.lock().expect("no panics under the lock").clear();
+        self.cut.cancel();
         self.tasks.close();
         self.tasks.wait().await;
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -25,6 +25,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::dispatch;
@@ -58,8 +59,13 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers until `stopped`, then waits for the requests that are in progress.
-pub async fn serve(entry: Arc<Entry>, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
+/// Accepts callers until `stopped`, then waits for the requests that are in progress, until `cut`.
+pub async fn serve(
+    entry: Arc<Entry>,
+    listener: TcpListener,
+    mut stopped: watch::Receiver<bool>,
+    cut: CancellationToken,
+) {
     let tasks = TaskTracker::new();
     let limit = entry
         .settings
@@ -73,7 +79,8 @@
         };
         match accepted {
             Ok((stream, _)) if tasks.len() < limit => {
-                tasks.spawn(serve_caller(entry.clone(), stream, stopped.clone()));
+                let caller = serve_caller(entry.clone(), stream, stopped.clone());
+                tasks.spawn(cut.clone().run_until_cancelled_owned(caller));
             }
             Ok(_) => warn!("connection closed, too many are open", kv: { open = tasks.len() }),
             Err(error) => {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::entry::Entry;
 use crate::front;
@@ -75,6 +76,7 @@
     /// The entry.
     pub entry: Arc<Entry>,
     stop: watch::Sender<bool>,
+    cut: CancellationToken,
     serve: JoinHandle<()>,
     others: Vec<JoinHandle<()>>,
     ops: Ops,
@@ -99,6 +101,7 @@
             .change_context(Failure::Bind)?;
         let ops = start_ops(&entry).await?;
         let (stop, stopped) = watch::channel(false);
+        let cut = CancellationToken::new();
         let others = vec![
             tokio::spawn(follow(entry.clone(), Table::Operator)),
             tokio::spawn(follow(entry.clone(), Table::Members)),
@@ -106,10 +109,11 @@
             tokio::spawn(measure_delay(entry.clone())),
             tokio::spawn(front::serve_ready(entry.clone(), ready)),
         ];
-        let serve = tokio::spawn(front::serve(entry.clone(), callers, stopped));
+        let serve = tokio::spawn(front::serve(entry.clone(), callers, stopped, cut.clone()));
         Ok(Running {
             entry,
             stop,
+            cut,
             serve,
             others,
             ops,
@@ -122,7 +126,8 @@
         let Running {
             entry,
             stop,
-            serve,
+            cut,
+            mut serve,
             others,
             ops,
         } = self;
@@ -136,9 +141,12 @@
         let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s);
         let limit = begun.after(grace.saturating_sub(STOP_MARGIN));
         let limit = entry.timer.instant(limit);
-        if tokio::time::timeout_at(limit, serve).await.is_err() {
+        if tokio::time::timeout_at(limit, &mut serve).await.is_err() {
             let inflight = entry.metrics.inflight.get();
             info!("requests cut off at the stop", kv: { inflight });
+            cut.cancel();
+            // A panic was printed where it happened, and the process ends anyway.
+            let _ = serve.await;
         }
         for task in others {
             task.abort();
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -20,6 +20,8 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use rig::runner::LONG_ANSWER;
+
 use crate::history::Call;
 use crate::history::End;
 use crate::history::Kind;
@@ -129,9 +131,9 @@
         self.sent += 1;
         let id = format!("{}.{}", self.name, self.sent);
         let kind = self.kind();
-        let request = self.request(&id, kind)?;
-        let sent = self.scene.now();
         let leaves = self.rng.f64() < LEAVING;
+        let request = self.request(&id, kind, leaves)?;
+        let sent = self.scene.now();
         let patience = if leaves {
             Duration::from_millis(self.rng.u64(LEAVE_MS))
         } else {
@@ -181,8 +183,10 @@
         }
     }
 
-    fn request(&mut self, id: &str, kind: Kind) -> Option<Request<Empty<Bytes>>> {
-        let mut request = Request::get(format!("/{kind}/x"))
+    /// Returns a request; a caller that is going to leave asks for an answer that takes long.
+    fn request(&mut self, id: &str, kind: Kind, leaves: bool) -> Option<Request<Empty<Bytes>>> {
+        let end = if leaves { LONG_ANSWER } else { "/x" };
+        let mut request = Request::get(format!("/{kind}{end}"))
             .header("host", "a.example")
             .header("x-request-id", id)
             .header("x-deadline-ms", DEADLINE.as_millis().to_string());
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -231,7 +231,7 @@
     let (_, at) = leaving.find(|(runner, _)| *runner == arrival.runner)?;
     let call = index.calls.get(&*arrival.request)?;
     let late = arrival.begun > at + history.bounds.drain;
-    let excused = !history.in_touch(call.entry, *at, arrival.begun)
+    let excused = !history.in_touch(call.entry, call.sent, arrival.begun)
         || !history.reachable(&arrival.runner, call.sent, arrival.begun);
     let detail = || format!("{} ms after {} left", arrival.begun - at, arrival.runner);
     (late && !excused).then(|| breach(Promise::Drain, &call.id, detail()))
@@ -245,8 +245,12 @@
             && newer > version
             && arrival.ran
             && arrival.begun > at + history.bounds.version
-            && history.in_touch(call.entry, *at, arrival.begun)
-            && history.reachable(&arrival.runner, *at, arrival.begun)
+            && history.is_calm(
+                call.entry,
+                arrival.begun - history.bounds.version,
+                arrival.begun,
+            )
+            && history.is_clear(&arrival.runner, call.sent, arrival.begun)
     });
     let (_, newer, at) = outdated?;
     let age = arrival.begun - at;
@@ -273,12 +277,15 @@
         };
         let (from, to) = validity(history, version)?;
         let current = call.sent > from + bound && to.is_none_or(|to| call.ended < to);
-        if current && call.status() == Some(404) && history.in_touch(call.entry, from, call.ended) {
+        if current
+            && call.status() == Some(404)
+            && history.in_touch(call.entry, call.sent, call.ended)
+        {
             let detail = format!("no route {} ms after its ack", call.sent - from);
             return Some(breach(Promise::Manifest, &call.id, detail));
         }
         let to = to?;
-        let dropped = call.sent > to + bound && history.in_touch(call.entry, to, call.ended);
+        let dropped = call.sent > to + bound && history.in_touch(call.entry, call.sent, call.ended);
         let detail = || format!("served {} ms after its route was dropped", call.sent - to);
         (dropped && call.is_served()).then(|| breach(Promise::Manifest, &call.id, detail()))
     };
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -166,7 +166,8 @@
         Ok(())
     }
 
-    /// Lets a plain runner take the address of a crashed one before the membership names it.
+    /// Lets a runner of another service take the address of a crashed one while the membership still
+    /// names the latter.
     async fn reuse(&self, index: usize) -> Result<(), Report<Failure>> {
         let span = self.open(Target::Runner(index), false);
         let mut place = self.places[index].runner.lock().await;
@@ -175,9 +176,10 @@
             self.collect(&runner);
             let id = runner.id.clone();
             runner.stop().await;
-            let other = self.bear(index, "t").await?;
+            let other = self.start_runner(index, "t").await?;
             tokio::time::sleep(LAPSE).await;
             self.leave(&id);
+            self.announce(index, &other, "ready");
             tokio::time::sleep(DRAIN_TIME).await;
             self.lose(other).await;
         }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -236,6 +236,11 @@
 
     /// Returns whether an entry was in touch from `from` to `to`.
     pub fn in_touch(&self, entry: usize, from: Ms, to: Ms) -> bool {
+        self.is_calm(entry, from.saturating_sub(self.bounds.contact), to)
+    }
+
+    /// Returns whether nothing happened to an entry or to the store from `from` to `to`.
+    pub fn is_calm(&self, entry: usize, from: Ms, to: Ms) -> bool {
         !self.disturbed(from, to, |span| {
             matches!(span.target, Target::Store) || span.target == Target::Entry(entry)
         })
@@ -243,13 +248,19 @@
 
     /// Returns whether nothing but planned stops and reloads happened to an entry.
     pub fn only_planned(&self, entry: usize, from: Ms, to: Ms) -> bool {
+        let from = from.saturating_sub(self.bounds.contact);
         !self.disturbed(from, to, |span| {
             span.target == Target::Entry(entry) && !span.planned
         })
     }
 
-    /// Returns whether the way to a runner was undisturbed.
+    /// Returns whether the way to a runner was undisturbed from `from` to `to`, and long enough before.
     pub fn reachable(&self, runner: &str, from: Ms, to: Ms) -> bool {
+        self.is_clear(runner, from.saturating_sub(self.bounds.contact), to)
+    }
+
+    /// Returns whether nothing happened to the way to a runner from `from` to `to`.
+    pub fn is_clear(&self, runner: &str, from: Ms, to: Ms) -> bool {
         let position = position(runner);
         !self.disturbed(from, to, |span| {
             position.is_some_and(|index| span.target == Target::Runner(index))
@@ -257,7 +268,6 @@
     }
 
     fn disturbed(&self, from: Ms, to: Ms, concerns: impl Fn(&Span) -> bool) -> bool {
-        let from = from.saturating_sub(self.bounds.contact);
         let mut spans = self.spans.iter();
         spans.any(|span| concerns(span) && span.from <= to && span.to >= from)
     }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -359,6 +359,17 @@
         &self,
         index: usize,
         service: &str,
+    ) -> Result<Runner, Report<Failure>> {
+        let runner = self.start_runner(index, service).await?;
+        self.announce(index, &runner, "ready");
+        Ok(runner)
+    }
+
+    /// Starts a new incarnation that the membership does not name yet.
+    pub(crate) async fn start_runner(
+        &self,
+        index: usize,
+        service: &str,
     ) -> Result<Runner, Report<Failure>> {
         let birth = self.births.fetch_add(1, Ordering::SeqCst) + 1;
         let id = format!("{service}-{index}.{birth}");
@@ -373,9 +384,7 @@
             engine,
             ..Spec::plain(&id)
         });
-        let runner = runner.await.change_context(Failure::StandIn)?;
-        self.announce(index, &runner, "ready");
-        Ok(runner)
+        runner.await.change_context(Failure::StandIn)
     }
 
     pub(crate) fn announce(&self, index: usize, runner: &Runner, state: &str) {
