--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -94,6 +94,8 @@
     pub(crate) service: Name,
     pub(crate) avoid: Vec<Name>,
     pub(crate) held: Duration,
+    /// The time from the arrival to the answer or its first event.
+    pub(crate) first: Duration,
     pub(crate) sends: u32,
     pub(crate) last: Option<Placed>,
     pub(crate) meaning: Option<Meaning>,
@@ -149,6 +151,7 @@
         service,
         avoid: Vec::new(),
         held: Duration::ZERO,
+        first: Duration::ZERO,
         sends: 0,
         last: None,
         meaning: None,
@@ -208,8 +211,9 @@
         }
     }
 
-    fn observe_first(&self) {
+    fn observe_first(&mut self) {
         let age = self.entry.now().since(self.arrival);
+        self.first = age;
         self.entry.metrics.first_s.observe(age.as_secs_f64());
         self.entry.metrics.hold_s.observe(self.held.as_secs_f64());
     }
@@ -254,6 +258,8 @@
         info!("request ended", kv: {
             id = &*self.head.request.id, outcome, route = &*self.route.name, runner,
             sends = self.sends, held_ms = self.held.as_millis() as u64,
+            tokens = self.head.request.prompt_tokens,
+            first_ms = self.first.as_millis() as u64, goal_ms = self.route.goal.as_millis() as u64,
             total_ms = self.entry.now().since(self.arrival).as_millis() as u64
         });
     }
