--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -26,6 +26,8 @@
 
 /// The pause between a runner's crash and the end of its membership entry.
 const LAPSE: Duration = Duration::from_millis(800);
+/// The same where another runner has taken its address by then.
+const REUSE_LAPSE: Duration = Duration::from_millis(1_800);
 /// The time that a leaving runner still takes part.
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
 
@@ -177,7 +179,7 @@
             let id = runner.id.clone();
             runner.stop().await;
             let other = self.start_runner(index, "t").await?;
-            tokio::time::sleep(LAPSE).await;
+            tokio::time::sleep(REUSE_LAPSE).await;
             self.leave(&id);
             self.announce(index, &other, "ready");
             tokio::time::sleep(DRAIN_TIME).await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -143,7 +143,7 @@
     } else {
         Program::Agent(agent)
     };
-    match rng.u32(..30) {
+    match rng.u32(..32) {
         0 => Fault::StoreDown(long),
         1 => Fault::HistoryGone,
         2 | 3 => Fault::StoreLink(entry, harm(rng), long),
@@ -155,10 +155,10 @@
         13..=15 => Fault::Stop(program),
         16 => Fault::Reload(entry),
         17 | 18 => Fault::Crash(runner, short),
-        19 => Fault::Reuse(runner),
-        20 | 21 => Fault::Drain(runner),
-        22..=24 => Fault::Manifest,
-        25 | 26 => Fault::Full(runner, long),
+        19..=21 => Fault::Reuse(runner),
+        22 | 23 => Fault::Drain(runner),
+        24..=26 => Fault::Manifest,
+        27 | 28 => Fault::Full(runner, long),
         _ => Fault::Version(rng.usize(..ADAPTERS)),
     }
 }
