Move engines and outcomes of the fault matrix out of its agents

crates/faults/src/agents.rs had 673 lines for three jobs: agents, the engines beside them, and the writes of outcomes to claim rows. Engines go to engine.rs, which had their state already, outcomes to a module of their own. No behavior changes; the fault matrix passes as before.

--- a/crates/faults/src/agents.rs
+++ b/crates/faults/src/agents.rs
@@ -3,11 +3,8 @@
 use decision::agent::Action;
 use decision::agent::AgentConfig;
 use decision::agent::AgentCore;
-use decision::agent::CommandFault;
 use decision::agent::Ended;
 use decision::agent::Event;
-use decision::agent::Finish;
-use decision::claim::ClaimRow;
 use decision::collections::Map;
 use decision::drain::Reason;
 use decision::ids::Incarnation;
@@ -28,9 +25,7 @@
 use crate::platform::TableReply;
 use crate::platform::Value;
 use crate::platform::Write;
-use crate::record::CHUNKS;
 use crate::record::Piece;
-use crate::record::Run;
 use crate::record::Stop;
 use crate::world::Asker;
 use crate::world::AtEngine;
@@ -44,13 +39,6 @@
 use crate::world::ToEntry;
 use crate::world::World;
 
-/// The time that a load takes.
-const LOAD: u64 = 250 * MS;
-/// The time between two chunks.
-const CHUNK: u64 = 40 * MS;
-/// The tries to write an outcome to a claim row.
-const OUTCOME_TRIES: u32 = 10;
-
 /// One agent process.
 #[derive(Debug)]
 pub(crate) struct AgentProc {
@@ -63,7 +51,7 @@
     /// The attempts that were accepted and have no end.
     open: decision::collections::Set<Key>,
     /// The claim rows of attempts.
-    rows: Map<Key, String>,
+    pub(crate) rows: Map<Key, String>,
     peers: Vec<Name>,
     pub(crate) stopping: bool,
     /// Whether the start has passed its first lease call.
@@ -475,53 +463,6 @@
         self.send_entry(flight.entry, message);
     }
 
-    fn write_outcome(&mut self, pid: usize, key: Key, outcome: Outcome, tries: u32) {
-        if let Some(row) = self.agents[pid].rows.get(&key).cloned() {
-            let asker = Asker::Outcome(pid, key, outcome, tries);
-            self.table(Op::Read(row), asker);
-        }
-    }
-
-    /// Goes on with the write of an outcome after the table responded.
-    fn claim_row(&mut self, pid: usize, key: Key, outcome: Outcome, tries: u32, reply: TableReply) {
-        let own = self.agents[pid].own;
-        let done = match reply {
-            TableReply::Row(Some((version, Value::Claim(row)))) => {
-                match row.ended(key.request, key.attempt, own, outcome) {
-                    Some(row) => {
-                        let key = key_of(&self.agents[pid].rows, key);
-                        return self.write_row(pid, key, version, row, outcome, tries);
-                    }
-                    None => true,
-                }
-            }
-            TableReply::Row(_) | TableReply::Done(_) => true,
-            _ => tries >= OUTCOME_TRIES,
-        };
-        match done {
-            true => self.give(pid, Event::ClaimWritten(key)),
-            false => self.write_outcome(pid, key, outcome, tries + 1),
-        }
-    }
-
-    fn write_row(
-        &mut self,
-        pid: usize,
-        (key, row_key): (Key, String),
-        version: u64,
-        row: ClaimRow,
-        outcome: Outcome,
-        tries: u32,
-    ) {
-        let write = Write {
-            key: row_key,
-            version,
-            value: Value::Claim(row),
-        };
-        let asker = Asker::Outcome(pid, key, outcome, tries);
-        self.table(Op::Tx(vec![write]), asker);
-    }
-
     fn leave(&mut self, pid: usize) {
         if !self.agents[pid].stopping {
             return;
@@ -538,136 +479,11 @@
         self.update_list();
     }
 
-    pub(crate) fn engine_event(&mut self, index: usize, event: AtEngine) {
-        match event {
-            AtEngine::Command(pid, command) => self.engine_command(index, pid, command),
-            AtEngine::Loaded(pid, version, epoch, whole) => {
-                let engine = &mut self.engines[index];
-                let kept = whole && engine.epoch == epoch;
-                if kept {
-                    engine.resident.insert(version.clone());
-                }
-                let result = if kept {
-                    Ok(())
-                } else {
-                    Err(CommandFault::Failed)
-                };
-                self.tell_core(pid, Event::LoadEnded(version, result));
-            }
-            AtEngine::Chunk(run, chunk) => {
-                if let Some(held) = self.engines[index].running.get(&run) {
-                    let (pid, key) = (held.pid, held.key);
-                    let piece = Piece { run, index: chunk };
-                    self.at(MS, Happening::Agent(pid, ToAgent::Chunk(key, piece)));
-                }
-            }
-            AtEngine::Ended(run) => {
-                if let Some(held) = self.engines[index].running.remove(&run) {
-                    self.tell_core(held.pid, Event::AnswerEnd(held.key, Finish::Whole));
-                }
-            }
-            AtEngine::Up(epoch) => {
-                let engine = &mut self.engines[index];
-                engine.up |= engine.epoch == epoch;
-            }
-            AtEngine::Warm => self.engines[index].cold_ms = 0,
-        }
-    }
-
-    fn tell_core(&mut self, pid: usize, event: Event) {
+    pub(crate) fn tell_core(&mut self, pid: usize, event: Event) {
         self.at(MS, Happening::Agent(pid, ToAgent::Core(Box::new(event))));
     }
 
-    fn engine_command(&mut self, index: usize, pid: usize, command: Command) {
-        if let Command::Submit(key, served, call) = command {
-            return self.start_run(index, pid, key, served, call);
-        }
-        let engine = &mut self.engines[index];
-        match command {
-            Command::Load(version, token) => {
-                let whole = engine.failing == 0;
-                engine.failing = engine.failing.saturating_sub(1);
-                if !engine.admit(token) {
-                    let event = Event::LoadEnded(version, Err(CommandFault::Fenced));
-                    return self.tell_core(pid, event);
-                }
-                let loaded = AtEngine::Loaded(pid, version, engine.epoch, whole && engine.up);
-                let time = if whole { LOAD } else { LOAD / 2 };
-                self.at(time, Happening::Engine(index, loaded));
-            }
-            Command::Unload(version, token) => {
-                if !engine.admit(token) {
-                    let event = Event::UnloadEnded(version, Err(CommandFault::Fenced));
-                    return self.tell_core(pid, event);
-                }
-                if engine.uses(&version) {
-                    self.record.torn.push(version.clone());
-                }
-                engine.resident.remove(&version);
-                self.tell_core(pid, Event::UnloadEnded(version, Ok(())));
-            }
-            Command::Cancel(key) => {
-                let ours = |held: &crate::engine::Running| held.pid == pid && held.key == key;
-                let found = engine.running.iter().find(|(_, held)| ours(held));
-                if let Some((run, _)) = found.map(|(run, held)| (*run, held.key)) {
-                    engine.running.remove(&run);
-                    let finish = Finish::Broken(Failure::Truncated);
-                    self.tell_core(pid, Event::AnswerEnd(key, finish));
-                }
-            }
-            Command::Read(epoch) => {
-                let names = engine.up.then(|| engine.resident.iter().cloned().collect());
-                self.tell_core(pid, Event::Resident { epoch, names });
-            }
-            Command::Submit(..) => {}
-        }
-    }
-
-    fn start_run(&mut self, index: usize, pid: usize, key: Key, served: Name, call: usize) {
-        let entry = self.calls[call].entry;
-        self.inject_at(Step::Submit, Subject::both(entry, pid));
-        let engine = &mut self.engines[index];
-        if !engine.serves(&served) {
-            return self.tell_core(pid, Event::AnswerEnd(key, Finish::NotRun));
-        }
-        let run = self.record.runs.len();
-        let cold = engine.cold_ms * MS;
-        self.record.runs.push(Run {
-            call,
-            served: served.clone(),
-            endpoint: engine.name.clone(),
-        });
-        let held = crate::engine::Running { pid, key, served };
-        engine.running.insert(run, held);
-        for chunk in 0..CHUNKS {
-            let event = AtEngine::Chunk(run, chunk);
-            self.at(cold + (chunk + 1) * CHUNK, Happening::Engine(index, event));
-        }
-        let end = cold + CHUNKS * CHUNK + 5 * MS;
-        self.at(end, Happening::Engine(index, AtEngine::Ended(run)));
-    }
-
-    /// Restarts an engine, which is down for `pause`.
-    pub(crate) fn restart_engine(&mut self, index: usize, pause: u64) {
-        let engine = &mut self.engines[index];
-        engine.epoch += 1;
-        engine.up = false;
-        engine.resident.clear();
-        let epoch = engine.epoch;
-        let mut broken: Vec<_> = engine.running.drain().collect();
-        broken.sort_unstable_by_key(|(run, _)| *run);
-        for (_, held) in broken {
-            let finish = Finish::Broken(Failure::Truncated);
-            self.tell_core(held.pid, Event::AnswerEnd(held.key, finish));
-        }
-        self.at(pause, Happening::Engine(index, AtEngine::Up(epoch)));
-    }
-
     pub(crate) fn engine_of(&self, pid: usize) -> usize {
         self.agents[pid].engine
     }
 }
-
-fn key_of(rows: &Map<Key, String>, key: Key) -> (Key, String) {
-    (key, rows.get(&key).cloned().unwrap_or_default())
-}
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -14,6 +14,7 @@
 mod inject;
 pub mod matrix;
 pub mod mutant;
+mod outcomes;
 pub mod page;
 mod platform;
 mod publisher;
