--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -216,8 +216,8 @@
         }
     }
 
-    /// Waits until a call about another table has failed, so that one about this table may be
-    /// waiting on a connection that carries nothing any more.
+    /// Waits until a call about another table has failed. A call about this table may then be waiting
+    /// on a connection that carries nothing any more.
     pub async fn store_doubted(&self, table: Table) {
         match table {
             Table::Operator => self.members_lost.notified().await,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,9 @@
 use soak::world::Paths;
 use soak::world::run;
 
+/// The largest deployment, in times of the usual one.
+const MAX_SCALE: usize = 20;
+
 /// Plays faults against the real programs and checks their promises.
 #[derive(Debug, Options)]
 struct Args {
@@ -28,6 +31,13 @@
         meta = "N"
     )]
     count: u64,
+    #[options(
+        no_short,
+        help = "how many times the usual size, at most 20",
+        default = "1",
+        meta = "N"
+    )]
+    scale: usize,
     #[options(
         help = "the directory with the two programs; this program's own by default",
         meta = "DIR"
@@ -63,15 +73,18 @@
     let programs = args.programs.clone().unwrap_or(own);
     let logs = args.logs.clone();
     let logs = logs.unwrap_or_else(|| std::env::temp_dir().join("dotterelwheel-soak"));
+    // Each entry and runner has an address of its own, and there are 250 of them.
+    let scale = args.scale.clamp(1, MAX_SCALE);
+    let size = Size::USUAL.times(scale);
     let mut failed = 0;
     for seed in args.seed..args.seed + args.count {
         let paths = Paths {
             programs: programs.clone(),
             logs: logs.join(format!("{seed}-{}", std::process::id())),
         };
-        let history = run(seed, args.seconds * 1_000, Size::USUAL, &paths).await?;
+        let history = run(seed, args.seconds * 1_000, size, &paths).await?;
         let breaches = breaches(&history);
-        print!("{}", report(seed, args.seconds, &history, &breaches));
+        print!("{}", report(seed, args.seconds, scale, &history, &breaches));
         if breaches.is_empty() {
             std::fs::remove_dir_all(&paths.logs).change_context(Failure::Files)?;
         } else {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -26,6 +26,16 @@
         callers: 12,
     };
 
+    /// Returns the size with so many times as many of everything.
+    pub fn times(self, scale: usize) -> Size {
+        Size {
+            entries: self.entries * scale,
+            engines: self.engines * scale,
+            plain: self.plain * scale,
+            callers: self.callers * scale,
+        }
+    }
+
     /// Returns all runners.
     pub fn runners(self) -> usize {
         self.engines + self.plain
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -11,7 +11,13 @@
 const MAX_BREACHES: usize = 20;
 
 /// Returns the report of a run as text.
-pub fn report(seed: u64, seconds: u64, history: &History, breaches: &[Breach]) -> String {
+pub fn report(
+    seed: u64,
+    seconds: u64,
+    scale: usize,
+    history: &History,
+    breaches: &[Breach],
+) -> String {
     let mut text = String::new();
     let served = history.calls.iter().filter(|call| call.is_served()).count();
     let runs = history
@@ -32,12 +38,12 @@
         let _ = writeln!(text, "broken: {breach}");
     }
     if !breaches.is_empty() {
-        for (at, fault) in plan::plan(seed, seconds * 1_000, Size::USUAL) {
+        for (at, fault) in plan::plan(seed, seconds * 1_000, Size::USUAL.times(scale)) {
             let _ = writeln!(text, "fault at {at} ms: {fault}");
         }
         let _ = writeln!(
             text,
-            "repeat: dotterelwheel-soak --seed {seed} --seconds {seconds}"
+            "repeat: dotterelwheel-soak --seed {seed} --seconds {seconds} --scale {scale}"
         );
     }
     text
