--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -175,9 +175,7 @@
         let mut place = self.places[index].runner.lock().await;
         let lost = place.take();
         if let Some(runner) = lost {
-            self.collect(&runner);
-            let id = runner.id.clone();
-            runner.stop().await;
+            let id = self.end_runner(runner).await;
             let other = self.start_runner(index, "t").await?;
             tokio::time::sleep(REUSE_LAPSE).await;
             self.leave(&id);
@@ -209,9 +207,7 @@
 
     /// Ends a runner; its membership entry lapses a little later.
     async fn lose(&self, runner: Runner) {
-        self.collect(&runner);
-        let id = runner.id.clone();
-        runner.stop().await;
+        let id = self.end_runner(runner).await;
         tokio::time::sleep(LAPSE).await;
         self.leave(&id);
     }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -406,19 +406,21 @@
         at.saturating_duration_since(self.start).as_millis() as Ms
     }
 
-    /// Takes over what a runner has recorded; called once, when it ends.
-    pub(crate) fn collect(&self, runner: &Runner) {
-        let arrivals = runner.arrivals().into_iter().map(|arrival| Arrival {
+    /// Ends a runner and takes over what it has recorded; returns its identifier.
+    pub(crate) async fn end_runner(&self, runner: Runner) -> String {
+        let (id, service) = (runner.id.clone(), runner.service.clone());
+        let (arrivals, accepted) = runner.stop().await;
+        let arrivals = arrivals.into_iter().map(|arrival| Arrival {
             runner: arrival.runner,
-            service: runner.service.clone(),
+            service: service.clone(),
             request: arrival.request,
             ran: arrival.ran,
             adapter: arrival.adapter,
             begun: self.ms(arrival.begun),
             ended: arrival.ended.map(|at| self.ms(at)),
         });
-        let orders = runner.accepted().into_iter().map(|order| Order {
-            runner: runner.id.clone(),
+        let orders = accepted.into_iter().map(|order| Order {
+            runner: id.clone(),
             holder: order.holder,
             at: self.ms(order.at),
             over: order.over,
@@ -426,6 +428,8 @@
         let mut history = self.history();
         history.arrivals.extend(arrivals);
         history.orders.extend(orders);
+        drop(history);
+        id
     }
 
     async fn stop(self) -> Result<History, Report<Failure>> {
@@ -436,8 +440,7 @@
         }
         for place in &self.places {
             if let Some(runner) = place.runner.lock().await.take() {
-                self.collect(&runner);
-                runner.stop().await;
+                self.end_runner(runner).await;
             }
         }
         for place in self.places {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,14 +7,15 @@
 //! Invariants: faults are counted or switched, never random; a fault that is said to have no effect
 //! has none; `stop` returns after all tasks of the stand-in have ended.
 //!
-//! API boundary: processes under test know a stand-in only by its address.
+//! API boundary: processes under test know a stand-in only by its address; stand-ins of other
+//! protocols build on [`server`] and [`reply`].
 
 pub mod calls;
 pub mod engine;
 pub mod members;
 pub mod objects;
-mod reply;
-mod server;
+pub mod reply;
+pub mod server;
 pub mod service;
 pub mod switches;
 pub mod table;
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -15,14 +15,16 @@
 /// The connection is closed at this point, in place of a response or of the rest of one.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("connection cut")]
-pub(crate) struct Cut;
+pub struct Cut;
 
-pub(crate) type Body = UnsyncBoxBody<Bytes, Cut>;
+/// The body of a response; its error closes the connection.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
-pub(crate) type Reply = Result<Response<Body>, Cut>;
+/// A response, or the end of the connection in place of one.
+pub type Reply = Result<Response<Body>, Cut>;
 
 /// Returns a response with a whole body.
-pub(crate) fn whole(status: StatusCode, content: &str, data: impl Into<Bytes>) -> Reply {
+pub fn whole(status: StatusCode, content: &str, data: impl Into<Bytes>) -> Reply {
     let body = Full::new(data.into())
         .map_err(|e| match e {})
         .boxed_unsync();
@@ -30,7 +32,7 @@
 }
 
 /// Returns a response with any body.
-pub(crate) fn typed(status: StatusCode, content: &str, body: Body) -> Reply {
+pub fn typed(status: StatusCode, content: &str, body: Body) -> Reply {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     if let Ok(value) = content.parse() {
@@ -42,34 +44,34 @@
 }
 
 /// Returns a JSON response.
-pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
     let data = serde_json::to_vec(value).expect("replies have string keys");
     whole(status, "application/json", data)
 }
 
 /// Returns a response without content.
-pub(crate) fn empty(status: StatusCode) -> Reply {
+pub fn empty(status: StatusCode) -> Reply {
     whole(status, "text/plain", Bytes::new())
 }
 
 /// Returns an error response of the OpenAI form.
-pub(crate) fn error(status: StatusCode, message: &str) -> Reply {
+pub fn error(status: StatusCode, message: &str) -> Reply {
     let error = serde_json::json!({"message": message, "code": status.as_u16()});
     json(status, &serde_json::json!({ "error": error }))
 }
 
 /// Returns the response to a request whose body is not what the protocol asks for.
-pub(crate) fn malformed(problem: &serde_json::Error) -> Reply {
+pub fn malformed(problem: &serde_json::Error) -> Reply {
     error(StatusCode::BAD_REQUEST, &problem.to_string())
 }
 
 /// Returns the decoded rest of the path after `prefix`.
-pub(crate) fn rest(uri: &Uri, prefix: &str) -> Option<String> {
+pub fn rest(uri: &Uri, prefix: &str) -> Option<String> {
     uri.path().strip_prefix(prefix).map(decode)
 }
 
 /// Returns the decoded value of a query parameter.
-pub(crate) fn query(uri: &Uri, name: &str) -> Option<String> {
+pub fn query(uri: &Uri, name: &str) -> Option<String> {
     let pairs = uri.query()?.split('&').filter_map(|p| p.split_once('='));
     pairs
         .filter(|(n, _)| *n == name)
@@ -78,12 +80,13 @@
 }
 
 /// Returns a numeric query parameter, or 0.
-pub(crate) fn number(uri: &Uri, name: &str) -> u64 {
+pub fn number(uri: &Uri, name: &str) -> u64 {
     query(uri, name)
         .and_then(|v| v.parse().ok())
         .unwrap_or_default()
 }
 
-pub(crate) fn decode(text: &str) -> String {
+/// Returns percent-encoded text as it was before.
+pub fn decode(text: &str) -> String {
     percent_decode_str(text).decode_utf8_lossy().into_owned()
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -36,7 +36,7 @@
 const BACKLOG: u32 = 1024;
 
 /// What a stand-in does with a request.
-pub(crate) trait Handler: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
     /// Answers one request. The future is dropped when the caller closes its connection.
     fn handle(self: Arc<Self>, request: Request<Bytes>) -> BoxFuture<'static, Reply>;
 
@@ -52,7 +52,7 @@
 }
 
 /// A running server.
-pub(crate) struct Server {
+pub struct Server {
     addr: SocketAddr,
     switches: Arc<Switches>,
     connections: Arc<Mutex<Connections>>,
@@ -76,13 +76,28 @@
 
 impl Server {
     /// Starts a server on a free loopback port.
-    pub(crate) async fn start(handler: Arc<dyn Handler>) -> Server {
+    pub async fn start(handler: Arc<dyn Handler>) -> Server {
         Server::start_with(handler, Arc::default()).await
     }
 
     /// Starts a server whose handler shares the fault switches.
-    pub(crate) async fn start_with(handler: Arc<dyn Handler>, switches: Arc<Switches>) -> Server {
-        let socket = bind((Ipv4Addr::LOCALHOST, 0).into());
+    pub async fn start_with(handler: Arc<dyn Handler>, switches: Arc<Switches>) -> Server {
+        let addr = (Ipv4Addr::LOCALHOST, 0).into();
+        let server = Server::start_at(addr, handler, switches).await;
+        server.expect("loopback ports are available")
+    }
+
+    /// Starts a server at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start_at(
+        addr: SocketAddr,
+        handler: Arc<dyn Handler>,
+        switches: Arc<Switches>,
+    ) -> std::io::Result<Server> {
+        let socket = bind(addr)?;
         let listener = socket.listen(BACKLOG).expect("a bound socket listens");
         let addr = listener.local_addr().expect("a listener has an address");
         let connections = Arc::new(Mutex::new(Connections::default()));
@@ -98,31 +113,33 @@
             stop: stop.clone(),
         };
         let task = tokio::spawn(acceptor.run(listener));
-        Server {
+        Ok(Server {
             addr,
             switches,
             connections,
             listen,
             stop: stop.drop_guard(),
             task,
-        }
+        })
     }
 
-    pub(crate) fn addr(&self) -> SocketAddr {
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
-    pub(crate) fn switches(&self) -> &Switches {
+    /// Returns the fault switches.
+    pub fn switches(&self) -> &Switches {
         &self.switches
     }
 
     /// Closes all connections and returns once their tasks have ended.
-    pub(crate) async fn cut(&self) {
+    pub async fn cut(&self) {
         cut(&self.connections).await;
     }
 
     /// Starts or stops listening; while it does not listen, connections are refused.
-    pub(crate) async fn set_listening(&self, on: bool) {
+    pub async fn set_listening(&self, on: bool) {
         let (done, carried_out) = oneshot::channel();
         let sent = self.listen.send(Listen { on, done }).await;
         if sent.is_ok() {
@@ -131,7 +148,7 @@
     }
 
     /// Stops the server and returns once all its tasks have ended.
-    pub(crate) async fn stop(self) {
+    pub async fn stop(self) {
         drop(self.stop);
         self.task.await.expect("the accept loop does not panic");
     }
@@ -288,15 +305,15 @@
         }
         (Socket::Open(listener), false) => {
             drop(listener);
-            Socket::Closed(bind(addr))
+            Socket::Closed(bind(addr).expect("the address is free"))
         }
         (socket, _) => socket,
     }
 }
 
-fn bind(addr: SocketAddr) -> TcpSocket {
-    let socket = TcpSocket::new_v4().expect("sockets are available");
-    socket.set_reuseaddr(true).expect("the option exists");
-    socket.bind(addr).expect("the address is free");
-    socket
+fn bind(addr: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
 }
