Catch signals before anything else at a start

The log shows a stop, a new process and no line of it: the reload waited for the stop and came microseconds after the start. Entry and agent caught their signals only after they had read their settings and set up logs; they catch them first now.

The moments before a program runs cannot be covered by the program, so that the soak reloads 0.5 s after a start at the earliest. No check is changed.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -118,10 +118,10 @@
 ///
 /// Fails if the process cannot be set up.
 pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
+    let mut signals = Signals::catch()?;
     let settings: settings::Agent =
         ::process::settings::load(path).change_context(Failure::Settings)?;
     logs::init().change_context(Failure::Setup)?;
-    let mut signals = Signals::catch()?;
     let instance = settings.instance.clone();
     info!("agent starts", kv: { instance = instance.as_str() });
     let listener = front::listen(settings.listen)
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -61,10 +61,10 @@
 ///
 /// Fails if the process cannot be set up.
 pub async fn run(path: &Path) -> Result<(), Report<Failure>> {
+    let mut signals = Signals::catch()?;
     let settings: settings::Entry =
         ::process::settings::load(path).change_context(Failure::Settings)?;
     logs::init().change_context(Failure::Setup)?;
-    let mut signals = Signals::catch()?;
     let running = Running::start(settings).await?;
     signals.stop(|| reload(&running.entry, path)).await;
     running.stop(UNREADY_TIME).await;
--- a/crates/soak/src/program.rs
+++ b/crates/soak/src/program.rs
@@ -14,6 +14,10 @@
 use tokio::process::Child;
 use tokio::process::Command;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+/// The time in which a program that was started catches its signals.
+const START_TIME: Duration = Duration::from_millis(500);
 
 /// One program, which can be started again and again.
 #[derive(Debug)]
@@ -24,7 +28,13 @@
     log: PathBuf,
     lives: AtomicU32,
     /// Held while it is stopped or started, so that faults which overlap take turns.
-    child: Mutex<Option<Child>>,
+    child: Mutex<Option<Running>>,
+}
+
+#[derive(Debug)]
+struct Running {
+    child: Child,
+    since: Instant,
 }
 
 impl Process {
@@ -66,7 +76,7 @@
     pub async fn kill(&self, pause: Duration) -> std::io::Result<()> {
         let mut child = self.child.lock().await;
         if let Some(running) = child.as_mut() {
-            running.kill().await?;
+            running.child.kill().await?;
         }
         tokio::time::sleep(pause).await;
         *child = Some(self.spawn()?);
@@ -83,25 +93,30 @@
         let Some(running) = child.as_mut() else {
             return Ok(true);
         };
-        signal(running, Signal::TERM)?;
-        let ended = tokio::time::timeout(limit, running.wait()).await.is_ok();
+        signal(&running.child, Signal::TERM)?;
+        let ended = tokio::time::timeout(limit, running.child.wait())
+            .await
+            .is_ok();
         if !ended {
-            running.kill().await?;
+            running.child.kill().await?;
         }
         *child = Some(self.spawn()?);
         Ok(ended)
     }
 
-    /// Sends a signal that does not end it.
+    /// Sends a signal that does not end it, [`START_TIME`] after its start at the earliest: until a
+    /// process catches a signal, the signal ends it.
     ///
     /// # Errors
     ///
     /// Fails if the program cannot be signaled.
     pub async fn signal(&self, kind: Signal) -> std::io::Result<()> {
-        match self.child.lock().await.as_ref() {
-            Some(running) => signal(running, kind),
-            None => Ok(()),
-        }
+        let child = self.child.lock().await;
+        let Some(running) = child.as_ref() else {
+            return Ok(());
+        };
+        tokio::time::sleep_until(running.since + START_TIME).await;
+        signal(&running.child, kind)
     }
 
     /// Stops it by SIGSTOP for `length`. It cannot be stopped or killed meanwhile.
@@ -114,9 +129,9 @@
         let Some(running) = child.as_ref() else {
             return Ok(());
         };
-        signal(running, Signal::STOP)?;
+        signal(&running.child, Signal::STOP)?;
         tokio::time::sleep(length).await;
-        signal(running, Signal::CONT)
+        signal(&running.child, Signal::CONT)
     }
 
     /// Returns how it ended if it ended by itself; it is then started again.
@@ -128,7 +143,10 @@
         let Ok(mut child) = self.child.try_lock() else {
             return Ok(None);
         };
-        let Some(status) = child.as_mut().map(Child::try_wait).transpose()?.flatten() else {
+        let Some(running) = child.as_mut() else {
+            return Ok(None);
+        };
+        let Some(status) = running.child.try_wait()? else {
             return Ok(None);
         };
         *child = Some(self.spawn()?);
@@ -142,21 +160,25 @@
     /// Fails if the program cannot be killed.
     pub async fn end(&self) -> std::io::Result<()> {
         match self.child.lock().await.take() {
-            Some(mut running) => running.kill().await,
+            Some(mut running) => running.child.kill().await,
             None => Ok(()),
         }
     }
 
-    fn spawn(&self) -> std::io::Result<Child> {
+    fn spawn(&self) -> std::io::Result<Running> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         self.lives.fetch_add(1, Ordering::SeqCst);
-        Command::new(&self.command)
+        let child = Command::new(&self.command)
             .args(&self.args)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
             .stdout(log)
             .kill_on_drop(true)
-            .spawn()
+            .spawn()?;
+        Ok(Running {
+            child,
+            since: Instant::now(),
+        })
     }
 }
 
