Look up a model's load for refusals only, and stop with one kind of signal

Cause: every choice of a runner looked up the time of the model's load, which only the refusal of a request needs; the cause now carries when the load began, and the refusal works out the rest. The stop of an entry had a watch channel beside a cancellation token for the same kind of message; both are tokens. The agent asked twice for its runner's name before an order.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -225,20 +225,17 @@
 
 /// Gives one order; returns whether another one may follow.
 async fn order_next(shared: &Arc<Shared>) -> bool {
-    let (order, born, sequence) = {
+    let (order, runner, sequence) = {
         let mut slots = shared.slots();
         let report = slots.report();
         let (born, sequence) = (report.born, report.sequence);
-        if shared.name(born).is_none() {
+        let Some(runner) = shared.name(born) else {
             return false;
-        }
+        };
         let Some(order) = slots.next(shared.now()) else {
             return false;
         };
-        (order, born, sequence)
-    };
-    let Some(runner) = shared.name(born) else {
-        return false;
+        (order, runner, sequence)
     };
     let taken = shared.control.order(&runner, &order, sequence).await;
     if taken == Taken::Yes {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -232,7 +232,11 @@
     /// Returns when a refused caller can be served at the earliest, as far as is known.
     fn back_in(&self, cause: Cause) -> Option<Duration> {
         match cause {
-            Cause::NoRunner(cause) => cause.back_in(),
+            Cause::NoRunner(cause) => {
+                let artifact = self.head.request.artifact.as_ref();
+                let load = self.entry.state().model_load(&self.service, artifact);
+                cause.back_in(self.entry.now(), load)
+            }
             Cause::HeldTooLong => self.last.as_ref().map(|placed| placed.wait),
             Cause::TurnedAway | Cause::Lost | Cause::TimeUp => None,
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -24,7 +24,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -59,11 +58,11 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers until `stopped`, then waits for the requests that are in progress, until `cut`.
+/// Accepts callers until `stop`, then waits for the requests that are in progress, until `cut`.
 pub async fn serve(
     entry: Arc<Entry>,
     listener: TcpListener,
-    mut stopped: watch::Receiver<bool>,
+    stop: CancellationToken,
     cut: CancellationToken,
 ) {
     let tasks = TaskTracker::new();
@@ -75,11 +74,11 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
+            () = stop.cancelled() => break,
         };
         match accepted {
             Ok((stream, _)) if tasks.len() < limit => {
-                let caller = serve_caller(entry.clone(), stream, stopped.clone());
+                let caller = serve_caller(entry.clone(), stream, stop.clone());
                 tasks.spawn(cut.clone().run_until_cancelled_owned(caller));
             }
             Ok(_) => warn!("connection closed, too many are open", kv: { open = tasks.len() }),
@@ -95,7 +94,7 @@
     tasks.wait().await;
 }
 
-async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, mut stopped: watch::Receiver<bool>) {
+async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, stop: CancellationToken) {
     if let Err(error) = stream.set_nodelay(true) {
         let error = error.to_string();
         warn!("connection cannot be set up", kv: { error = error.as_str() });
@@ -116,7 +115,7 @@
     // How a connection ends is logged with the request that it ended.
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stopped.wait_for(|stop| *stop) => {}
+        () = stop.cancelled() => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -95,12 +95,10 @@
         let adapter = artifact.and_then(|artifact| artifact.adapter.as_ref());
         let grace = entry.version_grace();
         let required = adapter.map_or(0, |adapter| state.versions.required(now, adapter, grace));
-        let model_load = state.model_load(&self.service, artifact);
         let mut want = Want {
             service: &self.service,
             artifact,
             required,
-            model_load,
             avoid: &self.avoid,
             only: self.attempts.confined(),
         };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,7 +17,6 @@
 use platform::settings;
 use platform::store::Table;
 use spdlog::info;
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -75,7 +74,7 @@
 pub struct Running {
     /// The entry.
     pub entry: Arc<Entry>,
-    stop: watch::Sender<bool>,
+    stop: CancellationToken,
     cut: CancellationToken,
     serve: JoinHandle<()>,
     others: Vec<JoinHandle<()>>,
@@ -100,7 +99,7 @@
             .await
             .change_context(Failure::Bind)?;
         let ops = start_ops(&entry).await?;
-        let (stop, stopped) = watch::channel(false);
+        let stop = CancellationToken::new();
         let cut = CancellationToken::new();
         let others = vec![
             tokio::spawn(follow(entry.clone(), Table::Operator)),
@@ -109,7 +108,12 @@
             tokio::spawn(measure_delay(entry.clone())),
             tokio::spawn(front::serve_ready(entry.clone(), ready)),
         ];
-        let serve = tokio::spawn(front::serve(entry.clone(), callers, stopped, cut.clone()));
+        let serve = tokio::spawn(front::serve(
+            entry.clone(),
+            callers,
+            stop.clone(),
+            cut.clone(),
+        ));
         Ok(Running {
             entry,
             stop,
@@ -137,7 +141,7 @@
         info!("entry stops", kv: { instance, inflight });
         entry.begin_stop();
         tokio::time::sleep(unready).await;
-        stop.send_replace(true);
+        stop.cancel();
         let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s);
         let limit = begun.after(grace.saturating_sub(STOP_MARGIN));
         let limit = entry.timer.instant(limit);
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -63,8 +63,6 @@
     pub artifact: Option<&'a Artifact>,
     /// The oldest version that may run.
     pub required: u64,
-    /// The time of a load of the model's weights.
-    pub model_load: Duration,
     /// Runners that are not chosen.
     pub avoid: &'a [Name],
     /// The only runner that may be chosen, if it is bound to one.
@@ -115,9 +113,9 @@
     /// Those that are left were tried or do not answer.
     #[display("no runner is left to try")]
     Exhausted,
-    /// The model is on its way to those that are left; the time until the first one has it.
+    /// The model is on its way to those that are left; the first one started then.
     #[display("the model is being loaded")]
-    Loading(Duration),
+    Loading(Time),
 }
 
 impl NoRunner {
@@ -131,10 +129,11 @@
         }
     }
 
-    /// Returns when a refused caller should return at the earliest, if that is known.
-    pub fn back_in(self) -> Option<Duration> {
+    /// Returns when a refused caller should return at the earliest, if that is known; `model_load` is
+    /// the time of a load of the model's weights.
+    pub fn back_in(self, now: Time, model_load: Duration) -> Option<Duration> {
         match self {
-            NoRunner::Loading(left) => Some(left),
+            NoRunner::Loading(since) => Some(model_load.saturating_sub(now.since(since))),
             NoRunner::Unknown | NoRunner::Leaving | NoRunner::Exhausted => None,
         }
     }
@@ -207,7 +206,7 @@
         if want.avoid.contains(&runner.member.id) {
             return Err(NoRunner::Exhausted);
         }
-        let access = access(now, want, runner).ok_or_else(|| lacking(now, want, runner))?;
+        let access = access(now, want, runner).ok_or_else(|| lacking(want, runner))?;
         // The requests ahead are served while the adapter is on its way.
         let queue = load_cost(runner, want.artifact.is_some());
         let mut wait = queue.max(access_wait(now, want, runner, access));
@@ -350,13 +349,12 @@
 }
 
 /// Returns why a runner cannot serve a request although it takes others.
-fn lacking(now: Time, want: &Want<'_>, runner: &Runner) -> NoRunner {
+fn lacking(want: &Want<'_>, runner: &Runner) -> NoRunner {
     let artifact = want.artifact;
     if artifact.is_none_or(|artifact| runner.holds_model(&artifact.model)) {
         return NoRunner::Exhausted;
     }
-    let left = want.model_load.saturating_sub(now.since(runner.since));
-    NoRunner::Loading(left)
+    NoRunner::Loading(runner.since)
 }
 
 fn held(now: Time, hold: &Hold) -> Access {
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -5,8 +5,6 @@
 
 pub(crate) mod cases;
 
-use std::time::Duration;
-
 use decision::time::Time;
 use serving::fleet::Fleet;
 use serving::link::Place;
@@ -79,7 +77,6 @@
         service: "chat",
         artifact: Some(artifact),
         required,
-        model_load: Duration::from_millis(600),
         avoid: &[],
         only: None,
     }
@@ -90,7 +87,6 @@
         service: "chat",
         artifact: None,
         required: 0,
-        model_load: Duration::ZERO,
         avoid: &[],
         only: None,
     }
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -228,12 +228,12 @@
         member.models.clear();
         fleet.join(Time::from_ms(ms), member);
     }
-    let mut refused = |ms| {
-        let now = Time::from_ms(ms);
+    let ms = Duration::from_millis;
+    let mut refused = |at| {
+        let now = Time::from_ms(at);
         let placed = fleet.place(now, &mut rng, &want(&artifact, 0));
-        placed.map_err(NoRunner::back_in)
+        placed.map_err(|cause| cause.back_in(now, ms(600)))
     };
-    let ms = Duration::from_millis;
     assert_eq!(refused(1_250), Err(Some(ms(350))), "the first one's load");
     assert_eq!(refused(1_900), Err(Some(ms(0))), "it is overdue");
 }
