Keep the platform's names and the stand-ins' texts in one place

Cause: the soak's callers wrote and read the platform's headers, its faults named the store's tables and keys, and its world wrote settings by hand that deploy/*.toml.in holds. The checks repeated the texts of the stand-ins' answers. platform/rig now encodes requests, reads answers, writes rows by what they mean, and renders the deployed settings templates; the checks call the functions that the stand-ins answer with. check_bites keeps its literal texts.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -13,6 +13,10 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use rig::caller;
+use rig::caller::Ask;
+use rig::engine::MODEL;
+use rig::runner::LONG_ANSWER;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
@@ -20,8 +24,6 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
-use rig::runner::LONG_ANSWER;
-
 use crate::history::Call;
 use crate::history::End;
 use crate::history::Kind;
@@ -150,7 +152,7 @@
                 (End::Closed, None)
             }
             Ok(Ok(response)) => {
-                let wait = retry_after(&response);
+                let wait = caller::retry_after(&response);
                 (read(response, limit).await, wait)
             }
         };
@@ -186,25 +188,23 @@
     /// Returns a request; a caller that is going to leave asks for an answer that takes long.
     fn request(&mut self, id: &str, kind: Kind, leaves: bool) -> Option<Request<Empty<Bytes>>> {
         let end = if leaves { LONG_ANSWER } else { "/x" };
-        let mut request = Request::get(format!("/{kind}{end}"))
-            .header("host", "a.example")
-            .header("x-request-id", id)
-            .header("x-deadline-ms", DEADLINE.as_millis().to_string());
-        if kind.is_stream() {
-            // A few adapters get most of the requests.
+        // A few adapters get most of the requests.
+        let adapter = kind.is_stream().then(|| {
             let index = self.rng.usize(..ADAPTERS).min(self.rng.usize(..ADAPTERS));
-            request = request
-                .header("x-model", format!("m/a{index}"))
-                .header("x-token-count", "100,40");
-        }
-        request.body(Empty::new()).ok()
+            format!("{MODEL}/a{index}")
+        });
+        caller::request(&Ask {
+            path: &format!("/{kind}{end}"),
+            id,
+            deadline: DEADLINE,
+            adapter: adapter.as_deref(),
+        })
     }
 }
 
 async fn read(response: Response<Incoming>, limit: Instant) -> End {
     let status = response.status().as_u16();
-    let seal = response.headers().get("x-response-seal");
-    let seal = seal.and_then(|seal| seal.to_str().ok()).map(str::to_owned);
+    let seal = caller::seal(&response);
     let mut body = response.into_body();
     let mut bytes = Vec::new();
     let whole = loop {
@@ -222,9 +222,3 @@
         whole,
     }
 }
-
-fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
-    let value = response.headers().get("retry-after")?.to_str().ok()?;
-    let seconds: f64 = value.parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,6 +6,7 @@
 use decision::collections::Map;
 use decision::collections::Set;
 use derive_more::Display;
+use rig::runner;
 
 use crate::history::Arrival;
 use crate::history::Call;
@@ -163,9 +164,9 @@
     let id = &call.id;
     let fault = match seal {
         None if *status < 300 => Some("a success without a seal".to_owned()),
-        Some(seal) if *seal != format!("1.{status}.{id}") => Some(format!("{status} with {seal}")),
+        Some(seal) if *seal != runner::seal(*status, id) => Some(format!("{status} with {seal}")),
         Some(_) if *status == 200 && *whole && !call.kind.is_stream() => {
-            (*body != format!("ok {id}")).then(|| format!("body {body:?}"))
+            (*body != runner::body(id)).then(|| format!("body {body:?}"))
         }
         _ => None,
     };
@@ -187,8 +188,7 @@
     }
     let mut count = 0;
     for event in body.split_inclusive("\n\n") {
-        let expected = format!("id: {0}\ndata: e{0} {1}\n\n", count + 1, call.id);
-        if event != expected {
+        if event != runner::event(count + 1, &call.id) {
             let detail = format!("{event:?} after event {count}");
             return Some(breach(Promise::Order, &call.id, detail));
         }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -8,6 +8,7 @@
 use error_stack::ResultExt;
 use rig::deploy;
 use rig::engine::MODEL;
+use rig::runner::Phase;
 use rig::runner::Runner;
 use rustix::process::Signal;
 
@@ -104,7 +105,7 @@
             Fault::Manifest => {
                 let version = self.manifest.fetch_add(1, Ordering::SeqCst) + 1;
                 let text = deploy::dated_manifest(version, SLOTS);
-                self.store.put("op", "config", &text);
+                self.store.put_manifest(&text);
                 let at = self.ms(Instant::now());
                 self.history().configs.push((version, at));
             }
@@ -179,7 +180,7 @@
             let other = self.start_runner(index, "t").await?;
             tokio::time::sleep(REUSE_LAPSE).await;
             self.leave(&id);
-            self.announce(index, &other, "ready");
+            self.announce(index, &other, Phase::Ready);
             tokio::time::sleep(DRAIN_TIME).await;
             self.lose(other).await;
         }
@@ -192,7 +193,7 @@
     async fn drain(&self, index: usize) -> Result<(), Report<Failure>> {
         let mut place = self.places[index].runner.lock().await;
         if let Some(runner) = place.as_ref() {
-            self.announce(index, runner, "draining");
+            self.announce(index, runner, Phase::Draining);
             let at = self.ms(Instant::now());
             let id = runner.id.clone();
             self.history().leaving.push((id, at));
@@ -213,7 +214,7 @@
     }
 
     fn leave(&self, id: &str) {
-        self.store.remove("servers", id);
+        self.store.remove_member(id);
         let at = self.ms(Instant::now());
         self.history().leaving.push((id.to_owned(), at));
     }
@@ -225,9 +226,7 @@
         *version += 1;
         let version = *version;
         drop(newest);
-        let text = deploy::announcement(MODEL, &adapter, version);
-        self.store
-            .put("op", &format!("version/{MODEL}.{adapter}"), &text);
+        self.store.put_version(MODEL, &adapter, version);
         let at = self.ms(Instant::now());
         self.history().versions.push((adapter, version, at));
     }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,7 +6,6 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -23,10 +22,12 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use rig::deploy;
+use rig::deploy::EntryPlace;
 use rig::engine::Engine;
 use rig::engine::Newest;
 use rig::runner::Act;
 use rig::runner::LAST_EVENT;
+use rig::runner::Phase;
 use rig::runner::Runner;
 use rig::runner::Spec;
 use rig::store::Store;
@@ -61,12 +62,11 @@
     gone: 500,
     stop: 8_000,
 };
-/// The ports on a runner's address: its proxy, itself, its agent's proxy, its agent, metrics.
+/// The ports on a runner's address: its proxy, itself, its agent's proxy, its agent.
 const RUNNER_PORT: u16 = 7_000;
 const RUNNER_REAL_PORT: u16 = 7_001;
 const AGENT_PORT: u16 = 7_100;
 const AGENT_REAL_PORT: u16 = 7_101;
-const METRICS_PORT: u16 = 9_464;
 /// The ports on an entry's address: callers, readiness, and the proxy in front of the store.
 const ENTRY_PORT: u16 = 8_080;
 const READY_PORT: u16 = 8_081;
@@ -157,8 +157,25 @@
         Net((10 + id / 256 % 200) as u8, (id % 256) as u8)
     }
 
+    fn ip(self, host: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.0, self.1, host as u8)
+    }
+
     fn addr(self, host: usize, port: u16) -> SocketAddr {
-        (Ipv4Addr::new(127, self.0, self.1, host as u8), port).into()
+        (self.ip(host), port).into()
+    }
+}
+
+/// Returns the bounds as the programs' settings have them.
+fn settings_bounds() -> platform::settings::Bounds {
+    platform::settings::Bounds {
+        stop_s: BOUNDS.stop as f64 / 1_000.0,
+        drain_ms: BOUNDS.drain,
+        contact_ms: BOUNDS.contact,
+        version_ms: BOUNDS.version,
+        retry_ratio: BOUNDS.retry_ratio,
+        retry_slack: BOUNDS.retry_slack,
+        retry_window_s: BOUNDS.retry_window as f64 / 1_000.0,
     }
 }
 
@@ -256,7 +273,7 @@
         let net = Net::own();
         let store = Store::start(net.addr(1, STORE_PORT)).await;
         let store = store.change_context(Failure::StandIn)?;
-        store.put("op", "config", &deploy::dated_manifest(1, SLOTS));
+        store.put_manifest(&deploy::dated_manifest(1, SLOTS));
         let mut world = World {
             start: Instant::now(),
             net,
@@ -290,29 +307,17 @@
         self.store_links
             .push(link.change_context(Failure::StandIn)?);
         let listen = self.net.addr(host, ENTRY_PORT);
-        let settings = format!(
-            "instance = \"entry-{index}\"\ndomain = \"z\"\nlisten = \"{listen}\"\nready = \"{}\"\n\
-             metrics = \"{}\"\nstore = \"{store}\"\nagent_port = {AGENT_PORT}\nmax_files = 4000\n\
-             memory_mb = 256\ndump_secret = \"state-dump\"\n\n[bounds]\nstop_s = {}\n\
-             drain_ms = {}\ncontact_ms = {}\nversion_ms = {}\nretry_ratio = {}\n\
-             retry_slack = {}\nretry_window_s = {}\n",
-            self.net.addr(host, READY_PORT),
-            self.net.addr(host, METRICS_PORT),
-            BOUNDS.stop as f64 / 1_000.0,
-            BOUNDS.drain,
-            BOUNDS.contact,
-            BOUNDS.version,
-            BOUNDS.retry_ratio,
-            BOUNDS.retry_slack,
-            BOUNDS.retry_window as f64 / 1_000.0,
-        );
-        let process = program(
-            paths,
-            &format!("entry-{index}"),
-            "dotterelwheel",
-            "gateway",
-            &settings,
-        )?;
+        let name = format!("entry-{index}");
+        let settings = deploy::entry_settings(&EntryPlace {
+            name: &name,
+            ip: self.net.ip(host),
+            callers: ENTRY_PORT,
+            ready: READY_PORT,
+            store,
+            agents: AGENT_PORT,
+            bounds: settings_bounds(),
+        });
+        let process = program(paths, &name, "dotterelwheel", "gateway", &settings)?;
         process.start().await.change_context(Failure::Program)?;
         self.listen.push(listen);
         self.entries.push(process);
@@ -327,14 +332,10 @@
         if index < self.size.engines {
             let link = Proxy::start(at(AGENT_PORT), at(AGENT_REAL_PORT)).await;
             agent_proxy = Some(link.change_context(Failure::StandIn)?);
-            let settings = format!(
-                "instance = \"agent-{index}\"\nlisten = \"{}\"\nmetrics = \"{}\"\n\
-                 runner = \"{}\"\ndump_secret = \"state-dump\"\n",
-                at(AGENT_REAL_PORT),
-                at(METRICS_PORT),
-                at(RUNNER_REAL_PORT),
-            );
             let name = format!("agent-{index}");
+            let ip = self.net.ip(RUNNER_BASE + index);
+            let runner = at(RUNNER_REAL_PORT);
+            let settings = deploy::agent_settings(&name, ip, AGENT_REAL_PORT, runner);
             let process = program(paths, &name, "dotterelwheel-agent", "sidecar", &settings)?;
             process.start().await.change_context(Failure::Program)?;
             self.agents.push(process);
@@ -361,7 +362,7 @@
         service: &str,
     ) -> Result<Runner, Report<Failure>> {
         let runner = self.start_runner(index, service).await?;
-        self.announce(index, &runner, "ready");
+        self.announce(index, &runner, Phase::Ready);
         Ok(runner)
     }
 
@@ -387,10 +388,9 @@
         runner.await.change_context(Failure::StandIn)
     }
 
-    pub(crate) fn announce(&self, index: usize, runner: &Runner, state: &str) {
+    pub(crate) fn announce(&self, index: usize, runner: &Runner, phase: Phase) {
         let addr = self.net.addr(RUNNER_BASE + index, RUNNER_PORT);
-        self.store
-            .put("servers", &runner.id, &runner.entry(addr, state));
+        self.store.put_member(runner, addr, phase);
     }
 
     pub(crate) fn history(&self) -> MutexGuard<'_, History> {
@@ -496,14 +496,5 @@
     let file = file.to_string_lossy();
     let args = [verb, "--config", &*file];
     let log = paths.logs.join(format!("{name}.log"));
-    Ok(Process::new(
-        name,
-        &binary_path(&paths.programs, binary),
-        &args,
-        log,
-    ))
-}
-
-fn binary_path(directory: &Path, name: &str) -> PathBuf {
-    directory.join(name)
+    Ok(Process::new(name, &paths.programs.join(binary), &args, log))
 }
