Take the one-implementation trait and the span pairs out of the soak

Cause: callers knew the run by a trait that only the run implements, and every fault opened and closed its span by hand, one of them not at an error. Callers hold the run; one function brings a fault about and notes its span. A drained runner is taken from its place once instead of looked up and then taken.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,6 +1,6 @@
 //! Callers: each keeps its connections to entries open and sends one request after the other.
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +28,7 @@
 use crate::history::End;
 use crate::history::Kind;
 use crate::plan::ADAPTERS;
+use crate::world::World;
 
 /// The time that a request may take.
 const DEADLINE: Duration = Duration::from_millis(2_500);
@@ -44,22 +45,6 @@
 /// The longest wait for the return of a refused caller.
 const MAX_RETURN: Duration = Duration::from_secs(1);
 
-/// What callers share with the run.
-pub trait Scene: Send + Sync + 'static {
-    /// Returns the milliseconds since the start.
-    fn now(&self) -> u64;
-    /// Returns where the entries listen.
-    fn entries(&self) -> &[SocketAddr];
-    /// Returns how often an entry was started.
-    fn life(&self, entry: usize) -> u32;
-    /// Returns the version of the newest manifest.
-    fn manifest(&self) -> u64;
-    /// Returns whether callers should end.
-    fn is_over(&self) -> bool;
-    /// Notes a request that has ended.
-    fn ended(&self, call: Call);
-}
-
 struct Conn {
     sender: SendRequest<Empty<Bytes>>,
     life: u32,
@@ -73,8 +58,8 @@
 }
 
 /// One caller.
-pub struct Caller<S> {
-    scene: std::sync::Arc<S>,
+pub(crate) struct Caller {
+    world: Arc<World>,
     name: String,
     rng: fastrand::Rng,
     conns: Map<usize, Conn>,
@@ -82,11 +67,11 @@
     sent: u64,
 }
 
-impl<S: Scene> Caller<S> {
+impl Caller {
     /// Creates a caller; what it sends follows from the seed.
-    pub fn new(scene: std::sync::Arc<S>, name: String, seed: u64) -> Caller<S> {
+    pub(crate) fn new(world: Arc<World>, name: String, seed: u64) -> Caller {
         Caller {
-            scene,
+            world,
             name,
             rng: fastrand::Rng::with_seed(seed),
             conns: Map::default(),
@@ -96,12 +81,12 @@
     }
 
     /// Sends requests until the run is over; the last one is noted too.
-    pub async fn run(mut self) {
-        while !self.scene.is_over() {
+    pub(crate) async fn run(mut self) {
+        while !self.world.is_over() {
             let pause = self.rng.u64(PAUSES_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             while self.tasks.try_join_next().is_some() {}
-            let entry = self.rng.usize(..self.scene.entries().len());
+            let entry = self.rng.usize(..self.world.entries().len());
             let Some(conn) = self.connect(entry).await else {
                 continue;
             };
@@ -117,8 +102,8 @@
         {
             return Some(conn);
         }
-        let life = self.scene.life(entry);
-        let connect = TcpStream::connect(self.scene.entries()[entry]);
+        let life = self.world.life(entry);
+        let connect = TcpStream::connect(self.world.entries()[entry]);
         let stream = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let task = self.tasks.spawn(async move {
@@ -135,7 +120,7 @@
         let kind = self.kind();
         let leaves = self.rng.f64() < LEAVING;
         let request = self.request(&id, kind, leaves)?;
-        let sent = self.scene.now();
+        let sent = self.world.now();
         let patience = if leaves {
             Duration::from_millis(self.rng.u64(LEAVE_MS))
         } else {
@@ -163,10 +148,10 @@
             entry,
             life: conn.life,
             sent,
-            ended: self.scene.now(),
+            ended: self.world.now(),
             end,
         };
-        self.scene.ended(call);
+        self.world.ended(call);
         if kept {
             self.conns.insert(entry, conn);
         }
@@ -174,7 +159,7 @@
     }
 
     fn kind(&mut self) -> Kind {
-        let newest = self.scene.manifest();
+        let newest = self.world.manifest();
         match self.rng.u32(..10) {
             0 | 1 => Kind::Safe,
             2 | 3 => Kind::Once,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -33,33 +32,34 @@
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
 
 impl World {
-    /// Notes the start of a fault; the span is closed by [`World::close`].
-    fn open(&self, target: Target, planned: bool) -> usize {
-        let from = self.ms(Instant::now());
-        let mut history = self.history();
-        history.spans.push(Span {
-            target,
-            planned,
-            from,
-            to: Ms::MAX,
-        });
-        history.spans.len() - 1
-    }
-
-    fn close(&self, span: usize) {
-        let to = self.ms(Instant::now());
+    /// Brings a fault about and notes how long it disturbed its target.
+    async fn during<T>(&self, target: Target, planned: bool, fault: impl Future<Output = T>) -> T {
+        let span = {
+            let mut history = self.history();
+            history.spans.push(Span {
+                target,
+                planned,
+                from: self.now(),
+                to: Ms::MAX,
+            });
+            history.spans.len() - 1
+        };
+        let result = fault.await;
+        let to = self.now();
         self.history().spans[span].to = to;
+        result
     }
 
     pub(crate) async fn bring(&self, fault: Fault) -> Result<(), Report<Failure>> {
         let ms = Duration::from_millis;
         match fault {
             Fault::StoreDown(length) => {
-                let span = self.open(Target::Store, false);
-                self.store.set_down(true);
-                tokio::time::sleep(ms(length)).await;
-                self.store.set_down(false);
-                self.close(span);
+                let outage = async {
+                    self.store.set_down(true);
+                    tokio::time::sleep(ms(length)).await;
+                    self.store.set_down(false);
+                };
+                self.during(Target::Store, false, outage).await;
             }
             Fault::HistoryGone => self.store.forget_history(),
             Fault::StoreLink(entry, harm, length) => {
@@ -76,26 +76,29 @@
                 }
             }
             Fault::Pause(program, length) => {
-                let span = self.open_program(program, false);
-                let paused = self.process(program).pause(ms(length)).await;
+                let pause = self.process(program).pause(ms(length));
+                let paused = self.during(target(program), false, pause).await;
                 paused.change_context(Failure::Program)?;
-                self.close(span);
             }
             Fault::Kill(program, length) => {
-                let span = self.open_program(program, false);
-                let killed = self.process(program).kill(ms(length)).await;
+                let kill = self.process(program).kill(ms(length));
+                let killed = self.during(target(program), false, kill).await;
                 killed.change_context(Failure::Program)?;
-                self.close(span);
             }
             Fault::Stop(program) => self.stop_program(program).await?,
             Fault::Reload(entry) => {
-                let span = self.open(Target::Entry(entry), true);
-                let sent = self.entries[entry].signal(Signal::HUP).await;
+                let signal = self.entries[entry].signal(Signal::HUP);
+                let sent = self.during(Target::Entry(entry), true, signal).await;
                 sent.change_context(Failure::Program)?;
-                self.close(span);
             }
-            Fault::Crash(index, length) => self.crash(index, length).await?,
-            Fault::Reuse(index) => self.reuse(index).await?,
+            Fault::Crash(index, length) => {
+                let crash = self.crash(index, length);
+                self.during(Target::Runner(index), false, crash).await?;
+            }
+            Fault::Reuse(index) => {
+                let reuse = self.reuse(index);
+                self.during(Target::Runner(index), false, reuse).await?;
+            }
             Fault::Drain(index) => self.drain(index).await?,
             Fault::Full(index, length) => {
                 self.set_full(index, true).await;
@@ -106,7 +109,7 @@
                 let version = self.manifest.fetch_add(1, Ordering::SeqCst) + 1;
                 let text = deploy::dated_manifest(version, SLOTS);
                 self.store.put_manifest(&text);
-                let at = self.ms(Instant::now());
+                let at = self.now();
                 self.history().configs.push((version, at));
             }
             Fault::Version(index) => self.announce_version(index),
@@ -115,13 +118,14 @@
     }
 
     async fn harm(&self, target: Target, link: &Proxy, harm: Harm, length: Ms) {
-        let span = self.open(target, false);
-        link.harm(Some(harm));
-        if harm != Harm::Reset {
-            tokio::time::sleep(Duration::from_millis(length)).await;
-            link.harm(None);
-        }
-        self.close(span);
+        let harmed = async {
+            link.harm(Some(harm));
+            if harm != Harm::Reset {
+                tokio::time::sleep(Duration::from_millis(length)).await;
+                link.harm(None);
+            }
+        };
+        self.during(target, false, harmed).await;
     }
 
     fn process(&self, program: Program) -> &Process {
@@ -131,22 +135,15 @@
         }
     }
 
-    fn open_program(&self, program: Program, planned: bool) -> usize {
-        match program {
-            Program::Entry(index) => self.open(Target::Entry(index), planned),
-            Program::Agent(index) => self.open(Target::Runner(index), planned),
-        }
-    }
-
     async fn stop_program(&self, program: Program) -> Result<(), Report<Failure>> {
-        let span = self.open_program(program, true);
-        let limit = Duration::from_millis(BOUNDS.stop);
-        let stopped = self.process(program).stop(limit).await;
+        let stop = self
+            .process(program)
+            .stop(Duration::from_millis(BOUNDS.stop));
+        let stopped = self.during(target(program), true, stop).await;
         if !stopped.change_context(Failure::Program)? {
             let exit = format!("{program} still ran {} ms after SIGTERM", BOUNDS.stop);
             self.history().exits.push(exit);
         }
-        self.close(span);
         Ok(())
     }
 
@@ -157,25 +154,20 @@
     }
 
     async fn crash(&self, index: usize, length: Ms) -> Result<(), Report<Failure>> {
-        let span = self.open(Target::Runner(index), false);
         let mut place = self.places[index].runner.lock().await;
         if let Some(runner) = place.take() {
             self.lose(runner).await;
         }
         tokio::time::sleep(Duration::from_millis(length)).await;
         *place = Some(self.bear(index, self.service(index)).await?);
-        drop(place);
-        self.close(span);
         Ok(())
     }
 
     /// Lets a runner of another service take the address of a crashed one while the membership still
     /// names the latter.
     async fn reuse(&self, index: usize) -> Result<(), Report<Failure>> {
-        let span = self.open(Target::Runner(index), false);
         let mut place = self.places[index].runner.lock().await;
-        let lost = place.take();
-        if let Some(runner) = lost {
+        if let Some(runner) = place.take() {
             let id = self.end_runner(runner).await;
             let other = self.start_runner(index, "t").await?;
             tokio::time::sleep(REUSE_LAPSE).await;
@@ -185,21 +177,15 @@
             self.lose(other).await;
         }
         *place = Some(self.bear(index, self.service(index)).await?);
-        drop(place);
-        self.close(span);
         Ok(())
     }
 
     async fn drain(&self, index: usize) -> Result<(), Report<Failure>> {
         let mut place = self.places[index].runner.lock().await;
-        if let Some(runner) = place.as_ref() {
-            self.announce(index, runner, Phase::Draining);
-            let at = self.ms(Instant::now());
-            let id = runner.id.clone();
-            self.history().leaving.push((id, at));
-            tokio::time::sleep(DRAIN_TIME).await;
-        }
         if let Some(runner) = place.take() {
+            self.announce(index, &runner, Phase::Draining);
+            self.note_leaving(&runner.id);
+            tokio::time::sleep(DRAIN_TIME).await;
             self.lose(runner).await;
         }
         *place = Some(self.bear(index, self.service(index)).await?);
@@ -215,7 +201,11 @@
 
     fn leave(&self, id: &str) {
         self.store.remove_member(id);
-        let at = self.ms(Instant::now());
+        self.note_leaving(id);
+    }
+
+    fn note_leaving(&self, id: &str) {
+        let at = self.now();
         self.history().leaving.push((id.to_owned(), at));
     }
 
@@ -227,7 +217,15 @@
         let version = *version;
         drop(newest);
         self.store.put_version(MODEL, &adapter, version);
-        let at = self.ms(Instant::now());
+        let at = self.now();
         self.history().versions.push((adapter, version, at));
     }
 }
+
+/// Returns what a fault of a program disturbs.
+fn target(program: Program) -> Target {
+    match program {
+        Program::Entry(index) => Target::Entry(index),
+        Program::Agent(index) => Target::Runner(index),
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! API boundary: [`world::run`] plays one seed, [`checks::breaches`] judges what was seen.
 
-pub mod caller;
+mod caller;
 pub mod checks;
 mod faults;
 pub mod history;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -34,7 +34,6 @@
 use tokio::task::JoinSet;
 
 use crate::caller::Caller;
-use crate::caller::Scene;
 use crate::history::Arrival;
 use crate::history::Bounds;
 use crate::history::Call;
@@ -457,28 +456,35 @@
     }
 }
 
-impl Scene for World {
-    fn now(&self) -> Ms {
+/// What callers need of the run.
+impl World {
+    /// Returns the milliseconds since the start.
+    pub(crate) fn now(&self) -> Ms {
         self.ms(Instant::now())
     }
 
-    fn entries(&self) -> &[SocketAddr] {
+    /// Returns where the entries listen.
+    pub(crate) fn entries(&self) -> &[SocketAddr] {
         &self.listen
     }
 
-    fn life(&self, entry: usize) -> u32 {
+    /// Returns how often an entry was started.
+    pub(crate) fn life(&self, entry: usize) -> u32 {
         self.entries[entry].lives()
     }
 
-    fn manifest(&self) -> u64 {
+    /// Returns the version of the newest manifest.
+    pub(crate) fn manifest(&self) -> u64 {
         self.manifest.load(Ordering::SeqCst)
     }
 
-    fn is_over(&self) -> bool {
+    /// Returns whether callers should end.
+    pub(crate) fn is_over(&self) -> bool {
         self.over.load(Ordering::SeqCst)
     }
 
-    fn ended(&self, call: Call) {
+    /// Notes a request that has ended.
+    pub(crate) fn ended(&self, call: Call) {
         self.history().calls.push(call);
     }
 }
