--- a/crates/cli/src/demo/site.rs
+++ b/crates/cli/src/demo/site.rs
@@ -111,7 +111,8 @@
 }
 
 impl Site {
-    /// Starts all processes, publishes the sample set and waits until the site is ready.
+    /// Publishes the sample set, starts all processes and waits until the site is ready. A process
+    /// that starts before the first generation exists reports ready without one.
     ///
     /// # Errors
     ///
@@ -123,6 +124,7 @@
             members: standins::Members::start(Duration::ZERO).await,
             weights: standins::Weights::start(speed.weights()).await,
         };
+        platform.publish(Edits::default()).await?;
         let mut engines = Vec::new();
         let mut agents = Vec::new();
         for number in 0..sample::ENGINES {
@@ -137,14 +139,13 @@
             agents.push(platform.start_agent(&name, number, service.addr()).await?);
         }
         let entry = platform.start_entry().await?;
-        let mut site = Site {
+        let site = Site {
             platform,
             engines,
             service,
             agents,
             entry,
         };
-        site.publish(Edits::default()).await?;
         site.wait_ready().await?;
         Ok(site)
     }
@@ -195,28 +196,8 @@
     }
 
     /// Publishes the sample set with `edits` as the next generation.
-    pub(crate) async fn publish(&mut self, edits: Edits) -> Result<(), SiteError> {
-        let platform = self.platform.client();
-        let read_failed = |err| SiteError::new("read head", err);
-        let base = platform.read_head().await.map_err(read_failed)?.head;
-        let before = platform
-            .fetch_set(&base.digest, &FetchedSet::default())
-            .await;
-        let before = before.map_err(read_failed)?;
-        let request = Request {
-            base,
-            base_set: before.set.clone(),
-            set: Arc::new(sample::set(edits)),
-            sources: Arc::default(),
-            rebase: false,
-            publisher: "demo".into(),
-            unix_time: publishing::unix_time(),
-            restores: None,
-        };
-        match publishing::publish(&platform, request, &before).await {
-            Outcome::Published { .. } => Ok(()),
-            other => Err(SiteError::new("publish", format!("{other:?}"))),
-        }
+    pub(crate) async fn publish(&self, edits: Edits) -> Result<(), SiteError> {
+        self.platform.publish(edits).await
     }
 
     /// Restarts an engine, which loses its adapters and connections.
@@ -293,6 +274,31 @@
         platform::Platform::new(Arc::new(table), Arc::new(store))
     }
 
+    /// Publishes the sample set with `edits` as the next generation.
+    async fn publish(&self, edits: Edits) -> Result<(), SiteError> {
+        let platform = self.client();
+        let read_failed = |err| SiteError::new("read head", err);
+        let base = platform.read_head().await.map_err(read_failed)?.head;
+        let before = platform
+            .fetch_set(&base.digest, &FetchedSet::default())
+            .await;
+        let before = before.map_err(read_failed)?;
+        let request = Request {
+            base,
+            base_set: before.set.clone(),
+            set: Arc::new(sample::set(edits)),
+            sources: Arc::default(),
+            rebase: false,
+            publisher: "demo".into(),
+            unix_time: publishing::unix_time(),
+            restores: None,
+        };
+        match publishing::publish(&platform, request, &before).await {
+            Outcome::Published { .. } => Ok(()),
+            other => Err(SiteError::new("publish", format!("{other:?}"))),
+        }
+    }
+
     async fn start_agent(
         &self,
         name: &str,
--- a/crates/decision/src/claim.rs
+++ b/crates/decision/src/claim.rs
@@ -417,6 +417,11 @@
         match outcome {
             _ if self.phase != Phase::Dispatched => self.end(ClaimAction::Unknown),
             Outcome::Ran => self.end(ClaimAction::Complete),
+            // Another claimant asked about the attempt before the agent received it, and goes on
+            // with the next attempt.
+            Outcome::NotRun(Refusal::Settled) if by_named_agent => {
+                self.end(ClaimAction::InProgress)
+            }
             Outcome::NotRun(reason) if by_named_agent => self.not_run(reason),
             _ => self.end(ClaimAction::Unknown),
         }
--- a/crates/decision/tests/claim_steps.rs
+++ b/crates/decision/tests/claim_steps.rs
@@ -75,6 +75,25 @@
     );
 }
 
+/// Guards against reporting "not run" for a request that another claimant with the same key runs:
+/// it settled this claim's attempt between the write of the row and the dispatch.
+#[test]
+fn attempt_settled_by_another_claimant_is_in_progress() {
+    let (mut claim, _) = start_claim();
+    let written = ClaimEvent::Written(WriteResult::Committed(1));
+    let action = claim.next(Time::from_ms(10), written);
+    assert!(matches!(action, ClaimAction::Dispatch(_)));
+    let ended = |reason, by| ClaimEvent::Ended {
+        outcome: Outcome::NotRun(reason),
+        by: Incarnation(by),
+    };
+    let mut other = claim.clone();
+    let settled = claim.next(Time::from_ms(20), ended(Refusal::Settled, 9));
+    assert_eq!(settled, ClaimAction::InProgress);
+    let refused = other.next(Time::from_ms(20), ended(Refusal::Overloaded, 9));
+    assert_eq!(refused, ClaimAction::NotRun(Refusal::Overloaded));
+}
+
 /// Guards against an agent that records an outcome late and overwrites that of a later attempt.
 #[test]
 fn agent_records_only_its_own_attempt() {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -110,12 +110,15 @@
 }
 
 impl Entry {
-    /// Creates an entry; starts no tasks.
+    /// Creates an entry that draws all its random numbers from `rng`; starts no tasks.
     ///
     /// # Errors
     ///
     /// Fails if the metrics cannot be registered.
-    pub fn new(settings: settings::EntrySettings) -> Result<Arc<Entry>, Report<ProcessError>> {
+    pub fn new(
+        settings: settings::EntrySettings,
+        rng: fastrand::Rng,
+    ) -> Result<Arc<Entry>, Report<ProcessError>> {
         let bounds = settings.bounds;
         let allowance = Allowance {
             ratio: bounds.retry_ratio,
@@ -128,7 +131,7 @@
             versions: Versions::default(),
             retry_budget: RetryBudget::new(allowance, DEFAULT_ENTRY_COUNT),
             overload: OverloadDetector::new(settings.memory_mb),
-            rng: fastrand::Rng::new(),
+            rng,
             members: Members::default(),
             members_known: false,
         };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -66,7 +66,7 @@
     let settings: settings::EntrySettings =
         ::process::settings::load(path).change_context(ProcessError::Settings)?;
     logs::init().change_context(ProcessError::Setup)?;
-    let running = RunningEntry::start(settings).await?;
+    let running = RunningEntry::start(settings, fastrand::Rng::new()).await?;
     signals.wait_for_stop(|| reload(&running.entry, path)).await;
     running.stop(UNREADY_PERIOD).await;
     Ok(())
@@ -86,15 +86,16 @@
 }
 
 impl RunningEntry {
-    /// Binds the addresses and starts the tasks.
+    /// Binds the addresses and starts the tasks; all random choices draw from `rng`.
     ///
     /// # Errors
     ///
     /// Fails if an address cannot be bound or the metrics cannot be registered.
     pub async fn start(
         settings: settings::EntrySettings,
+        rng: fastrand::Rng,
     ) -> Result<RunningEntry, Report<ProcessError>> {
-        let entry = Entry::new(settings)?;
+        let entry = Entry::new(settings, rng)?;
         let instance = entry.settings.instance.as_str();
         info!("entry starting", kv: { instance });
         let bind = |addr| server::listen(addr);
--- a/crates/soak/src/program.rs
+++ b/crates/soak/src/program.rs
@@ -34,7 +34,8 @@
 #[derive(Debug)]
 struct Running {
     child: Child,
-    started_at: Instant,
+    /// When its signal handlers are expected to be installed.
+    handles_signals_at: Instant,
 }
 
 impl Process {
@@ -105,8 +106,8 @@
         Ok(ended)
     }
 
-    /// Sends a signal that the program handles, `SIGNAL_HANDLER_DELAY` after its start at the
-    /// earliest: without a handler the signal would kill it.
+    /// Sends a signal that the program handles, once it has run for `SIGNAL_HANDLER_DELAY`: without a
+    /// handler the signal would kill it.
     ///
     /// # Errors
     ///
@@ -116,20 +117,24 @@
         let Some(running) = child.as_ref() else {
             return Ok(());
         };
-        tokio::time::sleep_until(running.started_at + SIGNAL_HANDLER_DELAY).await;
+        tokio::time::sleep_until(running.handles_signals_at).await;
         send_signal(&running.child, kind)
     }
 
-    /// Suspends it by SIGSTOP for `length`; restarts wait until it is resumed.
+    /// Suspends it by SIGSTOP for `length`; restarts wait until it is resumed. A program that is
+    /// suspended during its start installs its signal handlers later by the same time.
     ///
     /// # Errors
     ///
     /// Fails if the program cannot be signaled.
     pub async fn pause(&self, length: Duration) -> std::io::Result<()> {
-        let child = self.child.lock().await;
-        let Some(running) = child.as_ref() else {
+        let mut child = self.child.lock().await;
+        let Some(running) = child.as_mut() else {
             return Ok(());
         };
+        if Instant::now() < running.handles_signals_at {
+            running.handles_signals_at += length;
+        }
         send_signal(&running.child, Signal::STOP)?;
         tokio::time::sleep(length).await;
         send_signal(&running.child, Signal::CONT)
@@ -178,7 +183,7 @@
             .spawn()?;
         Ok(Running {
             child,
-            started_at: Instant::now(),
+            handles_signals_at: Instant::now() + SIGNAL_HANDLER_DELAY,
         })
     }
 }
