Place adapters by the demand over all entries, and spread work over homes

An entry saw one in 68 requests and took two requests of its own for a share that calls for a second replica; a cost of 400 ms for a runner without room sent adapters down the rendezvous order, away from the runner that had them in its host memory. The store carries 256 loads a second at full speed, so that with 200 at once each took 800 ms, and requests gave up after 980 ms.

- Agents publish the rate of requests for each adapter (a level, so that it rarely changes) and for their runner; replicas follow from these.
- Agents learn load times from the store and from host memory, the size of that memory (about 42 here, not 100), and how many loads the store carries at once; entries use what they publish.
- Among runners that hold the adapter a random sample is compared, smaller with more entries, since all act on reports of the same age.
- Two homes for each adapter, a cost of crowding, and a further replica when the chosen runner is full.
- Costs and replication have modules of their own.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -273,9 +273,12 @@
 
 /// Publishes the runner's state to the connections of the entries if it has changed.
 fn publish_state(agent: &Arc<AgentState>, up: bool) {
-    let state = agent
-        .scheduler()
-        .state(agent.now(), up, agent.entry_count());
+    let state = {
+        let now = agent.now();
+        let mut scheduler = agent.scheduler();
+        scheduler.update_rates(now);
+        scheduler.state(now, up, agent.entry_count())
+    };
     agent.metrics.adapters.set(state.adapters.len() as i64);
     agent.states.send_if_modified(|known| {
         let changed = *known != state;
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -11,7 +11,6 @@
 use serving::placement::NoRunner;
 use serving::placement::Placement;
 use serving::placement::Requirements;
-use serving::placement::load_time;
 
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
@@ -151,7 +150,7 @@
         let expected_load = state
             .fleet
             .get(runner)
-            .map(|runner| load_time(runner, adapter));
+            .map(|runner| runner.load_time(adapter));
         let ready_at = now.after(expected_load.unwrap_or(RECHECK_INTERVAL));
         state
             .fleet
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -4,7 +4,6 @@
 //! resets it. Every request counted by [`Fleet::begin_request`] is released once by
 //! [`Fleet::end_request`].
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use decision::collections::Map;
@@ -15,15 +14,15 @@
 
 use crate::Name;
 use crate::demand::Demand;
+use crate::demand::RateLevel;
 use crate::link::RunnerUpdate;
 use crate::link::Usage;
+use crate::load_profile::LoadProfile;
+use crate::load_profile::RecentAdapters;
 use crate::runner::Member;
 use crate::runner::Phase;
 use crate::runner::RequestLoad;
 
-/// Number of adapters that a runner is assumed to keep in memory after they were unloaded from its
-/// slots.
-const MAX_RECENT_ADAPTERS: usize = 100;
 /// Settings of the circuit breakers. The open periods are short, because runners recover within
 /// seconds and each request that waits for a breaker is late.
 const BREAKER_SETTINGS: BreakerSettings = BreakerSettings {
@@ -45,6 +44,8 @@
     pub ready_at: Option<Time>,
     /// Whether this entry expects it without a report of it by the runner's agent.
     pub assumed: bool,
+    /// The recent rate of requests for it at the runner, from all entries.
+    pub rate: RateLevel,
 }
 
 /// A request counted at a runner, to be passed to [`Fleet::end_request`].
@@ -102,10 +103,13 @@
     pub reported_at: Time,
     /// The moving average of the latency of requests there, in milliseconds.
     pub service_ms: f32,
+    /// The recent rate of requests for adapters there, from all entries, per second.
+    pub rate: u32,
+    /// What its agent has learned from its loads.
+    pub loads: LoadProfile,
     /// The hash of its identifier, for rendezvous hashing.
     pub(crate) key: u64,
-    /// Adapters that were unloaded recently, oldest first.
-    recent_adapters: VecDeque<Name>,
+    recent_adapters: RecentAdapters,
     usage: Map<Name, Usage>,
 }
 
@@ -227,6 +231,7 @@
             version,
             ready_at: Some(ready_at),
             assumed: true,
+            rate: RateLevel::default(),
         };
         runner.adapters.insert(adapter.clone(), view);
     }
@@ -342,7 +347,9 @@
             up: true,
             reported_at: Time::default(),
             service_ms: DEFAULT_SERVICE_MS,
-            recent_adapters: VecDeque::new(),
+            rate: 0,
+            loads: LoadProfile::default(),
+            recent_adapters: RecentAdapters::default(),
             usage: Map::default(),
         }
     }
@@ -373,7 +380,18 @@
     /// Returns whether an adapter was unloaded recently, so that the runner can load it from
     /// memory.
     pub fn held_recently(&self, adapter: &str) -> bool {
-        self.recent_adapters.iter().any(|name| &**name == adapter)
+        let age = self.recent_adapters.age(adapter);
+        age.is_some_and(|age| age < self.loads.cached_adapters)
+    }
+
+    /// Returns the expected time for loading an adapter, without the wait for other loads.
+    pub fn load_time(&self, adapter: &str) -> Duration {
+        let ms = if self.held_recently(adapter) {
+            self.loads.cached_ms
+        } else {
+            self.loads.store_ms
+        };
+        Duration::from_millis(u64::from(ms))
     }
 
     /// Applies a newer membership record of the same incarnation. A draining runner stays draining.
@@ -401,6 +419,8 @@
         self.linked = true;
         self.up = update.up;
         self.room = update.room;
+        self.rate = update.rate;
+        self.loads = update.loads.unwrap_or(self.loads);
         if let Some(models) = &update.models {
             self.member.models.clone_from(models);
         }
@@ -421,7 +441,7 @@
                 .remove(adapter)
                 .is_some_and(|view| view.ready_at.is_none())
             {
-                self.add_recent_adapter(adapter.clone());
+                self.recent_adapters.push(adapter.clone());
             }
         }
         for status in &update.adapters {
@@ -430,7 +450,11 @@
                 version: status.version,
                 ready_at: (status.wait_ms > 0).then(|| now.after(wait)),
                 assumed: false,
+                rate: status.rate,
             };
+            if view.ready_at.is_none() {
+                self.recent_adapters.remove(&status.adapter);
+            }
             self.adapters.insert(status.adapter.clone(), view);
         }
         reachability_or_models_changed
@@ -439,14 +463,6 @@
             || !update.removed.is_empty()
     }
 
-    fn add_recent_adapter(&mut self, adapter: Name) {
-        self.recent_adapters.retain(|name| *name != adapter);
-        if self.recent_adapters.len() >= MAX_RECENT_ADAPTERS {
-            self.recent_adapters.pop_front();
-        }
-        self.recent_adapters.push_back(adapter);
-    }
-
     /// Derives the load by other entries from the total number of requests.
     fn set_total_load(&mut self, total: u32) {
         self.others_inflight = total.saturating_sub(self.inflight);
@@ -484,5 +500,6 @@
         version,
         ready_at: None,
         assumed: false,
+        rate: RateLevel::default(),
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,14 +10,17 @@
 
 pub mod attempt;
 pub mod config;
+mod cost;
 pub mod demand;
 pub mod events;
 pub mod fleet;
 pub mod link;
+pub mod load_profile;
 pub mod load_scheduler;
 pub mod members;
 pub mod overload;
 pub mod placement;
+mod replication;
 pub mod request;
 pub mod retry_budget;
 pub mod runner;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 
 use crate::Name;
+use crate::demand::RateLevel;
+use crate::load_profile::LoadProfile;
 
 /// Maximum interval between two updates of an agent; they also serve as heartbeats of the
 /// connection.
@@ -122,6 +124,9 @@
     /// The expected time until it is loaded, in milliseconds; 0 if it is loaded.
     #[serde(rename = "t", default)]
     pub wait_ms: u32,
+    /// The recent rate of requests for it at this runner, from all entries.
+    #[serde(rename = "l", default, skip_serializing_if = "RateLevel::is_low")]
+    pub rate: RateLevel,
 }
 
 /// The state of a runner as seen by its agent.
@@ -143,6 +148,10 @@
     pub room: u32,
     /// The number of entries connected to the agent.
     pub entries: u32,
+    /// The recent rate of requests for all adapters, per second.
+    pub rate: u32,
+    /// What the agent has learned from the runner's loads.
+    pub loads: LoadProfile,
     /// The adapters that are loaded, loading or queued, sorted by name.
     pub adapters: Vec<AdapterStatus>,
 }
@@ -171,6 +180,12 @@
     /// The number of entries connected to the agent.
     #[serde(rename = "e")]
     pub entries: u32,
+    /// The recent rate of requests for all adapters, per second.
+    #[serde(rename = "a", default)]
+    pub rate: u32,
+    /// What the agent has learned from the runner's loads; `None` if it is unchanged.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub loads: Option<LoadProfile>,
     /// Whether `adapters` lists all adapters rather than only the changed ones.
     #[serde(rename = "w", default, skip_serializing_if = "is_false")]
     pub full: bool,
@@ -198,13 +213,14 @@
         let known = known.filter(|known| known.born == self.born);
         let changed = self.adapters.iter().filter(|status| {
             let before = known.and_then(|known| known.adapter(&status.adapter));
-            before.is_none_or(|before| before.differs(status))
+            before.is_none_or(|before| before.differs(status) || before.rate != status.rate)
         });
         let removed = known.map(|known| {
             let known_adapters = known.adapters.iter();
             known_adapters.filter(|status| self.adapter(&status.adapter).is_none())
         });
         let models = known.is_none_or(|known| known.models != self.models);
+        let loads = known.is_none_or(|known| known.loads != self.loads);
         RunnerUpdate {
             born: self.born,
             up: self.up,
@@ -213,6 +229,8 @@
             queued: self.queued,
             room: self.room,
             entries: self.entries,
+            rate: self.rate,
+            loads: loads.then_some(self.loads),
             full: known.is_none(),
             models: models.then(|| self.models.clone()),
             adapters: changed.cloned().collect(),
@@ -249,7 +267,7 @@
 
 impl AdapterStatus {
     /// Returns whether the versions differ, or only one of the two is loaded. A different expected
-    /// time alone does not count.
+    /// time or rate alone does not count.
     fn differs(&self, other: &AdapterStatus) -> bool {
         self.version != other.version || (self.wait_ms == 0) != (other.wait_ms == 0)
     }
--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -11,18 +11,19 @@
 
 use crate::Name;
 use crate::demand::Demand;
+use crate::demand::RateLevel;
 use crate::link::AdapterStatus;
 use crate::link::Capacity;
 use crate::link::RunnerState;
 use crate::link::Usage;
-use crate::placement::LOAD_TIME;
-use crate::placement::MAX_PARALLEL_LOADS;
+use crate::load_profile::LoadObserver;
+use crate::load_profile::MAX_PARALLEL_LOADS;
 use crate::runner::EngineReport;
 use crate::runner::VersionedAdapter;
 
 /// Time after its last renewal at which an urgent adapter request expires, because no caller's
 /// request waits for the adapter any longer.
-const URGENT_TTL: Duration = Duration::from_millis(800);
+const URGENT_TTL: Duration = Duration::from_millis(500);
 /// Time after its last renewal at which an adapter request that no caller's request waits for
 /// expires.
 const BACKGROUND_TTL: Duration = Duration::from_secs(6);
@@ -109,6 +110,9 @@
     /// Adapters that were ordered to be replaced or unloaded, with the time of the order.
     removals: Map<Name, (Removal, Time)>,
     model_ordered_at: Option<Time>,
+    loads: LoadObserver,
+    /// The last published rate level of each held adapter.
+    rates: Map<Name, RateLevel>,
 }
 
 impl LoadScheduler {
@@ -137,6 +141,7 @@
             self.loaded_at.clear();
             self.removals.clear();
             self.model_ordered_at = None;
+            self.loads.reset();
         }
         for held in &report.adapters {
             let known = self.report.adapters.contains(held);
@@ -146,10 +151,20 @@
                 loaded.extend(started.map(|started| (held.clone(), now.since(*started))));
             }
         }
+        for (held, took) in &loaded {
+            self.loads.record_end(held, *took);
+        }
+        for held in &self.report.adapters {
+            let gone = report.adapter(&held.adapter).is_none();
+            if gone && !report.is_loading(&held.adapter) && report.born == self.report.born {
+                self.loads.record_unload(held.adapter.clone());
+            }
+        }
         self.load_started.retain(|name, _| report.is_loading(name));
         for held in &report.loading {
             self.load_started.entry(held.adapter.clone()).or_insert(now);
         }
+        self.loads.retain_started(|name| report.is_loading(name));
         self.loaded_at
             .retain(|name, _| report.adapter(name).is_some());
         self.removals.retain(|name, (removal, ordered_at)| {
@@ -176,6 +191,9 @@
         };
         if self.report.adapter(adapter).is_some() {
             self.removals.insert(adapter.clone(), (removal, now));
+        } else if matches!(order, Order::LoadAdapter { .. }) {
+            self.load_started.entry(adapter.clone()).or_insert(now);
+            self.loads.record_start(adapter);
         }
     }
 
@@ -236,9 +254,6 @@
             self.model_ordered_at = Some(now);
             return Some(Order::LoadModel { model });
         }
-        if self.report.loading.len() >= MAX_PARALLEL_LOADS {
-            return None;
-        }
         let adapter = self.next_to_load()?;
         let request = self.requests[&adapter];
         let version = (request.version > 0).then_some(request.version);
@@ -266,6 +281,7 @@
                         adapter: held.adapter.clone(),
                         version: *version,
                         wait_ms,
+                        rate: RateLevel::default(),
                     });
                 }
                 None | Some(_) => {}
@@ -276,10 +292,14 @@
                 .load_started
                 .get(&loading.adapter)
                 .map_or(Duration::ZERO, |started| now.since(*started));
-            let wait_ms = LOAD_TIME.saturating_sub(age).as_millis().max(5) as u32;
+            let load_time = self.loads.load_time(&loading.adapter);
+            let wait_ms = load_time.saturating_sub(age).as_millis().max(5) as u32;
             adapters.push(status(loading, wait_ms));
         }
         adapters.extend(self.queued_statuses());
+        for status in &mut adapters {
+            status.rate = self.rates.get(&status.adapter).copied().unwrap_or_default();
+        }
         adapters.sort_by(|a, b| a.adapter.cmp(&b.adapter));
         RunnerState {
             born: self.report.born,
@@ -290,22 +310,38 @@
             queued: self.report.queued,
             room: self.room(now),
             entries,
+            rate: self.demand.total_rate(now).round() as u32,
+            loads: self.loads.profile(),
             adapters,
         }
     }
 
+    /// Updates the rate levels of the held adapters; called before [`LoadScheduler::state`].
+    pub fn update_rates(&mut self, now: Time) {
+        let held = self.report.adapters.iter();
+        let rates = held.map(|held| {
+            let last = self.rates.get(&held.adapter).copied().unwrap_or_default();
+            let rate = self.demand.rate(now, &held.adapter);
+            (held.adapter.clone(), last.follow(rate))
+        });
+        self.rates = rates.collect();
+    }
+
     /// Returns the queued adapters with their expected wait, so that other entries see them and do
     /// not request them from other runners.
     fn queued_statuses(&self) -> Vec<AdapterStatus> {
         let queue = self.queue();
-        let interval_ms = LOAD_TIME.as_millis() as u32 / MAX_PARALLEL_LOADS as u32;
-        let statuses = queue
-            .enumerate()
-            .map(|(index, (adapter, request))| AdapterStatus {
+        let profile = self.loads.profile();
+        let interval_ms = profile.store_ms / profile.parallel;
+        let statuses = queue.enumerate().map(|(index, (adapter, request))| {
+            let load_time = self.loads.load_time(adapter);
+            AdapterStatus {
                 adapter: adapter.clone(),
                 version: request.version,
-                wait_ms: LOAD_TIME.as_millis() as u32 + interval_ms * index as u32,
-            });
+                wait_ms: load_time.as_millis() as u32 + interval_ms * index as u32,
+                rate: RateLevel::default(),
+            }
+        });
         statuses.collect()
     }
 
@@ -353,13 +389,26 @@
         missing.map(|spec| spec.name.clone())
     }
 
+    /// Returns the first adapter of the queue whose load may start beside those in progress. Loads
+    /// from the runner's memory do not use the store, so they are not held back by its limit.
     fn next_to_load(&self) -> Option<Name> {
-        let (adapter, _) = self.queue().next()?;
+        let loading = &self.report.loading;
+        if loading.len() >= MAX_PARALLEL_LOADS as usize {
+            return None;
+        }
+        let from_store = loading
+            .iter()
+            .filter(|held| self.loads.is_from_store(&held.adapter))
+            .count();
+        let store_free = from_store < self.loads.profile().parallel as usize;
+        let mut queue = self.queue();
+        let (adapter, _) = queue.find(|(name, _)| store_free || self.loads.is_cached(name))?;
         Some(adapter.clone())
     }
 
-    /// Returns the requested adapters that can be loaded, urgent ones first and then in the order
-    /// in which they were first requested.
+    /// Returns the requested adapters that can be loaded: urgent ones first, of these the ones in
+    /// the runner's memory, which take a tenth of the time, and then in the order in which they were
+    /// first requested.
     fn queue(&self) -> impl Iterator<Item = (&Name, &AdapterRequest)> {
         let loadable = self.requests.iter().filter(|(adapter, request)| {
             let loading = self.report.is_loading(adapter);
@@ -374,7 +423,9 @@
         });
         let mut queue: Vec<(&Name, &AdapterRequest)> = loadable.collect();
         queue.sort_by_key(|(name, request)| {
-            (!request.urgent, request.first_requested, (*name).clone())
+            let from_store = !self.loads.is_cached(name);
+            let order = (!request.urgent, from_store, request.first_requested);
+            (order, (*name).clone())
         });
         queue.into_iter()
     }
@@ -440,6 +491,7 @@
         adapter: adapter.adapter.clone(),
         version: adapter.version,
         wait_ms,
+        rate: RateLevel::default(),
     }
 }
 
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -14,17 +14,13 @@
 use derive_more::Display;
 
 use crate::Name;
+use crate::cost;
 use crate::fleet::AdapterView;
 use crate::fleet::Fleet;
 use crate::fleet::Runner;
+use crate::replication;
 use crate::request::Artifact;
 
-/// Assumed prefill throughput of a runner, in tokens per millisecond.
-const PREFILL_TOKENS_PER_MS: f32 = 40.0;
-/// Cost of each request in a runner's batch, in milliseconds.
-const BATCH_COST_MS: f32 = 1.0;
-/// Cost of each request beyond a runner's slots, in milliseconds.
-const QUEUE_COST_MS: f32 = 20.0;
 /// Cost of a runner in another failure domain, in milliseconds.
 const DOMAIN_COST_MS: f32 = 2.0;
 /// Cost of a runner with an error rate of 1, in milliseconds; scaled by the error rate.
@@ -32,33 +28,11 @@
 /// Maximum random addition to a cost, in milliseconds. It keeps entries that act on equally old
 /// reports from all choosing the same runner.
 const MAX_JITTER_MS: f32 = 2.0;
-/// Expected time for loading an adapter from the weight store.
-pub const LOAD_TIME: Duration = Duration::from_millis(280);
-/// Expected time for loading an adapter that the runner still has in memory.
-pub const CACHED_LOAD_TIME: Duration = Duration::from_millis(45);
-/// Time from the end of an adapter's load until the agent's update about it arrives.
-const UPDATE_DELAY: Duration = Duration::from_millis(10);
-/// Cost of each rank below the home in an adapter's rendezvous order, in milliseconds. It outweighs
-/// short-lived load differences, because another runner has to fetch the adapter from the weight
-/// store, while the home can reload it from memory.
-const RANK_COST_MS: f32 = 120.0;
-/// Maximum number of adapters that load at one runner at the same time.
-pub const MAX_PARALLEL_LOADS: usize = 4;
-/// Cost of a load at a runner that has neither a free slot nor an adapter to evict, in
-/// milliseconds.
-const NO_ROOM_COST_MS: f32 = 400.0;
-/// Cost of replacing an older version, which has to wait for the requests that run on it, in
-/// milliseconds.
-const REPLACE_COST_MS: f32 = 500.0;
-/// Traffic of an adapter that calls for one replica, as a multiple of the average traffic per
-/// runner. An entry sees only part of the traffic, and each replica takes a slot from another
-/// adapter.
-const TRAFFIC_PER_REPLICA: f64 = 0.8;
-/// A replica is busy, so that another one is worth a slot and a load, when it has at least
-/// 1/`BUSY_DIVISOR` of its slots in requests.
-const BUSY_DIVISOR: u32 = 4;
-/// Minimum interval between two additional replicas of one adapter.
-const REPLICATION_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of runners that hold the adapter and are compared, if there are many more entries than
+/// such runners.
+const MIN_SAMPLE: usize = 2;
+/// Difference between the error rates of two runners up to which both are compared.
+const ERROR_RATE_MARGIN: f32 = 0.1;
 
 /// What a request requires of a runner.
 #[derive(Clone, Copy, Debug)]
@@ -161,57 +135,48 @@
         requirements: &Requirements<'_>,
     ) -> Result<Placement, NoRunner> {
         let order = self.rank_runners(requirements);
-        let mut best: Option<(bool, f32, &Runner, Candidate)> = None;
+        let mut candidates = Vec::new();
         let mut cause = NoRunner::Unknown;
         for runner in self.runners() {
             if *runner.member.service != *requirements.service {
                 continue;
             }
-            let candidate = match self.evaluate(now, requirements, &order, runner) {
-                Ok(candidate) => candidate,
-                Err(other) => {
-                    cause = cause.or(other);
-                    continue;
+            match self.evaluate(now, requirements, &order, runner) {
+                Ok(mut candidate) => {
+                    candidate.cost_ms += MAX_JITTER_MS * rng.f32();
+                    candidates.push(candidate);
                 }
-            };
-            let cost_ms = candidate.cost_ms + MAX_JITTER_MS * rng.f32();
-            let last_resort = runner.health.breaker_decision(now) == BreakerDecision::LastResort;
-            let better = best
-                .as_ref()
-                .is_none_or(|(other, least, ..)| (last_resort, cost_ms) < (*other, *least));
-            if better {
-                best = Some((last_resort, cost_ms, runner, candidate));
+                Err(other) => cause = cause.or(other),
             }
         }
-        let best = best.map(|(_, cost_ms, runner, candidate)| {
-            let busy = runner.total_inflight() >= runner.member.slots / BUSY_DIVISOR;
-            (cost_ms, runner.member.id.clone(), candidate, busy)
+        let best = choose(rng, &mut candidates, self.entry_count());
+        let best = best.map(|best| {
+            let runner = best.runner;
+            let placement = Placement {
+                runner: runner.member.id.clone(),
+                access: best.access,
+                cost_ms: best.cost_ms,
+                wait: Duration::from_secs_f32(best.wait_ms / 1_000.0),
+                replica: None,
+            };
+            (placement, replication::occupancy(runner))
         });
         self.rank_buffer = order.hashes;
-        let (cost_ms, runner, candidate, busy) = best.ok_or(cause)?;
-        let replica = match candidate.access {
-            Access::Ready { .. } | Access::Loading(_) if busy => {
-                self.choose_replica(now, requirements)
-            }
-            Access::Ready { .. } | Access::Loading(_) | Access::Absent => None,
-        };
-        Ok(Placement {
-            runner,
-            access: candidate.access,
-            cost_ms,
-            wait: Duration::from_secs_f32(candidate.wait_ms / 1_000.0),
-            replica,
-        })
+        let (mut placement, occupancy) = best.ok_or(cause)?;
+        if placement.access != Access::Absent {
+            placement.replica = self.choose_replica(now, requirements, occupancy);
+        }
+        Ok(placement)
     }
 
     /// Computes the cost of a runner for a request, or why the runner cannot serve it.
-    fn evaluate(
+    fn evaluate<'a>(
         &self,
         now: Time,
         requirements: &Requirements<'_>,
         order: &RendezvousOrder,
-        runner: &Runner,
-    ) -> Result<Candidate, NoRunner> {
+        runner: &'a Runner,
+    ) -> Result<Candidate<'a>, NoRunner> {
         if !runner.accepts_requests() {
             return Err(NoRunner::Leaving);
         }
@@ -226,30 +191,27 @@
         }
         let access = access(now, requirements, runner)
             .ok_or_else(|| unavailable_cause(requirements, runner))?;
-        // The adapter loads while the runner serves the requests ahead, so only the longer of the
-        // two waits counts.
-        let queue_ms = queue_wait_ms(runner, requirements.artifact.is_some());
-        let mut wait_ms = queue_ms.max(adapter_wait_ms(now, requirements, runner, access));
-        if access == Access::Absent {
-            wait_ms += load_queue_wait_ms(runner);
-        }
-        let mut cost_ms = wait_ms;
+        let rank = order.rank(runner);
+        let cost = cost::estimate(now, requirements.artifact, runner, access, rank);
+        let mut cost_ms = cost.wait_ms + cost.price_ms;
         if runner.member.domain != self.domain {
             cost_ms += DOMAIN_COST_MS;
         }
         cost_ms += runner.health.error_rate() * ERROR_COST_MS;
-        if access == Access::Absent {
-            cost_ms += load_cost_ms(requirements, order, runner);
-        }
         Ok(Candidate {
+            runner,
+            last_resort: runner.health.breaker_decision(now) == BreakerDecision::LastResort,
             access,
-            wait_ms,
+            wait_ms: cost.wait_ms,
             cost_ms,
         })
     }
 
     /// Returns the runners of a service that accept requests.
-    fn accepting_runners<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Runner> {
+    pub(crate) fn accepting_runners<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Runner> {
         self.runners()
             .filter(move |runner| *runner.member.service == *service && runner.accepts_requests())
     }
@@ -271,64 +233,48 @@
         hashes.sort_unstable_by(|a, b| b.cmp(a));
         RendezvousOrder { key, hashes }
     }
-
-    /// Returns the relative position of a runner among the replicas of an adapter in rendezvous
-    /// order: at least 0 and less than 1. Returns `None` if the runner neither holds nor loads the
-    /// adapter.
-    pub fn holder_position(&self, id: &str, adapter: &str) -> Option<f64> {
-        let own = self.get(id)?;
-        own.adapters.get(adapter)?;
-        let key = hash::hash_text(adapter);
-        let rank_hash = |runner: &Runner| hash::combine(key, runner.key);
-        let own_hash = rank_hash(own);
-        let replicas = self
-            .runners()
-            .filter(|other| other.adapters.contains_key(adapter));
-        let (before, all) = replicas.fold((0, 0), |(before, all), other| {
-            (before + u32::from(rank_hash(other) > own_hash), all + 1)
-        });
-        Some(f64::from(before) / f64::from(all))
-    }
-
-    /// Returns a runner that should load a further replica of the adapter, if the adapter's share
-    /// of the traffic calls for one.
-    fn choose_replica(&mut self, now: Time, requirements: &Requirements<'_>) -> Option<Name> {
-        let adapter = requirements.artifact?.adapter.as_ref()?;
-        self.last_replicated
-            .retain(|_, last| now < last.after(REPLICATION_INTERVAL));
-        if self.last_replicated.contains_key(adapter) {
-            return None;
-        }
-        let runners: Vec<&Runner> = self.accepting_runners(requirements.service).collect();
-        let replicas = runners
-            .iter()
-            .filter(|runner| runner.adapters.contains_key(adapter))
-            .count();
-        let share = self.demand.share(now, adapter);
-        let wanted = (share * runners.len() as f64 / TRAFFIC_PER_REPLICA).round() as usize;
-        if replicas >= wanted.min(runners.len()) {
-            return None;
-        }
-        let eligible = runners.iter().filter(|runner| {
-            !runner.adapters.contains_key(adapter) && runner.linked && runner.up && runner.room > 0
-        });
-        let key = hash::hash_text(adapter);
-        let best = eligible.max_by_key(|runner| hash::combine(key, runner.key))?;
-        let replica = best.member.id.clone();
-        self.last_replicated.insert(adapter.clone(), now);
-        Some(replica)
-    }
 }
 
 /// A runner that can serve a request, with the values by which it is compared with others.
-struct Candidate {
+struct Candidate<'a> {
+    runner: &'a Runner,
+    /// Whether its circuit breaker is open, so that it is chosen only if there is no other.
+    last_resort: bool,
     access: Access,
     /// The expected wait until the request runs, in milliseconds.
     wait_ms: f32,
-    /// The wait plus all other costs, without jitter, in milliseconds.
+    /// The wait plus all other costs and jitter, in milliseconds.
     cost_ms: f32,
 }
 
+/// Chooses the candidate with the lowest cost. Of those that hold the adapter only a random sample
+/// is compared, the smaller the more entries there are: they all act on reports of the same age, and
+/// would otherwise send a whole burst to the runner that was least loaded when it reported.
+fn choose<'a, 'b>(
+    rng: &mut fastrand::Rng,
+    candidates: &'b mut Vec<Candidate<'a>>,
+    entries: u32,
+) -> Option<&'b Candidate<'a>> {
+    if candidates.iter().any(|candidate| !candidate.last_resort) {
+        candidates.retain(|candidate| !candidate.last_resort);
+    }
+    let is_ready = |candidate: &Candidate<'_>| matches!(candidate.access, Access::Ready { .. });
+    let error_rate = |candidate: &Candidate<'_>| candidate.runner.health.error_rate();
+    let ready = candidates.iter().filter(|candidate| is_ready(candidate));
+    let ready_count = ready.clone().count();
+    let least = ready.map(error_rate).fold(f32::INFINITY, f32::min);
+    let margin = least + ERROR_RATE_MARGIN;
+    candidates.retain(|candidate| !is_ready(candidate) || error_rate(candidate) <= margin);
+    let sample = MIN_SAMPLE + ready_count / entries.max(1) as usize;
+    rng.shuffle(candidates);
+    let mut sampled = 0;
+    let compared = candidates.iter().filter(|candidate| {
+        sampled += usize::from(is_ready(candidate));
+        !is_ready(candidate) || sampled <= sample
+    });
+    compared.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+}
+
 /// The rendezvous order of an adapter.
 struct RendezvousOrder {
     /// The hash of the adapter's name.
@@ -345,23 +291,6 @@
     }
 }
 
-/// Returns the cost of loading the adapter at this runner in addition to the wait for the load.
-fn load_cost_ms(requirements: &Requirements<'_>, order: &RendezvousOrder, runner: &Runner) -> f32 {
-    let adapter = requirements
-        .artifact
-        .and_then(|artifact| artifact.adapter.as_ref());
-    let Some(adapter) = adapter else {
-        return 0.0;
-    };
-    let mut cost_ms = RANK_COST_MS * order.rank(runner) as f32;
-    if runner.adapters.contains_key(adapter) {
-        cost_ms += REPLACE_COST_MS;
-    } else if runner.room == 0 {
-        cost_ms += NO_ROOM_COST_MS;
-    }
-    cost_ms
-}
-
 /// Returns the availability of the required adapter at a runner; `None` if the runner cannot serve
 /// the request.
 fn access(now: Time, requirements: &Requirements<'_>, runner: &Runner) -> Option<Access> {
@@ -398,52 +327,3 @@
         Some(ready_at) => Access::Loading(ready_at.max(now)),
     }
 }
-
-/// Returns the expected wait for the adapter, in milliseconds.
-fn adapter_wait_ms(
-    now: Time,
-    requirements: &Requirements<'_>,
-    runner: &Runner,
-    access: Access,
-) -> f32 {
-    let wait = match access {
-        Access::Ready { .. } => Duration::ZERO,
-        Access::Loading(ready_at) => ready_at.since(now) + UPDATE_DELAY,
-        Access::Absent => {
-            let adapter = requirements
-                .artifact
-                .and_then(|artifact| artifact.adapter.as_ref());
-            adapter.map_or(Duration::ZERO, |adapter| load_time(runner, adapter))
-        }
-    };
-    wait.as_secs_f32() * 1_000.0
-}
-
-/// Returns the expected wait until a new load can begin at a runner, in milliseconds.
-fn load_queue_wait_ms(runner: &Runner) -> f32 {
-    let ahead = (runner.loading_count() + 1).saturating_sub(MAX_PARALLEL_LOADS);
-    LOAD_TIME.as_secs_f32() * 1_000.0 * ahead as f32 / MAX_PARALLEL_LOADS as f32
-}
-
-/// Returns the expected time for loading an adapter at a runner, without the wait for other loads.
-pub fn load_time(runner: &Runner, adapter: &str) -> Duration {
-    if runner.held_recently(adapter) {
-        CACHED_LOAD_TIME
-    } else {
-        LOAD_TIME
-    }
-}
-
-/// Returns the expected wait for the requests that a runner already has, in milliseconds; `engine`
-/// says whether the request runs on a model engine.
-fn queue_wait_ms(runner: &Runner, engine: bool) -> f32 {
-    let inflight = runner.total_inflight();
-    let over_capacity = (inflight + 1).saturating_sub(runner.member.slots) as f32;
-    if engine {
-        let prefill_ms = runner.pending_prompt_tokens as f32 / PREFILL_TOKENS_PER_MS;
-        return prefill_ms + inflight as f32 * BATCH_COST_MS + over_capacity * QUEUE_COST_MS;
-    }
-    let slots = runner.member.slots.max(1) as f32;
-    let interval_ms = runner.service_ms / slots;
-    over_capacity * interval_ms + inflight as f32 / slots * MAX_JITTER_MS * 2.0
-}
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod cases;
 
 use decision::time::Time;
+use serving::demand::RateLevel;
 use serving::fleet::Fleet;
 use serving::link::AdapterStatus;
 use serving::link::RunnerState;
@@ -41,6 +42,7 @@
             adapter: (*adapter).into(),
             version: *version,
             wait_ms: *wait_ms,
+            rate: RateLevel::default(),
         });
     let mut adapters: Vec<AdapterStatus> = adapters.collect();
     adapters.sort_by(|a, b| a.adapter.cmp(&b.adapter));
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -12,6 +12,7 @@
 use decision::collections::Map;
 use decision::time::Time;
 use serving::Name;
+use serving::demand::RateLevel;
 use serving::fleet::Fleet;
 use serving::fleet::HealthSignal;
 use serving::placement::Access;
@@ -233,9 +234,13 @@
         .expect("the artifact has an adapter");
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = fleet(9, now);
-    fleet.apply_update(now, "r0", &update(&[(&adapter, 1, 0)]));
-    fleet.demand.record(now, &adapter, 30);
-    fleet.demand.record(now, &"m/others".into(), 70);
+    let mut in_demand = update(&[(&adapter, 1, 0)]);
+    in_demand.rate = 30;
+    in_demand.adapters[0].rate = RateLevel::default().follow(30.0);
+    fleet.apply_update(now, "r0", &in_demand);
+    let mut others = update(&[]);
+    others.rate = 70;
+    fleet.apply_update(now, "r1", &others);
     let idle = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0));
     assert_eq!(
         idle.replica, None,
