--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -83,6 +83,8 @@
     state: Mutex<EntryState>,
     /// Notified when a read of the membership table fails.
     store_lost: Notify,
+    /// Notified when a runner or an agent shows that the known membership is outdated.
+    members_outdated: Notify,
     stopping: AtomicBool,
 }
 
@@ -143,6 +145,7 @@
             links: AgentLinks::default(),
             state: Mutex::new(state),
             store_lost: Notify::new(),
+            members_outdated: Notify::new(),
             stopping: AtomicBool::new(false),
             settings,
         }))
@@ -238,6 +241,18 @@
         }
     }
 
+    /// Records that a runner or an agent has shown the known membership to be outdated, so that it is
+    /// read soon.
+    pub fn mark_members_outdated(&self) {
+        self.members_outdated.notify_one();
+    }
+
+    /// Waits until [`Entry::mark_members_outdated`] is called, or returns at once if it was called
+    /// since the last wait.
+    pub async fn members_outdated(&self) {
+        self.members_outdated.notified().await;
+    }
+
     /// Applies rows of the membership table: the whole table if `full`, otherwise its changes and
     /// the identifiers of the `removed` rows.
     pub fn apply_members(self: &Arc<Self>, members: Vec<Member>, removed: &[Name], full: bool) {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -245,6 +245,9 @@
     fn apply_update(&self, line: &str) -> Result<(), DisconnectReason> {
         let update: RunnerUpdate = serde_json::from_str(line).map_err(|e| e.to_string())?;
         let now = self.entry.now();
+        if update.born > self.member.born {
+            self.entry.mark_members_outdated();
+        }
         let mut state = self.entry.state();
         let changed = state.fleet.apply_update(now, &self.member.id, &update);
         drop(state);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -176,6 +176,7 @@
             ResponseKind::OtherRunner => {
                 info!("runner replaced", kv: { runner = attempt.runner() });
                 self.entry.state().fleet.mark_replaced(attempt.runner());
+                self.entry.mark_members_outdated();
                 attempt.finish(HealthSignal::Neutral, false);
                 Err(Outcome::NotRun.into())
             }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -22,6 +22,9 @@
 /// The pause between two reads of the membership's changes, as a share of the drain bound. Each
 /// heartbeat of a runner is a change and each call has a price, so one read collects many of them.
 const MEMBERS_PAUSE_SHARE: f64 = 0.45;
+/// The shortest pause between two reads of the membership's changes, when a runner or an agent has
+/// shown that the known membership is outdated.
+const MIN_MEMBERS_PAUSE: Duration = Duration::from_millis(250);
 /// The pauses after consecutive failed reads; the last one is repeated.
 const RETRY_PAUSES: [Duration; 3] = [
     Duration::from_millis(50),
@@ -67,7 +70,7 @@
                 version = Some(batch.version);
                 apply_rows(&entry, table, batch, full);
                 if table == Table::Members {
-                    tokio::time::sleep(pause).await;
+                    pause_members_reads(&entry, pause).await;
                 }
             }
             Ok(FeedReply::Expired) => {
@@ -100,6 +103,15 @@
     }
 }
 
+/// Waits before the next read of the membership's changes: for `pause`, or for less if the known
+/// membership turns out to be outdated.
+async fn pause_members_reads(entry: &Entry, pause: Duration) {
+    tokio::time::sleep(MIN_MEMBERS_PAUSE.min(pause)).await;
+    let rest = pause.saturating_sub(MIN_MEMBERS_PAUSE);
+    // An elapsed pause and a notification both mean that the next read is due.
+    let _ = tokio::time::timeout(rest, entry.members_outdated()).await;
+}
+
 fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, full: bool) {
     let mut members = Vec::new();
     let mut removed = Vec::new();
