Admit prompts at the agents, and weigh runners by their share of the requests

- Before a request with a prompt is sent, its entry asks the runner's agent, which sees the prompts of all entries, admits them while the prefill in progress takes less than a third of the gap objective, and learns the throughput from prompts that were read alone.
A wait ends after 0.4 of what is left of the latency objective, with or without an answer.
An adapter with a waiting prompt is in use.
- Agents publish the backlog; a runner with more than its share of the requests costs more for loads, and its demanded adapters get replicas elsewhere.
- A load from host memory has no price; one from the store the more, the fewer the store carries.
- The log of an ended request names its adapter, its wait for admission and its longest gap.

--- /dev/null
+++ b/crates/gateway/src/admit.rs
@@ -0,0 +1,78 @@
+//! Waits for the admission of a request's prompt by the agent of the chosen runner.
+//!
+//! Invariants: the wait is bounded by a share of the route's latency objective, so that an agent that
+//! does not answer delays a request but never stops it; each prompt that was announced to an agent is
+//! reported as read exactly once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serving::Name;
+use serving::admission::Prompt;
+use serving::placement::Placement;
+
+use crate::dispatch::ActiveRequest;
+use crate::entry::Entry;
+
+/// The longest wait, as a share of what is left of the latency objective.
+const MAX_WAIT_SHARE: f64 = 0.4;
+/// The longest wait of a request whose latency objective has passed.
+const MIN_WAIT_LIMIT: Duration = Duration::from_millis(40);
+/// How long after the limit the agent's answer is still awaited; the agent admits a prompt at the
+/// limit.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+
+/// A prompt that was announced to an agent. Dropping it reports the prompt as read.
+pub(crate) struct AnnouncedPrompt {
+    entry: Arc<Entry>,
+    runner: Name,
+    id: u64,
+}
+
+impl Drop for AnnouncedPrompt {
+    fn drop(&mut self) {
+        self.entry.links.finish_prompt(&self.runner, self.id);
+    }
+}
+
+impl ActiveRequest {
+    /// Waits until the runner's agent admits the prompt. Returns `None` at once if the request has no
+    /// prompt, or the agent admits none.
+    pub(crate) async fn admit_prompt(&mut self, placement: &Placement) -> Option<AnnouncedPrompt> {
+        let request = &self.head.request;
+        let gap_goal = self.route.gap_goal;
+        if request.artifact.is_none() || !self.route.kind.is_stream() || gap_goal.is_zero() {
+            return None;
+        }
+        let runner = placement.runner.clone();
+        let admits = self.entry.state().fleet.get(&runner)?.admits;
+        if !admits {
+            return None;
+        }
+        let started_at = self.entry.now();
+        let left = self
+            .route
+            .goal
+            .saturating_sub(started_at.since(self.arrival));
+        let limit = left.mul_f64(MAX_WAIT_SHARE).max(MIN_WAIT_LIMIT);
+        let id = self.entry.links.next_prompt();
+        let prompt = Prompt {
+            id,
+            tokens: request.prompt_tokens,
+            priority: self.route.priority,
+            wait_ms: limit.as_millis() as u32,
+            gap_ms: gap_goal.as_millis() as u32,
+            adapter: self.adapter().cloned(),
+        };
+        let admitted = self.entry.links.ask_admission(&runner, prompt)?;
+        let announced = AnnouncedPrompt {
+            entry: self.entry.clone(),
+            runner,
+            id,
+        };
+        // Without an answer the request goes on: the limit or the connection has ended.
+        let _ = tokio::time::timeout(limit + ANSWER_MARGIN, admitted).await;
+        self.admission_time += self.entry.now().since(started_at);
+        Some(announced)
+    }
+}
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -25,6 +25,7 @@
 use platform::settings;
 use serde_json::json;
 use serving::Name;
+use serving::link::FromAgent;
 use serving::link::IDLE_SILENCE_TIMEOUT;
 use serving::link::IDLE_STATE_INTERVAL;
 use serving::link::IN_USE_PERIOD;
@@ -40,6 +41,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -63,6 +65,9 @@
 const MAX_ORDERS_PER_ROUND: usize = 8;
 /// The shortest interval between updates that no request waits for, such as a change of the load.
 const NON_URGENT_INTERVAL: Duration = Duration::from_millis(200);
+/// The most admissions queued for one entry; further ones are dropped, and the entry's own limit ends
+/// the wait for them.
+const MAX_QUEUED_ADMISSIONS: usize = 256;
 
 struct AgentState {
     settings: settings::AgentSettings,
@@ -77,6 +82,9 @@
     /// The last state, from which each connection sends its updates.
     states: watch::Sender<RunnerState>,
     next_link: AtomicU64,
+    /// For each connection of an entry, the queue of its admitted prompts. Locked after the
+    /// scheduler, if both are locked.
+    admissions: Mutex<Map<LinkId, mpsc::Sender<u64>>>,
 }
 
 impl AgentState {
@@ -84,6 +92,24 @@
         self.scheduler.lock().expect("no panics under the lock")
     }
 
+    fn admissions(&self) -> MutexGuard<'_, Map<LinkId, mpsc::Sender<u64>>> {
+        self.admissions.lock().expect("no panics under the lock")
+    }
+
+    /// Tells the entries which prompts may be sent now.
+    fn deliver_admissions(&self) {
+        let admitted = self.scheduler().admission.admit(self.now());
+        let queues = self.admissions();
+        for (link, prompt) in admitted {
+            let Some(queue) = queues.get(&link) else {
+                continue;
+            };
+            if queue.try_send(prompt).is_err() {
+                warn!("admission dropped", kv: { link, prompt });
+            }
+        }
+    }
+
     fn now(&self) -> Time {
         self.clock.now()
     }
@@ -141,6 +167,7 @@
         wake: Notify::new(),
         states,
         next_link: AtomicU64::new(0),
+        admissions: Mutex::new(Map::default()),
         settings,
     });
     let ops = start_ops(&agent).await?;
@@ -189,6 +216,7 @@
             info!("runner availability changed", kv: { up, addr = agent.settings.runner.to_string().as_str() });
         }
         publish_state(&agent, up);
+        agent.deliver_admissions();
         let active = agent.scheduler().is_active();
         let pause = if active {
             ACTIVE_POLL_INTERVAL
@@ -314,13 +342,22 @@
 async fn serve_entry(agent: Arc<AgentState>, stream: TcpStream) {
     let link = agent.next_link.fetch_add(1, Ordering::Relaxed);
     agent.metrics.entries.inc();
-    let reason = exchange_messages(&agent, link, stream).await;
+    let (queue, admitted) = mpsc::channel(MAX_QUEUED_ADMISSIONS);
+    agent.admissions().insert(link, queue);
+    let reason = exchange_messages(&agent, link, stream, admitted).await;
     agent.metrics.entries.dec();
+    agent.admissions().remove(&link);
     agent.scheduler().remove_link(link);
+    agent.deliver_admissions();
     info!("entry disconnected", kv: { link, reason = reason.as_str() });
 }
 
-async fn exchange_messages(agent: &Arc<AgentState>, link: LinkId, stream: TcpStream) -> String {
+async fn exchange_messages(
+    agent: &Arc<AgentState>,
+    link: LinkId,
+    stream: TcpStream,
+    mut admitted: mpsc::Receiver<u64>,
+) -> String {
     let mut lines = match lines::frame(stream) {
         Ok(lines) => lines,
         Err(reason) => return reason,
@@ -358,6 +395,13 @@
                 Some(Err(e)) => Err(e.to_string()),
                 None => Err("closed".into()),
             },
+            Some(first) = admitted.recv() => {
+                let mut prompts = vec![first];
+                while let Ok(prompt) = admitted.try_recv() {
+                    prompts.push(prompt);
+                }
+                lines::send(&mut lines, &FromAgent::Admitted { prompts }).await
+            }
             changed = states.changed() => match changed {
                 Ok(()) => {
                     let state = states.borrow_and_update().clone();
@@ -395,7 +439,7 @@
     }
     let known = last_sent.as_ref().map(|(known, _)| known);
     let update = state.update_since(known);
-    lines::send(lines, &update).await?;
+    lines::send(lines, &FromAgent::Update(Box::new(update))).await?;
     *last_sent = Some((state, now));
     Ok(())
 }
@@ -433,5 +477,15 @@
             agent.scheduler().apply_usage(now, link, &usages);
             Ok(!usages.is_empty())
         }
+        ToAgent::Admit(prompt) => {
+            agent.scheduler().admission.ask(now, link, prompt);
+            agent.deliver_admissions();
+            Ok(true)
+        }
+        ToAgent::PromptRead(prompt) => {
+            agent.scheduler().admission.finish(now, (link, prompt));
+            agent.deliver_admissions();
+            Ok(true)
+        }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use serving::fleet::HealthSignal;
 use serving::fleet::InflightRequest;
 
+use crate::admit::AnnouncedPrompt;
 use crate::conns::RunnerConn;
 use crate::entry::Entry;
 
@@ -66,6 +67,8 @@
     /// `None` once the end of the attempt is recorded.
     pub(crate) inflight: Option<InflightRequest>,
     pub(crate) conn: Option<RunnerConn>,
+    /// `None` once the runner has read the prompt.
+    pub(crate) prompt: Option<AnnouncedPrompt>,
     /// How long the runner keeps the idle connection; `None` if it does not say.
     pub(crate) idle_timeout: Option<Duration>,
 }
@@ -91,6 +94,7 @@
     }
 
     fn record_end(&mut self, signal: HealthSignal) {
+        self.prompt = None;
         let Some(inflight) = self.inflight.take() else {
             return;
         };
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -98,6 +98,10 @@
     pub(crate) excluded: Vec<Name>,
     /// Time spent waiting for a runner or an adapter, over all attempts.
     pub(crate) wait_time: Duration,
+    /// Time spent waiting for the admission of the prompt, over all attempts.
+    pub(crate) admission_time: Duration,
+    /// The longest gap between two events of a stream that were relayed.
+    pub(crate) longest_gap: Duration,
     /// The time from the arrival to the complete response or to the first event of a stream.
     pub(crate) first_response: Duration,
     /// Number of times the request was written to a runner.
@@ -170,6 +174,8 @@
         service,
         excluded: Vec::new(),
         wait_time: Duration::ZERO,
+        admission_time: Duration::ZERO,
+        longest_gap: Duration::ZERO,
         first_response: Duration::ZERO,
         sends: 0,
         last_placement: None,
@@ -291,9 +297,12 @@
             .with_label_values(&[outcome])
             .inc();
         let runner = self.attempts.tried().last().map_or("", |name| &**name);
+        let adapter = self.adapter().map_or("", |adapter| &**adapter);
         info!("request ended", kv: {
-            id = &*self.head.request.id, outcome, route = &*self.route.name, runner,
+            id = &*self.head.request.id, outcome, route = &*self.route.name, runner, adapter,
             sends = self.sends, held_ms = self.wait_time.as_millis() as u64,
+            admission_ms = self.admission_time.as_millis() as u64,
+            gap_ms = self.longest_gap.as_millis() as u64, gap_goal_ms = self.route.gap_goal.as_millis() as u64,
             tokens = self.head.request.prompt_tokens,
             first_ms = self.first_response.as_millis() as u64, goal_ms = self.route.goal.as_millis() as u64,
             total_ms = self.entry.now().since(self.arrival).as_millis() as u64
@@ -337,11 +346,12 @@
     ) -> Result<AttemptResponse, DispatchError> {
         loop {
             let placement = self.locate().await?;
-            let FailedAttempt { outcome, failure } =
-                match self.run_attempt(&placement, resume).await {
-                    Ok(response) => return Ok(response),
-                    Err(failed) => failed,
-                };
+            let prompt = self.admit_prompt(&placement).await;
+            let result = self.run_attempt(&placement, prompt, resume).await;
+            let FailedAttempt { outcome, failure } = match result {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
+            };
             self.log_attempt(&placement, outcome);
             let step = self.next_step(outcome);
             match step {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! API boundary: [`process::run`] and [`agent::run`] are the two programs; everything else is
 //! internal to them and public only for tests.
 
+mod admit;
 pub mod agent;
 pub mod attempt;
 pub mod conns;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,13 +6,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use decision::collections::Map;
 use futures::StreamExt;
 use serving::Name;
+use serving::admission::Prompt;
 use serving::config::Engine;
 use serving::link::Capacity;
+use serving::link::FromAgent;
 use serving::link::ModelSpec;
 use serving::link::RunnerUpdate;
 use serving::link::SCARCE_ROOM;
@@ -27,6 +31,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -50,8 +55,12 @@
 /// the newer one.
 const UPDATE_MIN_DEMAND: f64 = 0.05;
 
+/// The prompts that wait for their admission on one connection.
+type WaitingPrompts = Arc<Mutex<Map<u64, oneshot::Sender<()>>>>;
+
 struct Link {
     queue: mpsc::Sender<ToAgent>,
+    waiting: WaitingPrompts,
     /// Notified when an update changes the runner's state.
     changed: Arc<Notify>,
     task: AbortHandle,
@@ -61,6 +70,7 @@
 #[derive(Default)]
 pub struct AgentLinks {
     links: Mutex<Map<Name, Link>>,
+    next_prompt: AtomicU64,
     tasks: TaskTracker,
 }
 
@@ -79,15 +89,18 @@
         }
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let changed = Arc::new(Notify::new());
+        let waiting = WaitingPrompts::default();
         let link_task = LinkTask {
             entry: entry.clone(),
             member: member.clone(),
             messages,
+            waiting: waiting.clone(),
             changed: changed.clone(),
         };
         let task = self.tasks.spawn(link_task.run()).abort_handle();
         let link = Link {
             queue,
+            waiting,
             changed,
             task,
         };
@@ -132,6 +145,42 @@
         }
     }
 
+    /// Returns a number for a prompt, unique within this process.
+    pub fn next_prompt(&self) -> u64 {
+        self.next_prompt.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Asks a runner's agent for the admission of a prompt. The result completes with an error if
+    /// the connection ends first; it is `None` without a connection or if its queue is full.
+    pub fn ask_admission(&self, runner: &str, prompt: Prompt) -> Option<oneshot::Receiver<()>> {
+        let links = self.links.lock().expect("no panics under the lock");
+        let link = links.get(runner)?;
+        let (sender, admitted) = oneshot::channel();
+        let id = prompt.id;
+        let mut waiting = link.waiting.lock().expect("no panics under the lock");
+        waiting.insert(id, sender);
+        if link.queue.try_send(ToAgent::Admit(prompt)).is_err() {
+            waiting.remove(&id);
+            return None;
+        }
+        Some(admitted)
+    }
+
+    /// Tells a runner's agent that a prompt was read, or that its request has ended.
+    pub fn finish_prompt(&self, runner: &str, id: u64) {
+        let links = self.links.lock().expect("no panics under the lock");
+        let Some(link) = links.get(runner) else {
+            return;
+        };
+        link.waiting
+            .lock()
+            .expect("no panics under the lock")
+            .remove(&id);
+        if link.queue.try_send(ToAgent::PromptRead(id)).is_err() {
+            warn!("message to agent dropped", kv: { runner, prompt = id });
+        }
+    }
+
     /// Waits until the state of a runner changes, at most until the deadline.
     pub async fn wait_for_change(&self, runner: &str, deadline: Instant) {
         let changed = {
@@ -152,6 +201,7 @@
     entry: Arc<Entry>,
     member: Member,
     messages: mpsc::Receiver<ToAgent>,
+    waiting: WaitingPrompts,
     changed: Arc<Notify>,
 }
 
@@ -163,6 +213,10 @@
         let mut connected = false;
         loop {
             let reason = self.run_connection(&mut connected).await;
+            self.waiting
+                .lock()
+                .expect("no panics under the lock")
+                .clear();
             self.entry.state().fleet.set_linked(&self.member.id, false);
             if connected {
                 info!("agent disconnected", kv: { runner = &*self.member.id, reason = reason.as_str() });
@@ -201,7 +255,7 @@
                 line = lines.next() => match line {
                     Some(Ok(line)) => {
                         last_received = Instant::now();
-                        self.apply_update(&line)
+                        self.handle_message(&line)
                     }
                     Some(Err(e)) => Err(e.to_string()),
                     None => Err("closed".into()),
@@ -242,19 +296,35 @@
         })
     }
 
-    fn apply_update(&self, line: &str) -> Result<(), DisconnectReason> {
-        let update: RunnerUpdate = serde_json::from_str(line).map_err(|e| e.to_string())?;
+    fn handle_message(&self, line: &str) -> Result<(), DisconnectReason> {
+        match serde_json::from_str(line).map_err(|e| e.to_string())? {
+            FromAgent::Admitted { prompts } => self.mark_admitted(&prompts),
+            FromAgent::Update(update) => self.apply_update(&update),
+        }
+        Ok(())
+    }
+
+    fn mark_admitted(&self, prompts: &[u64]) {
+        let mut waiting = self.waiting.lock().expect("no panics under the lock");
+        for id in prompts {
+            if let Some(sender) = waiting.remove(id) {
+                // The request may have ended meanwhile.
+                let _ = sender.send(());
+            }
+        }
+    }
+
+    fn apply_update(&self, update: &RunnerUpdate) {
         let now = self.entry.now();
         if update.born > self.member.born {
             self.entry.mark_members_outdated();
         }
         let mut state = self.entry.state();
-        let changed = state.fleet.apply_update(now, &self.member.id, &update);
+        let changed = state.fleet.apply_update(now, &self.member.id, update);
         drop(state);
         if changed {
             self.changed.notify_waiters();
         }
-        Ok(())
     }
 
     /// Requests newer versions of outdated adapters, and sends this entry's use of the adapters if
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -107,7 +107,10 @@
                         return Some((Err(self.abort(FailureCause::ResponseLost)), self));
                     }
                     if !events.is_empty() {
-                        self.last_event_at = self.request.entry.now();
+                        let now = self.request.entry.now();
+                        let gap = now.since(self.last_event_at);
+                        self.request.longest_gap = self.request.longest_gap.max(gap);
+                        self.last_event_at = now;
                         return Some((Ok(Frame::data(events)), self));
                     }
                 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -24,6 +24,7 @@
 use spdlog::warn;
 use tokio::time::timeout_at;
 
+use crate::admit::AnnouncedPrompt;
 use crate::attempt::AttemptResponse;
 use crate::attempt::FailedAttempt;
 use crate::attempt::OpenStream;
@@ -59,6 +60,7 @@
     pub(crate) async fn run_attempt(
         &mut self,
         placement: &Placement,
+        prompt: Option<AnnouncedPrompt>,
         resume: Option<u64>,
     ) -> Result<AttemptResponse, FailedAttempt> {
         let runner = &placement.runner;
@@ -85,6 +87,7 @@
             entry: self.entry.clone(),
             inflight: Some(inflight),
             conn: Some(conn),
+            prompt,
             idle_timeout: None,
         };
         let version = match placement.access {
@@ -259,6 +262,7 @@
             if first_events.is_empty() {
                 continue;
             }
+            attempt.prompt = None;
             if let Some(inflight) = attempt.inflight.as_mut() {
                 self.entry.state().fleet.mark_answered(inflight);
             }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -24,7 +24,7 @@
 const MEMBERS_PAUSE_SHARE: f64 = 0.45;
 /// The shortest pause between two reads of the membership's changes, when a runner or an agent has
 /// shown that the known membership is outdated.
-const MIN_MEMBERS_PAUSE: Duration = Duration::from_millis(250);
+const MIN_MEMBERS_PAUSE: Duration = Duration::from_millis(600);
 /// The pauses after consecutive failed reads; the last one is repeated.
 const RETRY_PAUSES: [Duration; 3] = [
     Duration::from_millis(50),
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -8,11 +8,12 @@
 use decision::time::Time;
 
 use crate::fleet::Runner;
+use crate::load_profile::MAX_PARALLEL_LOADS;
 use crate::placement::Access;
 use crate::request::Artifact;
 
-/// Assumed prefill throughput of a runner, in tokens per millisecond.
-const PREFILL_TOKENS_PER_MS: f32 = 40.0;
+/// Prefill throughput that is assumed until the runner's agent reports one, in tokens per millisecond.
+const DEFAULT_TOKENS_PER_MS: u32 = 40;
 /// Cost of each request in a runner's batch, in milliseconds.
 const BATCH_COST_MS: f32 = 1.0;
 /// Cost of a full set of slots in use at a runner without an engine, in milliseconds.
@@ -29,6 +30,9 @@
 /// Cost of a runner whose slots are all in use, for the requests that come after this one, in
 /// milliseconds; it rises from 0 when half of the slots are in use.
 const CROWDING_COST_MS: f32 = 100.0;
+/// Cost of a load at a runner that gets twice the average rate of requests, in milliseconds; it rises
+/// from 0 at the average.
+const RATE_COST_MS: f32 = 150.0;
 /// Cost of replacing an older version, which has to wait for the requests that run on it, in
 /// milliseconds.
 const REPLACE_COST_MS: f32 = 500.0;
@@ -42,13 +46,15 @@
     pub(crate) price_ms: f32,
 }
 
-/// Estimates the cost of a runner that is at position `rank` of the adapter's rendezvous order.
+/// Estimates the cost of a runner that is at position `rank` of the adapter's rendezvous order, in a
+/// service whose runners get `average_rate` requests per second.
 pub(crate) fn estimate(
     now: Time,
     artifact: Option<&Artifact>,
     runner: &Runner,
     access: Access,
     rank: usize,
+    average_rate: f32,
 ) -> Cost {
     let adapter = artifact.and_then(|artifact| artifact.adapter.as_deref());
     let queue_ms = queue_wait_ms(runner, artifact.is_some());
@@ -59,7 +65,9 @@
     match (access, adapter) {
         (Access::Absent, Some(adapter)) => Cost {
             wait_ms: wait_ms + load_queue_wait_ms(runner),
-            price_ms: crowding_ms + load_price_ms(adapter, runner, rank),
+            price_ms: crowding_ms
+                + load_price_ms(adapter, runner, rank)
+                + RATE_COST_MS * excess_rate(runner, average_rate),
         },
         _ => Cost {
             wait_ms,
@@ -68,17 +76,26 @@
     }
 }
 
-/// Returns the price of loading the adapter at this runner in addition to the wait for the load.
+/// Returns the price of loading the adapter at this runner in addition to the wait for the load. A
+/// load from the runner's host memory takes nothing from others; one from the store takes the more,
+/// the fewer loads the store carries at once.
 fn load_price_ms(adapter: &str, runner: &Runner, rank: usize) -> f32 {
-    let rank_ms = match rank {
-        0 => 0.0,
-        rank => SECOND_HOME_COST_MS + RANK_COST_MS * (rank - 1) as f32,
-    };
     if runner.adapters.contains_key(adapter) {
-        rank_ms + REPLACE_COST_MS
-    } else {
-        rank_ms
+        return REPLACE_COST_MS;
+    }
+    if rank == 0 || runner.held_recently(adapter) {
+        return 0.0;
+    }
+    let crowded = MAX_PARALLEL_LOADS as f32 / runner.loads.parallel.max(1) as f32;
+    SECOND_HOME_COST_MS * crowded + RANK_COST_MS * (rank - 1) as f32
+}
+
+/// Returns by how much the rate of requests at a runner exceeds the average, as a multiple of it.
+pub(crate) fn excess_rate(runner: &Runner, average_rate: f32) -> f32 {
+    if average_rate < 1.0 {
+        return 0.0;
     }
+    (runner.rate as f32 / average_rate - 1.0).max(0.0)
 }
 
 fn crowding_ms(runner: &Runner) -> f32 {
@@ -127,7 +144,12 @@
     let over_capacity = (inflight + 1).saturating_sub(slots) as f32;
     let queue_ms = over_capacity * runner.service_ms / slots as f32;
     if engine {
-        let prefill_ms = runner.pending_prompt_tokens as f32 / PREFILL_TOKENS_PER_MS;
+        let tokens_per_ms = match runner.prefill {
+            0 => DEFAULT_TOKENS_PER_MS,
+            known => known,
+        };
+        let own_ms = runner.pending_prompt_tokens as f32 / tokens_per_ms as f32;
+        let prefill_ms = own_ms.max(runner.backlog_ms as f32);
         return prefill_ms + inflight as f32 * BATCH_COST_MS + queue_ms;
     }
     queue_ms + inflight as f32 / slots as f32 * FULL_SLOTS_COST_MS
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -97,6 +97,8 @@
     pub replaced: bool,
     /// Whether this entry is connected to its agent.
     pub linked: bool,
+    /// Whether its agent admits prompts.
+    pub admits: bool,
     /// Whether it answers its agent.
     pub up: bool,
     /// When its agent last sent an update.
@@ -105,6 +107,11 @@
     pub service_ms: f32,
     /// The recent rate of requests for adapters there, from all entries, per second.
     pub rate: u32,
+    /// The expected time for reading the prompts that wait for their admission there, in
+    /// milliseconds.
+    pub backlog_ms: u32,
+    /// Its prefill throughput, in tokens per millisecond; 0 if unknown.
+    pub prefill: u32,
     /// What its agent has learned from its loads.
     pub loads: LoadProfile,
     /// The hash of its identifier, for rendezvous hashing.
@@ -344,10 +351,13 @@
             room: 0,
             replaced: false,
             linked: false,
+            admits: false,
             up: true,
             reported_at: Time::default(),
             service_ms: DEFAULT_SERVICE_MS,
             rate: 0,
+            backlog_ms: 0,
+            prefill: 0,
             loads: LoadProfile::default(),
             recent_adapters: RecentAdapters::default(),
             usage: Map::default(),
@@ -420,6 +430,8 @@
         self.up = update.up;
         self.room = update.room;
         self.rate = update.rate;
+        self.backlog_ms = update.backlog_ms;
+        self.prefill = update.prefill;
         self.loads = update.loads.unwrap_or(self.loads);
         if let Some(models) = &update.models {
             self.member.models.clone_from(models);
@@ -433,6 +445,7 @@
         self.adapters
             .retain(|_, view| !view.assumed || view.ready_at.is_some_and(|at| at > now));
         if update.full {
+            self.admits = update.admits;
             self.adapters.retain(|_, view| view.assumed);
         }
         for adapter in &update.removed {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 //! and carries out what they return. No type here depends on the encoding of the platform's
 //! messages; only the messages between entries and agents, in [`link`], are defined here.
 
+pub mod admission;
 pub mod attempt;
 pub mod config;
 mod cost;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::Name;
+use crate::admission::Prompt;
 use crate::demand::RateLevel;
 use crate::load_profile::LoadProfile;
 
@@ -109,6 +110,27 @@
     /// The entry's complete current usage of the runner's adapters.
     #[serde(rename = "use")]
     Usage(Vec<Usage>),
+    /// Asks for the admission of a prompt; sent only to an agent whose updates say that it admits
+    /// prompts.
+    #[serde(rename = "ask")]
+    Admit(Prompt),
+    /// The runner has read the prompt with this number, or its request has ended.
+    #[serde(rename = "read")]
+    PromptRead(u64),
+}
+
+/// A message from an agent to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum FromAgent {
+    /// The prompts with these numbers may be sent.
+    Admitted {
+        /// The numbers that the entry gave them.
+        #[serde(rename = "ok")]
+        prompts: Vec<u64>,
+    },
+    /// A change of the runner's state.
+    Update(Box<RunnerUpdate>),
 }
 
 /// The status of an adapter that a runner holds, loads or has queued for loading.
@@ -150,13 +172,17 @@
     pub entries: u32,
     /// The recent rate of requests for all adapters, per second.
     pub rate: u32,
+    /// The expected time for reading the prompts that wait for their admission, in milliseconds.
+    pub backlog_ms: u32,
+    /// The prefill throughput, in tokens per millisecond; 0 if unknown.
+    pub prefill: u32,
     /// What the agent has learned from the runner's loads.
     pub loads: LoadProfile,
     /// The adapters that are loaded, loading or queued, sorted by name.
     pub adapters: Vec<AdapterStatus>,
 }
 
-/// A message from an agent to an entry: the changes in the state of its runner.
+/// The changes in the state of a runner since the last update.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerUpdate {
     /// When the runner started, in milliseconds since the Unix epoch.
@@ -183,12 +209,21 @@
     /// The recent rate of requests for all adapters, per second.
     #[serde(rename = "a", default)]
     pub rate: u32,
+    /// The expected time for reading the prompts that wait for their admission, in milliseconds.
+    #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
+    pub backlog_ms: u32,
+    /// The prefill throughput, in tokens per millisecond; 0 if unknown.
+    #[serde(rename = "v", default, skip_serializing_if = "is_zero")]
+    pub prefill: u32,
     /// What the agent has learned from the runner's loads; `None` if it is unchanged.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub loads: Option<LoadProfile>,
     /// Whether `adapters` lists all adapters rather than only the changed ones.
     #[serde(rename = "w", default, skip_serializing_if = "is_false")]
     pub full: bool,
+    /// Whether the agent admits prompts; given with a full update.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub admits: bool,
     /// The models that the runner holds; `None` if they are unchanged.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub models: Option<Vec<Name>>,
@@ -206,6 +241,11 @@
     !flag
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 impl RunnerState {
     /// Returns the update for an entry whose last known state is `known`; a full one if `known` is
     /// `None` or belongs to another incarnation.
@@ -230,8 +270,11 @@
             room: self.room,
             entries: self.entries,
             rate: self.rate,
+            backlog_ms: self.backlog_ms,
+            prefill: self.prefill,
             loads: loads.then_some(self.loads),
             full: known.is_none(),
+            admits: known.is_none(),
             models: models.then(|| self.models.clone()),
             adapters: changed.cloned().collect(),
             removed: removed.map_or(Vec::new(), |removed| {
--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -10,6 +10,7 @@
 use decision::time::Time;
 
 use crate::Name;
+use crate::admission::PrefillAdmission;
 use crate::demand::Demand;
 use crate::demand::RateLevel;
 use crate::link::AdapterStatus;
@@ -110,6 +111,8 @@
     /// Adapters that were ordered to be replaced or unloaded, with the time of the order.
     removals: Map<Name, (Removal, Time)>,
     model_ordered_at: Option<Time>,
+    /// The prompts that wait for the runner; their adapters are in use.
+    pub admission: PrefillAdmission,
     loads: LoadObserver,
     /// The last published rate level of each held adapter.
     rates: Map<Name, RateLevel>,
@@ -236,6 +239,7 @@
     /// Removes the usage of an entry whose connection ended.
     pub fn remove_link(&mut self, link: LinkId) {
         self.inflight.retain(|(other, _), _| *other != link);
+        self.admission.remove_link(link);
     }
 
     /// Returns whether an adapter is loading or requested, so that the agent should poll the runner
@@ -311,6 +315,8 @@
             room: self.room(now),
             entries,
             rate: self.demand.total_rate(now).round() as u32,
+            backlog_ms: self.admission.backlog().as_millis() as u32,
+            prefill: self.admission.tokens_per_ms().round().max(1.0) as u32,
             loads: self.loads.profile(),
             adapters,
         }
@@ -472,7 +478,8 @@
     /// not loaded just now.
     fn idle(&self, now: Time) -> impl Iterator<Item = &VersionedAdapter> {
         self.report.adapters.iter().filter(move |held| {
-            let used = self.inflight.keys().any(|(_, name)| *name == held.adapter);
+            let used = self.inflight.keys().any(|(_, name)| *name == held.adapter)
+                || self.admission.uses(&held.adapter);
             let loaded_at = self.loaded_at.get(&held.adapter);
             let fresh = loaded_at.is_some_and(|at| now < at.after(MIN_RESIDENCE));
             let loading = self.report.is_loading(&held.adapter);
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -135,13 +135,14 @@
         requirements: &Requirements<'_>,
     ) -> Result<Placement, NoRunner> {
         let order = self.rank_runners(requirements);
+        let average_rate = self.average_rate(requirements.service);
         let mut candidates = Vec::new();
         let mut cause = NoRunner::Unknown;
         for runner in self.runners() {
             if *runner.member.service != *requirements.service {
                 continue;
             }
-            match self.evaluate(now, requirements, &order, runner) {
+            match self.evaluate(now, requirements, &order, average_rate, runner) {
                 Ok(mut candidate) => {
                     candidate.cost_ms += MAX_JITTER_MS * rng.f32();
                     candidates.push(candidate);
@@ -159,7 +160,7 @@
                 wait: Duration::from_secs_f32(best.wait_ms / 1_000.0),
                 replica: None,
             };
-            (placement, replication::occupancy(runner))
+            (placement, replication::occupancy(runner, average_rate))
         });
         self.rank_buffer = order.hashes;
         let (mut placement, occupancy) = best.ok_or(cause)?;
@@ -175,6 +176,7 @@
         now: Time,
         requirements: &Requirements<'_>,
         order: &RendezvousOrder,
+        average_rate: f32,
         runner: &'a Runner,
     ) -> Result<Candidate<'a>, NoRunner> {
         if !runner.accepts_requests() {
@@ -192,7 +194,14 @@
         let access = access(now, requirements, runner)
             .ok_or_else(|| unavailable_cause(requirements, runner))?;
         let rank = order.rank(runner);
-        let cost = cost::estimate(now, requirements.artifact, runner, access, rank);
+        let cost = cost::estimate(
+            now,
+            requirements.artifact,
+            runner,
+            access,
+            rank,
+            average_rate,
+        );
         let mut cost_ms = cost.wait_ms + cost.price_ms;
         if runner.member.domain != self.domain {
             cost_ms += DOMAIN_COST_MS;
@@ -216,6 +225,15 @@
             .filter(move |runner| *runner.member.service == *service && runner.accepts_requests())
     }
 
+    /// Returns the average rate of requests at the runners of a service that accept requests.
+    fn average_rate(&self, service: &str) -> f32 {
+        let runners = self.accepting_runners(service);
+        let (total, count) = runners.fold((0, 0), |(total, count), runner| {
+            (total + runner.rate, count + 1_u32)
+        });
+        total as f32 / count.max(1) as f32
+    }
+
     /// Returns the rendezvous order of the adapter among the runners that accept requests; empty if
     /// the request needs no adapter.
     fn rank_runners(&mut self, requirements: &Requirements<'_>) -> RendezvousOrder {
--- a/crates/serving/src/replication.rs
+++ b/crates/serving/src/replication.rs
@@ -9,6 +9,7 @@
 use decision::time::Time;
 
 use crate::Name;
+use crate::cost;
 use crate::fleet::Fleet;
 use crate::fleet::Runner;
 use crate::placement::Requirements;
@@ -20,16 +21,22 @@
     Idle,
     /// Another replica helps if the demand for the adapter calls for one.
     Busy,
-    /// Further requests wait for a slot.
+    /// Further requests wait for a slot, or it gets far more requests than other runners.
     Full,
 }
 
-/// Returns how much of a runner's slots is in use.
-pub(crate) fn occupancy(runner: &Runner) -> Occupancy {
-    match used_share(runner) {
-        used if used >= 1.0 => Occupancy::Full,
-        used if used >= BUSY_SHARE => Occupancy::Busy,
-        _ => Occupancy::Idle,
+/// Returns how much of a runner's slots is in use, in a service whose runners get `average_rate`
+/// requests per second.
+pub(crate) fn occupancy(runner: &Runner, average_rate: f32) -> Occupancy {
+    let used = used_share(runner);
+    if used < BUSY_SHARE {
+        return Occupancy::Idle;
+    }
+    let preferred = cost::excess_rate(runner, average_rate) >= MAX_EXCESS_RATE;
+    if used >= 1.0 || preferred {
+        Occupancy::Full
+    } else {
+        Occupancy::Busy
     }
 }
 
@@ -45,6 +52,9 @@
 const BUSY_SHARE: f32 = 0.25;
 /// Share of a runner's slots in use up to which it is given a further replica.
 const SPARE_SHARE: f32 = 0.5;
+/// Excess of a runner's rate of requests over the average, as a multiple of it, from which its
+/// adapters get replicas elsewhere.
+const MAX_EXCESS_RATE: f32 = 0.3;
 /// Minimum interval between two additional replicas of one adapter.
 const REPLICATION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -85,6 +95,8 @@
             return None;
         }
         let runners: Vec<&Runner> = self.accepting_runners(requirements.service).collect();
+        let total: u32 = runners.iter().map(|runner| runner.rate).sum();
+        let average_rate = total.div_ceil(runners.len().max(1) as u32);
         let holders = runners
             .iter()
             .filter(|runner| runner.adapters.contains_key(adapter));
@@ -98,7 +110,7 @@
             return None;
         }
         let eligible = runners.iter().filter(|runner| {
-            let spare = used_share(runner) <= SPARE_SHARE;
+            let spare = used_share(runner) <= SPARE_SHARE && runner.rate <= average_rate;
             let usable = runner.linked && runner.up && runner.room > 0;
             usable && spare && !runner.adapters.contains_key(adapter)
         });
