Let prompts wait for almost all of what is left of the objective

A prompt that goes on after its wait, beside others, makes all streams of its runner late by a pause, while it is late itself in either case.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -15,7 +15,7 @@
 use crate::entry::Entry;
 
 /// The longest wait, as a share of what is left of the latency objective.
-const MAX_WAIT_SHARE: f64 = 0.4;
+const MAX_WAIT_SHARE: f64 = 0.9;
 /// The longest wait of a request whose latency objective has passed.
 const MIN_WAIT_LIMIT: Duration = Duration::from_millis(40);
 /// How long after the limit the agent's answer is still awaited; the agent admits a prompt at the
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -18,7 +18,7 @@
 use crate::load_scheduler::LinkId;
 
 /// Share of the gap objective that the prefill in progress may take.
-const GAP_SHARE: f32 = 0.33;
+const GAP_SHARE: f32 = 0.25;
 /// Share of the gap objective up to which a prompt is admitted beside any others.
 const SHORT_PROMPT_SHARE: f32 = 0.125;
 /// Assumed prefill throughput in tokens per millisecond, before the first prompt.
