Bound what a runner may send without end

- An incomplete event has a bound of 256 KiB and is scanned once.
- Responses in memory are counted together, a quarter of the process's memory at most; one may take an eighth of that and 32,768 parts.
What exceeds its own bound counts against the runner's health and goes on elsewhere where the request may be repeated.
- Comments in a stream are passed on but are no progress, so that a stalled stream ends.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,13 +15,14 @@
 use serving::fleet::InflightRequest;
 
 use crate::admit::AnnouncedPrompt;
+use crate::buffer::BufferedBody;
 use crate::conns::RunnerConn;
 use crate::entry::Entry;
 
 /// A response that can be delivered to the caller.
 pub enum AttemptResponse {
     /// The head and the complete body.
-    Complete(Box<ResponseHead>, Bytes),
+    Complete(Box<ResponseHead>, BufferedBody),
     /// A stream whose first events have arrived.
     Stream(Box<OpenStream>),
 }
@@ -33,7 +34,7 @@
     pub outcome: Outcome,
     /// The head and body of the runner's failure response; `None` unless the outcome is
     /// [`Outcome::Failed`].
-    pub failure: Option<(Box<ResponseHead>, Bytes)>,
+    pub failure: Option<(Box<ResponseHead>, BufferedBody)>,
 }
 
 impl From<Outcome> for FailedAttempt {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -31,9 +31,11 @@
 
 use crate::attempt::AttemptResponse;
 use crate::attempt::FailedAttempt;
+use crate::buffer::BufferedBody;
 use crate::entry::Entry;
 use crate::relay;
 use crate::server::Body;
+use crate::server::buffered_body;
 use crate::server::full_body;
 
 /// `Retry-After` of a request that is refused because the entry has no usable configuration.
@@ -75,7 +77,7 @@
     /// The request may have run, and its response is not available.
     Unknown(FailureCause),
     /// The head and body of the failure that the runner responded with.
-    RunnerFailure(Box<ResponseHead>, Bytes),
+    RunnerFailure(Box<ResponseHead>, BufferedBody),
 }
 
 /// A request in progress, with the state of its attempts.
@@ -224,7 +226,7 @@
             Ok(AttemptResponse::Complete(head, body)) => {
                 self.observe_first_response();
                 self.record_completion("served");
-                forward_response(*head, full_body(body))
+                forward_response(*head, buffered_body(body))
             }
             Ok(AttemptResponse::Stream(stream)) => {
                 self.observe_first_response();
@@ -232,7 +234,7 @@
             }
             Err(DispatchError::RunnerFailure(head, body)) => {
                 self.record_completion("runner failed");
-                forward_response(*head, full_body(body))
+                forward_response(*head, buffered_body(body))
             }
             Err(DispatchError::Refused(cause)) => self.refuse(cause),
             Err(DispatchError::Unknown(cause)) => self.fail(cause),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -34,6 +34,7 @@
 use tokio::sync::Notify;
 
 use crate::RuntimeClock;
+use crate::buffer::BufferBudget;
 use crate::conns::ConnPool;
 use crate::links::AgentLinks;
 use crate::logs;
@@ -76,6 +77,8 @@
     pub metrics: EntryMetrics,
     /// The client of the platform's store.
     pub store: StoreClient,
+    /// The memory for responses that are not passed on yet.
+    pub buffers: Arc<BufferBudget>,
     /// Idle connections to runners.
     pub conns: ConnPool,
     /// One connection to the agent of each runner that has an engine.
@@ -141,6 +144,7 @@
             clock: RuntimeClock::start(),
             metrics: EntryMetrics::new().change_context(ProcessError::Setup)?,
             store: StoreClient::new(settings.store),
+            buffers: BufferBudget::new(settings.memory_mb),
             conns: ConnPool::default(),
             links: AgentLinks::default(),
             state: Mutex::new(state),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod admit;
 pub mod agent;
 pub mod attempt;
+pub mod buffer;
 pub mod conns;
 pub mod dispatch;
 pub mod entry;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -102,15 +102,14 @@
         loop {
             match self.read().await {
                 ReadResult::Data(data) => {
-                    let events = self.splitter.push(&data);
+                    let Ok(events) = self.splitter.push(&data) else {
+                        return Some((Err(self.abort(FailureCause::ResponseLost)), self));
+                    };
                     if self.splitter.is_out_of_order() {
                         return Some((Err(self.abort(FailureCause::ResponseLost)), self));
                     }
                     if !events.is_empty() {
-                        let now = self.request.entry.now();
-                        let gap = now.since(self.last_event_at);
-                        self.request.longest_gap = self.request.longest_gap.max(gap);
-                        self.last_event_at = now;
+                        self.record_progress();
                         return Some((Ok(Frame::data(events)), self));
                     }
                 }
@@ -132,6 +131,17 @@
         }
     }
 
+    /// Records the time of new events. Events without data, such as comments, are no progress.
+    fn record_progress(&mut self) {
+        if !std::mem::take(&mut self.splitter.has_new_data) {
+            return;
+        }
+        let now = self.request.entry.now();
+        let gap = now.since(self.last_event_at);
+        self.request.longest_gap = self.request.longest_gap.max(gap);
+        self.last_event_at = now;
+    }
+
     async fn read(&mut self) -> ReadResult {
         let deadline = self.silence_deadline();
         let deadline_at = self.request.entry.clock.instant(deadline);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -29,6 +29,7 @@
 use crate::attempt::FailedAttempt;
 use crate::attempt::OpenStream;
 use crate::attempt::RunningAttempt;
+use crate::buffer::ReadError;
 use crate::conns::RunnerConn;
 use crate::dispatch::ActiveRequest;
 
@@ -47,8 +48,6 @@
 const MAX_IDLE: Duration = Duration::from_secs(60);
 /// The assumed time until a runner that rejects requests for an adapter has it loaded again.
 const REJECTED_ADAPTER_DELAY: Duration = Duration::from_millis(150);
-/// The largest response body that is not a stream.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// The largest body of a rejection that is read so that its connection can be reused.
 const MAX_REJECTION_BYTES: usize = 16 << 10;
 /// The time limit for reading the body of a rejection.
@@ -212,12 +211,23 @@
         body: Incoming,
     ) -> Result<AttemptResponse, FailedAttempt> {
         let deadline = self.entry.clock.instant(self.deadline);
-        let collect = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let Ok(Ok(body)) = timeout_at(deadline, collect).await else {
-            attempt.finish(HealthSignal::Failed, false);
-            return Err(Outcome::Unknown.into());
+        let read = timeout_at(deadline, self.entry.buffers.read(body)).await;
+        let body = match read {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => {
+                self.log_unreadable(attempt.runner(), &error.to_string());
+                let signal = match error {
+                    ReadError::NoMemory => HealthSignal::Neutral,
+                    ReadError::TooLarge | ReadError::Broken => HealthSignal::Failed,
+                };
+                attempt.finish(signal, false);
+                return Err(Outcome::Unknown.into());
+            }
+            Err(_) => {
+                attempt.finish(HealthSignal::Failed, false);
+                return Err(Outcome::Unknown.into());
+            }
         };
-        let body = body.to_bytes();
         let time = self.entry.now().since(self.arrival);
         let failed = response_head.kind == ResponseKind::Failure;
         let signal = match (failed, response_head.status.is_client_error()) {
@@ -237,6 +247,10 @@
         Ok(AttemptResponse::Complete(response_head, body))
     }
 
+    fn log_unreadable(&self, runner: &str, error: &str) {
+        warn!("response cannot be read", kv: { id = &*self.head.request.id, runner, error });
+    }
+
     /// Reads a stream up to its first complete event.
     async fn read_first_events(
         &mut self,
@@ -258,7 +272,14 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let first_events = splitter.push(&data);
+            let first_events = match splitter.push(&data) {
+                Ok(events) => events,
+                Err(error) => {
+                    self.log_unreadable(attempt.runner(), &error.to_string());
+                    attempt.finish(HealthSignal::Failed, false);
+                    return Err(Outcome::Unknown.into());
+                }
+            };
             if first_events.is_empty() {
                 continue;
             }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::buffer::BufferedBody;
 use crate::dispatch;
 use crate::entry::Entry;
 use crate::relay::StreamTruncated;
@@ -184,6 +185,11 @@
 }
 
 /// Returns a body that is sent whole, without streaming.
+pub fn buffered_body(body: BufferedBody) -> Body {
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body with these bytes.
 pub fn full_body(bytes: Bytes) -> Body {
     http_body_util::Full::new(bytes)
         .map_err(|never| match never {})
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -5,11 +5,27 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use derive_more::Display;
+use derive_more::Error;
+
+/// The largest incomplete event that is kept.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// A runner sends bytes without end in place of an event.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
 
 /// Splits the response stream of one attempt into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Length of the part of the buffer in which no event ends.
+    scanned: usize,
+    /// Start of the line that is not complete yet.
+    line_start: usize,
+    /// Whether an event with data was completed since this was last reset.
+    pub has_new_data: bool,
     first_id: Option<u64>,
     last_id: Option<u64>,
     out_of_order: bool,
@@ -18,18 +34,52 @@
 impl EventSplitter {
     /// Adds bytes and returns the bytes of all events that are now complete, unchanged; empty if
     /// there are none.
-    pub fn push(&mut self, data: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the incomplete event is longer than [`MAX_EVENT_BYTES`]; the stream cannot be
+    /// continued then.
+    pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
         self.buffer.extend_from_slice(data);
-        let Some(end) = event_end(&self.buffer) else {
-            return Bytes::new();
+        let Some(end) = self.find_event_end() else {
+            return self.check_length().map(|()| Bytes::new());
         };
         let complete = self.buffer.split_to(end).freeze();
+        self.scanned -= end;
+        self.line_start -= end;
+        self.check_length()?;
+        self.has_new_data |= has_data(&complete);
         for id in ids(&complete) {
             self.out_of_order |= self.last_id.is_some_and(|last| id <= last);
             self.first_id = self.first_id.or(Some(id));
             self.last_id = Some(id);
         }
-        complete
+        Ok(complete)
+    }
+
+    /// Returns the position after the last blank line, which ends an event, if one was added since the
+    /// last call.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let mut end = None;
+        for index in self.scanned..self.buffer.len() {
+            if self.buffer[index] != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                end = Some(index + 1);
+            }
+            self.line_start = index + 1;
+        }
+        self.scanned = self.buffer.len();
+        end
+    }
+
+    fn check_length(&self) -> Result<(), EventTooLong> {
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        Ok(())
     }
 
     /// Returns the id of the last complete event that has a numeric one.
@@ -53,21 +103,9 @@
     }
 }
 
-/// Returns the position after the last blank line, which ends an event; `None` if there is none.
-fn event_end(data: &[u8]) -> Option<usize> {
-    let mut end = None;
-    let mut line_start = 0;
-    for (index, byte) in data.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &data[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            end = Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    end
+fn has_data(events: &[u8]) -> bool {
+    let mut lines = events.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
 }
 
 /// Returns the numeric ids of the events, in stream order.
--- a/crates/serving/tests/prompt_burst.rs
+++ b/crates/serving/tests/prompt_burst.rs
@@ -69,7 +69,11 @@
     assert_eq!(admission.admit(now), [(1, 1)], "nothing else is being read");
     admission.ask(now, 2, prompt(1, 70 * TOKENS_PER_MS, 0));
     admission.ask(now, 2, prompt(2, 10 * TOKENS_PER_MS, 0));
-    assert_eq!(admission.admit(now), [(2, 2)], "a short one holds up no stream");
+    assert_eq!(
+        admission.admit(now),
+        [(2, 2)],
+        "a short one holds up no stream"
+    );
 }
 
 #[test]
