--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -46,6 +46,8 @@
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// The longest idle time of a connection that is reused for other requests.
 const MAX_IDLE: Duration = Duration::from_secs(60);
+/// The length of a prompt from which its prefill is worth more than the wait of others, in tokens.
+const LONG_PROMPT_TOKENS: u32 = 4_096;
 /// The assumed time until a runner that rejects requests for an adapter has it loaded again.
 const REJECTED_ADAPTER_DELAY: Duration = Duration::from_millis(150);
 /// The largest body of a rejection that is read so that its connection can be reused.
@@ -54,6 +56,15 @@
 const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl ActiveRequest {
+    /// Returns the priority of the request at the engine. A request that is preempted is read anew, so
+    /// a long prompt, whose prefill would be lost, is as urgent there as any other.
+    fn engine_priority(&self) -> u8 {
+        if self.head.request.prompt_tokens >= LONG_PROMPT_TOKENS {
+            return 0;
+        }
+        self.route.priority
+    }
+
     /// Runs one attempt at the chosen runner; the error holds its outcome and the failure response
     /// of the runner, if there was one.
     pub(crate) async fn run_attempt(
@@ -97,7 +108,7 @@
             runner,
             remaining: self.deadline.since(now),
             expected_version: version,
-            priority: self.route.priority,
+            priority: self.engine_priority(),
             resume_after: resume,
         };
         let request = runner::encode_request(&self.head, self.body.clone(), &params);
