Let a second home cost more than a load takes when it is not crowded

With 60 ms a second runner loaded one in four adapters, and the store stayed at the 256 loads a second that it carries. Tried and not kept: entries that do not use a runner get its adapters once a second.

--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -22,7 +22,7 @@
 const UPDATE_DELAY: Duration = Duration::from_millis(10);
 /// Cost of the second rank in an adapter's rendezvous order, in milliseconds. It is small, because
 /// the load over all runners is even only if each adapter has two homes to choose from.
-const SECOND_HOME_COST_MS: f32 = 60.0;
+const SECOND_HOME_COST_MS: f32 = 110.0;
 /// Cost of each further rank, in milliseconds. It outweighs short-lived load differences, because
 /// another runner has to fetch the adapter from the weight store, while a home can reload it from
 /// memory.
