Serve what was sent before a planned stop

Cause, shown by planned_stop with 300 connections: a stopping entry dropped its listener with connections in its queue, and closed open connections whose request was in the socket and not read yet; both got an empty response. The queue is now accepted for up to 200 ms, and open connections are read for that time; responses already close the connection. With 20 connections the test passed before, with 300 both its cases failed.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -39,6 +40,12 @@
 const BACKLOG: u32 = 1_024;
 /// The pause after a failed accept, which usually means that file descriptors have run out.
 pub(crate) const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How long after the stop a connection is still read, and the listener's queue accepted, since
+/// requests may be on their way.
+const LAST_REQUEST_PERIOD: Duration = Duration::from_millis(200);
+/// The wait for a connection in the listener's queue after the stop, at which the queue counts as
+/// empty.
+const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
 /// The idle timeout of callers' connections before a configuration is known, and of readiness
 /// probes.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -62,31 +69,67 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers until `stop`, then waits for the requests in progress, which `abort` ends.
+/// Accepts callers until `stop` and those that wait in the listener's queue by then. Then waits for the
+/// requests in progress, which `abort` ends.
 pub async fn accept_callers(
     entry: Arc<Entry>,
     listener: TcpListener,
     stop: CancellationToken,
     abort: CancellationToken,
 ) {
-    let tasks = TaskTracker::new();
-    let limit = entry
-        .settings
-        .max_files
-        .saturating_sub(RESERVED_DESCRIPTORS)
-        .max(64) as usize;
+    let mut callers = Callers::new(entry, stop.clone(), abort);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
+        callers.serve(accepted).await;
+    }
+    let queue_deadline = Instant::now() + LAST_REQUEST_PERIOD;
+    loop {
+        let deadline = queue_deadline.min(Instant::now() + QUEUE_EMPTY_PERIOD);
+        let Ok(accepted) = tokio::time::timeout_at(deadline, listener.accept()).await else {
+            break;
+        };
+        callers.serve(accepted).await;
+    }
+    drop(listener);
+    callers.tasks.close();
+    callers.tasks.wait().await;
+}
+
+/// The connections of callers.
+struct Callers {
+    entry: Arc<Entry>,
+    stop: CancellationToken,
+    abort: CancellationToken,
+    tasks: TaskTracker,
+    limit: usize,
+}
+
+impl Callers {
+    fn new(entry: Arc<Entry>, stop: CancellationToken, abort: CancellationToken) -> Callers {
+        let descriptors = entry.settings.max_files;
+        let limit = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
+        Callers {
+            entry,
+            stop,
+            abort,
+            tasks: TaskTracker::new(),
+            limit: limit as usize,
+        }
+    }
+
+    async fn serve(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok((stream, _)) if tasks.len() < limit => {
-                let caller = serve_caller(entry.clone(), stream, stop.clone());
-                tasks.spawn(abort.clone().run_until_cancelled_owned(caller));
+            Ok((stream, _)) if self.tasks.len() < self.limit => {
+                let caller = serve_caller(self.entry.clone(), stream, self.stop.clone());
+                self.tasks
+                    .spawn(self.abort.clone().run_until_cancelled_owned(caller));
             }
             Ok(_) => {
-                warn!("connection closed, too many open connections", kv: { open = tasks.len() })
+                let open = self.tasks.len();
+                warn!("connection closed, too many open connections", kv: { open });
             }
             Err(error) => {
                 let error = error.to_string();
@@ -95,9 +138,6 @@
             }
         }
     }
-    drop(listener);
-    tasks.close();
-    tasks.wait().await;
 }
 
 async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, stop: CancellationToken) {
@@ -123,6 +163,11 @@
         _ = connection.as_mut() => return,
         () = stop.cancelled() => {}
     }
+    // Responses close the connection from now on, so it is read for one more request at most.
+    let last_request = tokio::time::timeout(LAST_REQUEST_PERIOD, connection.as_mut()).await;
+    if last_request.is_ok() {
+        return;
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
