Keep entries and agents running after a panic in one task

Cause, from reading: a panic under a lock poisoned it, and each later use of the lock panicked as well, so that one unexpected error ended the service of the whole process; a background task that panicked (feeds, maintenance, the agent's control loop) was gone until the next start.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -53,6 +53,8 @@
 use crate::logs;
 use crate::metrics::AgentMetrics;
 use crate::process::ProcessError;
+use crate::recover::lock;
+use crate::recover::supervise;
 use crate::server;
 use crate::server::ACCEPT_RETRY_PAUSE;
 use crate::signals::Signals;
@@ -89,11 +91,11 @@
 
 impl AgentState {
     fn scheduler(&self) -> MutexGuard<'_, LoadScheduler> {
-        self.scheduler.lock().expect("no panics under the lock")
+        lock(&self.scheduler)
     }
 
     fn admissions(&self) -> MutexGuard<'_, Map<LinkId, mpsc::Sender<u64>>> {
-        self.admissions.lock().expect("no panics under the lock")
+        lock(&self.admissions)
     }
 
     /// Tells the entries which prompts may be sent now.
@@ -115,13 +117,13 @@
     }
 
     fn runner_id(&self, born: u64) -> Option<Name> {
-        let runner_ids = self.runner_ids.lock().expect("no panics under the lock");
+        let runner_ids = lock(&self.runner_ids);
         runner_ids.get(&born).cloned()
     }
 
     /// Removes the identifiers of the incarnations before the current one.
     fn forget_earlier_runners(&self, born: u64) {
-        let mut runner_ids = self.runner_ids.lock().expect("no panics under the lock");
+        let mut runner_ids = lock(&self.runner_ids);
         runner_ids.retain(|known, _| *known >= born);
     }
 
@@ -176,7 +178,7 @@
     let accept = tokio::spawn(accept);
     let control = stop
         .clone()
-        .run_until_cancelled_owned(control_runner(agent));
+        .run_until_cancelled_owned(supervise("control", move || control_runner(agent.clone())));
     let control = tokio::spawn(control);
     let reload = || info!("reload ignored, settings apply at the next start", kv: { instance = instance.as_str() });
     signals.wait_for_stop(reload).await;
@@ -455,7 +457,7 @@
             capacity,
         } => {
             info!("entry connected", kv: { link, runner = &*runner, born });
-            let mut runner_ids = agent.runner_ids.lock().expect("no panics under the lock");
+            let mut runner_ids = lock(&agent.runner_ids);
             runner_ids.insert(born, runner);
             drop(runner_ids);
             agent.scheduler().set_capacity(capacity);
--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -23,6 +23,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::recover::lock;
+
 /// The time limit for opening a connection. A lost packet is retransmitted only after about one
 /// second, later than this.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -77,7 +79,7 @@
 impl ConnPool {
     /// Takes an idle connection that was used within `max_idle`, preferably the one used last.
     pub fn take_idle(&self, now: Time, runner: &str, max_idle: Duration) -> Option<RunnerConn> {
-        let mut pools = self.idle.lock().expect("no panics under the lock");
+        let mut pools = lock(&self.idle);
         let pool = pools.get_mut(runner)?;
         pool.retain(|idle| now < idle.expires_at && !idle.conn.sender.is_closed());
         let usable =
@@ -128,21 +130,18 @@
             idle_since: now,
             expires_at: now.after(idle - margin),
         };
-        let mut pools = self.idle.lock().expect("no panics under the lock");
+        let mut pools = lock(&self.idle);
         pools.entry(runner.clone()).or_default().push(entry);
     }
 
     /// Closes the idle connections to a runner that is gone or has restarted.
     pub fn remove(&self, runner: &str) {
-        self.idle
-            .lock()
-            .expect("no panics under the lock")
-            .remove(runner);
+        lock(&self.idle).remove(runner);
     }
 
     /// Closes the idle connections that have expired or that the runner has closed.
     pub fn close_expired(&self, now: Time) {
-        let mut pools = self.idle.lock().expect("no panics under the lock");
+        let mut pools = lock(&self.idle);
         for pool in pools.values_mut() {
             pool.retain(|idle| now < idle.expires_at && !idle.conn.sender.is_closed());
         }
@@ -150,7 +149,7 @@
 
     /// Closes all connections, used ones included, and waits for their tasks.
     pub async fn stop(&self) {
-        self.idle.lock().expect("no panics under the lock").clear();
+        lock(&self.idle).clear();
         self.abort.cancel();
         self.tasks.close();
         self.tasks.wait().await;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -40,6 +40,7 @@
 use crate::logs;
 use crate::metrics::EntryMetrics;
 use crate::process::ProcessError;
+use crate::recover::lock;
 
 /// How long before the bound for using an announced version older ones are no longer allowed.
 const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
@@ -157,7 +158,7 @@
 
     /// Locks the state. Must not be held across an await.
     pub fn state(&self) -> MutexGuard<'_, EntryState> {
-        self.state.lock().expect("no panics under the lock")
+        lock(&self.state)
     }
 
     /// Returns the time since the start of the process's clock.
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -41,6 +41,7 @@
 use crate::lines;
 use crate::lines::Lines;
 use crate::lines::send;
+use crate::recover::lock;
 
 /// The most messages queued for one agent.
 const MAX_QUEUED_MESSAGES: usize = 256;
@@ -77,13 +78,13 @@
 impl AgentLinks {
     /// Returns whether a connection to a runner's agent exists or is being opened.
     pub fn contains(&self, runner: &str) -> bool {
-        let links = self.links.lock().expect("no panics under the lock");
+        let links = lock(&self.links);
         links.contains_key(runner)
     }
 
     /// Starts the connection to a runner's agent, unless it exists.
     pub fn open(&self, entry: &Arc<Entry>, member: &Member) {
-        let mut links = self.links.lock().expect("no panics under the lock");
+        let mut links = lock(&self.links);
         if links.contains_key(&member.id) {
             return;
         }
@@ -109,11 +110,7 @@
 
     /// Closes the connection to the agent of a runner that is gone or has restarted.
     pub fn close(&self, runner: &str) {
-        let link = self
-            .links
-            .lock()
-            .expect("no panics under the lock")
-            .remove(runner);
+        let link = lock(&self.links).remove(runner);
         if let Some(link) = link {
             link.task.abort();
         }
@@ -121,7 +118,7 @@
 
     /// Closes all connections and waits for their tasks.
     pub async fn stop(&self) {
-        for (_, link) in self.links.lock().expect("no panics under the lock").drain() {
+        for (_, link) in lock(&self.links).drain() {
             link.task.abort();
         }
         self.tasks.close();
@@ -131,7 +128,7 @@
     /// Requests an adapter from a runner's agent; `urgent` if a request waits for it. Does nothing
     /// without a connection, and drops the message if the queue is full.
     pub fn request_adapter(&self, runner: &str, adapter: &Name, version: u64, urgent: bool) {
-        let links = self.links.lock().expect("no panics under the lock");
+        let links = lock(&self.links);
         let Some(link) = links.get(runner) else {
             return;
         };
@@ -153,11 +150,11 @@
     /// Asks a runner's agent for the admission of a prompt. The result completes with an error if
     /// the connection ends first; it is `None` without a connection or if its queue is full.
     pub fn ask_admission(&self, runner: &str, prompt: Prompt) -> Option<oneshot::Receiver<()>> {
-        let links = self.links.lock().expect("no panics under the lock");
+        let links = lock(&self.links);
         let link = links.get(runner)?;
         let (sender, admitted) = oneshot::channel();
         let id = prompt.id;
-        let mut waiting = link.waiting.lock().expect("no panics under the lock");
+        let mut waiting = lock(&link.waiting);
         waiting.insert(id, sender);
         if link.queue.try_send(ToAgent::Admit(prompt)).is_err() {
             waiting.remove(&id);
@@ -168,14 +165,11 @@
 
     /// Tells a runner's agent that a prompt was read, or that its request has ended.
     pub fn finish_prompt(&self, runner: &str, id: u64) {
-        let links = self.links.lock().expect("no panics under the lock");
+        let links = lock(&self.links);
         let Some(link) = links.get(runner) else {
             return;
         };
-        link.waiting
-            .lock()
-            .expect("no panics under the lock")
-            .remove(&id);
+        lock(&link.waiting).remove(&id);
         if link.queue.try_send(ToAgent::PromptRead(id)).is_err() {
             warn!("message to agent dropped", kv: { runner, prompt = id });
         }
@@ -184,7 +178,7 @@
     /// Waits until the state of a runner changes, at most until the deadline.
     pub async fn wait_for_change(&self, runner: &str, deadline: Instant) {
         let changed = {
-            let links = self.links.lock().expect("no panics under the lock");
+            let links = lock(&self.links);
             links.get(runner).map(|link| link.changed.clone())
         };
         match changed {
@@ -213,10 +207,7 @@
         let mut connected = false;
         loop {
             let reason = self.run_connection(&mut connected).await;
-            self.waiting
-                .lock()
-                .expect("no panics under the lock")
-                .clear();
+            lock(&self.waiting).clear();
             self.entry.state().fleet.set_linked(&self.member.id, false);
             if connected {
                 info!("agent disconnected", kv: { runner = &*self.member.id, reason = reason.as_str() });
@@ -305,7 +296,7 @@
     }
 
     fn mark_admitted(&self, prompts: &[u64]) {
-        let mut waiting = self.waiting.lock().expect("no panics under the lock");
+        let mut waiting = lock(&self.waiting);
         for id in prompts {
             if let Some(sender) = waiting.remove(id) {
                 // The request may have ended meanwhile.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,7 @@
 
 use crate::entry::Entry;
 use crate::logs;
+use crate::recover::supervise;
 use crate::server;
 use crate::signals::Signals;
 use crate::watch::follow_table;
@@ -109,10 +110,14 @@
         let stop = CancellationToken::new();
         let abort = CancellationToken::new();
         let background = vec![
-            tokio::spawn(follow_table(entry.clone(), Table::Operator)),
-            tokio::spawn(follow_table(entry.clone(), Table::Members)),
-            tokio::spawn(run_maintenance(entry.clone())),
-            tokio::spawn(measure_delay(entry.clone())),
+            supervised(&entry, "operator rows", |entry| {
+                follow_table(entry, Table::Operator)
+            }),
+            supervised(&entry, "membership", |entry| {
+                follow_table(entry, Table::Members)
+            }),
+            supervised(&entry, "maintenance", run_maintenance),
+            supervised(&entry, "delay", measure_delay),
             tokio::spawn(server::serve_ready(entry.clone(), ready)),
         ];
         let accept_loop = tokio::spawn(server::accept_callers(
@@ -175,6 +180,19 @@
     }
 }
 
+/// Spawns a background task that starts again if it panics.
+fn supervised<F>(
+    entry: &Arc<Entry>,
+    name: &'static str,
+    start: impl Fn(Arc<Entry>) -> F + Send + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let entry = entry.clone();
+    tokio::spawn(supervise(name, move || start(entry.clone())))
+}
+
 async fn run_maintenance(entry: Arc<Entry>) {
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
