Log and count what a load came from and who waited for it

A completed load says where it came from, whether requests wait for it and since when; loads are counted by source. The waits for admission and the longest gaps of streams are metrics, so that a late stream can be explained.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -33,6 +33,7 @@
 use serving::link::SILENCE_TIMEOUT;
 use serving::link::STATE_INTERVAL;
 use serving::link::ToAgent;
+use serving::load_scheduler::CompletedLoad;
 use serving::load_scheduler::LinkId;
 use serving::load_scheduler::LoadScheduler;
 use serving::load_scheduler::Order;
@@ -127,6 +128,20 @@
         runner_ids.retain(|known, _| *known >= born);
     }
 
+    fn record_load(&self, load: &CompletedLoad) {
+        let source = load.source.to_string();
+        self.metrics
+            .loads
+            .with_label_values(&[source.as_str()])
+            .inc();
+        let waited_ms = load.waited.map_or(0, |waited| waited.as_millis() as u64);
+        info!("adapter loaded", kv: {
+            adapter = &*load.loaded.adapter, version = load.loaded.version,
+            took_ms = load.took.as_millis() as u64, source = source.as_str(),
+            awaited = load.waited.is_some(), waited_ms
+        });
+    }
+
     fn entry_count(&self) -> u32 {
         self.metrics.entries.get().try_into().unwrap_or(0)
     }
@@ -238,12 +253,9 @@
         match agent.control.read_report().await {
             Ok(report) => {
                 agent.forget_earlier_runners(report.born);
-                let loaded = agent.scheduler().apply_report(agent.now(), report);
-                for (loaded_version, time) in loaded {
-                    info!("adapter loaded", kv: {
-                        adapter = &*loaded_version.adapter, version = loaded_version.version,
-                        took_ms = time.as_millis() as u64
-                    });
+                let completed = agent.scheduler().apply_report(agent.now(), report);
+                for load in completed {
+                    agent.record_load(&load);
                 }
             }
             Err(error) => {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -252,6 +252,10 @@
             .metrics
             .adapter_wait_s
             .observe(self.wait_time.as_secs_f64());
+        self.entry
+            .metrics
+            .admission_wait_s
+            .observe(self.admission_time.as_secs_f64());
     }
 
     fn refuse(self, cause: FailureCause) -> Response<Body> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,10 @@
     pub first_response_s: Histogram,
     /// Time that a request waited for a runner or an adapter, in seconds.
     pub adapter_wait_s: Histogram,
+    /// Time that a request waited for the admission of its prompt, in seconds.
+    pub admission_wait_s: Histogram,
+    /// The longest gap between two events of a complete stream, in seconds.
+    pub longest_gap_s: Histogram,
     /// Streams that were resumed at another runner.
     pub resumed_streams: IntCounter,
     /// New connections to runners, including failed ones.
@@ -58,6 +62,10 @@
             register_histogram(&registry, "first_answer_seconds", "Time to the first event")?;
         let adapter_wait_s =
             register_histogram(&registry, "adapter_wait_seconds", "Wait for an adapter")?;
+        let admission_wait_s =
+            register_histogram(&registry, "admission_wait_seconds", "Wait for admission")?;
+        let longest_gap_s =
+            register_histogram(&registry, "longest_gap_seconds", "Longest gap of a stream")?;
         let resumed_streams =
             IntCounter::new("streams_resumed_total", "Streams that were resumed")?;
         let runner_connects = IntCounter::new("runner_connects_total", "Connections to runners")?;
@@ -71,6 +79,8 @@
             attempts,
             first_response_s,
             adapter_wait_s,
+            admission_wait_s,
+            longest_gap_s,
             resumed_streams,
             runner_connects,
             store_calls,
@@ -86,6 +96,8 @@
     pub registry: Registry,
     /// Orders to the runner by result.
     pub orders: IntCounterVec,
+    /// Loads of adapters by source: `store` or `memory`.
+    pub loads: IntCounterVec,
     /// Entries connected to this agent.
     pub entries: IntGauge,
     /// Adapters that the runner has, is loading or has been asked for.
@@ -101,6 +113,7 @@
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
         let orders = register_counters(&registry, "orders_total", "Orders by result", "result")?;
+        let loads = register_counters(&registry, "loads_total", "Adapter loads", "source")?;
         let entries = IntGauge::new("entries_connected", "Connected entries")?;
         let adapters = IntGauge::new("adapters_held", "Adapters that the runner holds")?;
         registry.register(Box::new(entries.clone()))?;
@@ -108,6 +121,7 @@
         Ok(AgentMetrics {
             registry,
             orders,
+            loads,
             entries,
             adapters,
         })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -215,6 +215,8 @@
         if let Some(attempt) = self.attempt.take() {
             attempt.finish(HealthSignal::Success(time), !self.closes_connection);
         }
+        let gap = self.request.longest_gap.as_secs_f64();
+        self.request.entry.metrics.longest_gap_s.observe(gap);
         self.request.record_completion("served");
     }
 
--- a/crates/serving/src/load_profile.rs
+++ b/crates/serving/src/load_profile.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use decision::collections::Map;
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -58,6 +59,17 @@
     }
 }
 
+/// Where a runner took an adapter from.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LoadSource {
+    /// The weight store, which all runners share.
+    #[display("store")]
+    Store,
+    /// The runner's own host memory.
+    #[display("memory")]
+    Memory,
+}
+
 /// The adapters that were unloaded from a runner's slots, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct RecentAdapters {
@@ -177,20 +189,24 @@
         self.recent.remove(adapter);
     }
 
-    /// Records that a load has ended after `took`. A load whose start is unknown is ignored.
-    pub fn record_end(&mut self, loaded: &VersionedAdapter, took: Duration) {
-        let Some(age) = self.started.remove(&loaded.adapter) else {
-            return;
-        };
+    /// Records that a load has ended after `took`, and returns where it came from. A load whose start
+    /// is unknown teaches nothing.
+    pub fn record_end(&mut self, loaded: &VersionedAdapter, took: Duration) -> LoadSource {
         let took_ms = took.as_secs_f32() * 1_000.0;
         let reference_ms = self.fastest_ms.unwrap_or(DEFAULT_STORE_MS);
-        if took_ms >= reference_ms * CACHED_SHARE {
-            return self.record_store_load(age, took_ms);
-        }
-        self.cached_ms += ALPHA * (took_ms - self.cached_ms);
-        if let Some(age) = age {
-            self.cached_adapters = self.cached_adapters.max(age + 1);
+        let source = if took_ms >= reference_ms * CACHED_SHARE {
+            LoadSource::Store
+        } else {
+            LoadSource::Memory
+        };
+        let Some(age) = self.started.remove(&loaded.adapter) else {
+            return source;
+        };
+        match source {
+            LoadSource::Store => self.record_store_load(age, took_ms),
+            LoadSource::Memory => self.record_cached_load(age, took_ms),
         }
+        source
     }
 
     /// Forgets loads that have not ended and are not listed by the runner any more.
@@ -198,6 +214,13 @@
         self.started.retain(|adapter, _| is_loading(adapter));
     }
 
+    fn record_cached_load(&mut self, age: Option<u32>, took_ms: f32) {
+        self.cached_ms += ALPHA * (took_ms - self.cached_ms);
+        if let Some(age) = age {
+            self.cached_adapters = self.cached_adapters.max(age + 1);
+        }
+    }
+
     fn record_store_load(&mut self, age: Option<u32>, took_ms: f32) {
         self.store_ms += ALPHA * (took_ms - self.store_ms);
         let fastest_ms = self
--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -18,6 +18,7 @@
 use crate::link::RunnerState;
 use crate::link::Usage;
 use crate::load_profile::LoadObserver;
+use crate::load_profile::LoadSource;
 use crate::load_profile::MAX_PARALLEL_LOADS;
 use crate::runner::EngineReport;
 use crate::runner::VersionedAdapter;
@@ -93,6 +94,19 @@
     Unloaded,
 }
 
+/// A load that has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletedLoad {
+    /// The adapter, in the version that was loaded.
+    pub loaded: VersionedAdapter,
+    /// The time from the order, or from its first report, to the end.
+    pub took: Duration,
+    /// Where the runner took it from.
+    pub source: LoadSource,
+    /// The time since an entry first asked for it; `None` if no request waits for it any more.
+    pub waited: Option<Duration>,
+}
+
 /// Identifies the connection of one entry; unique within the agent process.
 pub type LinkId = u64;
 
@@ -132,13 +146,9 @@
     /// Applies a report of the runner. After a restart of the runner, the orders to the previous
     /// incarnation are discarded.
     ///
-    /// Returns the adapters that finished loading since the last report, with their load times.
-    pub fn apply_report(
-        &mut self,
-        now: Time,
-        report: EngineReport,
-    ) -> Vec<(VersionedAdapter, Duration)> {
-        let mut loaded = Vec::new();
+    /// Returns the loads that have ended since the last report.
+    pub fn apply_report(&mut self, now: Time, report: EngineReport) -> Vec<CompletedLoad> {
+        let mut completed = Vec::new();
         if report.born != self.report.born {
             self.load_started.clear();
             self.loaded_at.clear();
@@ -150,13 +160,9 @@
             let known = self.report.adapters.contains(held);
             if !known {
                 self.loaded_at.insert(held.adapter.clone(), now);
-                let started = self.load_started.get(&held.adapter);
-                loaded.extend(started.map(|started| (held.clone(), now.since(*started))));
+                completed.extend(self.complete_load(now, held));
             }
         }
-        for (held, took) in &loaded {
-            self.loads.record_end(held, *took);
-        }
         for held in &self.report.adapters {
             let gone = report.adapter(&held.adapter).is_none();
             if gone && !report.is_loading(&held.adapter) && report.born == self.report.born {
@@ -178,7 +184,20 @@
             pending && now < ordered_at.after(REMOVAL_TIMEOUT)
         });
         self.report = report;
-        loaded
+        completed
+    }
+
+    fn complete_load(&mut self, now: Time, loaded: &VersionedAdapter) -> Option<CompletedLoad> {
+        let started = self.load_started.get(&loaded.adapter)?;
+        let took = now.since(*started);
+        let request = self.requests.get(&loaded.adapter);
+        let urgent = request.filter(|request| request.urgent);
+        Some(CompletedLoad {
+            loaded: loaded.clone(),
+            took,
+            source: self.loads.record_end(loaded, took),
+            waited: urgent.map(|request| now.since(request.first_requested)),
+        })
     }
 
     /// Records that the runner has accepted an order. While an adapter is being replaced or
