--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -5,12 +5,13 @@
 //! after the previous order; an order names the runner's incarnation and the number of orders that
 //! it has accepted, so that a delayed one has no effect.
 
+mod entries;
+
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ::process::ops::OpsServer;
@@ -19,45 +20,31 @@
 use decision::time::Time;
 use error_stack::Report;
 use error_stack::ResultExt;
-use futures::StreamExt;
 use platform::runner::ControlClient;
 use platform::runner::OrderResult;
 use platform::settings;
 use serde_json::json;
 use serving::Name;
-use serving::link::FromAgent;
-use serving::link::IDLE_SILENCE_TIMEOUT;
-use serving::link::IDLE_STATE_INTERVAL;
-use serving::link::IN_USE_PERIOD;
 use serving::link::RunnerState;
-use serving::link::SILENCE_TIMEOUT;
-use serving::link::STATE_INTERVAL;
-use serving::link::ToAgent;
 use serving::load_scheduler::CompletedLoad;
 use serving::load_scheduler::LinkId;
 use serving::load_scheduler::LoadScheduler;
 use serving::load_scheduler::Order;
 use spdlog::info;
 use spdlog::warn;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::entries::accept_entries;
 use crate::RuntimeClock;
-use crate::lines;
-use crate::lines::Lines;
 use crate::logs;
 use crate::metrics::AgentMetrics;
 use crate::process::ProcessError;
 use crate::recover::lock;
 use crate::recover::supervise;
 use crate::server;
-use crate::server::ACCEPT_RETRY_PAUSE;
 use crate::signals::Signals;
 
 /// The interval between two reads of the runner's report while no load is pending.
@@ -66,12 +53,6 @@
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The most orders given in one round, before the new state is published to the entries.
 const MAX_ORDERS_PER_ROUND: usize = 8;
-/// The shortest interval between updates that no request waits for, such as a change of the load.
-const NON_URGENT_INTERVAL: Duration = Duration::from_millis(200);
-/// The most admissions queued for one entry; further ones are dropped, and the entry's own limit ends
-/// the wait for them.
-const MAX_QUEUED_ADMISSIONS: usize = 256;
-
 struct AgentState {
     settings: settings::AgentSettings,
     clock: RuntimeClock,
@@ -328,178 +309,3 @@
         changed
     });
 }
-
-/// Accepts the connections of entries until the agent stops, then ends them.
-async fn accept_entries(agent: Arc<AgentState>, listener: TcpListener, stop: CancellationToken) {
-    let mut links = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            Some(_) = links.join_next() => continue,
-            () = stop.cancelled() => break,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                links.spawn(serve_entry(agent.clone(), stream));
-            }
-            Err(error) => {
-                let error = error.to_string();
-                warn!("accept failed", kv: { error = error.as_str() });
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-            }
-        }
-    }
-    links.shutdown().await;
-}
-
-/// Serves one entry until its connection ends, then drops the usage it reported.
-async fn serve_entry(agent: Arc<AgentState>, stream: TcpStream) {
-    let link = agent.next_link.fetch_add(1, Ordering::Relaxed);
-    agent.metrics.entries.inc();
-    let (queue, admitted) = mpsc::channel(MAX_QUEUED_ADMISSIONS);
-    agent.admissions().insert(link, queue);
-    let reason = exchange_messages(&agent, link, stream, admitted).await;
-    agent.metrics.entries.dec();
-    agent.admissions().remove(&link);
-    agent.scheduler().remove_link(link);
-    agent.deliver_admissions();
-    info!("entry disconnected", kv: { link, reason = reason.as_str() });
-}
-
-async fn exchange_messages(
-    agent: &Arc<AgentState>,
-    link: LinkId,
-    stream: TcpStream,
-    mut admitted: mpsc::Receiver<u64>,
-) -> String {
-    let mut lines = match lines::frame(stream) {
-        Ok(lines) => lines,
-        Err(reason) => return reason,
-    };
-    let mut states = agent.states.subscribe();
-    states.mark_changed();
-    let mut last_received = Instant::now();
-    let mut last_used = Instant::now();
-    let mut last_sent: Option<(RunnerState, Instant)> = None;
-    loop {
-        let in_use = last_used.elapsed() < IN_USE_PERIOD;
-        let interval = if in_use {
-            STATE_INTERVAL
-        } else {
-            IDLE_STATE_INTERVAL
-        };
-        let due = last_sent
-            .as_ref()
-            .map_or(Instant::now(), |(_, at)| *at + interval);
-        let silence = if agent.scheduler().is_used_by(link) {
-            SILENCE_TIMEOUT
-        } else {
-            IDLE_SILENCE_TIMEOUT
-        };
-        let result = tokio::select! {
-            line = lines.next() => match line {
-                Some(Ok(line)) => {
-                    last_received = Instant::now();
-                    handle_message(agent, link, &line).map(|uses_runner| {
-                        if uses_runner {
-                            last_used = last_received;
-                        }
-                    })
-                }
-                Some(Err(e)) => Err(e.to_string()),
-                None => Err("closed".into()),
-            },
-            Some(first) = admitted.recv() => {
-                let mut prompts = vec![first];
-                while let Ok(prompt) = admitted.try_recv() {
-                    prompts.push(prompt);
-                }
-                lines::send(&mut lines, &FromAgent::Admitted { prompts }).await
-            }
-            changed = states.changed() => match changed {
-                Ok(()) => {
-                    let state = states.borrow_and_update().clone();
-                    let pause = if in_use { NON_URGENT_INTERVAL } else { interval };
-                    send_update(&mut lines, &mut last_sent, state, pause).await
-                }
-                Err(_) => Err("stopping".into()),
-            },
-            () = tokio::time::sleep_until(due) => {
-                let state = states.borrow_and_update().clone();
-                send_update(&mut lines, &mut last_sent, state, Duration::ZERO).await
-            }
-            () = tokio::time::sleep_until(last_received + silence) => Err("silent".into()),
-        };
-        if let Err(reason) = result {
-            return reason;
-        }
-    }
-}
-
-/// Sends an entry what has changed since the last update. Changes that are not urgent wait until
-/// `pause` has passed since then.
-async fn send_update(
-    lines: &mut Lines,
-    last_sent: &mut Option<(RunnerState, Instant)>,
-    state: RunnerState,
-    pause: Duration,
-) -> Result<(), String> {
-    let now = Instant::now();
-    if let Some((known, at)) = last_sent
-        && now < *at + pause
-        && !state.is_urgent_after(known)
-    {
-        return Ok(());
-    }
-    let known = last_sent.as_ref().map(|(known, _)| known);
-    let update = state.update_since(known);
-    lines::send(lines, &FromAgent::Update(Box::new(update))).await?;
-    *last_sent = Some((state, now));
-    Ok(())
-}
-
-/// Applies a message of an entry; returns whether it shows that the entry uses the runner.
-fn handle_message(agent: &Arc<AgentState>, link: LinkId, line: &str) -> Result<bool, String> {
-    let message: ToAgent = serde_json::from_str(line).map_err(|e| e.to_string())?;
-    let now = agent.now();
-    match message {
-        ToAgent::Hello {
-            runner,
-            born,
-            capacity,
-        } => {
-            info!("entry connected", kv: { link, runner = &*runner, born });
-            let mut runner_ids = lock(&agent.runner_ids);
-            runner_ids.insert(born, runner);
-            drop(runner_ids);
-            agent.scheduler().set_capacity(capacity);
-            agent.wake.notify_one();
-            Ok(true)
-        }
-        ToAgent::Want {
-            adapter,
-            version,
-            urgent,
-        } => {
-            agent
-                .scheduler()
-                .request_adapter(now, &adapter, version, urgent);
-            agent.wake.notify_one();
-            Ok(true)
-        }
-        ToAgent::Usage(usages) => {
-            agent.scheduler().apply_usage(now, link, &usages);
-            Ok(!usages.is_empty())
-        }
-        ToAgent::Admit(prompt) => {
-            agent.scheduler().admission.ask(now, link, prompt);
-            agent.deliver_admissions();
-            Ok(true)
-        }
-        ToAgent::PromptRead(prompt) => {
-            agent.scheduler().admission.finish(now, (link, prompt));
-            agent.deliver_admissions();
-            Ok(true)
-        }
-    }
-}
--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -4,6 +4,8 @@
 //! slots, with loading adapters counted; an adapter in use by a request is not unloaded; a version
 //! is never replaced by an older one.
 
+mod state;
+
 use std::time::Duration;
 
 use decision::collections::Map;
@@ -13,9 +15,7 @@
 use crate::admission::PrefillAdmission;
 use crate::demand::Demand;
 use crate::demand::RateLevel;
-use crate::link::AdapterStatus;
 use crate::link::Capacity;
-use crate::link::RunnerState;
 use crate::link::Usage;
 use crate::load_profile::LoadObserver;
 use crate::load_profile::LoadSource;
@@ -35,9 +35,6 @@
 /// Minimum interval between two orders to load a model, so that a load that keeps failing does not
 /// take up the weight store.
 const MODEL_LOAD_INTERVAL: Duration = Duration::from_secs(4);
-/// Assumed time for replacing an adapter by a newer version, which includes waiting for the
-/// requests on the older one.
-const REPLACE_TIME: Duration = Duration::from_millis(700);
 /// Time after which an order to replace or unload an adapter is considered to have had no effect.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -288,96 +285,6 @@
         Some(Order::UnloadAdapter { adapter })
     }
 
-    /// Returns the state to report to the entries; `up` says whether the runner answers, and
-    /// `entries` is the number of connected entries.
-    pub fn state(&self, now: Time, up: bool, entries: u32) -> RunnerState {
-        let mut adapters = Vec::new();
-        for held in &self.report.adapters {
-            // While a newer version is loading, the older one does not count as held.
-            let loading = self.report.is_loading(&held.adapter);
-            match self.removals.get(&held.adapter) {
-                None if !loading => adapters.push(status(held, 0)),
-                Some((Removal::Replaced { version }, ordered_at)) if !loading => {
-                    let left = REPLACE_TIME.saturating_sub(now.since(*ordered_at));
-                    let wait_ms = left.as_millis().max(5) as u32;
-                    adapters.push(AdapterStatus {
-                        adapter: held.adapter.clone(),
-                        version: *version,
-                        wait_ms,
-                        rate: RateLevel::default(),
-                    });
-                }
-                None | Some(_) => {}
-            }
-        }
-        for loading in &self.report.loading {
-            let age = self
-                .load_started
-                .get(&loading.adapter)
-                .map_or(Duration::ZERO, |started| now.since(*started));
-            let load_time = self.loads.load_time(&loading.adapter);
-            let wait_ms = load_time.saturating_sub(age).as_millis().max(5) as u32;
-            adapters.push(status(loading, wait_ms));
-        }
-        adapters.extend(self.queued_statuses());
-        for status in &mut adapters {
-            status.rate = self.rates.get(&status.adapter).copied().unwrap_or_default();
-        }
-        adapters.sort_by(|a, b| a.adapter.cmp(&b.adapter));
-        RunnerState {
-            born: self.report.born,
-            up,
-            models: self.report.models.clone(),
-            draining: self.report.draining,
-            running: self.report.running,
-            queued: self.report.queued,
-            room: self.room(now),
-            entries,
-            rate: self.demand.total_rate(now).round() as u32,
-            backlog_ms: self.admission.backlog().as_millis() as u32,
-            prefill: self.admission.tokens_per_ms().round().max(1.0) as u32,
-            loads: self.loads.profile(),
-            adapters,
-        }
-    }
-
-    /// Updates the rate levels of the held adapters; called before [`LoadScheduler::state`].
-    pub fn update_rates(&mut self, now: Time) {
-        let held = self.report.adapters.iter();
-        let rates = held.map(|held| {
-            let last = self.rates.get(&held.adapter).copied().unwrap_or_default();
-            let rate = self.demand.rate(now, &held.adapter);
-            (held.adapter.clone(), last.follow(rate))
-        });
-        self.rates = rates.collect();
-    }
-
-    /// Returns the queued adapters with their expected wait, so that other entries see them and do
-    /// not request them from other runners.
-    fn queued_statuses(&self) -> Vec<AdapterStatus> {
-        let queue = self.queue();
-        let profile = self.loads.profile();
-        let interval_ms = profile.store_ms / profile.parallel;
-        let statuses = queue.enumerate().map(|(index, (adapter, request))| {
-            let load_time = self.loads.load_time(adapter);
-            AdapterStatus {
-                adapter: adapter.clone(),
-                version: request.version,
-                wait_ms: load_time.as_millis() as u32 + interval_ms * index as u32,
-                rate: RateLevel::default(),
-            }
-        });
-        statuses.collect()
-    }
-
-    /// Returns how many more adapters can be loaded now, counting idle ones that can be evicted.
-    fn room(&self, now: Time) -> u32 {
-        let occupied = self.report.adapters.len() + self.report.loading.len();
-        let free = self.slots().saturating_sub(occupied);
-        let idle = self.idle(now).count();
-        (free + idle) as u32
-    }
-
     fn slots(&self) -> usize {
         self.capacity.slots as usize
     }
@@ -512,15 +419,6 @@
     }
 }
 
-fn status(adapter: &VersionedAdapter, wait_ms: u32) -> AdapterStatus {
-    AdapterStatus {
-        adapter: adapter.adapter.clone(),
-        version: adapter.version,
-        wait_ms,
-        rate: RateLevel::default(),
-    }
-}
-
 /// Returns whether an adapter, given as `MODEL/ADAPTER`, belongs to a model.
 fn belongs_to(adapter: &str, model: &str) -> bool {
     let rest = adapter.strip_prefix(model);
