Split two long functions, and bound what callers' prompt lengths can do

Sums of prompt lengths of up to 2^32 tokens overflowed, and prompts of length 0 would have taught a throughput of 0, which stops admission until each wait ends. Placement and replication read step by step; no decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 
 /// A response that can be delivered to the caller.
 pub enum AttemptResponse {
-    /// The head and the complete body.
+    /// A response that was read to its end.
     Complete(Box<ResponseHead>, BufferedBody),
     /// A stream whose first events have arrived.
     Stream(Box<OpenStream>),
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -4,8 +4,8 @@
 //! reach it at once make one long row of such pieces, and each stream pauses for all of it.
 //!
 //! Invariants: the agent of a runner sees the prompts of all entries; a prompt waits at most as long
-//! as its entry allows; a prompt is admitted at once if no other one is being read; both tables are
-//! bounded.
+//! as its entry allows; a prompt is admitted at once if no other one is being read; the number of
+//! waiting prompts is bounded, and an admitted one is forgotten after [`READ_TIMEOUT`].
 
 use std::time::Duration;
 
@@ -23,6 +23,11 @@
 const SHORT_PROMPT_SHARE: f32 = 0.125;
 /// Assumed prefill throughput in tokens per millisecond, before the first prompt.
 const DEFAULT_TOKENS_PER_MS: f32 = 40.0;
+/// Lower bound of the throughput, in tokens per millisecond.
+const MIN_TOKENS_PER_MS: f32 = 0.1;
+/// Length of a prompt from which its time shows the throughput rather than the time to the first
+/// event, in tokens.
+const MIN_SAMPLE_TOKENS: u32 = 64;
 /// Factor by which older prompts count less in the throughput with each new one.
 const DECAY_PER_PROMPT: f32 = 0.95;
 /// Time after which an admitted prompt counts as read although no message said so.
@@ -121,7 +126,7 @@
         let Some(read) = self.admitted.remove(&key) else {
             return;
         };
-        if read.alone {
+        if read.alone && read.tokens >= MIN_SAMPLE_TOKENS {
             let took = now.since(read.admitted_at).as_secs_f32() * 1_000.0;
             self.read_tokens = self.read_tokens * DECAY_PER_PROMPT + read.tokens as f32;
             self.read_ms = self.read_ms * DECAY_PER_PROMPT + took;
@@ -166,21 +171,21 @@
     /// Returns the expected time for reading the prompts that wait.
     pub fn backlog(&self) -> Duration {
         let waiting = self.waiting.iter();
-        let tokens: u32 = waiting.map(|waiting| waiting.prompt.tokens).sum();
-        Duration::from_secs_f32(tokens as f32 / self.tokens_per_ms() / 1_000.0)
+        let tokens: f32 = waiting.map(|waiting| waiting.prompt.tokens as f32).sum();
+        Duration::from_secs_f32(tokens / self.tokens_per_ms() / 1_000.0)
     }
 
     /// Returns the prefill throughput, in tokens per millisecond.
     pub fn tokens_per_ms(&self) -> f32 {
-        self.read_tokens / self.read_ms.max(1.0)
+        (self.read_tokens / self.read_ms.max(1.0)).max(MIN_TOKENS_PER_MS)
     }
 
     fn has_room_for(&self, prompt: &Prompt) -> bool {
         let gap_ms = prompt.gap_ms as f32;
         let tokens_per_ms = self.tokens_per_ms();
         let own_ms = prompt.tokens as f32 / tokens_per_ms;
-        let pending: u32 = self.admitted.values().map(|read| read.tokens).sum();
-        let pending_ms = pending as f32 / tokens_per_ms;
+        let pending: f32 = self.admitted.values().map(|read| read.tokens as f32).sum();
+        let pending_ms = pending / tokens_per_ms;
         own_ms <= gap_ms * SHORT_PROMPT_SHARE || pending_ms < gap_ms * GAP_SHARE
     }
 
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -165,7 +165,7 @@
         self.rank_buffer = order.hashes;
         let (mut placement, occupancy) = best.ok_or(cause)?;
         if placement.access != Access::Absent {
-            placement.replica = self.choose_replica(now, requirements, occupancy);
+            placement.replica = self.choose_replica(now, requirements, occupancy, average_rate);
         }
         Ok(placement)
     }
@@ -265,6 +265,17 @@
     cost_ms: f32,
 }
 
+impl Candidate<'_> {
+    /// Returns whether the runner holds the adapter, or none is needed.
+    fn is_ready(&self) -> bool {
+        matches!(self.access, Access::Ready { .. })
+    }
+
+    fn error_rate(&self) -> f32 {
+        self.runner.health.error_rate()
+    }
+}
+
 /// Chooses the candidate with the lowest cost. Of those that hold the adapter only a random sample
 /// is compared, the smaller the more entries there are: they all act on reports of the same age, and
 /// would otherwise send a whole burst to the runner that was least loaded when it reported.
@@ -276,23 +287,29 @@
     if candidates.iter().any(|candidate| !candidate.last_resort) {
         candidates.retain(|candidate| !candidate.last_resort);
     }
-    let is_ready = |candidate: &Candidate<'_>| matches!(candidate.access, Access::Ready { .. });
-    let error_rate = |candidate: &Candidate<'_>| candidate.runner.health.error_rate();
-    let ready = candidates.iter().filter(|candidate| is_ready(candidate));
-    let ready_count = ready.clone().count();
-    let least = ready.map(error_rate).fold(f32::INFINITY, f32::min);
-    let margin = least + ERROR_RATE_MARGIN;
-    candidates.retain(|candidate| !is_ready(candidate) || error_rate(candidate) <= margin);
-    let sample = MIN_SAMPLE + ready_count / entries.max(1) as usize;
+    let ready = candidates.iter().filter(|candidate| candidate.is_ready());
+    let sample = MIN_SAMPLE + ready.count() / entries.max(1) as usize;
+    drop_failing(candidates);
     rng.shuffle(candidates);
     let mut sampled = 0;
     let compared = candidates.iter().filter(|candidate| {
-        sampled += usize::from(is_ready(candidate));
-        !is_ready(candidate) || sampled <= sample
+        sampled += usize::from(candidate.is_ready());
+        !candidate.is_ready() || sampled <= sample
     });
     compared.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
 
+/// Removes the runners that hold the adapter and fail clearly more often than the best of them, since
+/// a sample may contain no other.
+fn drop_failing(candidates: &mut Vec<Candidate<'_>>) {
+    let ready = candidates.iter().filter(|candidate| candidate.is_ready());
+    let least = ready
+        .map(Candidate::error_rate)
+        .fold(f32::INFINITY, f32::min);
+    let limit = least + ERROR_RATE_MARGIN;
+    candidates.retain(|candidate| !candidate.is_ready() || candidate.error_rate() <= limit);
+}
+
 /// The rendezvous order of an adapter.
 struct RendezvousOrder {
     /// The hash of the adapter's name.
--- a/crates/serving/src/replication.rs
+++ b/crates/serving/src/replication.rs
@@ -14,6 +14,20 @@
 use crate::fleet::Runner;
 use crate::placement::Requirements;
 
+/// Traffic of an adapter that calls for one replica, as a multiple of the average traffic per
+/// runner.
+const TRAFFIC_PER_REPLICA: f64 = 0.8;
+/// Share of a runner's slots in use from which another replica of a demanded adapter is worth a slot
+/// and a load.
+const BUSY_SHARE: f32 = 0.25;
+/// Share of a runner's slots in use up to which it is given a further replica.
+const SPARE_SHARE: f32 = 0.5;
+/// Excess of a runner's rate of requests over the average, as a multiple of it, from which its
+/// adapters get replicas elsewhere.
+const MAX_EXCESS_RATE: f32 = 0.3;
+/// Minimum interval between two additional replicas of one adapter.
+const REPLICATION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How much of a runner's slots is in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Occupancy {
@@ -32,8 +46,8 @@
     if used < BUSY_SHARE {
         return Occupancy::Idle;
     }
-    let preferred = cost::excess_rate(runner, average_rate) >= MAX_EXCESS_RATE;
-    if used >= 1.0 || preferred {
+    let overloaded = cost::excess_rate(runner, average_rate) >= MAX_EXCESS_RATE;
+    if used >= 1.0 || overloaded {
         Occupancy::Full
     } else {
         Occupancy::Busy
@@ -44,20 +58,6 @@
     runner.total_inflight() as f32 / runner.member.slots.max(1) as f32
 }
 
-/// Traffic of an adapter that calls for one replica, as a multiple of the average traffic per
-/// runner.
-const TRAFFIC_PER_REPLICA: f64 = 0.8;
-/// Share of a runner's slots in use from which another replica of a demanded adapter is worth a slot
-/// and a load.
-const BUSY_SHARE: f32 = 0.25;
-/// Share of a runner's slots in use up to which it is given a further replica.
-const SPARE_SHARE: f32 = 0.5;
-/// Excess of a runner's rate of requests over the average, as a multiple of it, from which its
-/// adapters get replicas elsewhere.
-const MAX_EXCESS_RATE: f32 = 0.3;
-/// Minimum interval between two additional replicas of one adapter.
-const REPLICATION_INTERVAL: Duration = Duration::from_millis(100);
-
 impl Fleet {
     /// Returns the relative position of a runner among the replicas of an adapter in rendezvous
     /// order: at least 0 and less than 1. Returns `None` if the runner neither holds nor loads the
@@ -84,6 +84,7 @@
         now: Time,
         requirements: &Requirements<'_>,
         occupancy: Occupancy,
+        average_rate: f32,
     ) -> Option<Name> {
         if occupancy == Occupancy::Idle {
             return None;
@@ -95,27 +96,10 @@
             return None;
         }
         let runners: Vec<&Runner> = self.accepting_runners(requirements.service).collect();
-        let total: u32 = runners.iter().map(|runner| runner.rate).sum();
-        let average_rate = total.div_ceil(runners.len().max(1) as u32);
-        let holders = runners
-            .iter()
-            .filter(|runner| runner.adapters.contains_key(adapter));
-        let demanded = holders.clone().any(|runner| {
-            let view = runner.adapters.get(adapter);
-            view.is_some_and(|view| !view.rate.is_low())
-        });
-        let wanted = wanted_replicas(&runners, adapter);
-        let overloaded = occupancy == Occupancy::Full && demanded;
-        if holders.count() >= wanted.min(runners.len()) && !overloaded {
+        if !needs_replica(&runners, adapter, occupancy) {
             return None;
         }
-        let eligible = runners.iter().filter(|runner| {
-            let spare = used_share(runner) <= SPARE_SHARE && runner.rate <= average_rate;
-            let usable = runner.linked && runner.up && runner.room > 0;
-            usable && spare && !runner.adapters.contains_key(adapter)
-        });
-        let key = hash::hash_text(adapter);
-        let best = eligible.max_by_key(|runner| hash::combine(key, runner.key))?;
+        let best = spare_runner(&runners, adapter, average_rate)?;
         let replica = best.member.id.clone();
         let ready_at = now.after(best.load_time(adapter));
         self.expect_adapter(&replica, adapter, requirements.min_version, ready_at);
@@ -124,6 +108,34 @@
     }
 }
 
+fn needs_replica(runners: &[&Runner], adapter: &str, occupancy: Occupancy) -> bool {
+    let views = runners
+        .iter()
+        .filter_map(|runner| runner.adapters.get(adapter));
+    let demanded = views.clone().any(|view| !view.rate.is_low());
+    let wanted = wanted_replicas(runners, adapter).min(runners.len());
+    views.count() < wanted || (occupancy == Occupancy::Full && demanded)
+}
+
+/// Returns the first runner in the adapter's rendezvous order that has room for it and slots to
+/// spare.
+fn spare_runner<'a>(
+    runners: &[&'a Runner],
+    adapter: &str,
+    average_rate: f32,
+) -> Option<&'a Runner> {
+    let eligible = runners.iter().filter(|runner| {
+        let usable = runner.linked && runner.up && runner.room > 0;
+        let spare = used_share(runner) <= SPARE_SHARE;
+        let below_average = runner.rate as f32 <= average_rate.ceil();
+        usable && spare && below_average && !runner.adapters.contains_key(adapter)
+    });
+    let key = hash::hash_text(adapter);
+    eligible
+        .max_by_key(|runner| hash::combine(key, runner.key))
+        .copied()
+}
+
 /// Returns how many of these runners should hold the adapter.
 fn wanted_replicas(runners: &[&Runner], adapter: &str) -> usize {
     let total: u32 = runners.iter().map(|runner| runner.rate).sum();
--- a/crates/serving/tests/prompt_burst.rs
+++ b/crates/serving/tests/prompt_burst.rs
@@ -135,3 +135,21 @@
     assert!(admission.admit(now).len() >= 2_000 - 256);
     assert!(admission.backlog() <= Duration::from_millis(257 * 70));
 }
+
+/// Callers state the length of their prompts; it may be 0 or absurd.
+#[test]
+fn absurd_lengths_do_no_harm() {
+    let mut admission = PrefillAdmission::default();
+    for id in 0..50 {
+        admission.ask(ms(id * 10), 1, prompt(id, 0, 0));
+        assert_eq!(admission.admit(ms(id * 10)).len(), 1);
+        admission.finish(ms(id * 10 + 9), (1, id));
+    }
+    let now = ms(20_000);
+    for id in 100..110 {
+        admission.ask(now, 1, prompt(id, u32::MAX, 0));
+    }
+    assert_eq!(admission.admit(now), [(1, 100)]);
+    assert!(admission.backlog() > Duration::from_secs(60));
+    assert_eq!(admission.admit(ms(21_000)).len(), 9);
+}
--- a/crates/serving/tests/state_updates.rs
+++ b/crates/serving/tests/state_updates.rs
@@ -7,7 +7,10 @@
 use common::state;
 use decision::time::Time;
 use serving::fleet::Fleet;
+use serving::link::FromAgent;
 use serving::link::RunnerState;
+use serving::link::RunnerUpdate;
+use serving::link::ToAgent;
 
 /// Returns the entry's view of `r0`: name and version of each adapter, and whether it is loaded.
 fn view(fleet: &Fleet) -> Vec<(String, u64, bool)> {
@@ -128,3 +131,30 @@
     );
     assert!(view(&fleet).is_empty());
 }
+
+/// During a rolling update, entries and agents of two releases talk to each other.
+#[test]
+fn other_releases_understand_the_lines() {
+    let update = state(&[("m/a", 1, 0)]).update_since(None);
+    let line = serde_json::to_string(&FromAgent::Update(Box::new(update.clone())));
+    let line = line.expect("plain data");
+    let older: RunnerUpdate = serde_json::from_str(&line).expect("the same object");
+    assert_eq!(older, update);
+    let line = r#"{"b":1,"u":true,"r":2,"q":0,"f":3,"e":4,"w":true,"p":[{"a":"m/a","v":1}]}"#;
+    let parsed: FromAgent = serde_json::from_str(line).expect("an older agent's update");
+    let FromAgent::Update(older) = parsed else {
+        panic!("not an update");
+    };
+    assert!(!older.admits && older.loads.is_none() && older.rate == 0);
+}
+
+/// Guards against a malformed line that ends more than its connection.
+#[test]
+fn malformed_lines_are_errors() {
+    for_each_case(|bytes: Vec<u8>| {
+        let _ = serde_json::from_slice::<FromAgent>(&bytes);
+        let _ = serde_json::from_slice::<ToAgent>(&bytes);
+    });
+    assert!(serde_json::from_str::<FromAgent>(r#"{"ok":[-1]}"#).is_err());
+    assert!(serde_json::from_str::<ToAgent>(r#"{"ask":{"i":1}}"#).is_err());
+}
