--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -85,13 +85,14 @@
 /// The interval between two checks whether requests are served again.
 const RECOVERY_POLL: Duration = Duration::from_millis(500);
 /// The behaviors of runners other than a success, each with its probability per mille.
-const BEHAVIOR_PERMILLE: [(Behavior, u32); 7] = [
+const BEHAVIOR_PERMILLE: [(Behavior, u32); 8] = [
     (Behavior::CloseConnection, 8),
     (Behavior::TruncateBody, 6),
     (Behavior::Fail, 10),
     (Behavior::WrongRequestId, 4),
     (Behavior::NotRun, 20),
     (Behavior::Hang, 4),
+    (Behavior::EndlessBytes, 4),
     (Behavior::BreakStream { last: 2 }, 20),
 ];
 
