Do not wait for the admission of an agent that is gone or stuck

Requests now ask only over a connection, and an agent that did not answer is left alone for a second, with a log line. state_updates shows it; on the code before, admits had no notion of either.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -10,6 +10,7 @@
 use serving::Name;
 use serving::admission::Prompt;
 use serving::placement::Placement;
+use spdlog::warn;
 
 use crate::dispatch::ActiveRequest;
 use crate::entry::Entry;
@@ -45,11 +46,14 @@
             return None;
         }
         let runner = placement.runner.clone();
-        let admits = self.entry.state().fleet.get(&runner)?.admits;
+        let started_at = self.entry.now();
+        let admits = {
+            let state = self.entry.state();
+            state.fleet.get(&runner)?.admits_prompts(started_at)
+        };
         if !admits {
             return None;
         }
-        let started_at = self.entry.now();
         let left = self
             .route
             .goal
@@ -70,9 +74,15 @@
             runner,
             id,
         };
-        // Without an answer the request goes on: the limit or the connection has ended.
-        let _ = tokio::time::timeout(limit + ANSWER_MARGIN, admitted).await;
-        self.admission_time += self.entry.now().since(started_at);
+        let answered = tokio::time::timeout(limit + ANSWER_MARGIN, admitted).await;
+        let now = self.entry.now();
+        self.admission_time += now.since(started_at);
+        // Without an answer the request goes on: the connection has ended, or the agent is stuck.
+        if answered.is_err() {
+            let runner = &announced.runner;
+            self.entry.state().fleet.mark_unanswered(now, runner);
+            warn!("agent did not answer", kv: { id = &*self.head.request.id, runner = &**runner });
+        }
         Some(announced)
     }
 }
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -20,8 +20,8 @@
 const FULL_SLOTS_COST_MS: f32 = 4.0;
 /// Time from the end of an adapter's load until the agent's update about it arrives.
 const UPDATE_DELAY: Duration = Duration::from_millis(10);
-/// Cost of the second rank in an adapter's rendezvous order, in milliseconds. It is small, because
-/// the load over all runners is even only if each adapter has two homes to choose from.
+/// Cost of the second rank in an adapter's rendezvous order, in milliseconds. A second home
+/// keeps the load over all runners even.
 const SECOND_HOME_COST_MS: f32 = 110.0;
 /// Cost of each further rank, in milliseconds. It outweighs short-lived load differences, because
 /// another runner has to fetch the adapter from the weight store, while a home can reload it from
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -6,6 +6,8 @@
 
 mod view;
 
+use std::time::Duration;
+
 use decision::collections::Map;
 use decision::time::Time;
 
@@ -21,6 +23,10 @@
 use crate::runner::Member;
 use crate::runner::RequestLoad;
 
+/// How long an agent that did not answer is not asked again. A connection in use that is silent is
+/// closed after [`SILENCE_TIMEOUT`](crate::link::SILENCE_TIMEOUT).
+const UNANSWERED_PERIOD: Duration = Duration::from_secs(1);
+
 /// A request counted at a runner, to be passed to [`Fleet::end_request`].
 #[derive(Clone, Debug)]
 pub struct InflightRequest {
@@ -128,6 +134,14 @@
         }
     }
 
+    /// Records that a runner's agent did not answer when it was asked for an admission. Until
+    /// [`UNANSWERED_PERIOD`] has passed, requests do not wait for it.
+    pub fn mark_unanswered(&mut self, now: Time, id: &str) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.unasked_until = now.after(UNANSWERED_PERIOD);
+        }
+    }
+
     /// Records the load that a runner reported with a response.
     pub fn record_load(&mut self, id: &str, load: RequestLoad) {
         if let Some(runner) = self.runners.get_mut(id) {
--- a/crates/serving/src/fleet/view.rs
+++ b/crates/serving/src/fleet/view.rs
@@ -79,8 +79,10 @@
     pub replaced: bool,
     /// Whether this entry is connected to its agent.
     pub linked: bool,
-    /// Whether its agent admits prompts.
-    pub admits: bool,
+    /// Whether its agent admits prompts, according to its last full update.
+    pub(super) admits: bool,
+    /// Until when its agent is not asked for admissions, because it did not answer the last time.
+    pub(super) unasked_until: Time,
     /// Whether it answers its agent.
     pub up: bool,
     /// When its agent last sent an update.
@@ -122,6 +124,7 @@
             replaced: false,
             linked: false,
             admits: false,
+            unasked_until: Time::default(),
             up: true,
             reported_at: Time::default(),
             service_ms: DEFAULT_SERVICE_MS,
@@ -134,6 +137,11 @@
         }
     }
 
+    /// Returns whether a prompt should be admitted by the runner's agent before it is sent.
+    pub fn admits_prompts(&self, now: Time) -> bool {
+        self.linked && self.admits && now >= self.unasked_until
+    }
+
     /// Returns whether new requests may be sent there.
     pub fn accepts_requests(&self) -> bool {
         self.member.phase == Phase::Ready && !self.replaced
--- a/crates/serving/tests/state_updates.rs
+++ b/crates/serving/tests/state_updates.rs
@@ -158,3 +158,25 @@
     assert!(serde_json::from_str::<FromAgent>(r#"{"ok":[-1]}"#).is_err());
     assert!(serde_json::from_str::<ToAgent>(r#"{"ask":{"i":1}}"#).is_err());
 }
+
+/// Guards against requests that wait for the admission of an agent that is gone, stuck or of an older
+/// release.
+#[test]
+fn only_an_agent_that_answers_is_asked_for_admissions() {
+    let now = Time::from_ms(10_000);
+    let mut fleet = fleet(1, now);
+    let admits = |fleet: &Fleet, now| {
+        let runner = fleet.get("r0").expect("r0 is in the fleet");
+        runner.admits_prompts(now)
+    };
+    assert!(admits(&fleet, now));
+    fleet.mark_unanswered(now, "r0");
+    assert!(!admits(&fleet, Time::from_ms(10_900)));
+    assert!(admits(&fleet, Time::from_ms(11_000)));
+    fleet.set_linked("r0", false);
+    assert!(!admits(&fleet, Time::from_ms(12_000)));
+    let mut older = state(&[]).update_since(None);
+    older.admits = false;
+    fleet.apply_update(Time::from_ms(13_000), "r0", &older);
+    assert!(!admits(&fleet, Time::from_ms(13_000)));
+}
