Bind a runner's removal that falls into a loss of the store

Callers: requests reached runners that had left the membership, after the drain bound (DRAIN).

Cause: after any failed read, a missing record was kept for 2 s from the entry's next answer, and its expiry was looked at each 0.5 s. A dead connection is noticed up to 2.7 s late, so that a removal bound up to 5.2 s after the loss; an entry counts as in touch after 3 s. One failed read in calm counted as an outage too, which put a removal off beyond the drain bound.

Change: an outage that is too short to expire records, and in which few are missing, keeps none; otherwise they are kept for 2 s, but not beyond the contact bound, counted from the start of the last call that failed. The expiry is a time, and maintenance runs when it comes.

Tests: leaving_runner (both failed on: five of eight requests went to the removed runner 3.0 s after the loss), member_outage.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -89,6 +89,8 @@
     store_lost: Notify,
     /// Notified when a runner or an agent shows that the known membership is outdated.
     members_outdated: Notify,
+    /// Notified when membership records are missing and kept for a while.
+    records_missing: Notify,
     stopping: AtomicBool,
 }
 
@@ -138,7 +140,7 @@
             retry_budget: RetryBudget::new(allowance, DEFAULT_ENTRY_COUNT),
             overload: OverloadDetector::new(settings.memory_mb),
             rng,
-            members: Members::default(),
+            members: Members::new(Duration::from_millis(bounds.contact_ms)),
             members_known: false,
         };
         Ok(Arc::new(Entry {
@@ -151,6 +153,7 @@
             state: Mutex::new(state),
             store_lost: Notify::new(),
             members_outdated: Notify::new(),
+            records_missing: Notify::new(),
             stopping: AtomicBool::new(false),
             settings,
         }))
@@ -228,10 +231,10 @@
         }
     }
 
-    /// Records that a read of a table failed.
-    pub fn mark_store_lost(&self, table: Table) {
+    /// Records that a read of a table, which began at `started_at`, failed.
+    pub fn mark_store_lost(&self, table: Table, started_at: Time) {
         if table == Table::Members {
-            self.state().members.store_lost();
+            self.state().members.store_lost(started_at);
             self.store_lost.notify_waiters();
         }
     }
@@ -276,7 +279,14 @@
         for id in removed {
             changes.extend(state.members.apply_removal(now, id));
         }
+        let missing = state.members.missing_count();
+        let expiry = state.members.next_expiry();
         drop(state);
+        if let Some(expiry) = expiry {
+            let kept_ms = expiry.since(now).as_millis() as u64;
+            info!("records missing after an outage are kept", kv: { missing, kept_ms });
+            self.records_missing.notify_one();
+        }
         self.apply_changes(changes);
     }
 
@@ -320,6 +330,20 @@
         }
     }
 
+    /// Waits until [`Entry::run_maintenance`] is due: after `interval`, or when missing membership
+    /// records expire.
+    pub async fn maintenance_due(&self, interval: Duration) {
+        let regular = self.now().after(interval);
+        loop {
+            let expiry = self.state().members.next_expiry();
+            let due = expiry.map_or(regular, |expiry| expiry.min(regular));
+            tokio::select! {
+                () = tokio::time::sleep_until(self.clock.instant(due)) => return,
+                () = self.records_missing.notified() => {}
+            }
+        }
+    }
+
     /// Expires members and idle connections, opens missing connections to agents and updates the
     /// number of entries that share the retry budget.
     pub fn run_maintenance(self: &Arc<Self>) {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -34,7 +34,7 @@
 /// The part of the grace period before SIGKILL that is reserved for the end of the process after
 /// the requests.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// The interval between two runs of [`Entry::run_maintenance`].
+/// The longest interval between two runs of [`Entry::run_maintenance`].
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval between two samples of the scheduling delay.
 const DELAY_SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -195,7 +195,7 @@
 
 async fn run_maintenance(entry: Arc<Entry>) {
     loop {
-        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
+        entry.maintenance_due(MAINTENANCE_INTERVAL).await;
         entry.run_maintenance();
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -44,6 +44,7 @@
     let mut version = None;
     let mut failures = 0;
     loop {
+        let started_at = entry.now();
         let result = match version {
             None => entry.store.read_all(table).await.map(FeedReply::Changes),
             Some(after) => tokio::select! {
@@ -92,7 +93,7 @@
                     let error = error.to_string();
                     warn!("store read failed", kv: { table = table.name(), error = error.as_str() });
                 }
-                entry.mark_store_lost(table);
+                entry.mark_store_lost(table, started_at);
                 // A restarted history or a missed removal shows only in a full read.
                 version = None;
                 let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len() - 1)];
--- a/crates/serving/src/members.rs
+++ b/crates/serving/src/members.rs
@@ -1,8 +1,9 @@
 //! The membership list of runners, kept through outages of the store that holds it.
 //!
-//! Invariants: a record that expired during an outage of the store is kept for [`RETURN_GRACE`]
-//! after the outage; if it is still missing then, its runner is removed. An older incarnation never
-//! replaces a newer one with the same identifier.
+//! Invariants: a record that may have expired during an outage of the store is kept for
+//! [`RETURN_GRACE`] after the outage, but never beyond the bound within which an entry must be up to
+//! date with a store that it reaches again; if it is still missing then, its runner is removed. An
+//! older incarnation never replaces a newer one with the same identifier.
 
 use std::time::Duration;
 
@@ -16,6 +17,14 @@
 /// Time after an outage of the store in which missing records are kept. Live runners write their
 /// records again within about 2 s of the end of an outage.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+/// How long before the contact bound a record is no longer kept.
+const CONTACT_MARGIN: Duration = Duration::from_millis(100);
+/// The shortest outage in which records expire: an expired record was not written for three
+/// heartbeats.
+const MIN_OUTAGE: Duration = Duration::from_millis(2_000);
+/// The share of the records that are missing after a shorter outage from which the store is assumed
+/// to have dropped them; single runners leave without an outage.
+const DROPPED_SHARE: f64 = 0.34;
 
 /// A change of the membership list.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,28 +36,52 @@
 }
 
 /// The membership list as one entry process knows it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Members {
+    /// The time within which an entry must be up to date with a store that it reaches again.
+    contact: Duration,
     members: Map<Name, Member>,
-    /// Runners whose records are missing since an outage, with the time at which that was seen.
-    missing: Map<Name, Time>,
-    store_down: bool,
-    /// The end of the last outage of the store.
-    store_back_at: Option<Time>,
+    /// Runners whose records are missing since an outage.
+    missing: Set<Name>,
+    /// When the store last answered.
+    answered_at: Time,
+    /// When the last call without an answer began; `None` while the store answers.
+    lost_at: Option<Time>,
+    /// The length of the last outage, between two answers.
+    outage: Duration,
+    /// Until when missing records are kept.
+    kept_until: Time,
 }
 
 impl Members {
-    /// Records that the store did not answer.
-    pub fn store_lost(&mut self) {
-        self.store_down = true;
+    /// Creates an empty list. `contact` is the time within which an entry must be up to date with a
+    /// store that it reaches again.
+    pub fn new(contact: Duration) -> Self {
+        Members {
+            contact,
+            members: Map::default(),
+            missing: Set::default(),
+            answered_at: Time::default(),
+            lost_at: None,
+            outage: Duration::ZERO,
+            kept_until: Time::default(),
+        }
+    }
+
+    /// Records that the store did not answer a call that began at `started_at`.
+    pub fn store_lost(&mut self, started_at: Time) {
+        self.lost_at = Some(started_at);
     }
 
     /// Records that the store answered.
     pub fn store_answered(&mut self, now: Time) {
-        if self.store_down {
-            self.store_down = false;
-            self.store_back_at = Some(now);
+        if let Some(lost_at) = self.lost_at.take() {
+            self.outage = now.since(self.answered_at);
+            // The store may have been back since the failed call began.
+            let bound = lost_at.after(self.contact.saturating_sub(CONTACT_MARGIN));
+            self.kept_until = now.after(RETURN_GRACE).min(bound);
         }
+        self.answered_at = now;
     }
 
     /// Applies a record that was written. Returns `None` if the record is unchanged or belongs to
@@ -69,8 +102,8 @@
         if !self.members.contains_key(id) {
             return None;
         }
-        if self.in_return_grace(now) {
-            self.missing.entry(id.clone()).or_insert(now);
+        if now < self.kept_until {
+            self.missing.insert(id.clone());
             return None;
         }
         self.remove(id)
@@ -85,6 +118,9 @@
             .filter(|id| !present.contains(*id))
             .cloned()
             .collect();
+        if !self.has_dropped(absent.len()) {
+            self.kept_until = now;
+        }
         let mut changes: Vec<Change> = records
             .into_iter()
             .filter_map(|member| self.apply_write(member))
@@ -93,24 +129,36 @@
         changes
     }
 
-    /// Removes the runners whose records are still missing after [`RETURN_GRACE`]. It must be
-    /// called periodically.
+    /// Removes the runners whose records are still missing when [`Members::next_expiry`] has come.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
-        if self.store_down || self.in_return_grace(now) {
+        if self.next_expiry().is_none_or(|due| now < due) {
             return Vec::new();
         }
-        let expired: Vec<Name> = self.missing.keys().cloned().collect();
+        let expired: Vec<Name> = self.missing.iter().cloned().collect();
         expired.iter().filter_map(|id| self.remove(id)).collect()
     }
 
+    /// Returns when missing records are no longer kept; `None` if none is missing, or while the store
+    /// does not answer.
+    pub fn next_expiry(&self) -> Option<Time> {
+        let pending = self.lost_at.is_none() && !self.missing.is_empty();
+        pending.then_some(self.kept_until)
+    }
+
+    /// Returns the number of runners whose records are missing.
+    pub fn missing_count(&self) -> usize {
+        self.missing.len()
+    }
+
     /// Returns the runners of the membership list.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
 
-    fn in_return_grace(&self, now: Time) -> bool {
-        self.store_back_at
-            .is_some_and(|back_at| now < back_at.after(RETURN_GRACE))
+    /// Returns whether the last outage may have expired `absent` records of live runners.
+    fn has_dropped(&self, absent: usize) -> bool {
+        let limit = self.members.len() as f64 * DROPPED_SHARE;
+        self.outage >= MIN_OUTAGE || absent as f64 >= limit
     }
 
     fn remove(&mut self, id: &Name) -> Option<Change> {
