Send a request only to the incarnation that was chosen for it

Callers: a request reached a runner that had said that it leaves (DRAIN).

Cause: the last check before the bytes, and the pool of connections, go by the runner's identifier. A runner that starts again under its identifier is open again, while a connection opened or in use meanwhile leads to the incarnation before it, which may be leaving, and accepts the request, as its identifier is the one that the request names.

Change: a choice names the incarnation; connections are pooled by it, and a request begins only if the runner is still that one and still accepts requests. Pools without connections are dropped; they stayed for ever.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -87,9 +87,13 @@
         let conn = self.conn.take();
         if let (true, Some(conn), Some(inflight)) = (reusable, conn, &self.inflight) {
             let now = self.entry.now();
-            self.entry
-                .conns
-                .put_idle(now, &inflight.runner, conn, self.idle_timeout);
+            self.entry.conns.put_idle(
+                now,
+                &inflight.runner,
+                inflight.born,
+                conn,
+                self.idle_timeout,
+            );
         }
         self.record_end(signal);
     }
--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -68,24 +68,38 @@
     expires_at: Time,
 }
 
+/// The idle connections to one incarnation of a runner.
+#[derive(Debug)]
+struct RunnerPool {
+    born: u64,
+    idle: Vec<IdleConn>,
+}
+
 /// The idle connections by runner, and the tasks that drive all connections.
 #[derive(Debug, Default)]
 pub struct ConnPool {
-    idle: Mutex<Map<Name, Vec<IdleConn>>>,
+    pools: Mutex<Map<Name, RunnerPool>>,
     tasks: TaskTracker,
     abort: CancellationToken,
 }
 
 impl ConnPool {
-    /// Takes an idle connection that was used within `max_idle`, preferably the one used last.
-    pub fn take_idle(&self, now: Time, runner: &str, max_idle: Duration) -> Option<RunnerConn> {
-        let mut pools = lock(&self.idle);
-        let pool = pools.get_mut(runner)?;
-        pool.retain(|idle| now < idle.expires_at && !idle.conn.sender.is_closed());
+    /// Takes an idle connection to the incarnation that started at `born`, which was used within
+    /// `max_idle`, preferably the one used last.
+    pub fn take_idle(
+        &self,
+        now: Time,
+        runner: &str,
+        born: u64,
+        max_idle: Duration,
+    ) -> Option<RunnerConn> {
+        let mut pools = lock(&self.pools);
+        let pool = pools.get_mut(runner).filter(|pool| pool.born == born)?;
+        pool.close_expired(now);
         let usable =
             |idle: &IdleConn| now < idle.idle_since.after(max_idle) && idle.conn.sender.is_ready();
-        let index = pool.iter().rposition(usable)?;
-        let mut conn = pool.remove(index).conn;
+        let index = pool.idle.iter().rposition(usable)?;
+        let mut conn = pool.idle.remove(index).conn;
         conn.reused = true;
         Some(conn)
     }
@@ -120,38 +134,67 @@
         })
     }
 
-    /// Returns a connection to the pool after a complete response; `idle` is the runner's idle
-    /// timeout, if it stated one.
-    pub fn put_idle(&self, now: Time, runner: &Name, conn: RunnerConn, idle: Option<Duration>) {
-        let idle = idle.unwrap_or(DEFAULT_IDLE_TIMEOUT);
-        let margin = IDLE_MARGIN.min(idle / 2);
+    /// Returns a connection to the pool after a complete response; `timeout` is the runner's idle
+    /// timeout, if it stated one. A connection to an earlier incarnation is closed.
+    pub fn put_idle(
+        &self,
+        now: Time,
+        runner: &Name,
+        born: u64,
+        conn: RunnerConn,
+        timeout: Option<Duration>,
+    ) {
+        let timeout = timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        let margin = IDLE_MARGIN.min(timeout / 2);
         let entry = IdleConn {
             conn,
             idle_since: now,
-            expires_at: now.after(idle - margin),
+            expires_at: now.after(timeout - margin),
         };
-        let mut pools = lock(&self.idle);
-        pools.entry(runner.clone()).or_default().push(entry);
+        let mut pools = lock(&self.pools);
+        let pool = pools
+            .entry(runner.clone())
+            .or_insert_with(|| RunnerPool::new(born));
+        if pool.born < born {
+            *pool = RunnerPool::new(born);
+        }
+        if pool.born == born {
+            pool.idle.push(entry);
+        }
     }
 
     /// Closes the idle connections to a runner that is gone or has restarted.
     pub fn remove(&self, runner: &str) {
-        lock(&self.idle).remove(runner);
+        lock(&self.pools).remove(runner);
     }
 
     /// Closes the idle connections that have expired or that the runner has closed.
     pub fn close_expired(&self, now: Time) {
-        let mut pools = lock(&self.idle);
-        for pool in pools.values_mut() {
-            pool.retain(|idle| now < idle.expires_at && !idle.conn.sender.is_closed());
-        }
+        lock(&self.pools).retain(|_, pool| {
+            pool.close_expired(now);
+            !pool.idle.is_empty()
+        });
     }
 
     /// Closes all connections, used ones included, and waits for their tasks.
     pub async fn stop(&self) {
-        lock(&self.idle).clear();
+        lock(&self.pools).clear();
         self.abort.cancel();
         self.tasks.close();
         self.tasks.wait().await;
     }
 }
+
+impl RunnerPool {
+    fn new(born: u64) -> Self {
+        RunnerPool {
+            born,
+            idle: Vec::new(),
+        }
+    }
+
+    fn close_expired(&mut self, now: Time) {
+        self.idle
+            .retain(|idle| now < idle.expires_at && !idle.conn.sender.is_closed());
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,7 +13,6 @@
 use platform::runner::AttemptParams;
 use platform::runner::ResponseHead;
 use platform::runner::ResponseKind;
-use serving::Name;
 use serving::attempt::Outcome;
 use serving::config::RouteKind;
 use serving::events::EventSplitter;
@@ -75,24 +74,20 @@
     ) -> Result<AttemptResponse, FailedAttempt> {
         let runner = &placement.runner;
         let conn = self
-            .connect(runner)
+            .connect(placement)
             .await
             .ok_or(FailedAttempt::from(Outcome::NotSent))?;
         let now = self.entry.now();
         let adapter = self.adapter().cloned();
-        let inflight = {
-            let mut state = self.entry.state();
-            let open = state
-                .fleet
-                .get(runner)
-                .is_some_and(|runner| runner.accepts_requests());
-            let tokens = self.head.request.prompt_tokens;
-            let inflight =
-                open.then(|| state.fleet.begin_request(runner, adapter.as_ref(), tokens));
-            inflight
-                .flatten()
-                .ok_or(FailedAttempt::from(Outcome::NotSent))?
-        };
+        let tokens = self.head.request.prompt_tokens;
+        // The runner may have begun to leave, or have started again, since it was chosen.
+        let begun = self.entry.state().fleet.begin_request(
+            runner,
+            placement.born,
+            adapter.as_ref(),
+            tokens,
+        );
+        let inflight = begun.ok_or(FailedAttempt::from(Outcome::NotSent))?;
         let mut attempt = RunningAttempt {
             entry: self.entry.clone(),
             inflight: Some(inflight),
@@ -328,17 +323,23 @@
         now.after(timeout).min(self.deadline)
     }
 
-    async fn connect(&self, runner: &Name) -> Option<RunnerConn> {
+    /// Takes or opens a connection to the incarnation that was chosen.
+    async fn connect(&self, placement: &Placement) -> Option<RunnerConn> {
         let now = self.entry.now();
+        let (runner, born) = (&placement.runner, placement.born);
         let max_idle = if self.route.kind.is_repeatable() {
             MAX_IDLE
         } else {
             NON_IDEMPOTENT_MAX_IDLE
         };
-        if let Some(conn) = self.entry.conns.take_idle(now, runner, max_idle) {
+        if let Some(conn) = self.entry.conns.take_idle(now, runner, born, max_idle) {
             return Some(conn);
         }
-        let addr = self.entry.state().fleet.get(runner)?.member.addr;
+        let addr = {
+            let state = self.entry.state();
+            let member = &state.fleet.get(runner)?.member;
+            (member.born == born).then_some(member.addr)?
+        };
         self.entry.metrics.runner_connects.inc();
         match self.entry.conns.open(addr).await {
             Ok(conn) => Some(conn),
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -32,8 +32,9 @@
 pub struct InflightRequest {
     /// The identifier of the runner.
     pub runner: Name,
+    /// The start of the runner's incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
     adapter: Option<Name>,
-    born: u64,
     prompt_tokens: u32,
     /// Whether `prompt_tokens` is still included in [`Runner::pending_prompt_tokens`].
     prompt_pending: bool,
@@ -170,14 +171,19 @@
         runner.adapters.insert(adapter.clone(), view);
     }
 
-    /// Counts a request that is about to be sent to a runner; `None` if the runner is unknown.
+    /// Counts a request that is about to be sent to the incarnation of a runner that started at
+    /// `born`; `None` if that one is gone or accepts no requests.
     pub fn begin_request(
         &mut self,
         id: &Name,
+        born: u64,
         adapter: Option<&Name>,
         prompt_tokens: u32,
     ) -> Option<InflightRequest> {
         let runner = self.runners.get_mut(id)?;
+        if runner.member.born != born || !runner.accepts_requests() {
+            return None;
+        }
         runner.inflight += 1;
         runner.pending_prompt_tokens = runner.pending_prompt_tokens.saturating_add(prompt_tokens);
         if let Some(adapter) = adapter {
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -71,6 +71,8 @@
 pub struct Placement {
     /// The identifier of the runner.
     pub runner: Name,
+    /// The start of the runner's incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
     /// The availability of the adapter there.
     pub access: Access,
     /// The cost by which it was chosen, including jitter, in milliseconds.
@@ -155,6 +157,7 @@
             let runner = best.runner;
             let placement = Placement {
                 runner: runner.member.id.clone(),
+                born: runner.member.born,
                 access: best.access,
                 cost_ms: best.cost_ms,
                 wait: Duration::from_secs_f32(best.wait_ms / 1_000.0),
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -16,6 +16,9 @@
 use serving::runner::Member;
 use serving::runner::Phase;
 
+/// The start of the runners that these helpers create.
+pub(crate) const BORN: u64 = 1;
+
 /// Returns the membership record of a runner; the number in its id is the port of its address.
 pub(crate) fn member(id: &str) -> Member {
     let port: u16 = id[1..]
@@ -30,7 +33,7 @@
         phase: Phase::Ready,
         models: vec!["m".into()],
         adapters: Vec::new(),
-        born: 1,
+        born: BORN,
     }
 }
 
@@ -47,7 +50,7 @@
     let mut adapters: Vec<AdapterStatus> = adapters.collect();
     adapters.sort_by(|a, b| a.adapter.cmp(&b.adapter));
     RunnerState {
-        born: 1,
+        born: BORN,
         up: true,
         models: vec!["m".into()],
         room: 17,
--- a/crates/serving/tests/fleet_sim/mod.rs
+++ b/crates/serving/tests/fleet_sim/mod.rs
@@ -220,7 +220,8 @@
             let engine = engine_mut(&mut self.engines, &placement.runner);
             let ready = matches!(placement.access, Access::Ready { .. });
             if ready && engine.held.contains(&adapter) {
-                let inflight = fleet.begin_request(&placement.runner, Some(&adapter), 0);
+                let inflight =
+                    fleet.begin_request(&placement.runner, placement.born, Some(&adapter), 0);
                 let inflight = inflight.expect("a known engine");
                 engine
                     .running
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -63,7 +63,7 @@
     let mut fleet = fleet(9, now);
     let home = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0)).runner;
     for _ in 0..30 {
-        let request = fleet.begin_request(&home, None, 400);
+        let request = fleet.begin_request(&home, common::BORN, None, 400);
         assert!(request.is_some());
     }
     let again = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0)).runner;
@@ -162,7 +162,7 @@
     let mut fleet = fleet(1, now);
     fleet.apply_update(now, "r0", &update(&[(&adapter, 1, 0)]));
     let request = fleet
-        .begin_request(&Name::from("r0"), None, 0)
+        .begin_request(&Name::from("r0"), common::BORN, None, 0)
         .expect("r0 is in the fleet");
     let mut member = common::member("r0");
     member.born = 99;
@@ -247,7 +247,7 @@
         "no replica is added while the only one is idle"
     );
     for _ in 0..20 {
-        let request = fleet.begin_request(&"r0".into(), None, 0);
+        let request = fleet.begin_request(&"r0".into(), common::BORN, None, 0);
         assert!(request.is_some());
     }
     let placement = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0));
@@ -297,3 +297,33 @@
     let placement = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0));
     assert_ne!(placement.runner, home);
 }
+
+/// Guards against requests to the incarnation before a restart, which was chosen and may be leaving,
+/// and to a runner that began to leave while the request waited for its admission or a connection.
+#[test]
+fn request_is_not_begun_at_a_runner_that_changed_since_its_choice() {
+    let now = Time::from_ms(10);
+    let mut fleet = fleet(2, now);
+    let (restarted, leaving) = (Name::from("r0"), Name::from("r1"));
+    let mut member = common::member("r0");
+    member.born = common::BORN + 1;
+    fleet.join(now, member);
+    assert!(
+        fleet
+            .begin_request(&restarted, common::BORN, None, 0)
+            .is_none()
+    );
+    assert!(
+        fleet
+            .begin_request(&restarted, common::BORN + 1, None, 0)
+            .is_some()
+    );
+    let mut member = common::member("r1");
+    member.phase = Phase::Draining;
+    fleet.join(now, member);
+    assert!(
+        fleet
+            .begin_request(&leaving, common::BORN, None, 0)
+            .is_none()
+    );
+}
