Log the shared parts of a prompt with each attempt that failed

The logs told which runner broke off an attempt, and how far it had got, but not what the requests at several broken runners had in common; the hypotheses on deadly parts could only be told apart in a trial build.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -403,9 +403,10 @@
         let access = placement.access.to_string();
         let kind = self.response_kind.map(|kind| kind.to_string());
         let adapter = self.adapter().map_or("", |adapter| &**adapter);
+        let parts = self.head.request.parts_text();
         info!("attempt ended", kv: {
             id = &*self.head.request.id, runner = &*placement.runner, outcome = outcome.as_str(),
-            meaning = kind.as_deref().unwrap_or("none"), adapter, access = access.as_str(), cost_ms = placement.cost_ms,
+            meaning = kind.as_deref().unwrap_or("none"), parts = parts.as_str(), adapter, access = access.as_str(), cost_ms = placement.cost_ms,
             total_ms = self.entry.now().since(self.arrival).as_millis() as u64
         });
     }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -2,8 +2,21 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::Name;
 
+/// The identifier of a part of a prompt; requests whose prompts begin alike share parts. It is
+/// displayed as the hexadecimal number that callers send.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[display("{_0:x}")]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
 /// The model, and optionally the adapter, that a request runs on.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Artifact {
@@ -25,8 +38,18 @@
     pub timeout: Option<Duration>,
     /// The model that it runs on; `None` if it needs no model.
     pub artifact: Option<Artifact>,
+    /// The parts of the prompt in their order, without the last one, which no other request shares.
+    pub parts: Vec<PartId>,
     /// The number of prompt tokens.
     pub prompt_tokens: u32,
     /// The maximum number of tokens in the response.
     pub answer_tokens: u32,
 }
+
+impl Request {
+    /// Returns the shared parts of the prompt as text, for logs.
+    pub fn parts_text(&self) -> String {
+        let parts: Vec<String> = self.parts.iter().map(PartId::to_string).collect();
+        parts.join(",")
+    }
+}
