Hold back requests with a prompt part on which runners crash

Cause: each broken attempt was blamed on its runner only. What the requests at several broken runners had in common was looked at by nobody, and each entry sees few of the crashes.

Change: entries report attempts that broke before their answer to the runner's agent, which knows whether its runner has crashed and tells all entries. An answer ends all suspicion against its parts. Held requests are refused at once, by id in the logs, with the time of return. The hold expires after 30 s for one probe, which the entries agree upon in the platform's store; the store also keeps held parts while entries and agents restart.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -5,6 +5,7 @@
 //! after the previous order; an order names the runner's incarnation and the number of orders that
 //! it has accepted, so that a delayed one has no effect.
 
+mod crashes;
 mod entries;
 
 use std::path::Path;
@@ -18,6 +19,7 @@
 use ::process::ops::OpsState;
 use decision::collections::Map;
 use decision::time::Time;
+use edges::ErrorKind;
 use error_stack::Report;
 use error_stack::ResultExt;
 use platform::runner::ControlClient;
@@ -25,6 +27,8 @@
 use platform::settings;
 use serde_json::json;
 use serving::Name;
+use serving::crash_reports::CrashReports;
+use serving::link::FromAgent;
 use serving::link::RunnerState;
 use serving::load_scheduler::CompletedLoad;
 use serving::load_scheduler::LinkId;
@@ -33,6 +37,7 @@
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::Notify;
+use tokio::sync::broadcast;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -53,6 +58,10 @@
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The most orders given in one round, before the new state is published to the entries.
 const MAX_ORDERS_PER_ROUND: usize = 8;
+/// The most messages about crashes that are queued for a slow entry, which hears of all recent crashes
+/// again if it misses some.
+const MAX_QUEUED_NEWS: usize = 256;
+
 struct AgentState {
     settings: settings::AgentSettings,
     clock: RuntimeClock,
@@ -69,6 +78,10 @@
     /// For each connection of an entry, the queue of its admitted prompts. Locked after the
     /// scheduler, if both are locked.
     admissions: Mutex<Map<LinkId, mpsc::Sender<u64>>>,
+    /// What entries report of crashes of the runner.
+    crashes: Mutex<CrashReports>,
+    /// Crashes, and parts that were cleared of them, for all entries.
+    crash_news: broadcast::Sender<FromAgent>,
 }
 
 impl AgentState {
@@ -166,6 +179,8 @@
         states,
         next_link: AtomicU64::new(0),
         admissions: Mutex::new(Map::default()),
+        crashes: Mutex::new(CrashReports::default()),
+        crash_news: broadcast::Sender::new(MAX_QUEUED_NEWS),
         settings,
     });
     let ops = start_ops(&agent).await?;
@@ -233,6 +248,7 @@
     for _ in 0..MAX_ORDERS_PER_ROUND {
         match agent.control.read_report().await {
             Ok(report) => {
+                agent.record_runner_seen(report.born, report.draining);
                 agent.forget_earlier_runners(report.born);
                 let completed = agent.scheduler().apply_report(agent.now(), report);
                 for load in completed {
@@ -240,6 +256,9 @@
                 }
             }
             Err(error) => {
+                if error.kind == ErrorKind::NotSent {
+                    agent.record_runner_down();
+                }
                 if agent.states.borrow().up {
                     let error = error.to_string();
                     warn!("runner report cannot be read", kv: { error = error.as_str() });
--- a/crates/gateway/src/agent/entries.rs
+++ b/crates/gateway/src/agent/entries.rs
@@ -21,6 +21,7 @@
 use spdlog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -94,6 +95,8 @@
     let mut last_received = Instant::now();
     let mut last_used = Instant::now();
     let mut last_sent: Option<(RunnerState, Instant)> = None;
+    let mut crash_news = agent.crash_news.subscribe();
+    let mut wants_crashes = false;
     loop {
         let in_use = last_used.elapsed() < IN_USE_PERIOD;
         let interval = if in_use {
@@ -113,11 +116,19 @@
             line = lines.next() => match line {
                 Some(Ok(line)) => {
                     last_received = Instant::now();
-                    handle_message(agent, link, &line).map(|uses_runner| {
-                        if uses_runner {
+                    match handle_message(agent, link, &line) {
+                        Ok(Received::Hello { crashes }) => {
                             last_used = last_received;
+                            wants_crashes = crashes;
+                            send_crashes(&mut lines, agent, crashes).await
                         }
-                    })
+                        Ok(Received::Use) => {
+                            last_used = last_received;
+                            Ok(())
+                        }
+                        Ok(Received::Other) => Ok(()),
+                        Err(reason) => Err(reason),
+                    }
                 }
                 Some(Err(e)) => Err(e.to_string()),
                 None => Err("closed".into()),
@@ -129,6 +140,11 @@
                 }
                 lines::send(&mut lines, &FromAgent::Admitted { prompts }).await
             }
+            news = crash_news.recv(), if wants_crashes => match news {
+                Ok(news) => lines::send(&mut lines, &news).await,
+                Err(RecvError::Lagged(_)) => send_crashes(&mut lines, agent, true).await,
+                Err(RecvError::Closed) => Err("stopping".into()),
+            },
             changed = states.changed() => match changed {
                 Ok(()) => {
                     let state = states.borrow_and_update().clone();
@@ -149,6 +165,17 @@
     }
 }
 
+/// Tells an entry that wants to hear of crashes the recent ones.
+async fn send_crashes(lines: &mut Lines, agent: &AgentState, wanted: bool) -> Result<(), String> {
+    if !wanted {
+        return Ok(());
+    }
+    for crash in agent.recent_crashes() {
+        lines::send(lines, &crash).await?;
+    }
+    Ok(())
+}
+
 /// Sends an entry what has changed since the last update. Changes that are not urgent wait until
 /// `pause` has passed since then.
 async fn send_update(
@@ -171,8 +198,18 @@
     Ok(())
 }
 
-/// Applies a message of an entry; returns whether it shows that the entry uses the runner.
-fn handle_message(agent: &Arc<AgentState>, link: LinkId, line: &str) -> Result<bool, String> {
+/// What a message says about its entry.
+enum Received {
+    /// The entry has connected; `crashes` says whether it wants to hear of them.
+    Hello { crashes: bool },
+    /// The entry uses the runner.
+    Use,
+    /// Nothing.
+    Other,
+}
+
+/// Applies a message of an entry.
+fn handle_message(agent: &Arc<AgentState>, link: LinkId, line: &str) -> Result<Received, String> {
     let message: ToAgent = serde_json::from_str(line).map_err(|e| e.to_string())?;
     let now = agent.now();
     match message {
@@ -180,6 +217,7 @@
             runner,
             born,
             capacity,
+            crashes,
         } => {
             info!("entry connected", kv: { link, runner = &*runner, born });
             let mut runner_ids = lock(&agent.runner_ids);
@@ -187,7 +225,7 @@
             drop(runner_ids);
             agent.scheduler().set_capacity(capacity);
             agent.wake.notify_one();
-            Ok(true)
+            Ok(Received::Hello { crashes })
         }
         ToAgent::Want {
             adapter,
@@ -198,21 +236,37 @@
                 .scheduler()
                 .request_adapter(now, &adapter, version, urgent);
             agent.wake.notify_one();
-            Ok(true)
+            Ok(Received::Use)
         }
         ToAgent::Usage(usages) => {
             agent.scheduler().apply_usage(now, link, &usages);
-            Ok(!usages.is_empty())
+            Ok(if usages.is_empty() {
+                Received::Other
+            } else {
+                Received::Use
+            })
         }
         ToAgent::Admit(prompt) => {
             agent.scheduler().admission.ask(now, link, prompt);
             agent.deliver_admissions();
-            Ok(true)
+            Ok(Received::Use)
         }
         ToAgent::PromptRead(prompt) => {
             agent.scheduler().admission.finish(now, (link, prompt));
             agent.deliver_admissions();
-            Ok(true)
+            Ok(Received::Use)
+        }
+        ToAgent::Broken(attempt) => {
+            agent.record_broken(attempt);
+            Ok(Received::Use)
+        }
+        ToAgent::Vouch { born, parts } => {
+            agent.record_vouch(born, &parts);
+            Ok(Received::Other)
+        }
+        ToAgent::Served(parts) => {
+            agent.tell_served(parts);
+            Ok(Received::Other)
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -35,6 +35,17 @@
     /// The head and body of the runner's failure response; `None` unless the outcome is
     /// [`Outcome::Failed`].
     pub failure: Option<(Box<ResponseHead>, BufferedBody)>,
+    /// How far the answer had got when the attempt broke, in case the runner has crashed.
+    pub broken: Option<AnswerProgress>,
+}
+
+/// How far the answer to a request had got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// Nothing of it had arrived.
+    Waiting,
+    /// Its head had arrived.
+    Begun,
 }
 
 impl From<Outcome> for FailedAttempt {
@@ -42,6 +53,17 @@
         FailedAttempt {
             outcome,
             failure: None,
+            broken: None,
+        }
+    }
+}
+
+impl From<AnswerProgress> for FailedAttempt {
+    fn from(progress: AnswerProgress) -> Self {
+        FailedAttempt {
+            outcome: Outcome::Unknown,
+            failure: None,
+            broken: Some(progress),
         }
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -26,6 +26,7 @@
 use serving::config::Route;
 use serving::placement::NoRunner;
 use serving::placement::Placement;
+use serving::quarantine::Refusal;
 use spdlog::info;
 use spdlog::warn;
 
@@ -33,6 +34,7 @@
 use crate::attempt::FailedAttempt;
 use crate::buffer::BufferedBody;
 use crate::entry::Entry;
+use crate::quarantine::Trial;
 use crate::relay;
 use crate::server::Body;
 use crate::server::buffered_body;
@@ -67,6 +69,9 @@
     /// The deadline passed.
     #[display("deadline exceeded")]
     DeadlineExceeded,
+    /// Runners have crashed on a part of its prompt.
+    #[display("{_0}")]
+    HeldBack(Refusal),
 }
 
 /// Why no response can be delivered.
@@ -109,6 +114,8 @@
     /// Number of times the request was written to a runner.
     pub(crate) sends: u32,
     pub(crate) last_placement: Option<Placement>,
+    /// Whether this request tries parts of prompts that are under suspicion.
+    pub(crate) trial: Option<Trial>,
     /// Meaning of the last response head; `None` if the last attempt got none.
     pub(crate) response_kind: Option<ResponseKind>,
 }
@@ -181,6 +188,7 @@
         first_response: Duration::ZERO,
         sends: 0,
         last_placement: None,
+        trial: None,
         response_kind: None,
         route,
         head,
@@ -259,6 +267,11 @@
     }
 
     fn refuse(self, cause: FailureCause) -> Response<Body> {
+        if let FailureCause::HeldBack(refusal) = cause {
+            self.log_failure("held back", cause);
+            let response = LocalResponse::HeldBack(refusal.retry_after);
+            return entry_response(&self.entry, response, Some(&self.head.request.id));
+        }
         let jitter = RETRY_AFTER_JITTER.mul_f64(self.entry.state().rng.f64());
         let wait = self.retry_after(cause).unwrap_or(MIN_RETRY_AFTER);
         self.log_failure("refused", cause);
@@ -282,6 +295,7 @@
             }
             FailureCause::Rejected
             | FailureCause::ResponseLost
+            | FailureCause::HeldBack(_)
             | FailureCause::DeadlineExceeded => None,
         }
     }
@@ -351,14 +365,22 @@
         resume: Option<u64>,
     ) -> Result<AttemptResponse, DispatchError> {
         loop {
+            self.pass_quarantine().await?;
             let placement = self.locate().await?;
             let prompt = self.admit_prompt(&placement).await;
             let result = self.run_attempt(&placement, prompt, resume).await;
-            let FailedAttempt { outcome, failure } = match result {
+            let FailedAttempt {
+                outcome,
+                failure,
+                broken,
+            } = match result {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
             self.log_attempt(&placement, outcome);
+            if let Some(progress) = broken {
+                self.report_broken(&placement, progress);
+            }
             let step = self.next_step(outcome);
             match step {
                 NextStep::TryOther => self.exclude_tried(),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -25,6 +25,7 @@
 use serving::members::Change;
 use serving::members::Members;
 use serving::overload::OverloadDetector;
+use serving::quarantine::Quarantine;
 use serving::request::Artifact;
 use serving::retry_budget::Allowance;
 use serving::retry_budget::RetryBudget;
@@ -40,6 +41,7 @@
 use crate::logs;
 use crate::metrics::EntryMetrics;
 use crate::process::ProcessError;
+use crate::quarantine::HoldChanges;
 use crate::recover::lock;
 
 /// How long before the bound for using an announced version older ones are no longer allowed.
@@ -61,6 +63,10 @@
     pub retry_budget: RetryBudget,
     /// Decides which requests to refuse while the entry itself is short of CPU or memory.
     pub overload: OverloadDetector,
+    /// The evidence about prompt parts on which runners crash.
+    pub quarantine: Quarantine,
+    /// Changes of held prompt parts that are not in the store yet.
+    pub(crate) hold_changes: HoldChanges,
     /// For the choice of a service and of a runner, and for jitter.
     pub rng: fastrand::Rng,
     members: Members,
@@ -91,6 +97,8 @@
     members_outdated: Notify,
     /// Notified when membership records are missing and kept for a while.
     records_missing: Notify,
+    /// Notified when held prompt parts have changed.
+    pub(crate) holds_changed: Notify,
     stopping: AtomicBool,
 }
 
@@ -139,6 +147,8 @@
             versions: Versions::default(),
             retry_budget: RetryBudget::new(allowance, DEFAULT_ENTRY_COUNT),
             overload: OverloadDetector::new(settings.memory_mb),
+            quarantine: Quarantine::default(),
+            hold_changes: HoldChanges::default(),
             rng,
             members: Members::new(Duration::from_millis(bounds.contact_ms)),
             members_known: false,
@@ -154,6 +164,7 @@
             store_lost: Notify::new(),
             members_outdated: Notify::new(),
             records_missing: Notify::new(),
+            holds_changed: Notify::new(),
             stopping: AtomicBool::new(false),
             settings,
         }))
@@ -354,6 +365,9 @@
         if entries > 0 {
             state.retry_budget.set_entry_count(entries);
         }
+        let (held, isolated) = state.quarantine.counts(now);
+        self.metrics.held_parts.set(held as i64);
+        self.metrics.isolated_parts.set(isolated as i64);
         let unlinked = state
             .members
             .iter()
@@ -394,12 +408,20 @@
             })
             .collect();
         let version = state.config.as_ref().map(|config| config.version);
+        let held = state.quarantine.held();
+        let held: Vec<_> = held
+            .map(|(part, hold)| {
+                let hold_ms = hold.until.since(now).as_millis() as u64;
+                json!({"part": part.to_string(), "hold_ms": hold_ms, "level": hold.level})
+            })
+            .collect();
         json!({
             "instance": self.settings.instance,
             "config_version": version,
             "entries": state.fleet.entry_count(),
             "log_lines_dropped": logs::dropped_lines(),
             "runners": runners,
+            "held_parts": held,
         })
         .to_string()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod process;
+mod quarantine;
 pub mod recover;
 pub mod relay;
 mod send;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -142,6 +142,18 @@
         }
     }
 
+    /// Sends a message to a runner's agent. Does nothing without a connection, and drops the message if
+    /// the queue is full.
+    pub fn tell(&self, runner: &str, message: ToAgent) {
+        let links = lock(&self.links);
+        let Some(link) = links.get(runner) else {
+            return;
+        };
+        if link.queue.try_send(message).is_err() {
+            warn!("message to agent dropped", kv: { runner });
+        }
+    }
+
     /// Returns a number for a prompt, unique within this process.
     pub fn next_prompt(&self) -> u64 {
         self.next_prompt.fetch_add(1, Ordering::Relaxed)
@@ -284,12 +296,15 @@
             runner: self.member.id.clone(),
             born: self.member.born,
             capacity: capacity(engine),
+            crashes: true,
         })
     }
 
     fn handle_message(&self, line: &str) -> Result<(), DisconnectReason> {
         match serde_json::from_str(line).map_err(|e| e.to_string())? {
             FromAgent::Admitted { prompts } => self.mark_admitted(&prompts),
+            FromAgent::Crash { crash } => self.entry.apply_crash(&self.member.id, crash),
+            FromAgent::Served { served } => self.entry.apply_served(&served),
             FromAgent::Update(update) => self.apply_update(&update),
         }
         Ok(())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,12 @@
     pub runner_connects: IntCounter,
     /// Reads of the store by result: `ok`, `expired` or `failed`.
     pub store_calls: IntCounterVec,
+    /// Changes of held prompt parts: `held` or `released`.
+    pub part_holds: IntCounterVec,
+    /// Prompt parts whose requests are refused, as of the last maintenance.
+    pub held_parts: IntGauge,
+    /// Prompt parts that one request at a time may try, as of the last maintenance.
+    pub isolated_parts: IntGauge,
     /// Requests whose response has not started, refused ones included.
     pub inflight: IntGauge,
 }
@@ -69,6 +75,16 @@
         let resumed_streams =
             IntCounter::new("streams_resumed_total", "Streams that were resumed")?;
         let runner_connects = IntCounter::new("runner_connects_total", "Connections to runners")?;
+        let part_holds = register_counters(
+            &registry,
+            "part_holds_total",
+            "Holds of prompt parts",
+            "event",
+        )?;
+        let held_parts = IntGauge::new("held_parts", "Held prompt parts")?;
+        let isolated_parts = IntGauge::new("isolated_parts", "Isolated prompt parts")?;
+        registry.register(Box::new(held_parts.clone()))?;
+        registry.register(Box::new(isolated_parts.clone()))?;
         let inflight = IntGauge::new("requests_inflight", "Requests in progress")?;
         registry.register(Box::new(resumed_streams.clone()))?;
         registry.register(Box::new(runner_connects.clone()))?;
@@ -84,6 +100,9 @@
             resumed_streams,
             runner_connects,
             store_calls,
+            part_holds,
+            held_parts,
+            isolated_parts,
             inflight,
         })
     }
@@ -102,6 +121,8 @@
     pub entries: IntGauge,
     /// Adapters that the runner has, is loading or has been asked for.
     pub adapters: IntGauge,
+    /// Crashes of the runner that broke attempts of entries.
+    pub crashes: IntCounter,
 }
 
 impl AgentMetrics {
@@ -117,13 +138,16 @@
         let entries = IntGauge::new("entries_connected", "Connected entries")?;
         let adapters = IntGauge::new("adapters_held", "Adapters that the runner holds")?;
         registry.register(Box::new(entries.clone()))?;
+        let crashes = IntCounter::new("runner_crashes_total", "Crashes of the runner")?;
         registry.register(Box::new(adapters.clone()))?;
+        registry.register(Box::new(crashes.clone()))?;
         Ok(AgentMetrics {
             registry,
             orders,
             loads,
             entries,
             adapters,
+            crashes,
         })
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,7 @@
 
 use crate::entry::Entry;
 use crate::logs;
+use crate::quarantine::keep_holds;
 use crate::recover::supervise;
 use crate::server;
 use crate::signals::Signals;
@@ -116,6 +117,7 @@
             supervised(&entry, "membership", |entry| {
                 follow_table(entry, Table::Members)
             }),
+            supervised(&entry, "held parts", keep_holds),
             supervised(&entry, "maintenance", run_maintenance),
             supervised(&entry, "delay", measure_delay),
             tokio::spawn(server::serve_ready(entry.clone(), ready)),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -24,6 +24,7 @@
 use tokio::time::timeout_at;
 
 use crate::admit::AnnouncedPrompt;
+use crate::attempt::AnswerProgress;
 use crate::attempt::AttemptResponse;
 use crate::attempt::FailedAttempt;
 use crate::attempt::OpenStream;
@@ -80,6 +81,9 @@
         let now = self.entry.now();
         let adapter = self.adapter().cloned();
         let tokens = self.head.request.prompt_tokens;
+        if self.is_held() {
+            return Err(Outcome::NotSent.into());
+        }
         // The runner may have begun to leave, or have started again, since it was chosen.
         let begun = self.entry.state().fleet.begin_request(
             runner,
@@ -128,16 +132,14 @@
                     },
                     false,
                 );
-                let outcome = if not_sent {
-                    Outcome::NotSent
-                } else {
-                    Outcome::Unknown
-                };
-                return Err(outcome.into());
+                if not_sent {
+                    return Err(Outcome::NotSent.into());
+                }
+                return Err(AnswerProgress::Waiting.into());
             }
             Err(_) => {
                 attempt.finish(HealthSignal::Failed, false);
-                return Err(Outcome::Unknown.into());
+                return Err(AnswerProgress::Waiting.into());
             }
         };
         let (parts, body) = response.into_parts();
@@ -227,13 +229,14 @@
                     ReadError::TooLarge | ReadError::Broken => HealthSignal::Failed,
                 };
                 attempt.finish(signal, false);
-                return Err(Outcome::Unknown.into());
+                return Err(AnswerProgress::Begun.into());
             }
             Err(_) => {
                 attempt.finish(HealthSignal::Failed, false);
-                return Err(Outcome::Unknown.into());
+                return Err(AnswerProgress::Begun.into());
             }
         };
+        self.record_answer(attempt.runner());
         let time = self.entry.now().since(self.arrival);
         let failed = response_head.kind == ResponseKind::Failure;
         let signal = match (failed, response_head.status.is_client_error()) {
@@ -248,6 +251,7 @@
             return Err(FailedAttempt {
                 outcome: Outcome::Failed,
                 failure: Some((response_head, body)),
+                broken: None,
             });
         }
         Ok(AttemptResponse::Complete(response_head, body))
@@ -272,7 +276,7 @@
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_)) | None) | Err(_) => {
                     attempt.finish(HealthSignal::Failed, false);
-                    return Err(Outcome::Unknown.into());
+                    return Err(AnswerProgress::Begun.into());
                 }
             };
             let Ok(data) = frame.into_data() else {
@@ -290,6 +294,7 @@
                 continue;
             }
             attempt.prompt = None;
+            self.record_answer(attempt.runner());
             if let Some(inflight) = attempt.inflight.as_mut() {
                 self.entry.state().fleet.mark_answered(inflight);
             }
--- a/crates/serving/src/fleet/view.rs
+++ b/crates/serving/src/fleet/view.rs
@@ -81,6 +81,8 @@
     pub linked: bool,
     /// Whether its agent admits prompts, according to its last full update.
     pub(super) admits: bool,
+    /// Whether its agent puts crashes together, according to its last full update.
+    pub(super) crashes: bool,
     /// Until when its agent is not asked for admissions, because it did not answer the last time.
     pub(super) unasked_until: Time,
     /// Whether it answers its agent.
@@ -124,6 +126,7 @@
             replaced: false,
             linked: false,
             admits: false,
+            crashes: false,
             unasked_until: Time::default(),
             up: true,
             reported_at: Time::default(),
@@ -142,6 +145,11 @@
         self.linked && self.admits && now >= self.unasked_until
     }
 
+    /// Returns whether attempts that break there are reported to the runner's agent.
+    pub fn collects_crashes(&self) -> bool {
+        self.linked && self.crashes
+    }
+
     /// Returns whether new requests may be sent there.
     pub fn accepts_requests(&self) -> bool {
         self.member.phase == Phase::Ready && !self.replaced
@@ -224,6 +232,7 @@
             .retain(|_, view| !view.assumed || view.ready_at.is_some_and(|at| at > now));
         if update.full {
             self.admits = update.admits;
+            self.crashes = update.crashes;
             self.adapters.retain(|_, view| view.assumed);
         }
         for adapter in &update.removed {
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -7,8 +7,11 @@
 
 use crate::Name;
 use crate::admission::Prompt;
+use crate::crash_reports::BrokenAttempt;
 use crate::demand::RateLevel;
 use crate::load_profile::LoadProfile;
+use crate::quarantine::Crash;
+use crate::request::PartId;
 
 /// Maximum interval between two updates of an agent; they also serve as heartbeats of the
 /// connection.
@@ -96,6 +99,9 @@
         born: u64,
         /// The limits of the runner.
         capacity: Capacity,
+        /// Whether the entry wants to hear of crashes.
+        #[serde(default)]
+        crashes: bool,
     },
     /// Requests that the runner load an adapter.
     #[serde(rename = "want")]
@@ -117,12 +123,38 @@
     /// The runner has read the prompt with this number, or its request has ended.
     #[serde(rename = "read")]
     PromptRead(u64),
+    /// An attempt ended before its answer. This and the messages below are sent only to an agent
+    /// whose updates say that it puts crashes together.
+    #[serde(rename = "broken")]
+    Broken(BrokenAttempt),
+    /// The entry has served requests on parts that a crash lists.
+    #[serde(rename = "vouch")]
+    Vouch {
+        /// The start of the runner that crashed, in milliseconds since the Unix epoch.
+        born: u64,
+        /// Those of the parts that the entry has served.
+        parts: Vec<PartId>,
+    },
+    /// Requests have been answered on parts that were under suspicion.
+    #[serde(rename = "served")]
+    Served(Vec<PartId>),
 }
 
-/// A message from an agent to an entry.
+/// A message from an agent to an entry. Crashes and served parts are sent only to an entry that wants
+/// to hear of crashes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum FromAgent {
+    /// The agent's runner has crashed, or more is known of the crash.
+    Crash {
+        /// The crash.
+        crash: Crash,
+    },
+    /// Requests have been answered on parts that were under suspicion.
+    Served {
+        /// The parts.
+        served: Vec<PartId>,
+    },
     /// The prompts with these numbers may be sent.
     Admitted {
         /// The numbers that the entry gave them.
@@ -224,6 +256,9 @@
     /// Whether the agent admits prompts; given with a full update.
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     pub admits: bool,
+    /// Whether the agent puts crashes together; given with a full update.
+    #[serde(rename = "y", default, skip_serializing_if = "is_false")]
+    pub crashes: bool,
     /// The models that the runner holds; `None` if they are unchanged.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub models: Option<Vec<Name>>,
@@ -275,6 +310,7 @@
             loads: loads.then_some(self.loads),
             full: known.is_none(),
             admits: known.is_none(),
+            crashes: known.is_none(),
             models: models.then(|| self.models.clone()),
             adapters: changed.cloned().collect(),
             removed: removed.map_or(Vec::new(), |removed| {
--- /dev/null
+++ b/crates/serving/src/quarantine.rs
@@ -0,0 +1,586 @@
+//! Finds the parts of prompts on which runners crash, and holds back the requests that have them.
+//!
+//! A crash is evidence against the parts of the requests that the runner had not answered yet, and an
+//! answer is evidence for the parts of its request. A part under suspicion is isolated: one request at
+//! a time, the canary, may try it. A part that explains several crashes is held: its requests are
+//! refused until the hold expires, and then one request may probe it.
+//!
+//! Invariants: a part that requests are answered on is neither isolated nor held; a crash that a held
+//! part explains is no evidence against others; crashes, held parts and the memory of answered parts
+//! are bounded.
+//!
+//! API boundary: entries record every answer, and the crashes that agents tell of; agents find these
+//! with [`crate::crash_reports`].
+
+mod recent_parts;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::collections::Set;
+use decision::time::Time;
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::recent_parts::RecentParts;
+use crate::Name;
+use crate::request::PartId;
+
+/// How long a crash is evidence.
+const CRASH_MEMORY: Duration = Duration::from_secs(60);
+/// The most crashes that are kept; the oldest is dropped first.
+const MAX_CRASHES: usize = 64;
+/// The most requests of one crash that are kept.
+pub const MAX_CRASH_REQUESTS: usize = 32;
+/// The most held parts; the one whose hold expires first is dropped.
+const MAX_HELD: usize = 256;
+
+/// The weight of a crash against the last part that nobody was answered on, in a request whose answer
+/// had begun.
+const LAST_PART_WEIGHT: u32 = 3;
+/// The weight of a crash against any other part that nobody was answered on.
+const OTHER_PART_WEIGHT: u32 = 2;
+/// The weight at which a part is held.
+const HOLD_WEIGHT: u32 = 6;
+/// The number of crashes from which a part is isolated although requests were answered on it before.
+const ISOLATION_CRASHES: u32 = 3;
+/// How long such a part must have been without an answer before it is isolated; other requests with it
+/// are on their way, and end its suspicion if it is sound.
+const ISOLATION_DELAY: Duration = Duration::from_millis(500);
+/// The number of canaries that must crash runners before such a part is held.
+const CANARY_CRASHES: u32 = 2;
+/// The time after the isolation from which a crash is counted as that of a canary; requests that were
+/// sent before it may crash runners until then.
+const CANARY_DELAY: Duration = Duration::from_secs(1);
+
+/// The length of a part's first hold; each further one is twice as long.
+const FIRST_HOLD: Duration = Duration::from_secs(30);
+/// The most doublings of [`FIRST_HOLD`].
+const MAX_HOLD_LEVEL: u32 = 6;
+/// How long after its expiry a hold is kept for a request that probes its part.
+const HOLD_MEMORY: Duration = Duration::from_secs(600);
+/// How long a hold can still be withdrawn when another entry says that it has served the part.
+const WITHDRAWAL_PERIOD: Duration = Duration::from_secs(1);
+/// When a request that was refused because of a canary may return.
+const CANARY_RETRY: Duration = Duration::from_millis(300);
+
+/// A crash of one incarnation of a runner, as its agent has put it together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The identifier of the runner.
+    #[serde(rename = "r")]
+    pub runner: Name,
+    /// The start of the incarnation, in milliseconds since the Unix epoch.
+    #[serde(rename = "b")]
+    pub born: u64,
+    /// Whether the answers to the requests had begun. If any had, requests without are left out.
+    #[serde(rename = "g")]
+    pub begun: bool,
+    /// The shared parts of the suspect requests, each in the order of the prompt.
+    #[serde(rename = "q")]
+    pub requests: Vec<Vec<PartId>>,
+    /// Those of the parts on which an entry has served requests before.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub served: Vec<PartId>,
+}
+
+/// What a new crash, or news of a known one, has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashEffect {
+    /// Parts that this entry has served requests on, and that the crash does not list as served.
+    pub vouched: Vec<PartId>,
+    /// Parts that are held from now on, or for longer than before.
+    pub held: Vec<PartId>,
+    /// Parts that are held no longer, since another entry has served them.
+    pub released: Vec<PartId>,
+    /// Whether this entry has reported an attempt that the crash broke.
+    pub reported: bool,
+}
+
+/// The parts whose suspicion an answer has ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cleared {
+    /// Parts that were isolated.
+    pub isolated: Vec<PartId>,
+    /// Parts that were held.
+    pub held: Vec<PartId>,
+}
+
+/// Whether a request may be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// None of its parts is under suspicion.
+    Free,
+    /// It may be sent as the canary of these parts; [`Quarantine::end_canary`] ends that.
+    Canary(Vec<PartId>),
+    /// The hold of this part has expired. The request may be sent if no other entry probes the part.
+    Probe(PartId),
+    /// It must not be sent.
+    Refused(Refusal),
+}
+
+/// Why a request is held back.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{cause} {part}")]
+pub struct Refusal {
+    /// The part under suspicion.
+    pub part: PartId,
+    /// Whether the part is isolated or held.
+    pub cause: RefusalCause,
+    /// After what time the caller may try again.
+    pub retry_after: Duration,
+}
+
+/// The state of the part because of which a request is held back.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Another request tries the part.
+    #[display("after a crash another request tries prompt part")]
+    Isolated,
+    /// Runners have crashed on the part.
+    #[display("runners crash on prompt part")]
+    Held,
+}
+
+/// A held part, as entries tell each other of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// When one request may probe the part.
+    pub until: Time,
+    /// How often the hold has been extended.
+    pub level: u32,
+    /// When the part was first held.
+    since: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Isolation {
+    /// Before this time requests are not held back.
+    from: Time,
+    canary: bool,
+}
+
+#[derive(Debug)]
+struct KnownCrash {
+    crash: Crash,
+    at: Time,
+    /// Parts that requests have been answered on since.
+    cleared: Vec<PartId>,
+}
+
+/// The evidence against one part, from the crashes that no held part explains.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspicion {
+    /// Whether an entry has served requests on the part before the crashes.
+    served: bool,
+    /// The position in the prompt, from 0.
+    position: usize,
+    crashes: u32,
+    weight: u32,
+    canary_crashes: u32,
+}
+
+/// An entry's evidence about parts of prompts, and what follows from it.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    served: RecentParts,
+    crashes: VecDeque<KnownCrash>,
+    /// The parts of all crashes on which no request has been answered since.
+    suspects: Set<PartId>,
+    isolated: Map<PartId, Isolation>,
+    held: Map<PartId, Hold>,
+    /// The incarnations of runners whose broken attempts this entry has reported, the oldest first.
+    reported: VecDeque<(Name, u64)>,
+}
+
+impl Quarantine {
+    /// Records that this entry reports a broken attempt, and returns those of the parts that it has
+    /// served.
+    pub fn record_report(
+        &mut self,
+        now: Time,
+        runner: &Name,
+        born: u64,
+        parts: &[PartId],
+    ) -> Vec<PartId> {
+        let reported = (runner.clone(), born);
+        if !self.reported.contains(&reported) {
+            if self.reported.len() >= MAX_CRASHES {
+                self.reported.pop_front();
+            }
+            self.reported.push_back(reported);
+        }
+        let served = parts
+            .iter()
+            .filter(|part| self.served.contains(now, **part));
+        served.copied().collect()
+    }
+
+    /// Decides whether a request with these parts may be sent.
+    pub fn admit(&mut self, now: Time, parts: &[PartId]) -> Admission {
+        if self.isolated.is_empty() && self.held.is_empty() {
+            return Admission::Free;
+        }
+        self.forget_old_crashes(now);
+        if let Some((part, hold)) = self.find_held(parts) {
+            if now >= hold.until {
+                return Admission::Probe(part);
+            }
+            return Admission::Refused(Refusal {
+                part,
+                cause: RefusalCause::Held,
+                retry_after: hold.until.since(now),
+            });
+        }
+        self.admit_canary(now, parts)
+    }
+
+    fn admit_canary(&mut self, now: Time, parts: &[PartId]) -> Admission {
+        let isolated = |part: &&PartId| {
+            let isolation = self.isolated.get(*part);
+            isolation.is_some_and(|isolation| now >= isolation.from)
+        };
+        let suspects: Vec<PartId> = parts.iter().filter(isolated).copied().collect();
+        if suspects.is_empty() {
+            return Admission::Free;
+        }
+        let tried = suspects.iter().find(|part| self.isolated[*part].canary);
+        if let Some(part) = tried {
+            return Admission::Refused(Refusal {
+                part: *part,
+                cause: RefusalCause::Isolated,
+                retry_after: CANARY_RETRY,
+            });
+        }
+        for part in &suspects {
+            if let Some(isolation) = self.isolated.get_mut(part) {
+                isolation.canary = true;
+            }
+        }
+        Admission::Canary(suspects)
+    }
+
+    /// Records that the canary of these parts has ended, whatever its outcome.
+    pub fn end_canary(&mut self, parts: &[PartId]) {
+        for part in parts {
+            if let Some(isolation) = self.isolated.get_mut(part) {
+                isolation.canary = false;
+            }
+        }
+    }
+
+    /// Returns the held part of a request whose hold expires last.
+    pub fn find_held(&self, parts: &[PartId]) -> Option<(PartId, Hold)> {
+        let held = |part: &PartId| Some((*part, *self.held.get(part)?));
+        let held = parts.iter().filter_map(held);
+        held.max_by_key(|(_, hold)| hold.until)
+    }
+
+    /// Records that a runner has answered a request with these parts. Other entries should hear of
+    /// those that were under suspicion.
+    pub fn record_answer(&mut self, now: Time, parts: &[PartId]) -> Cleared {
+        for part in parts {
+            self.served.insert(now, *part);
+        }
+        self.clear(now, parts)
+    }
+
+    /// Records that requests have been answered on these parts, here or at another entry.
+    pub fn clear(&mut self, now: Time, parts: &[PartId]) -> Cleared {
+        let mut cleared = Cleared::default();
+        for part in parts {
+            if self.isolated.remove(part).is_some() {
+                cleared.isolated.push(*part);
+            }
+            if self.held.remove(part).is_some() {
+                cleared.held.push(*part);
+            }
+            if self.suspects.remove(part) {
+                for known in &mut self.crashes {
+                    known.clear(*part);
+                }
+            }
+        }
+        if cleared != Cleared::default() {
+            self.evaluate(now);
+        }
+        cleared
+    }
+
+    /// Records a crash, or news of a crash that is known already.
+    pub fn record_crash(&mut self, now: Time, mut crash: Crash) -> CrashEffect {
+        self.forget_old_crashes(now);
+        crash.requests.truncate(MAX_CRASH_REQUESTS);
+        let mut effect = CrashEffect {
+            vouched: self.vouch(now, &mut crash),
+            reported: self.has_reported(&crash),
+            ..CrashEffect::default()
+        };
+        let same = |known: &&mut KnownCrash| {
+            (&known.crash.runner, known.crash.born) == (&crash.runner, crash.born)
+        };
+        if let Some(known) = self.crashes.iter_mut().find(same) {
+            known.update(crash);
+        } else {
+            effect.held = self.extend_holds(now, &crash);
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.pop_front();
+            }
+            self.crashes.push_back(KnownCrash {
+                crash,
+                at: now,
+                cleared: Vec::new(),
+            });
+        }
+        effect.released = self.withdraw_holds(now);
+        effect.held.extend(self.evaluate(now));
+        effect
+    }
+
+    /// Holds a part that another entry has held, until `until`.
+    pub fn hold(&mut self, now: Time, part: PartId, until: Time, level: u32) {
+        if self.held.len() >= MAX_HELD && !self.held.contains_key(&part) {
+            let first = self.held.iter().min_by_key(|(_, hold)| hold.until);
+            if let Some(first) = first.map(|(part, _)| *part) {
+                self.held.remove(&first);
+            }
+        }
+        let level = level.min(MAX_HOLD_LEVEL);
+        let since = self.held.get(&part).map_or(now, |hold| hold.since);
+        let hold = Hold {
+            until,
+            level,
+            since,
+        };
+        self.held.insert(part, hold);
+        self.isolated.remove(&part);
+    }
+
+    /// Returns how long a hold of this level lasts.
+    pub fn hold_time(level: u32) -> Duration {
+        FIRST_HOLD * (1 << level.min(MAX_HOLD_LEVEL))
+    }
+
+    /// Returns the held parts.
+    pub fn held(&self) -> impl Iterator<Item = (PartId, Hold)> {
+        self.held.iter().map(|(part, hold)| (*part, *hold))
+    }
+
+    /// Returns the numbers of held and of isolated parts.
+    pub fn counts(&mut self, now: Time) -> (usize, usize) {
+        self.forget_old_crashes(now);
+        (self.held.len(), self.isolated.len())
+    }
+
+    fn has_reported(&self, crash: &Crash) -> bool {
+        let mut reported = self.reported.iter();
+        reported.any(|(runner, born)| (runner, *born) == (&crash.runner, crash.born))
+    }
+
+    /// Adds the parts that this entry has served to those of the crash, and returns them.
+    fn vouch(&self, now: Time, crash: &mut Crash) -> Vec<PartId> {
+        let parts: Set<PartId> = crash.requests.iter().flatten().copied().collect();
+        let known =
+            |part: &PartId| !crash.served.contains(part) && self.served.contains(now, *part);
+        let vouched: Vec<PartId> = parts.into_iter().filter(known).collect();
+        crash.served.extend(&vouched);
+        vouched
+    }
+
+    /// Extends the holds of parts on which a probe has crashed another runner.
+    fn extend_holds(&mut self, now: Time, crash: &Crash) -> Vec<PartId> {
+        let parts: Set<PartId> = crash.requests.iter().flatten().copied().collect();
+        let mut extended = Vec::new();
+        for part in parts {
+            let Some(hold) = self.held.get_mut(&part) else {
+                continue;
+            };
+            // Requests that were sent before the hold still crash runners, and the entry that sent the
+            // probe has extended the hold before.
+            if now < hold.until {
+                continue;
+            }
+            hold.level = (hold.level + 1).min(MAX_HOLD_LEVEL);
+            hold.until = now.after(Self::hold_time(hold.level));
+            extended.push(part);
+        }
+        extended
+    }
+
+    /// Ends new holds whose part another entry has served meanwhile.
+    fn withdraw_holds(&mut self, now: Time) -> Vec<PartId> {
+        let recent = self.held.iter();
+        let recent = recent.filter(|(_, hold)| now.since(hold.since) < WITHDRAWAL_PERIOD);
+        let recent: Vec<PartId> = recent.map(|(part, _)| *part).collect();
+        let mut released = Vec::new();
+        for part in recent {
+            let listed = |known: &KnownCrash| known.crash.served.contains(&part);
+            if !self.crashes.iter().any(listed) {
+                continue;
+            }
+            let suspicions = self.suspicions(Some(part));
+            let suspicion = suspicions.get(&part);
+            if !suspicion.is_some_and(Suspicion::is_conclusive) {
+                self.held.remove(&part);
+                released.push(part);
+            }
+        }
+        released
+    }
+
+    /// Derives from the crashes which parts are held and which are isolated; returns those that are
+    /// held anew.
+    fn evaluate(&mut self, now: Time) -> Vec<PartId> {
+        let mut held = Vec::new();
+        let suspicions = loop {
+            let suspicions = self.suspicions(None);
+            let Some(part) = most_suspect(&suspicions) else {
+                break suspicions;
+            };
+            self.hold(now, part, now.after(FIRST_HOLD), 0);
+            held.push(part);
+        };
+        self.suspects = self.crashes.iter().flat_map(KnownCrash::suspects).collect();
+        let before = std::mem::take(&mut self.isolated);
+        for (part, suspicion) in suspicions {
+            if !suspicion.is_isolated() {
+                continue;
+            }
+            let delay = if suspicion.served {
+                ISOLATION_DELAY
+            } else {
+                Duration::ZERO
+            };
+            let new = Isolation {
+                from: now.after(delay),
+                canary: false,
+            };
+            let isolation = before.get(&part).copied().unwrap_or(new);
+            self.isolated.insert(part, isolation);
+        }
+        held
+    }
+
+    /// Returns the evidence against each part, from the crashes without a held part other than
+    /// `except`.
+    fn suspicions(&self, except: Option<PartId>) -> Map<PartId, Suspicion> {
+        let mut suspicions: Map<PartId, Suspicion> = Map::default();
+        let explains = |part: &PartId| Some(*part) != except && self.held.contains_key(part);
+        for known in &self.crashes {
+            if known.crash.requests.iter().flatten().any(explains) {
+                continue;
+            }
+            for (part, blame) in known.blames() {
+                let suspicion = suspicions.entry(part).or_default();
+                suspicion.served |= blame.served;
+                suspicion.position = suspicion.position.max(blame.position);
+                suspicion.crashes += 1;
+                suspicion.weight += blame.weight;
+                let isolation = self.isolated.get(&part);
+                let tried = isolation.is_some_and(|i| known.at >= i.from.after(CANARY_DELAY));
+                suspicion.canary_crashes += u32::from(tried);
+            }
+        }
+        suspicions
+    }
+
+    fn forget_old_crashes(&mut self, now: Time) {
+        self.held
+            .retain(|_, hold| now < hold.until.after(HOLD_MEMORY));
+        let before = self.crashes.len();
+        self.crashes
+            .retain(|known| now.since(known.at) < CRASH_MEMORY);
+        if self.crashes.len() != before {
+            self.evaluate(now);
+        }
+    }
+}
+
+impl Suspicion {
+    /// Returns whether the part is to be held.
+    fn is_conclusive(&self) -> bool {
+        if self.served {
+            return self.canary_crashes >= CANARY_CRASHES;
+        }
+        self.weight >= HOLD_WEIGHT
+    }
+
+    fn is_isolated(&self) -> bool {
+        !self.served || self.crashes >= ISOLATION_CRASHES
+    }
+}
+
+/// Returns the part that is to be held first: one that nobody was answered on, and then the last in its
+/// prompts, since the parts before it are in them as well.
+fn most_suspect(suspicions: &Map<PartId, Suspicion>) -> Option<PartId> {
+    let conclusive = suspicions.iter().filter(|(_, s)| s.is_conclusive());
+    let first = conclusive.max_by_key(|(part, s)| (!s.served, s.position, s.weight, **part));
+    first.map(|(part, _)| *part)
+}
+
+/// The evidence of one crash against one part.
+#[derive(Clone, Copy, Debug)]
+struct Blame {
+    served: bool,
+    position: usize,
+    weight: u32,
+}
+
+impl KnownCrash {
+    fn suspects(&self) -> impl Iterator<Item = PartId> {
+        let parts = self.crash.requests.iter().flatten().copied();
+        parts.filter(|part| !self.cleared.contains(part))
+    }
+
+    fn clear(&mut self, part: PartId) {
+        if self.suspects().any(|suspect| suspect == part) {
+            self.cleared.push(part);
+        }
+    }
+
+    /// Takes over what is known of the crash by now.
+    fn update(&mut self, crash: Crash) {
+        let mut served = std::mem::take(&mut self.crash.served);
+        self.crash = crash;
+        served.retain(|part| !self.crash.served.contains(part));
+        self.crash.served.extend(served);
+    }
+
+    /// Returns the blame of each part that is not cleared. In a request with parts that nobody was
+    /// answered on, only these are to blame.
+    fn blames(&self) -> Map<PartId, Blame> {
+        let mut blames: Map<PartId, Blame> = Map::default();
+        for parts in &self.crash.requests {
+            let suspects = parts
+                .iter()
+                .enumerate()
+                .filter(|(_, part)| !self.cleared.contains(part));
+            let suspects: Vec<(usize, PartId, bool)> = suspects
+                .map(|(position, part)| (position, *part, self.crash.served.contains(part)))
+                .collect();
+            let last_unserved = suspects.iter().rfind(|(_, _, served)| !served);
+            let last_unserved = last_unserved.map(|(position, _, _)| *position);
+            for (position, part, served) in suspects {
+                if served && last_unserved.is_some() {
+                    continue;
+                }
+                let is_last = self.crash.begun && Some(position) == last_unserved;
+                let weight = if is_last {
+                    LAST_PART_WEIGHT
+                } else {
+                    OTHER_PART_WEIGHT
+                };
+                let blame = blames.entry(part).or_insert(Blame {
+                    served,
+                    position,
+                    weight,
+                });
+                blame.weight = blame.weight.max(weight);
+                blame.position = blame.position.max(position);
+            }
+        }
+        blames
+    }
+}
