--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -215,7 +215,7 @@
 
 impl Entry {
     /// Applies what the agent of `runner` tells of a crash.
-    pub(crate) fn apply_crash(&self, runner: &Name, crash: Crash) {
+    pub fn apply_crash(&self, runner: &Name, crash: Crash) {
         let now = self.now();
         let (crashed, born, begun) = (crash.runner.clone(), crash.born, crash.begun);
         let requests = crash.requests.len();
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use decision::collections::Map;
+use decision::hash::hash_text;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use hyper::Request;
@@ -41,6 +42,8 @@
 const DISCONNECT_PROBABILITY: f64 = 0.08;
 /// The range of times after the request at which such a caller disconnects.
 const DISCONNECT_AFTER_MS: std::ops::Range<u64> = 5..120;
+/// The probability that a request to an engine has one of the deadly parts, while there are any.
+const DEADLY_PROBABILITY: f64 = 0.1;
 /// The limit of the wait before a refused caller sends its next request.
 const MAX_RETRY_WAIT: Duration = Duration::from_secs(1);
 
@@ -121,7 +124,8 @@
         let id = format!("{}.{}", self.name, self.request_count);
         let kind = self.pick_kind();
         let disconnects = self.rng.f64() < DISCONNECT_PROBABILITY;
-        let request = self.build_request(&id, kind, disconnects)?;
+        let deadly = self.pick_deadly_part(kind);
+        let request = self.build_request(&id, kind, disconnects, deadly)?;
         let sent_at = self.harness.now();
         let wait_limit = if disconnects {
             Duration::from_millis(self.rng.u64(DISCONNECT_AFTER_MS))
@@ -150,6 +154,8 @@
             kind,
             entry,
             entry_starts: conn.entry_starts,
+            deadly,
+            shares_parts: kind.is_stream(),
             sent_at,
             ended_at: self.harness.now(),
             outcome,
@@ -179,6 +185,7 @@
         id: &str,
         kind: RouteKind,
         long: bool,
+        deadly: Option<u64>,
     ) -> Option<Request<Empty<Bytes>>> {
         let suffix = if long { LONG_REQUEST_SUFFIX } else { "/x" };
         // The smaller of two random numbers gives the first adapters most of the requests.
@@ -186,13 +193,30 @@
             let index = self.rng.usize(..ADAPTERS).min(self.rng.usize(..ADAPTERS));
             format!("{MODEL}/a{index}")
         });
+        let prefix = kind.is_stream().then(|| self.prompt_parts(deadly));
         caller::encode_request(&CallerRequest {
             path: &format!("/{kind}{suffix}"),
             id,
             deadline: DEADLINE,
             adapter: adapter.as_deref(),
+            prefix: prefix.as_deref(),
         })
     }
+
+    fn pick_deadly_part(&mut self, kind: RouteKind) -> Option<u64> {
+        if !kind.is_stream() || self.rng.f64() >= DEADLY_PROBABILITY {
+            return None;
+        }
+        self.rng.choice(self.harness.deadly_parts())
+    }
+
+    /// Returns the parts of a prompt: those of the route and of the caller, perhaps a deadly one, and
+    /// the request's own.
+    fn prompt_parts(&self, deadly: Option<u64>) -> String {
+        let deadly = deadly.map_or_else(String::new, |part| format!("{part:x}:20,"));
+        let (caller, own) = (hash_text(&self.name), self.request_count);
+        format!("1:60,{caller:x}:20,{deadly}{own:x}:10")
+    }
 }
 
 async fn read_response(response: Response<Incoming>, limit: Instant) -> CallOutcome {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,6 +3,8 @@
 //! Faults excuse some violations: a check that depends on time skips an entry that was stopped, cut
 //! off or restarted so recently that it may not be up to date with the store again.
 
+mod deadly;
+
 use decision::collections::Map;
 use decision::collections::Set;
 use derive_more::Display;
@@ -57,6 +59,12 @@
     /// Programs exit only when they are told to, and then within the bound.
     #[display("stop on request only")]
     NoUnexpectedExit,
+    /// Requests with a part on which runners crash reach no runners, once some have crashed.
+    #[display("deadly parts held back")]
+    DeadlyHeldBack,
+    /// Sound requests are not held back for the parts of others.
+    #[display("sound requests not held back")]
+    SoundNotHeldBack,
     /// Requests are served again within the bound after all programs were killed.
     #[display("service after a kill of all")]
     Recovery,
@@ -104,6 +112,8 @@
     all.extend(check_retry_budget(history, &index));
     all.extend(check_single_holder(history));
     all.extend(check_work_cancelled(history, &index));
+    all.extend(deadly::check_held_back(history));
+    all.extend(deadly::check_sound_requests(history));
     all.extend(check_unexpected_exits(history));
     all.extend(check_recovery(history));
     all
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,6 @@
 //! The injection of faults.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -10,11 +11,14 @@
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rustix::process::Signal;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use crate::harness::BOUNDS;
 use crate::harness::Harness;
 use crate::harness::RunError;
 use crate::harness::SLOTS;
+use crate::history;
 use crate::history::FaultPeriod;
 use crate::history::FaultTarget;
 use crate::history::Ms;
@@ -30,6 +34,8 @@
 const REUSE_MEMBER_REMOVAL_DELAY: Duration = Duration::from_millis(1_800);
 /// The time for which a draining runner, or the one at a reused address, still runs.
 const RUNNER_DRAIN_TIME: Duration = Duration::from_millis(4_000);
+/// The time until a runner that has crashed on a request starts again, in milliseconds.
+const DEADLY_RESTART_MS: Ms = 2_000;
 
 impl Harness {
     /// Runs a fault and records the period in which it is active.
@@ -123,6 +129,11 @@
                 self.history().manifests.push((version, at));
             }
             Fault::NewAdapterVersion(index) => self.announce_version(index),
+            Fault::DeadlyPart(part, length) => {
+                self.set_deadly(part, true);
+                tokio::time::sleep(ms(length)).await;
+                self.set_deadly(part, false);
+            }
         }
         Ok(())
     }
@@ -163,6 +174,16 @@
         }
     }
 
+    fn set_deadly(&self, part: u64, is_deadly: bool) {
+        let mut deadly = self.deadly.lock().expect("no panics under the lock");
+        let part = format!("{part:x}");
+        if is_deadly {
+            deadly.insert(part);
+        } else {
+            deadly.remove(&part);
+        }
+    }
+
     async fn crash_runner(&self, index: usize, length: Ms) -> Result<(), Report<RunError>> {
         let mut current = self.runner_hosts[index].runner.lock().await;
         if let Some(runner) = current.take() {
@@ -173,6 +194,22 @@
         Ok(())
     }
 
+    /// Does the same for a runner that has crashed by itself, unless another fault has stopped it.
+    async fn restart_crashed(&self, id: &str) -> Result<(), Report<RunError>> {
+        let Some(index) = history::position(id) else {
+            return Ok(());
+        };
+        let is_current = {
+            let current = self.runner_hosts[index].runner.lock().await;
+            current.as_ref().is_some_and(|runner| runner.id == id)
+        };
+        if !is_current {
+            return Ok(());
+        }
+        let crash = self.crash_runner(index, DEADLY_RESTART_MS);
+        self.record(FaultTarget::Runner(index), false, crash).await
+    }
+
     /// Replaces a runner by one of another service at the same address, while the membership record
     /// of the first one still exists.
     async fn reuse_address(&self, index: usize) -> Result<(), Report<RunError>> {
@@ -232,6 +269,18 @@
     }
 }
 
+/// Stops the runners that have crashed on a deadly part, and starts them again after a while.
+pub(crate) async fn stop_crashed_runners(
+    harness: Arc<Harness>,
+    mut crashes: mpsc::UnboundedReceiver<String>,
+) {
+    let mut restarts = JoinSet::new();
+    while let Some(runner) = crashes.recv().await {
+        let harness = harness.clone();
+        restarts.spawn(async move { harness.restart_crashed(&runner).await });
+    }
+}
+
 fn target_of(program: Program) -> FaultTarget {
     match program {
         Program::Entry(index) => FaultTarget::Entry(index),
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -4,6 +4,7 @@
 //! check reports what the fault excuses; all tasks and processes that [`run`] starts have
 //! ended when it returns a history.
 
+use std::io::ErrorKind;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,14 +27,18 @@
 use rig::engine::Engine;
 use rig::engine::NewestVersions;
 use rig::runner::Behavior;
+use rig::runner::CrashTrigger;
 use rig::runner::DEFAULT_LAST_EVENT;
+use rig::runner::DeadlyParts;
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rig::runner::RunnerSpec;
 use rig::store::Store;
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
 use crate::caller::Caller;
+use crate::faults;
 use crate::history::AcceptedOrder;
 use crate::history::Attempt;
 use crate::history::Bounds;
@@ -80,6 +85,10 @@
 const LOAD_TIME: Duration = Duration::from_millis(120);
 /// The time before a response of a runner, and between two events of a stream.
 const WORK_TIME: Duration = Duration::from_millis(20);
+/// How long a runner waits for the address of the one before it. A program that is being started holds
+/// all sockets of this process until it has replaced the process image.
+const ADDRESS_RELEASE_LIMIT: Duration = Duration::from_secs(2);
+const ADDRESS_RELEASE_POLL: Duration = Duration::from_millis(5);
 /// The interval between two checks for unexpected exits.
 const EXIT_POLL: Duration = Duration::from_millis(500);
 /// The interval between two checks whether requests are served again.
@@ -142,6 +151,10 @@
     pub(crate) runner_hosts: Vec<RunnerHost>,
     entry_addrs: Vec<SocketAddr>,
     pub(crate) versions: NewestVersions,
+    /// The prompt parts on which runners crash at present.
+    pub(crate) deadly: DeadlyParts,
+    /// Gets the identifiers of runners that have crashed.
+    crashed: mpsc::UnboundedSender<String>,
     pub(crate) manifest: AtomicU64,
     runner_starts: AtomicU32,
     stopping: AtomicBool,
@@ -192,7 +205,10 @@
     size: DeploymentSize,
     paths: &Paths,
 ) -> Result<History, Report<RunError>> {
-    let harness = Arc::new(Harness::start(size, paths).await?);
+    let (crashed, crashes) = mpsc::unbounded_channel();
+    let harness = Arc::new(Harness::start(size, paths, crashed).await?);
+    let mut crash_watcher = JoinSet::new();
+    crash_watcher.spawn(faults::stop_crashed_runners(harness.clone(), crashes));
     let mut callers = JoinSet::new();
     for index in 0..size.callers {
         let caller = Caller::new(harness.clone(), format!("c{index}"), seed ^ index as u64);
@@ -218,6 +234,7 @@
     while let Some(result) = callers.join_next().await {
         result.change_context(RunError::Task)?;
     }
+    crash_watcher.shutdown().await;
     let Some(harness) = Arc::into_inner(harness) else {
         return Err(Report::new(RunError::Task));
     };
@@ -270,7 +287,11 @@
 }
 
 impl Harness {
-    async fn start(size: DeploymentSize, paths: &Paths) -> Result<Harness, Report<RunError>> {
+    async fn start(
+        size: DeploymentSize,
+        paths: &Paths,
+        crashed: mpsc::UnboundedSender<String>,
+    ) -> Result<Harness, Report<RunError>> {
         std::fs::create_dir_all(&paths.logs).change_context(RunError::Files)?;
         let net = LoopbackNet::for_this_process();
         let store = Store::start(net.addr(1, STORE_PORT)).await;
@@ -287,6 +308,8 @@
             runner_hosts: Vec::new(),
             entry_addrs: Vec::new(),
             versions: NewestVersions::default(),
+            deadly: DeadlyParts::default(),
+            crashed,
             manifest: AtomicU64::new(1),
             runner_starts: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
@@ -377,18 +400,29 @@
     ) -> Result<Runner, Report<RunError>> {
         let start_number = self.runner_starts.fetch_add(1, Ordering::SeqCst) + 1;
         let id = format!("{service}-{index}.{start_number}");
-        let engine = (service == "e").then(|| Engine::new(SLOTS, LOAD_TIME, self.versions.clone()));
-        let runner = Runner::start(RunnerSpec {
+        let spec = || RunnerSpec {
             service: service.into(),
             listen: self.net.addr(FIRST_RUNNER_HOST + index, RUNNER_REAL_PORT),
             slots: 8,
             born: u64::from(start_number),
             work_time: WORK_TIME,
             behavior_permille: BEHAVIOR_PERMILLE.to_vec(),
-            engine,
+            engine: (service == "e").then(|| Engine::new(SLOTS, LOAD_TIME, self.versions.clone())),
+            crash: CrashTrigger {
+                deadly: self.deadly.clone(),
+                crashed: Some(self.crashed.clone()),
+            },
             ..RunnerSpec::plain(&id)
-        });
-        runner.await.change_context(RunError::StandIn)
+        };
+        let limit = Instant::now() + ADDRESS_RELEASE_LIMIT;
+        loop {
+            match Runner::start(spec()).await {
+                Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < limit => {
+                    tokio::time::sleep(ADDRESS_RELEASE_POLL).await;
+                }
+                result => return result.change_context(RunError::StandIn),
+            }
+        }
     }
 
     pub(crate) fn announce_runner(&self, index: usize, runner: &Runner, phase: Phase) {
@@ -481,6 +515,15 @@
         self.manifest.load(Ordering::SeqCst)
     }
 
+    /// Returns the prompt parts on which runners crash at present.
+    pub(crate) fn deadly_parts(&self) -> Vec<u64> {
+        let deadly = self.deadly.lock().expect("no panics under the lock");
+        let parts = deadly.iter();
+        parts
+            .filter_map(|part| u64::from_str_radix(part, 16).ok())
+            .collect()
+    }
+
     /// Returns whether callers must send no further requests.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -80,6 +80,10 @@
     pub entry: usize,
     /// How often that entry had been started when the connection was opened.
     pub entry_starts: u32,
+    /// The part of its prompt on which runners crash; `None` for a sound request.
+    pub deadly: Option<u64>,
+    /// Whether its prompt has parts that other requests share.
+    pub shares_parts: bool,
     /// When the caller sent the request.
     pub sent_at: Ms,
     /// When the caller had the whole response or stopped waiting for it.
@@ -97,6 +101,14 @@
         }
     }
 
+    /// Returns whether the entry held the request back because of a part of its prompt.
+    pub fn is_held_back(&self) -> bool {
+        matches!(
+            &self.outcome,
+            CallOutcome::Response { status: 503, body, .. } if body.contains("part of this prompt")
+        )
+    }
+
     /// Returns whether the response is complete and its status is 200.
     pub fn is_served(&self) -> bool {
         matches!(
@@ -284,7 +296,7 @@
 
 /// Returns the position from a runner identifier `SERVICE-POSITION.START`, where `START` counts the
 /// starts of all runners.
-fn position(runner: &str) -> Option<usize> {
+pub(crate) fn position(runner: &str) -> Option<usize> {
     let (_, rest) = runner.split_once('-')?;
     let (position, _) = rest.split_once('.')?;
     position.parse().ok()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -119,6 +119,9 @@
     /// The next version of an adapter is announced.
     #[display("new version of adapter {_0}")]
     NewAdapterVersion(usize),
+    /// Some requests have a prompt part on which runners crash.
+    #[display("prompt part {_0:x} is deadly for {_1} ms")]
+    DeadlyPart(u64, Ms),
 }
 
 /// The number of different adapters that requests name.
@@ -131,6 +134,14 @@
 const SHORT_FAULT_MS: std::ops::Range<Ms> = 300..1_500;
 const LONG_FAULT_MS: std::ops::Range<Ms> = 1_500..4_500;
 
+/// The interval in which one prompt part becomes deadly, and the range of times for which it is.
+const DEADLY_INTERVAL_MS: Ms = 10_000;
+const DEADLY_MS: std::ops::Range<Ms> = 6_000..14_000;
+/// The number of the first deadly part.
+const FIRST_DEADLY_PART: u64 = 0xd001;
+/// Separates the random numbers of the deadly parts from those of other faults.
+const DEADLY_SEED: u64 = 0xdead;
+
 /// Returns the faults that start before `length`, in the order of their start times. A longer run
 /// with the same seed begins with the same faults.
 pub fn fault_schedule(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
@@ -141,6 +152,24 @@
         faults.push((at, random_fault(&mut rng, size)));
         at += rng.u64(FAULT_INTERVAL_MS);
     }
+    faults.extend(deadly_parts(seed, length));
+    faults.sort_by_key(|(at, _)| *at);
+    faults
+}
+
+fn deadly_parts(seed: u64, length: Ms) -> Vec<(Ms, Fault)> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ DEADLY_SEED);
+    let mut faults = Vec::new();
+    let mut from = FIRST_FAULT_MS;
+    while from < length {
+        let at = from + rng.u64(..DEADLY_INTERVAL_MS);
+        let part = FIRST_DEADLY_PART + faults.len() as u64;
+        let fault = Fault::DeadlyPart(part, rng.u64(DEADLY_MS));
+        if at < length {
+            faults.push((at, fault));
+        }
+        from += DEADLY_INTERVAL_MS;
+    }
     faults
 }
 
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -33,7 +33,7 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 15);
+    assert_eq!(kinds.len(), 16);
 }
 
 #[test]
--- a/crates/soak/tests/violations.rs
+++ b/crates/soak/tests/violations.rs
@@ -26,6 +26,8 @@
         kind,
         entry: 0,
         entry_starts: 1,
+        deadly: None,
+        shares_parts: false,
         sent_at,
         ended_at: sent_at + 50,
         outcome,
@@ -372,3 +374,65 @@
         .push("entry 0 exited unexpectedly".into());
     assert_eq!(violated(&history), [Guarantee::NoUnexpectedExit]);
 }
+
+/// Returns a call with a deadly part that ran at a runner at `at`.
+fn deadly_run(history: &mut History, number: u64, at: Ms) {
+    let id = format!("d{number}");
+    let mut call = call(&id, RouteKind::Stream, at, CallOutcome::ConnectionClosed);
+    call.deadly = Some(0xd1);
+    call.shares_parts = true;
+    history.calls.push(call);
+    history.attempts.push(attempt(&id, "e-1.1", at));
+}
+
+#[test]
+fn deadly_requests_after_the_bound_are_reported() {
+    let mut history = empty_history();
+    for number in 0..5 {
+        deadly_run(&mut history, number, 1_000);
+    }
+    let late = 1_000 + BOUNDS.contact + 1;
+    for number in 5..8 {
+        deadly_run(&mut history, number, late);
+    }
+    assert_eq!(violated(&history), []);
+    deadly_run(&mut history, 8, late);
+    assert_eq!(violated(&history), [Guarantee::DeadlyHeldBack]);
+    history.fault_periods.push(FaultPeriod {
+        target: FaultTarget::Entry(0),
+        planned: false,
+        from: late - 100,
+        to: late + 100,
+    });
+    assert_eq!(violated(&history), []);
+}
+
+#[test]
+fn sound_requests_that_are_held_back_are_reported() {
+    let mut history = empty_history();
+    let held = || {
+        response(
+            503,
+            None,
+            "not run: runners crash on a part of this prompt",
+            true,
+        )
+    };
+    for number in 0..10 {
+        let id = format!("h{number}");
+        let mut call = call(&id, RouteKind::Stream, 1_000, held());
+        call.shares_parts = true;
+        history.calls.push(call);
+    }
+    for number in 0..10 {
+        let id = format!("s{number}");
+        let mut call = call(&id, RouteKind::Stream, 1_000, refused());
+        call.shares_parts = true;
+        history.calls.push(call);
+    }
+    assert_eq!(violated(&history), []);
+    let mut call = call("one more", RouteKind::Stream, 1_000, held());
+    call.shares_parts = true;
+    history.calls.push(call);
+    assert_eq!(violated(&history), [Guarantee::SoundNotHeldBack]);
+}
