--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -43,7 +43,7 @@
 /// The range of times after the request at which such a caller disconnects.
 const DISCONNECT_AFTER_MS: std::ops::Range<u64> = 5..120;
 /// The probability that a request to an engine has one of the deadly parts, while there are any.
-const DEADLY_PROBABILITY: f64 = 0.1;
+const DEADLY_PROBABILITY: f64 = 0.25;
 /// The limit of the wait before a refused caller sends its next request.
 const MAX_RETRY_WAIT: Duration = Duration::from_secs(1);
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -35,7 +35,7 @@
 /// The time for which a draining runner, or the one at a reused address, still runs.
 const RUNNER_DRAIN_TIME: Duration = Duration::from_millis(4_000);
 /// The time until a runner that has crashed on a request starts again, in milliseconds.
-const DEADLY_RESTART_MS: Ms = 2_000;
+const DEADLY_RESTART_MS: Ms = 300;
 
 impl Harness {
     /// Runs a fault and records the period in which it is active.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -136,7 +136,7 @@
 
 /// The interval in which one prompt part becomes deadly, and the range of times for which it is.
 const DEADLY_INTERVAL_MS: Ms = 10_000;
-const DEADLY_MS: std::ops::Range<Ms> = 6_000..14_000;
+const DEADLY_MS: std::ops::Range<Ms> = 9_000..16_000;
 /// The number of the first deadly part.
 const FIRST_DEADLY_PART: u64 = 0xd001;
 /// Separates the random numbers of the deadly parts from those of other faults.
@@ -162,7 +162,7 @@
     let mut faults = Vec::new();
     let mut from = FIRST_FAULT_MS;
     while from < length {
-        let at = from + rng.u64(..DEADLY_INTERVAL_MS);
+        let at = from + rng.u64(..DEADLY_INTERVAL_MS / 4);
         let part = FIRST_DEADLY_PART + faults.len() as u64;
         let fault = Fault::DeadlyPart(part, rng.u64(DEADLY_MS));
         if at < length {
