--- a/crates/gateway/src/agent/crashes.rs
+++ b/crates/gateway/src/agent/crashes.rs
@@ -2,6 +2,7 @@
 //! hear of the crash.
 
 use serving::crash_reports::BrokenAttempt;
+use serving::crash_reports::CrashNews;
 use serving::link::FromAgent;
 use serving::request::PartId;
 use spdlog::info;
@@ -45,10 +46,12 @@
 
     fn tell_crashes(&self) {
         let changed = lock(&self.crashes).take_changed();
-        for crash in changed {
-            let (runner, born) = (&*crash.runner, crash.born);
-            info!("runner crash", kv: { runner, born, begun = crash.begun, requests = crash.requests.len() });
-            self.metrics.crashes.inc();
+        for CrashNews { crash, is_new } in changed {
+            if is_new {
+                let (runner, born) = (&*crash.runner, crash.born);
+                info!("runner crash", kv: { runner, born, begun = crash.begun, requests = crash.requests.len() });
+                self.metrics.crashes.inc();
+            }
             self.send_news(FromAgent::Crash { crash });
         }
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -37,11 +37,11 @@
 use crate::RuntimeClock;
 use crate::buffer::BufferBudget;
 use crate::conns::ConnPool;
+use crate::holds::HoldChanges;
 use crate::links::AgentLinks;
 use crate::logs;
 use crate::metrics::EntryMetrics;
 use crate::process::ProcessError;
-use crate::quarantine::HoldChanges;
 use crate::recover::lock;
 
 /// How long before the bound for using an announced version older ones are no longer allowed.
--- /dev/null
+++ b/crates/gateway/src/holds.rs
@@ -0,0 +1,172 @@
+//! Held prompt parts in the platform's store: they outlive the processes there, and the store decides
+//! which entry probes a part.
+//!
+//! Invariants: a hold in the store that has not expired is taken over, never shortened; changes are
+//! written until the store has them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use decision::collections::Map;
+use decision::collections::Set;
+use edges::EdgeError;
+use platform::holds::HoldRow;
+use serving::quarantine::Quarantine;
+use serving::request::PartId;
+use spdlog::warn;
+
+use crate::entry::Entry;
+
+/// The pause after a call to the store that failed.
+const STORE_RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// How long after its expiry a hold is removed from the store.
+const STORED_HOLD_MEMORY: Duration = Duration::from_secs(600);
+
+/// Changes of held parts that are not in the store yet. Bounded by the number of held parts.
+#[derive(Debug, Default)]
+pub(crate) struct HoldChanges {
+    /// The levels of new and extended holds.
+    held: Map<PartId, u32>,
+    /// Parts that are held no longer.
+    released: Set<PartId>,
+}
+
+impl HoldChanges {
+    pub(crate) fn hold(&mut self, part: PartId, level: u32) {
+        self.released.remove(&part);
+        self.held.insert(part, level);
+    }
+
+    pub(crate) fn release(&mut self, part: PartId) {
+        self.held.remove(&part);
+        self.released.insert(part);
+    }
+}
+
+impl Entry {
+    /// Holds a part for `length`, at least at this level.
+    pub(crate) fn hold_part(&self, part: PartId, length: Duration, level: u32) {
+        let now = self.now();
+        let mut state = self.state();
+        let known = state.quarantine.find_held(&[part]);
+        let level = known.map_or(level, |(_, hold)| hold.level.max(level));
+        state.quarantine.hold(now, part, now.after(length), level);
+    }
+
+    /// Returns whether this entry may send a request with a part whose hold has expired; without an
+    /// answer of the store it may not.
+    pub(crate) async fn may_probe(&self, part: PartId) -> bool {
+        match self.claim_probe(part).await {
+            Ok(granted) => granted,
+            Err(error) => {
+                let (part, error) = (part.to_string(), error.to_string());
+                warn!("held part cannot be probed", kv: { part = part.as_str(), error = error.as_str() });
+                false
+            }
+        }
+    }
+
+    /// Logs and counts a new or longer hold.
+    pub(crate) fn log_held(&self, part: PartId, length: Duration, level: u32) {
+        let part = part.to_string();
+        let hold_ms = length.as_millis() as u64;
+        warn!("prompt part held", kv: { part = part.as_str(), hold_ms, level });
+        self.metrics.part_holds.with_label_values(&["held"]).inc();
+    }
+
+    /// Extends the hold of a part in the store unless another entry has done so; returns whether this
+    /// entry may probe it.
+    async fn claim_probe(&self, part: PartId) -> Result<bool, EdgeError> {
+        let row = self.store.read_hold(part).await?;
+        if self.adopt_hold(&row) {
+            return Ok(false);
+        }
+        let known = self.state().quarantine.find_held(&[part]);
+        let level = known.map_or(0, |(_, hold)| hold.level) + 1;
+        let length = Quarantine::hold_time(level);
+        if !self.store.write_hold(&row, length, level).await? {
+            return Ok(false);
+        }
+        self.hold_part(part, length, level);
+        Ok(true)
+    }
+
+    /// Takes over a hold that the store has and that has not expired; returns whether there is one.
+    fn adopt_hold(&self, row: &HoldRow) -> bool {
+        let Some(hold) = row.hold.filter(|hold| !hold.remaining.is_zero()) else {
+            return false;
+        };
+        self.hold_part(row.part, hold.remaining, hold.level);
+        true
+    }
+
+    /// Reads the held parts from the store and removes those that have long expired.
+    async fn recall_holds(&self) -> Result<(), EdgeError> {
+        let stored = self.store.read_holds().await?;
+        let (old, current): (Vec<_>, Vec<_>) = stored
+            .into_iter()
+            .partition(|hold| hold.expired > STORED_HOLD_MEMORY);
+        for hold in current {
+            self.hold_part(hold.part, hold.remaining, hold.level);
+            self.log_held(hold.part, hold.remaining, hold.level);
+        }
+        let old: Vec<PartId> = old.iter().map(|hold| hold.part).collect();
+        if old.is_empty() {
+            return Ok(());
+        }
+        self.store.remove_holds(&old).await
+    }
+
+    /// Writes the changes of held parts to the store.
+    async fn store_changes(&self) -> Result<(), EdgeError> {
+        while let Some((part, level)) = self.next_held() {
+            let row = self.store.read_hold(part).await?;
+            if !self.adopt_hold(&row) {
+                let length = Quarantine::hold_time(level);
+                self.store.write_hold(&row, length, level).await?;
+            }
+            self.state().hold_changes.held.remove(&part);
+        }
+        let released = self.state().hold_changes.released.clone();
+        if released.is_empty() {
+            return Ok(());
+        }
+        let parts: Vec<PartId> = released.iter().copied().collect();
+        self.store.remove_holds(&parts).await?;
+        let mut state = self.state();
+        let changes = &mut state.hold_changes;
+        changes.released.retain(|part| !released.contains(part));
+        Ok(())
+    }
+
+    fn next_held(&self) -> Option<(PartId, u32)> {
+        let state = self.state();
+        let mut held = state.hold_changes.held.iter();
+        held.next().map(|(part, level)| (*part, *level))
+    }
+}
+
+/// Reads the held parts at the start, and then keeps the store up to date with their changes.
+pub(crate) async fn keep_holds(entry: Arc<Entry>) {
+    let mut failures = 0;
+    while let Err(error) = entry.recall_holds().await {
+        log_store_failure(&mut failures, &error);
+        tokio::time::sleep(STORE_RETRY_PAUSE).await;
+    }
+    loop {
+        entry.holds_changed.notified().await;
+        while let Err(error) = entry.store_changes().await {
+            log_store_failure(&mut failures, &error);
+            tokio::time::sleep(STORE_RETRY_PAUSE).await;
+        }
+        failures = 0;
+    }
+}
+
+fn log_store_failure(failures: &mut u32, error: &EdgeError) {
+    if *failures == 0 {
+        let error = error.to_string();
+        warn!("held parts cannot be read or stored", kv: { error = error.as_str() });
+    }
+    *failures += 1;
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod conns;
 pub mod dispatch;
 pub mod entry;
+mod holds;
 pub mod lines;
 pub mod links;
 mod locate;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -22,8 +22,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::Entry;
+use crate::holds::keep_holds;
 use crate::logs;
-use crate::quarantine::keep_holds;
 use crate::recover::supervise;
 use crate::server;
 use crate::signals::Signals;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,27 +1,22 @@
 //! The entry's part in the quarantine of prompt parts on which runners crash: it holds requests back,
-//! reports broken attempts to the agents, hears of crashes from them, and keeps held parts in the store.
+//! reports broken attempts to the agents and hears of crashes from them.
 //!
-//! Invariants: a request that tries suspected parts ends its trial when it is dropped; a held part is
-//! probed only by the entry that has extended its hold in the store.
+//! Invariants: a request that tries suspected parts ends its trial when it is answered or dropped; a
+//! request with a held part is sent only as a probe that the store has granted.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use decision::collections::Map;
-use decision::collections::Set;
-use platform::holds::HoldRow;
 use serving::Name;
 use serving::crash_reports::BrokenAttempt;
 use serving::link::ToAgent;
 use serving::placement::Placement;
 use serving::quarantine::Admission;
 use serving::quarantine::Crash;
-use serving::quarantine::Quarantine;
 use serving::quarantine::Refusal;
 use serving::quarantine::RefusalCause;
 use serving::request::PartId;
 use spdlog::info;
-use spdlog::warn;
 
 use crate::attempt::AnswerProgress;
 use crate::dispatch::ActiveRequest;
@@ -31,10 +26,6 @@
 
 /// How long other requests are held back while one asks the store whether it may probe a part.
 const PROBE_CLAIM_TIME: Duration = Duration::from_secs(1);
-/// The pause after a call to the store that failed.
-const STORE_RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// How long after its expiry a hold is removed from the store.
-const STORED_HOLD_MEMORY: Duration = Duration::from_secs(600);
 
 /// The parts that a request tries; dropping it ends the trial.
 pub(crate) struct Trial {
@@ -57,31 +48,6 @@
     }
 }
 
-/// Changes of held parts that are not in the store yet. Bounded by the number of held parts.
-#[derive(Debug, Default)]
-pub(crate) struct HoldChanges {
-    /// The levels of new and extended holds.
-    held: Map<PartId, u32>,
-    /// Parts that are held no longer.
-    released: Set<PartId>,
-}
-
-impl HoldChanges {
-    fn hold(&mut self, part: PartId, level: u32) {
-        self.released.remove(&part);
-        self.held.insert(part, level);
-    }
-
-    fn release(&mut self, part: PartId) {
-        self.held.remove(&part);
-        self.released.insert(part);
-    }
-
-    fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.released.is_empty()
-    }
-}
-
 impl ActiveRequest {
     /// Checks whether the request may be sent; one that may only try suspected parts keeps the trial.
     pub(crate) async fn pass_quarantine(&mut self) -> Result<(), DispatchError> {
@@ -105,45 +71,31 @@
 
     /// Returns whether the request has a held part that it does not probe.
     pub(crate) fn is_held(&self) -> bool {
-        let held = self
-            .entry
-            .state()
-            .quarantine
-            .find_held(&self.head.request.parts);
-        let probed = match &self.trial {
-            Some(Trial {
-                kind: TrialKind::Probe(part),
-                ..
-            }) => Some(*part),
-            _ => None,
-        };
-        held.is_some_and(|(part, _)| Some(part) != probed)
+        let parts = &self.head.request.parts;
+        let held = self.entry.state().quarantine.find_held(parts);
+        let kind = self.trial.as_ref().map(|trial| &trial.kind);
+        match (held, kind) {
+            (None, _) => false,
+            (Some((part, _)), Some(TrialKind::Probe(probed))) => part != *probed,
+            (Some(_), _) => true,
+        }
     }
 
     /// Asks the store whether this request may probe a part, on behalf of all entries.
     async fn probe(&mut self, part: PartId) -> Result<(), DispatchError> {
         let entry = self.entry.clone();
-        let now = entry.now();
         entry.hold_part(part, PROBE_CLAIM_TIME, 0);
-        let granted = match entry.claim_probe(part).await {
-            Ok(granted) => granted,
-            Err(error) => {
-                let (part, error) = (part.to_string(), error.to_string());
-                warn!("held part cannot be probed", kv: { part = part.as_str(), error = error.as_str() });
-                false
-            }
-        };
-        if !granted {
+        if !entry.may_probe(part).await {
+            let now = entry.now();
             let held = entry.state().quarantine.find_held(&[part]);
-            let until = held.map_or(now, |(_, hold)| hold.until);
             return Err(self.hold_back(Refusal {
                 part,
                 cause: RefusalCause::Held,
-                retry_after: until.since(entry.now()),
+                retry_after: held.map_or(Duration::ZERO, |(_, hold)| hold.until.since(now)),
             }));
         }
-        let id = &*self.head.request.id;
-        info!("held part probed", kv: { id, part = part.to_string().as_str() });
+        let (id, text) = (&*self.head.request.id, part.to_string());
+        info!("held part probed", kv: { id, part = text.as_str() });
         self.trial = Some(Trial {
             entry,
             kind: TrialKind::Probe(part),
@@ -192,24 +144,25 @@
             return;
         }
         let now = self.entry.now();
-        let cleared = self.entry.state().quarantine.record_answer(now, parts);
-        self.trial = None;
-        let held = &cleared.held;
-        if !held.is_empty() {
-            let mut state = self.entry.state();
-            held.iter()
-                .for_each(|part| state.hold_changes.release(*part));
-            drop(state);
-            self.entry.holds_changed.notify_one();
-        }
-        for part in held {
-            let id = &*self.head.request.id;
-            info!("prompt part released", kv: { id, part = part.to_string().as_str(), cause = "answered" });
+        let mut state = self.entry.state();
+        let cleared = state.quarantine.record_answer(now, parts);
+        for part in &cleared.held {
+            state.hold_changes.release(*part);
         }
-        let parts: Vec<PartId> = cleared.isolated.into_iter().chain(cleared.held).collect();
-        if !parts.is_empty() {
-            self.entry.links.tell(runner, ToAgent::Served(parts));
+        drop(state);
+        self.trial = None;
+        let parts: Vec<PartId> = cleared
+            .isolated
+            .iter()
+            .chain(&cleared.held)
+            .copied()
+            .collect();
+        if parts.is_empty() {
+            return;
         }
+        self.entry.log_released(&cleared.held, "answered");
+        self.entry.holds_changed.notify_one();
+        self.entry.links.tell(runner, ToAgent::Served(parts));
     }
 }
 
@@ -217,44 +170,33 @@
     /// Applies what the agent of `runner` tells of a crash.
     pub fn apply_crash(&self, runner: &Name, crash: Crash) {
         let now = self.now();
-        let (crashed, born, begun) = (crash.runner.clone(), crash.born, crash.begun);
-        let requests = crash.requests.len();
+        let (crashed, born) = (crash.runner.clone(), crash.born);
         let mut state = self.state();
-        let effect = state.quarantine.record_crash(now, crash);
-        let mut held = Vec::new();
-        for part in effect.held {
-            if let Some((_, hold)) = state.quarantine.find_held(&[part]) {
-                held.push((part, hold));
-            }
-        }
+        let mut effect = state.quarantine.record_crash(now, crash);
+        let holds: Vec<_> = effect
+            .held
+            .iter()
+            .filter_map(|part| state.quarantine.find_held(&[*part]))
+            .collect();
         if effect.reported {
-            for (part, hold) in &held {
+            for (part, hold) in &holds {
                 state.hold_changes.hold(*part, hold.level);
             }
             for part in &effect.released {
                 state.hold_changes.release(*part);
             }
         }
-        let changed = !state.hold_changes.is_empty();
         drop(state);
-        info!("runner crash", kv: { runner = &*crashed, born, begun, requests, reported = effect.reported });
-        for (part, hold) in held {
-            let hold_ms = hold.until.since(now).as_millis() as u64;
-            warn!("prompt part held", kv: { part = part.to_string().as_str(), hold_ms, level = hold.level });
-            self.metrics.part_holds.with_label_values(&["held"]).inc();
+        if effect.is_new {
+            info!("runner crash", kv: { runner = &*crashed, born, reported = effect.reported });
         }
-        for part in effect.released {
-            info!("prompt part released", kv: { part = part.to_string().as_str(), cause = "served by another entry" });
-            self.metrics
-                .part_holds
-                .with_label_values(&["released"])
-                .inc();
+        for (part, hold) in holds {
+            self.log_held(part, hold.until.since(now), hold.level);
         }
-        if changed {
-            self.holds_changed.notify_one();
-        }
-        if !effect.vouched.is_empty() {
-            let parts = effect.vouched;
+        self.log_released(&effect.released, "served by another entry");
+        self.holds_changed.notify_one();
+        let parts = std::mem::take(&mut effect.vouched);
+        if !parts.is_empty() {
             self.links.tell(runner, ToAgent::Vouch { born, parts });
         }
     }
@@ -263,118 +205,17 @@
     pub(crate) fn apply_served(&self, parts: &[PartId]) {
         let now = self.now();
         let cleared = self.state().quarantine.clear(now, parts);
-        for part in cleared.held {
-            info!("prompt part released", kv: { part = part.to_string().as_str(), cause = "answered elsewhere" });
-        }
+        self.log_released(&cleared.held, "answered at another entry");
     }
 
-    /// Holds a part for `length`, at least at this level.
-    fn hold_part(&self, part: PartId, length: Duration, level: u32) {
-        let now = self.now();
-        let mut state = self.state();
-        let known = state.quarantine.find_held(&[part]);
-        let level = known.map_or(level, |(_, hold)| hold.level.max(level));
-        state.quarantine.hold(now, part, now.after(length), level);
-    }
-
-    /// Extends the hold of a part in the store unless another entry has done so; returns whether this
-    /// entry may probe it.
-    async fn claim_probe(&self, part: PartId) -> Result<bool, edges::EdgeError> {
-        let row = self.store.read_hold(part).await?;
-        if self.adopt_hold(&row) {
-            return Ok(false);
-        }
-        let known = self.state().quarantine.find_held(&[part]);
-        let level = known.map_or(0, |(_, hold)| hold.level) + 1;
-        let length = Quarantine::hold_time(level);
-        if !self.store.write_hold(&row, length, level).await? {
-            return Ok(false);
-        }
-        self.hold_part(part, length, level);
-        Ok(true)
-    }
-
-    /// Takes over a hold that the store has and that has not expired; returns whether there is one.
-    fn adopt_hold(&self, row: &HoldRow) -> bool {
-        let Some(hold) = row.hold.filter(|hold| !hold.remaining.is_zero()) else {
-            return false;
-        };
-        self.hold_part(row.part, hold.remaining, hold.level);
-        true
-    }
-
-    /// Reads the held parts from the store and removes those that have long expired.
-    async fn recall_holds(&self) -> Result<(), edges::EdgeError> {
-        let stored = self.store.read_holds().await?;
-        let (old, current): (Vec<_>, Vec<_>) = stored
-            .into_iter()
-            .partition(|hold| hold.expired > STORED_HOLD_MEMORY);
-        for hold in current {
-            self.hold_part(hold.part, hold.remaining, hold.level);
-            let hold_ms = hold.remaining.as_millis() as u64;
-            warn!("prompt part held", kv: { part = hold.part.to_string().as_str(), hold_ms, level = hold.level });
-        }
-        let old: Vec<PartId> = old.iter().map(|hold| hold.part).collect();
-        if old.is_empty() {
-            return Ok(());
-        }
-        self.store.remove_holds(&old).await
-    }
-
-    /// Writes the changes of held parts to the store.
-    async fn store_holds(&self) -> Result<(), edges::EdgeError> {
-        loop {
-            let next = self
-                .state()
-                .hold_changes
-                .held
-                .iter()
-                .next()
-                .map(|(part, level)| (*part, *level));
-            let Some((part, level)) = next else {
-                break;
-            };
-            let row = self.store.read_hold(part).await?;
-            if !self.adopt_hold(&row) {
-                let length = Quarantine::hold_time(level);
-                self.store.write_hold(&row, length, level).await?;
-            }
-            self.state().hold_changes.held.remove(&part);
-        }
-        let released: Vec<PartId> = self.state().hold_changes.released.iter().copied().collect();
-        if released.is_empty() {
-            return Ok(());
-        }
-        self.store.remove_holds(&released).await?;
-        let mut state = self.state();
-        released.iter().for_each(|part| {
-            state.hold_changes.released.remove(part);
-        });
-        Ok(())
-    }
-}
-
-/// Reads the held parts at the start, and then keeps the store up to date with their changes.
-pub(crate) async fn keep_holds(entry: Arc<Entry>) {
-    let mut failures = 0;
-    while let Err(error) = entry.recall_holds().await {
-        log_store_failure(&mut failures, &error);
-        tokio::time::sleep(STORE_RETRY_PAUSE).await;
-    }
-    loop {
-        entry.holds_changed.notified().await;
-        while let Err(error) = entry.store_holds().await {
-            log_store_failure(&mut failures, &error);
-            tokio::time::sleep(STORE_RETRY_PAUSE).await;
+    fn log_released(&self, parts: &[PartId], cause: &str) {
+        for part in parts {
+            let part = part.to_string();
+            info!("prompt part released", kv: { part = part.as_str(), cause });
+            self.metrics
+                .part_holds
+                .with_label_values(&["released"])
+                .inc();
         }
-        failures = 0;
-    }
-}
-
-fn log_store_failure(failures: &mut u32, error: &edges::EdgeError) {
-    if *failures == 0 {
-        let error = error.to_string();
-        warn!("held parts cannot be read or stored", kv: { error = error.as_str() });
     }
-    *failures += 1;
 }
--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -59,6 +59,16 @@
     crashed_at: Option<Time>,
     /// Whether something has changed since the crash was last told.
     changed: bool,
+    told: bool,
+}
+
+/// A crash of which something is new.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashNews {
+    /// All that is known of it.
+    pub crash: Crash,
+    /// Whether it was not told before.
+    pub is_new: bool,
 }
 
 /// The reports about the runner of one agent.
@@ -120,17 +130,18 @@
     }
 
     /// Returns the crashes of which something is new, for all entries.
-    pub fn take_changed(&mut self) -> Vec<Crash> {
-        let mut crashes = Vec::new();
+    pub fn take_changed(&mut self) -> Vec<CrashNews> {
+        let mut news = Vec::new();
         for known in &mut self.incarnations {
             if known.changed
                 && let Some(crash) = known.crash()
             {
                 known.changed = false;
-                crashes.push(crash);
+                let is_new = !std::mem::replace(&mut known.told, true);
+                news.push(CrashNews { crash, is_new });
             }
         }
-        crashes
+        news
     }
 
     /// Returns the recent crashes, for an entry that connects.
@@ -177,6 +188,7 @@
             served: Vec::new(),
             crashed_at: None,
             changed: false,
+            told: false,
         }
     }
 
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -12,6 +12,7 @@
 //! API boundary: entries record every answer, and the crashes that agents tell of; agents find these
 //! with [`crate::crash_reports`].
 
+mod evidence;
 mod recent_parts;
 
 use std::collections::VecDeque;
@@ -21,9 +22,13 @@
 use decision::collections::Set;
 use decision::time::Time;
 use derive_more::Display;
-use serde::Deserialize;
-use serde::Serialize;
 
+pub use self::evidence::Crash;
+pub use self::evidence::MAX_CRASH_REQUESTS;
+
+use self::evidence::KnownCrash;
+use self::evidence::Suspicion;
+use self::evidence::most_suspect;
 use self::recent_parts::RecentParts;
 use crate::Name;
 use crate::request::PartId;
@@ -32,25 +37,12 @@
 const CRASH_MEMORY: Duration = Duration::from_secs(60);
 /// The most crashes that are kept; the oldest is dropped first.
 const MAX_CRASHES: usize = 64;
-/// The most requests of one crash that are kept.
-pub const MAX_CRASH_REQUESTS: usize = 32;
 /// The most held parts; the one whose hold expires first is dropped.
 const MAX_HELD: usize = 256;
 
-/// The weight of a crash against the last part that nobody was answered on, in a request whose answer
-/// had begun.
-const LAST_PART_WEIGHT: u32 = 3;
-/// The weight of a crash against any other part that nobody was answered on.
-const OTHER_PART_WEIGHT: u32 = 2;
-/// The weight at which a part is held.
-const HOLD_WEIGHT: u32 = 6;
-/// The number of crashes from which a part is isolated although requests were answered on it before.
-const ISOLATION_CRASHES: u32 = 3;
-/// How long such a part must have been without an answer before it is isolated; other requests with it
-/// are on their way, and end its suspicion if it is sound.
+/// How long a part that was served before must have been without an answer until it is isolated; other
+/// requests with it are on their way, and end its suspicion if it is sound.
 const ISOLATION_DELAY: Duration = Duration::from_millis(500);
-/// The number of canaries that must crash runners before such a part is held.
-const CANARY_CRASHES: u32 = 2;
 /// The time after the isolation from which a crash is counted as that of a canary; requests that were
 /// sent before it may crash runners until then.
 const CANARY_DELAY: Duration = Duration::from_secs(1);
@@ -66,26 +58,6 @@
 /// When a request that was refused because of a canary may return.
 const CANARY_RETRY: Duration = Duration::from_millis(300);
 
-/// A crash of one incarnation of a runner, as its agent has put it together.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// The identifier of the runner.
-    #[serde(rename = "r")]
-    pub runner: Name,
-    /// The start of the incarnation, in milliseconds since the Unix epoch.
-    #[serde(rename = "b")]
-    pub born: u64,
-    /// Whether the answers to the requests had begun. If any had, requests without are left out.
-    #[serde(rename = "g")]
-    pub begun: bool,
-    /// The shared parts of the suspect requests, each in the order of the prompt.
-    #[serde(rename = "q")]
-    pub requests: Vec<Vec<PartId>>,
-    /// Those of the parts on which an entry has served requests before.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
-    pub served: Vec<PartId>,
-}
-
 /// What a new crash, or news of a known one, has changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashEffect {
@@ -97,6 +69,8 @@
     pub released: Vec<PartId>,
     /// Whether this entry has reported an attempt that the crash broke.
     pub reported: bool,
+    /// Whether the crash was not known before.
+    pub is_new: bool,
 }
 
 /// The parts whose suspicion an answer has ended.
@@ -162,26 +136,6 @@
     canary: bool,
 }
 
-#[derive(Debug)]
-struct KnownCrash {
-    crash: Crash,
-    at: Time,
-    /// Parts that requests have been answered on since.
-    cleared: Vec<PartId>,
-}
-
-/// The evidence against one part, from the crashes that no held part explains.
-#[derive(Clone, Copy, Debug, Default)]
-struct Suspicion {
-    /// Whether an entry has served requests on the part before the crashes.
-    served: bool,
-    /// The position in the prompt, from 0.
-    position: usize,
-    crashes: u32,
-    weight: u32,
-    canary_crashes: u32,
-}
-
 /// An entry's evidence about parts of prompts, and what follows from it.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -328,11 +282,8 @@
             if self.crashes.len() >= MAX_CRASHES {
                 self.crashes.pop_front();
             }
-            self.crashes.push_back(KnownCrash {
-                crash,
-                at: now,
-                cleared: Vec::new(),
-            });
+            self.crashes.push_back(KnownCrash::new(now, crash));
+            effect.is_new = true;
         }
         effect.released = self.withdraw_holds(now);
         effect.held.extend(self.evaluate(now));
@@ -473,14 +424,9 @@
                 continue;
             }
             for (part, blame) in known.blames() {
-                let suspicion = suspicions.entry(part).or_default();
-                suspicion.served |= blame.served;
-                suspicion.position = suspicion.position.max(blame.position);
-                suspicion.crashes += 1;
-                suspicion.weight += blame.weight;
                 let isolation = self.isolated.get(&part);
                 let tried = isolation.is_some_and(|i| known.at >= i.from.after(CANARY_DELAY));
-                suspicion.canary_crashes += u32::from(tried);
+                suspicions.entry(part).or_default().add(blame, tried);
             }
         }
         suspicions
@@ -497,90 +443,3 @@
         }
     }
 }
-
-impl Suspicion {
-    /// Returns whether the part is to be held.
-    fn is_conclusive(&self) -> bool {
-        if self.served {
-            return self.canary_crashes >= CANARY_CRASHES;
-        }
-        self.weight >= HOLD_WEIGHT
-    }
-
-    fn is_isolated(&self) -> bool {
-        !self.served || self.crashes >= ISOLATION_CRASHES
-    }
-}
-
-/// Returns the part that is to be held first: one that nobody was answered on, and then the last in its
-/// prompts, since the parts before it are in them as well.
-fn most_suspect(suspicions: &Map<PartId, Suspicion>) -> Option<PartId> {
-    let conclusive = suspicions.iter().filter(|(_, s)| s.is_conclusive());
-    let first = conclusive.max_by_key(|(part, s)| (!s.served, s.position, s.weight, **part));
-    first.map(|(part, _)| *part)
-}
-
-/// The evidence of one crash against one part.
-#[derive(Clone, Copy, Debug)]
-struct Blame {
-    served: bool,
-    position: usize,
-    weight: u32,
-}
-
-impl KnownCrash {
-    fn suspects(&self) -> impl Iterator<Item = PartId> {
-        let parts = self.crash.requests.iter().flatten().copied();
-        parts.filter(|part| !self.cleared.contains(part))
-    }
-
-    fn clear(&mut self, part: PartId) {
-        if self.suspects().any(|suspect| suspect == part) {
-            self.cleared.push(part);
-        }
-    }
-
-    /// Takes over what is known of the crash by now.
-    fn update(&mut self, crash: Crash) {
-        let mut served = std::mem::take(&mut self.crash.served);
-        self.crash = crash;
-        served.retain(|part| !self.crash.served.contains(part));
-        self.crash.served.extend(served);
-    }
-
-    /// Returns the blame of each part that is not cleared. In a request with parts that nobody was
-    /// answered on, only these are to blame.
-    fn blames(&self) -> Map<PartId, Blame> {
-        let mut blames: Map<PartId, Blame> = Map::default();
-        for parts in &self.crash.requests {
-            let suspects = parts
-                .iter()
-                .enumerate()
-                .filter(|(_, part)| !self.cleared.contains(part));
-            let suspects: Vec<(usize, PartId, bool)> = suspects
-                .map(|(position, part)| (position, *part, self.crash.served.contains(part)))
-                .collect();
-            let last_unserved = suspects.iter().rfind(|(_, _, served)| !served);
-            let last_unserved = last_unserved.map(|(position, _, _)| *position);
-            for (position, part, served) in suspects {
-                if served && last_unserved.is_some() {
-                    continue;
-                }
-                let is_last = self.crash.begun && Some(position) == last_unserved;
-                let weight = if is_last {
-                    LAST_PART_WEIGHT
-                } else {
-                    OTHER_PART_WEIGHT
-                };
-                let blame = blames.entry(part).or_insert(Blame {
-                    served,
-                    position,
-                    weight,
-                });
-                blame.weight = blame.weight.max(weight);
-                blame.position = blame.position.max(position);
-            }
-        }
-        blames
-    }
-}
--- a/crates/serving/tests/crash_reports.rs
+++ b/crates/serving/tests/crash_reports.rs
@@ -43,17 +43,33 @@
     reports
 }
 
+fn changed(reports: &mut CrashReports) -> Vec<Crash> {
+    let news = reports.take_changed().into_iter();
+    news.map(|news| news.crash).collect()
+}
+
+#[test]
+fn crash_is_new_once() {
+    let mut reports = reports();
+    reports.record_broken(at(100), broken(true, &[A, B]));
+    reports.runner_down(at(100));
+    let is_new = |reports: &mut CrashReports| reports.take_changed()[0].is_new;
+    assert!(is_new(&mut reports));
+    reports.record_broken(at(110), broken(true, &[A, C]));
+    assert!(!is_new(&mut reports));
+}
+
 #[test]
 fn broken_attempts_are_a_crash_once_the_runner_is_down() {
     let mut reports = reports();
     reports.record_broken(at(100), broken(false, &[A, B]));
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
     reports.runner_down(at(150));
-    assert_eq!(reports.take_changed(), [crash(false, &[&[A, B]], &[])]);
-    assert_eq!(reports.take_changed(), [], "told once");
+    assert_eq!(changed(&mut reports), [crash(false, &[&[A, B]], &[])]);
+    assert_eq!(changed(&mut reports), [], "told once");
     reports.record_broken(at(160), broken(false, &[A, C]));
     assert_eq!(
-        reports.take_changed(),
+        changed(&mut reports),
         [crash(false, &[&[A, B], &[A, C]], &[])]
     );
 }
@@ -62,9 +78,9 @@
 fn down_may_be_seen_before_the_reports() {
     let mut reports = reports();
     reports.runner_down(at(100));
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
     reports.record_broken(at(400), broken(true, &[A, B]));
-    assert_eq!(reports.take_changed(), [crash(true, &[&[A, B]], &[])]);
+    assert_eq!(changed(&mut reports), [crash(true, &[&[A, B]], &[])]);
 }
 
 #[test]
@@ -72,7 +88,7 @@
     let mut reports = reports();
     reports.record_broken(at(100), broken(true, &[A, B]));
     reports.runner_seen(at(300), BORN + 1, false);
-    assert_eq!(reports.take_changed(), [crash(true, &[&[A, B]], &[])]);
+    assert_eq!(changed(&mut reports), [crash(true, &[&[A, B]], &[])]);
 }
 
 #[test]
@@ -80,9 +96,9 @@
     let mut reports = reports();
     reports.record_broken(at(100), broken(false, &[A, B]));
     reports.runner_down(at(100));
-    reports.take_changed();
+    changed(&mut reports);
     reports.record_broken(at(110), broken(true, &[A, C]));
-    assert_eq!(reports.take_changed(), [crash(true, &[&[A, C]], &[])]);
+    assert_eq!(changed(&mut reports), [crash(true, &[&[A, C]], &[])]);
 }
 
 #[test]
@@ -90,9 +106,9 @@
     let mut reports = reports();
     reports.record_broken(at(100), broken(true, &[A, B]));
     reports.runner_seen(at(300), BORN, false);
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
     reports.runner_down(at(10_000));
-    assert_eq!(reports.take_changed(), [], "the report is too old");
+    assert_eq!(changed(&mut reports), [], "the report is too old");
 }
 
 #[test]
@@ -101,7 +117,7 @@
     reports.runner_down(at(100));
     reports.runner_seen(at(300), BORN, false);
     reports.record_broken(at(400), broken(true, &[A, B]));
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
 }
 
 #[test]
@@ -111,7 +127,7 @@
     reports.record_broken(at(100), broken(true, &[A, B]));
     reports.runner_down(at(110));
     reports.runner_seen(at(300), BORN + 1, false);
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
 }
 
 #[test]
@@ -123,14 +139,11 @@
     };
     reports.record_broken(at(100), attempt);
     reports.runner_down(at(100));
-    assert_eq!(reports.take_changed(), [crash(true, &[&[A, B, C]], &[A])]);
+    assert_eq!(changed(&mut reports), [crash(true, &[&[A, B, C]], &[A])]);
     reports.record_vouch(BORN, &[B]);
-    assert_eq!(
-        reports.take_changed(),
-        [crash(true, &[&[A, B, C]], &[A, B])]
-    );
+    assert_eq!(changed(&mut reports), [crash(true, &[&[A, B, C]], &[A, B])]);
     reports.record_vouch(BORN, &[B]);
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
 }
 
 #[test]
@@ -138,7 +151,7 @@
     let mut reports = reports();
     reports.record_broken(at(100), broken(true, &[]));
     reports.runner_down(at(100));
-    assert_eq!(reports.take_changed(), []);
+    assert_eq!(changed(&mut reports), []);
 }
 
 #[test]
@@ -146,7 +159,7 @@
     let mut reports = reports();
     reports.record_broken(at(100), broken(true, &[A, B]));
     reports.runner_down(at(100));
-    reports.take_changed();
+    changed(&mut reports);
     assert_eq!(reports.recent(at(30_000)), [crash(true, &[&[A, B]], &[])]);
     assert_eq!(reports.recent(at(61_000)), []);
 }
--- a/crates/serving/tests/crash_sim/mod.rs
+++ b/crates/serving/tests/crash_sim/mod.rs
@@ -346,8 +346,8 @@
     }
 
     fn tell(&mut self, index: usize) {
-        for crash in self.runners[index].reports.take_changed() {
-            self.post(MESSAGE_MS, Message::Crash(index, crash));
+        for news in self.runners[index].reports.take_changed() {
+            self.post(MESSAGE_MS, Message::Crash(index, news.crash));
         }
     }
 
