--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod caller;
 pub mod checks;
+mod deployment;
 mod faults;
 pub mod harness;
 pub mod history;
