--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -147,12 +147,12 @@
 pub enum FromAgent {
     /// The agent's runner has crashed, or more is known of the crash.
     Crash {
-        /// The crash.
+        /// All that is known of it.
         crash: Crash,
     },
     /// Requests have been answered on parts that were under suspicion.
     Served {
-        /// The parts.
+        /// Those on which an entry of this agent has got an answer.
         served: Vec<PartId>,
     },
     /// The prompts with these numbers may be sent.
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -314,7 +314,7 @@
         FIRST_HOLD * (1 << level.min(MAX_HOLD_LEVEL))
     }
 
-    /// Returns the held parts.
+    /// Returns each held part with its hold, also if that has expired.
     pub fn held(&self) -> impl Iterator<Item = (PartId, Hold)> {
         self.held.iter().map(|(part, hold)| (*part, *hold))
     }
--- a/crates/serving/tests/crash_sim/mod.rs
+++ b/crates/serving/tests/crash_sim/mod.rs
@@ -114,7 +114,7 @@
     outcome: Outcome,
 }
 
-/// Plays a day of `length`.
+/// Runs the fleet from its start, with the random choices of a seed.
 pub(crate) fn play(day: Day, seed: u64, length: Duration) -> Outcome {
     let runner = |index| Runner {
         reports: CrashReports::default(),
