Apply changes of the membership in their order

Within one read of the membership's changes all writes were applied before all removals, so that a record that was removed and written again, as by a runner that starts again under its identifier, was dropped until its next heartbeat.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,10 +19,10 @@
 use platform::store::StoreClient;
 use platform::store::Table;
 use serde_json::json;
-use serving::Name;
 use serving::config::Config;
 use serving::fleet::Fleet;
 use serving::members::Change;
+use serving::members::MemberRow;
 use serving::members::Members;
 use serving::overload::OverloadDetector;
 use serving::quarantine::Quarantine;
@@ -272,24 +272,21 @@
         self.members_outdated.notified().await;
     }
 
-    /// Applies rows of the membership table: the whole table if `full`, otherwise its changes and
-    /// the identifiers of the `removed` rows.
-    pub fn apply_members(self: &Arc<Self>, members: Vec<Member>, removed: &[Name], full: bool) {
+    /// Applies rows of the membership table: the whole table if `full`, otherwise its changes.
+    pub fn apply_members(self: &Arc<Self>, rows: Vec<MemberRow>, full: bool) {
         let now = self.now();
         let mut state = self.state();
         state.members.store_answered(now);
         state.members_known = true;
-        let mut changes = if full {
-            state.members.apply_snapshot(now, members)
+        let changes = if full {
+            let records = rows.into_iter().filter_map(|row| match row {
+                MemberRow::Written(member) => Some(member),
+                MemberRow::Removed(_) => None,
+            });
+            state.members.apply_snapshot(now, records.collect())
         } else {
-            let written = members.into_iter();
-            written
-                .filter_map(|member| state.members.apply_write(member))
-                .collect()
+            state.members.apply_rows(now, rows)
         };
-        for id in removed {
-            changes.extend(state.members.apply_removal(now, id));
-        }
         let missing = state.members.missing_count();
         let expiry = state.members.next_expiry();
         drop(state);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,6 +7,7 @@
 use platform::store::Row;
 use platform::store::RowBatch;
 use platform::store::Table;
+use serving::members::MemberRow;
 use spdlog::info;
 use spdlog::warn;
 
@@ -115,24 +116,21 @@
 
 fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, full: bool) {
     let mut members = Vec::new();
-    let mut removed = Vec::new();
     for row in batch.rows {
         match row {
             Row::Config(config) => entry.apply_config(*config),
             Row::Version(announced) => entry.apply_version(&announced, !full),
-            Row::Member(member) => members.push(member),
-            Row::Removed(key) if table == Table::Members => removed.push(key),
+            Row::Member(member) => members.push(MemberRow::Written(member)),
+            Row::Removed(key) => members.push(MemberRow::Removed(key)),
             Row::Invalid(key, error) => {
                 let error = error.to_string();
                 warn!("row cannot be read", kv: { key = &*key, error = error.as_str() });
-                if table == Table::Members {
-                    removed.push(key);
-                }
+                members.push(MemberRow::Removed(key));
             }
-            Row::Removed(_) | Row::Unknown => {}
+            Row::Unknown => {}
         }
     }
     if table == Table::Members {
-        entry.apply_members(members, &removed, full);
+        entry.apply_members(members, full);
     }
 }
--- a/crates/serving/src/members.rs
+++ b/crates/serving/src/members.rs
@@ -35,6 +35,15 @@
     Gone(Name),
 }
 
+/// A changed row of the membership table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberRow {
+    /// The record was written.
+    Written(Member),
+    /// The record of this runner was removed, or cannot be decoded.
+    Removed(Name),
+}
+
 /// The membership list as one entry process knows it.
 #[derive(Debug)]
 pub struct Members {
@@ -109,6 +118,15 @@
         self.remove(id)
     }
 
+    /// Applies changed rows in their order.
+    pub fn apply_rows(&mut self, now: Time, rows: Vec<MemberRow>) -> Vec<Change> {
+        let changes = rows.into_iter().filter_map(|row| match row {
+            MemberRow::Written(member) => self.apply_write(member),
+            MemberRow::Removed(id) => self.apply_removal(now, &id),
+        });
+        changes.collect()
+    }
+
     /// Applies the complete list of records.
     pub fn apply_snapshot(&mut self, now: Time, records: Vec<Member>) -> Vec<Change> {
         let present: Set<Name> = records.iter().map(|member| member.id.clone()).collect();
