--- a/crates/faults/src/page.rs
+++ b/crates/faults/src/page.rs
@@ -156,9 +156,75 @@
         let _ = writeln!(text, "| `{invariant}` | {} |", enforced_by(*invariant));
     }
     text.push_str(LIMITATIONS);
+    write_lessons(&mut text);
     text
 }
 
+/// A fault of similar systems, what protects from it on the path of entries that call runners, and the
+/// tests that show it.
+struct Lesson {
+    fault: &'static str,
+    protection: &'static str,
+    tests: &'static str,
+}
+
+const LESSONS: [Lesson; 9] = [
+    Lesson {
+        fault: "a second, late answer on a connection in use again",
+        protection: "the identifier in each response is compared; a connection with bytes left over is \
+            not used again",
+        tests: "`late_response`, `response_kinds`, `request_forwarding`",
+    },
+    Lesson {
+        fault: "requests cut off in a planned stop under load",
+        protection: "the listener's queue is accepted and open connections are read for 200 ms after the \
+            stop (was a fault here)",
+        tests: "`planned_stop`, soak",
+    },
+    Lesson {
+        fault: "slow streams cut, stalled ones endless",
+        protection: "silence counts between events with data; comments are no progress (was a fault \
+            here); a slow stream goes on to its deadline",
+        tests: "`stalled_stream`, `event_split`",
+    },
+    Lesson {
+        fault: "an answer that broke off looks complete",
+        protection: "whole bodies and whole events only; without a length, a body is complete when its \
+            connection is closed and not when it is reset; the caller's connection is aborted",
+        tests: "`unframed_response`, `request_forwarding`, `endless_response`",
+    },
+    Lesson {
+        fault: "a silent machine's work is given up or started elsewhere",
+        protection: "records that an outage may have expired have two seconds to return; an agent \
+            without a report keeps what it knows; a request that may run once is never sent twice",
+        tests: "`member_outage`, `attempt_rules`, soak",
+    },
+    Lesson {
+        fault: "one malformed message ends a process",
+        protection: "a bad line ends its connection, a bad row is passed over; times beyond all clocks \
+            are cut (was a fault here); a panic ends one request or one run of a background task (was a \
+            fault here)",
+        tests: "`malformed_input`, `panic_under_lock`, `task_panics`",
+    },
+    Lesson {
+        fault: "bytes without end that are no answer",
+        protection: "events, bodies and parts have bounds, all responses in memory together as well (was \
+            a fault here)",
+        tests: "`endless_response`, `endless_store`, `event_split`, soak",
+    },
+    Lesson {
+        fault: "requests on which any runner crashes",
+        protection: "the prompt part that explains the crashes is held back (was a fault here)",
+        tests: "`query_of_death`, `deadly_parts`, `held_parts`, soak",
+    },
+    Lesson {
+        fault: "requests at a runner that has said that it leaves",
+        protection: "a removal binds within the contact bound; the chosen incarnation is checked before \
+            each send (both were faults here)",
+        tests: "`leaving_runner`, `member_outage`, `home_choice`",
+    },
+];
+
 const CALLER_EFFECTS: [Effect; 6] = [
     UNAFFECTED,
     DELAYED,
@@ -205,6 +271,21 @@
     design page.\n\
     * Pairs and random schedules do not assert that every fault was injected.\n";
 
+fn write_lessons(text: &mut String) {
+    text.push_str("\n## What went wrong elsewhere\n\n");
+    text.push_str("On the path of entries that call runners directly (`crates/serving`, `crates/gateway`).\n\n");
+    text.push_str(
+        "| Fault at others | What protects from it here | Tests |\n| --- | --- | --- |\n",
+    );
+    for lesson in &LESSONS {
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} |",
+            lesson.fault, lesson.protection, lesson.tests
+        );
+    }
+}
+
 fn write_legend(text: &mut String, title: &str, effects: &[Effect]) {
     let _ = write!(text, "\n## {title}\n\n| Code | Meaning |\n| --- | --- |\n");
     for Effect {
