Hold parts that turn deadly, and let no answer of before withdraw their hold

A hold can be withdrawn only if nobody was known to have served the part, and such a part is held after four crashes in which it was the last part of a request whose answer had begun. Counts take the place of weights. Answers and forgotten crashes hold nothing anew, which went unlogged.

--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -50,7 +50,7 @@
         let mut state = self.state();
         let known = state.quarantine.find_held(&[part]);
         let level = known.map_or(level, |(_, hold)| hold.level.max(level));
-        state.quarantine.hold(now, part, now.after(length), level);
+        state.quarantine.hold(part, now.after(length), level);
     }
 
     /// Returns whether this entry may send a request with a part whose hold has expired; without an
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -40,9 +40,6 @@
 /// The most held parts; the one whose hold expires first is dropped.
 const MAX_HELD: usize = 256;
 
-/// How long a part that was served before must have been without an answer until it is isolated; other
-/// requests with it are on their way, and end its suspicion if it is sound.
-const ISOLATION_DELAY: Duration = Duration::from_millis(500);
 /// The time after the isolation from which a crash is counted as that of a canary; requests that were
 /// sent before it may crash runners until then.
 const CANARY_DELAY: Duration = Duration::from_secs(1);
@@ -125,8 +122,6 @@
     pub until: Time,
     /// How often the hold has been extended.
     pub level: u32,
-    /// When the part was first held.
-    since: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -145,6 +140,8 @@
     suspects: Set<PartId>,
     isolated: Map<PartId, Isolation>,
     held: Map<PartId, Hold>,
+    /// New holds of parts that no entry was known to have served, with the time of each.
+    withdrawable: Vec<(PartId, Time)>,
     /// The incarnations of runners whose broken attempts this entry has reported, the oldest first.
     reported: VecDeque<(Name, u64)>,
 }
@@ -258,7 +255,7 @@
             }
         }
         if cleared != Cleared::default() {
-            self.evaluate(now);
+            self.update_isolation(now);
         }
         cleared
     }
@@ -286,12 +283,13 @@
             effect.is_new = true;
         }
         effect.released = self.withdraw_holds(now);
-        effect.held.extend(self.evaluate(now));
+        effect.held.extend(self.hold_conclusive(now));
+        self.update_isolation(now);
         effect
     }
 
-    /// Holds a part that another entry has held, until `until`.
-    pub fn hold(&mut self, now: Time, part: PartId, until: Time, level: u32) {
+    /// Holds a part until `until`, in place of an earlier hold.
+    pub fn hold(&mut self, part: PartId, until: Time, level: u32) {
         if self.held.len() >= MAX_HELD && !self.held.contains_key(&part) {
             let first = self.held.iter().min_by_key(|(_, hold)| hold.until);
             if let Some(first) = first.map(|(part, _)| *part) {
@@ -299,13 +297,7 @@
             }
         }
         let level = level.min(MAX_HOLD_LEVEL);
-        let since = self.held.get(&part).map_or(now, |hold| hold.since);
-        let hold = Hold {
-            until,
-            level,
-            since,
-        };
-        self.held.insert(part, hold);
+        self.held.insert(part, Hold { until, level });
         self.isolated.remove(&part);
     }
 
@@ -360,65 +352,57 @@
         extended
     }
 
-    /// Ends new holds whose part another entry has served meanwhile.
+    /// Ends new holds whose part turns out to have been served by another entry.
     fn withdraw_holds(&mut self, now: Time) -> Vec<PartId> {
-        let recent = self.held.iter();
-        let recent = recent.filter(|(_, hold)| now.since(hold.since) < WITHDRAWAL_PERIOD);
-        let recent: Vec<PartId> = recent.map(|(part, _)| *part).collect();
-        let mut released = Vec::new();
-        for part in recent {
-            let listed = |known: &KnownCrash| known.crash.served.contains(&part);
-            if !self.crashes.iter().any(listed) {
-                continue;
-            }
-            let suspicions = self.suspicions(Some(part));
-            let suspicion = suspicions.get(&part);
-            if !suspicion.is_some_and(Suspicion::is_conclusive) {
-                self.held.remove(&part);
-                released.push(part);
-            }
-        }
-        released
+        self.withdrawable
+            .retain(|(_, since)| now.since(*since) < WITHDRAWAL_PERIOD);
+        let served = |part: PartId| {
+            let mut crashes = self.crashes.iter();
+            crashes.any(|known| known.crash.served.contains(&part))
+        };
+        let parts = self.withdrawable.iter().map(|(part, _)| *part);
+        let withdrawn: Vec<PartId> = parts.filter(|part| served(*part)).collect();
+        self.withdrawable
+            .retain(|(part, _)| !withdrawn.contains(part));
+        self.held.retain(|part, _| !withdrawn.contains(part));
+        withdrawn
     }
 
-    /// Derives from the crashes which parts are held and which are isolated; returns those that are
-    /// held anew.
-    fn evaluate(&mut self, now: Time) -> Vec<PartId> {
+    /// Holds the parts that explain several crashes, and returns them.
+    fn hold_conclusive(&mut self, now: Time) -> Vec<PartId> {
         let mut held = Vec::new();
-        let suspicions = loop {
-            let suspicions = self.suspicions(None);
-            let Some(part) = most_suspect(&suspicions) else {
-                break suspicions;
-            };
-            self.hold(now, part, now.after(FIRST_HOLD), 0);
+        while let Some((part, served)) = most_suspect(&self.suspicions()) {
+            self.hold(part, now.after(FIRST_HOLD), 0);
+            if !served {
+                self.withdrawable.push((part, now));
+            }
             held.push(part);
-        };
-        self.suspects = self.crashes.iter().flat_map(KnownCrash::suspects).collect();
+        }
+        held
+    }
+
+    /// Derives from the crashes which parts are suspects and which of them are isolated.
+    fn update_isolation(&mut self, now: Time) {
+        let suspects = self.crashes.iter().flat_map(KnownCrash::suspects);
+        self.suspects = suspects.collect();
         let before = std::mem::take(&mut self.isolated);
-        for (part, suspicion) in suspicions {
+        for (part, suspicion) in self.suspicions() {
             if !suspicion.is_isolated() {
                 continue;
             }
-            let delay = if suspicion.served {
-                ISOLATION_DELAY
-            } else {
-                Duration::ZERO
-            };
             let new = Isolation {
-                from: now.after(delay),
+                from: now.after(suspicion.isolation_delay()),
                 canary: false,
             };
             let isolation = before.get(&part).copied().unwrap_or(new);
             self.isolated.insert(part, isolation);
         }
-        held
     }
 
-    /// Returns the evidence against each part, from the crashes without a held part other than
-    /// `except`.
-    fn suspicions(&self, except: Option<PartId>) -> Map<PartId, Suspicion> {
+    /// Returns the evidence against each part, from the crashes without a held part.
+    fn suspicions(&self) -> Map<PartId, Suspicion> {
         let mut suspicions: Map<PartId, Suspicion> = Map::default();
-        let explains = |part: &PartId| Some(*part) != except && self.held.contains_key(part);
+        let explains = |part: &PartId| self.held.contains_key(part);
         for known in &self.crashes {
             if known.crash.requests.iter().flatten().any(explains) {
                 continue;
@@ -439,7 +423,7 @@
         self.crashes
             .retain(|known| now.since(known.at) < CRASH_MEMORY);
         if self.crashes.len() != before {
-            self.evaluate(now);
+            self.update_isolation(now);
         }
     }
 }
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -1,5 +1,7 @@
 //! What crashes say about the parts of prompts.
 
+use std::time::Duration;
+
 use decision::collections::Map;
 use decision::time::Time;
 use serde::Deserialize;
@@ -11,16 +13,18 @@
 /// The most requests of one crash that are kept.
 pub const MAX_CRASH_REQUESTS: usize = 32;
 
-/// The weight of a crash against the last part that nobody was answered on, in a request whose answer
-/// had begun.
-const LAST_PART_WEIGHT: u32 = 3;
-/// The weight of a crash against any other part that nobody was answered on.
-const OTHER_PART_WEIGHT: u32 = 2;
-/// The weight at which a part is held.
-const HOLD_WEIGHT: u32 = 6;
+/// The number of crashes from which a part that nobody was answered on is held.
+const HOLD_CRASHES: u32 = 3;
+/// The same for crashes in which it was the last such part of a request whose answer had begun.
+const HOLD_LAST_CRASHES: u32 = 2;
+/// The same if requests were answered on the part before, but none between the crashes.
+const HOLD_SERVED_LAST_CRASHES: u32 = 4;
 /// The number of crashes from which a part is isolated although requests were answered on it before.
 const ISOLATION_CRASHES: u32 = 3;
-/// The number of canaries that must crash runners before such a part is held.
+/// How long a part that was served before must have been without an answer until it is isolated; other
+/// requests with it are on their way, and end its suspicion if it is sound.
+const ISOLATION_DELAY: Duration = Duration::from_millis(500);
+/// The number of canaries that must crash runners before such a part is held in any case.
 const CANARY_CRASHES: u32 = 2;
 
 /// A crash of one incarnation of a runner, as its agent has put it together.
@@ -60,7 +64,8 @@
     /// The position in the prompt, from 0.
     position: usize,
     crashes: u32,
-    weight: u32,
+    /// The crashes in which it was the last suspect part of a request whose answer had begun.
+    last_crashes: u32,
     /// The crashes that came after the part was isolated.
     canary_crashes: u32,
 }
@@ -71,16 +76,26 @@
         self.served |= blame.served;
         self.position = self.position.max(blame.position);
         self.crashes += 1;
-        self.weight += blame.weight;
+        self.last_crashes += u32::from(blame.is_last);
         self.canary_crashes += u32::from(tried);
     }
 
     /// Returns whether the part is to be held.
     pub(super) fn is_conclusive(&self) -> bool {
         if self.served {
-            return self.canary_crashes >= CANARY_CRASHES;
+            return self.last_crashes >= HOLD_SERVED_LAST_CRASHES
+                || self.canary_crashes >= CANARY_CRASHES;
+        }
+        self.last_crashes >= HOLD_LAST_CRASHES || self.crashes >= HOLD_CRASHES
+    }
+
+    /// Returns how long after a crash the part is isolated.
+    pub(super) fn isolation_delay(&self) -> Duration {
+        if self.served {
+            ISOLATION_DELAY
+        } else {
+            Duration::ZERO
         }
-        self.weight >= HOLD_WEIGHT
     }
 
     /// Returns whether only one request at a time may have the part.
@@ -89,12 +104,12 @@
     }
 }
 
-/// Returns the part that is to be held first: one that nobody was answered on, and then the last in its
-/// prompts, since the parts before it are in them as well.
-pub(super) fn most_suspect(suspicions: &Map<PartId, Suspicion>) -> Option<PartId> {
+/// Returns the part that is to be held first, and whether it was served before: one that nobody was
+/// answered on, and then the last in its prompts, since the parts before it are in them as well.
+pub(super) fn most_suspect(suspicions: &Map<PartId, Suspicion>) -> Option<(PartId, bool)> {
     let conclusive = suspicions.iter().filter(|(_, s)| s.is_conclusive());
-    let first = conclusive.max_by_key(|(part, s)| (!s.served, s.position, s.weight, **part));
-    first.map(|(part, _)| *part)
+    let first = conclusive.max_by_key(|(part, s)| (!s.served, s.position, s.crashes, **part));
+    first.map(|(part, suspicion)| (*part, suspicion.served))
 }
 
 /// The evidence of one crash against one part.
@@ -102,7 +117,7 @@
 pub(super) struct Blame {
     served: bool,
     position: usize,
-    weight: u32,
+    is_last: bool,
 }
 
 impl KnownCrash {
@@ -140,34 +155,34 @@
     pub(super) fn blames(&self) -> Map<PartId, Blame> {
         let mut blames: Map<PartId, Blame> = Map::default();
         for parts in &self.crash.requests {
-            let suspects = parts
-                .iter()
-                .enumerate()
-                .filter(|(_, part)| !self.cleared.contains(part));
-            let suspects: Vec<(usize, PartId, bool)> = suspects
-                .map(|(position, part)| (position, *part, self.crash.served.contains(part)))
-                .collect();
-            let last_unserved = suspects.iter().rfind(|(_, _, served)| !served);
-            let last_unserved = last_unserved.map(|(position, _, _)| *position);
-            for (position, part, served) in suspects {
-                if served && last_unserved.is_some() {
-                    continue;
-                }
-                let is_last = self.crash.begun && Some(position) == last_unserved;
-                let weight = if is_last {
-                    LAST_PART_WEIGHT
-                } else {
-                    OTHER_PART_WEIGHT
-                };
+            let suspects = self.suspect_parts(parts);
+            let last = suspects.last().map(|(position, _)| *position);
+            for (position, part) in suspects {
                 let blame = blames.entry(part).or_insert(Blame {
-                    served,
+                    served: self.crash.served.contains(&part),
                     position,
-                    weight,
+                    is_last: false,
                 });
-                blame.weight = blame.weight.max(weight);
                 blame.position = blame.position.max(position);
+                blame.is_last |= self.crash.begun && Some(position) == last;
             }
         }
         blames
     }
+
+    /// Returns the parts of one request that are to blame, with their positions.
+    fn suspect_parts(&self, parts: &[PartId]) -> Vec<(usize, PartId)> {
+        let parts = parts.iter().copied().enumerate();
+        let suspects = parts.filter(|(_, part)| !self.cleared.contains(part));
+        let suspects: Vec<(usize, PartId)> = suspects.collect();
+        let unserved = suspects
+            .iter()
+            .filter(|(_, part)| !self.crash.served.contains(part));
+        let unserved: Vec<(usize, PartId)> = unserved.copied().collect();
+        if unserved.is_empty() {
+            suspects
+        } else {
+            unserved
+        }
+    }
 }
--- a/crates/serving/tests/crash_sim/mod.rs
+++ b/crates/serving/tests/crash_sim/mod.rs
@@ -42,6 +42,8 @@
     pub(crate) begins: bool,
     /// Crashes for other reasons, per second.
     pub(crate) other_crashes: f64,
+    /// Whether requests with the deadly parts are answered at first.
+    pub(crate) turns_deadly: bool,
     /// Whether all entries start again after a while.
     pub(crate) restart: bool,
 }
@@ -54,6 +56,7 @@
         deadly: 1,
         begins: true,
         other_crashes: 0.0,
+        turns_deadly: false,
         restart: false,
     };
 }
@@ -172,12 +175,14 @@
     fn draw_request(&mut self) -> Request {
         let (a, b) = (self.rng.u64(..CALLERS), self.rng.u64(..CALLERS));
         let mut parts = vec![ROUTE, PartId(1_000 + a.min(b))];
-        let is_deadly = self.rng.f64() < self.day.share && self.now > CONTACT_MS;
-        let deadly = is_deadly.then(|| self.rng.u64(..self.day.deadly));
-        if let Some(deadly) = deadly {
-            parts[1] = PartId(1_000 + deadly);
-            parts.push(PartId(100_000 + deadly));
+        let is_tainted = self.rng.f64() < self.day.share;
+        let is_deadly = self.now > CONTACT_MS;
+        let part = self.rng.u64(..self.day.deadly);
+        if is_tainted && (is_deadly || self.day.turns_deadly) {
+            parts[1] = PartId(1_000 + part);
+            parts.push(PartId(100_000 + part));
         }
+        let deadly = (is_tainted && is_deadly).then_some(part);
         Request {
             entry: self.rng.usize(..ENTRIES),
             parts,
@@ -224,13 +229,13 @@
         if let Some((until, level)) = known
             && until > now
         {
-            self.entries[entry].hold(now, part, until, level);
+            self.entries[entry].hold(part, until, level);
             return false;
         }
         let level = known.map_or(0, |(_, level)| level) + 1;
         let until = now.after(Quarantine::hold_time(level));
         self.holds.insert(part, (until, level));
-        self.entries[entry].hold(now, part, until, level);
+        self.entries[entry].hold(part, until, level);
         true
     }
 
@@ -412,7 +417,7 @@
                 }
             }
             for (part, (until, level)) in &self.holds {
-                self.entries[entry].hold(now, *part, *until, *level);
+                self.entries[entry].hold(*part, *until, *level);
             }
         }
     }
--- a/crates/serving/tests/deadly_parts.rs
+++ b/crates/serving/tests/deadly_parts.rs
@@ -205,6 +205,31 @@
     );
 }
 
+#[test]
+fn part_that_turns_deadly_is_held_after_four_crashes() {
+    let mut quarantine = Quarantine::default();
+    let parts = [ROUTE, CALLER, DEADLY];
+    quarantine.record_answer(at(0), &parts);
+    let mut held = Vec::new();
+    for number in 0..4 {
+        assert_eq!(held, [], "crash {number}");
+        let now = at(1_000 + number * 100);
+        let effect = quarantine.record_crash(now, crash(number, &[&parts], &[]));
+        held.extend(effect.held);
+    }
+    assert_eq!(held, [DEADLY]);
+    let told = quarantine.record_crash(at(1_400), crash(0, &[&parts], &parts));
+    assert_eq!(told.released, [], "it was known to have been served");
+    assert_eq!(
+        refusal(&mut quarantine, at(1_500), &parts),
+        Some(RefusalCause::Held)
+    );
+    assert_eq!(
+        quarantine.admit(at(1_500), &[ROUTE, CALLER]),
+        Admission::Free
+    );
+}
+
 #[test]
 fn part_that_was_served_before_is_held_when_its_canaries_crash_runners() {
     let mut quarantine = Quarantine::default();
@@ -213,13 +238,11 @@
     let mut held = Vec::new();
     for number in 0..5 {
         let now = at(1_000 + number * 2_000);
-        held.extend(
-            quarantine
-                .record_crash(now, crash(number, &[&parts], &[]))
-                .held,
-        );
+        let effect = quarantine.record_crash(now, crash_with_waiting(number, &[&parts], &[]));
+        held.extend(effect.held);
         // Sound requests go on being answered.
-        quarantine.record_answer(now.after(Duration::from_millis(50)), &[ROUTE, CALLER]);
+        let answered_at = now.after(Duration::from_millis(50));
+        quarantine.record_answer(answered_at, &[ROUTE, CALLER]);
     }
     assert_eq!(held, [DEADLY]);
     assert_eq!(
--- a/crates/serving/tests/query_of_death.rs
+++ b/crates/serving/tests/query_of_death.rs
@@ -98,6 +98,18 @@
     });
 }
 
+#[test]
+fn part_that_turns_deadly_is_held_back() {
+    for share in [0.005, 0.02, 0.05, 0.2] {
+        let turns_deadly = true;
+        check(Day {
+            share,
+            turns_deadly,
+            ..Day::DEFAULT
+        });
+    }
+}
+
 #[test]
 fn quiet_route_is_protected() {
     for share in [0.02, 0.1] {
