Do not let earlier broken attempts hide a crash

Found by reading crash_reports: a crash was put together only if it came within 3 s of the first attempt that had ever broken at the runner's incarnation, so that one broken connection a minute earlier hid it. Reports have their own times now, and old ones are forgotten.

Test: crash_reports (failed before).

--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -22,6 +22,8 @@
 const CONFIRMATION_PERIOD: Duration = Duration::from_secs(3);
 /// How long a crash is told to entries that connect.
 const CRASH_MEMORY: Duration = Duration::from_secs(60);
+/// The most reports of one incarnation, and the most parts of which it is known that they were served.
+const MAX_REPORTS: usize = 128;
 /// The most incarnations whose reports or ends are kept.
 const MAX_INCARNATIONS: usize = 16;
 
@@ -45,15 +47,21 @@
     pub served: Vec<PartId>,
 }
 
+/// A report, as one of the incarnation's.
+#[derive(Debug)]
+struct Report {
+    at: Time,
+    begun: bool,
+    parts: Vec<PartId>,
+}
+
 /// What is known of one incarnation of the runner.
 #[derive(Debug)]
 struct Incarnation {
     born: u64,
     runner: Name,
-    /// When the first of its attempts broke.
-    reported_at: Option<Time>,
-    begun: Vec<Vec<PartId>>,
-    waiting: Vec<Vec<PartId>>,
+    /// The reports, the oldest first.
+    reports: VecDeque<Report>,
     served: Vec<PartId>,
     /// When its process ended, unless it was draining.
     crashed_at: Option<Time>,
@@ -85,16 +93,11 @@
     pub fn record_broken(&mut self, now: Time, attempt: BrokenAttempt) {
         let known = self.incarnation(attempt.born);
         known.runner = attempt.runner;
-        known.reported_at.get_or_insert(now);
-        let requests = if attempt.begun {
-            &mut known.begun
-        } else {
-            &mut known.waiting
-        };
-        if requests.len() < MAX_CRASH_REQUESTS && !requests.contains(&attempt.parts) {
-            requests.push(attempt.parts);
-            known.changed = true;
-        }
+        known.add_report(Report {
+            at: now,
+            begun: attempt.begun,
+            parts: attempt.parts,
+        });
         known.add_served(&attempt.served);
     }
 
@@ -182,9 +185,7 @@
         Incarnation {
             born,
             runner: Name::from(""),
-            reported_at: None,
-            begun: Vec::new(),
-            waiting: Vec::new(),
+            reports: VecDeque::new(),
             served: Vec::new(),
             crashed_at: None,
             changed: false,
@@ -192,34 +193,69 @@
         }
     }
 
+    fn add_report(&mut self, report: Report) {
+        match self.crashed_at {
+            Some(at) if report.at.since(at) > CONFIRMATION_PERIOD => return,
+            Some(_) => {}
+            None => self.forget_reports(report.at),
+        }
+        let mut known = self.reports.iter();
+        let repeated =
+            known.any(|known| known.begun == report.begun && known.parts == report.parts);
+        if !repeated && self.reports.len() < MAX_REPORTS {
+            self.reports.push_back(report);
+            self.changed = true;
+        }
+    }
+
+    /// Forgets the reports that are too old to belong to a crash at `now`.
+    fn forget_reports(&mut self, now: Time) {
+        let before = self.reports.len();
+        self.reports
+            .retain(|report| now.since(report.at) <= CONFIRMATION_PERIOD);
+        if self.reports.len() == before {
+            return;
+        }
+        let reports = &self.reports;
+        self.served
+            .retain(|part| reports.iter().any(|report| report.parts.contains(part)));
+    }
+
     fn add_served(&mut self, parts: &[PartId]) {
         for part in parts {
-            if self.served.len() < MAX_CRASH_REQUESTS * 2 && !self.served.contains(part) {
+            if self.served.len() < MAX_REPORTS && !self.served.contains(part) {
                 self.served.push(*part);
                 self.changed = true;
             }
         }
     }
 
-    /// Returns the crash, if the reports belong to one. Where answers had begun, only their requests
-    /// are suspect.
+    /// Returns the crash, if there are reports of it. Where answers had begun, only their requests are
+    /// suspect.
     fn crash(&self) -> Option<Crash> {
-        let (reported_at, crashed_at) = (self.reported_at?, self.crashed_at?);
-        let distance = reported_at.since(crashed_at) + crashed_at.since(reported_at);
-        if distance > CONFIRMATION_PERIOD {
+        let crashed_at = self.crashed_at?;
+        let is_near = |report: &&Report| {
+            let distance = report.at.since(crashed_at) + crashed_at.since(report.at);
+            distance <= CONFIRMATION_PERIOD && !report.parts.is_empty()
+        };
+        let reports: Vec<&Report> = self.reports.iter().filter(is_near).collect();
+        let begun = reports.iter().any(|report| report.begun);
+        let suspect = reports.iter().filter(|report| report.begun == begun);
+        let requests: Vec<Vec<PartId>> = suspect
+            .take(MAX_CRASH_REQUESTS)
+            .map(|report| report.parts.clone())
+            .collect();
+        if requests.is_empty() {
             return None;
         }
-        let begun = !self.begun.is_empty();
-        let requests = if begun { &self.begun } else { &self.waiting };
-        let mut parts = requests.iter().flatten();
-        parts.next()?;
         let listed = |part: &&PartId| requests.iter().any(|parts| parts.contains(part));
+        let served = self.served.iter().filter(listed).copied().collect();
         Some(Crash {
             runner: self.runner.clone(),
             born: self.born,
             begun,
-            requests: requests.clone(),
-            served: self.served.iter().filter(listed).copied().collect(),
+            requests,
+            served,
         })
     }
 }
--- a/crates/serving/tests/crash_reports.rs
+++ b/crates/serving/tests/crash_reports.rs
@@ -111,6 +111,21 @@
     assert_eq!(changed(&mut reports), [], "the report is too old");
 }
 
+/// A runner that breaks off some answers may crash much later.
+#[test]
+fn earlier_broken_connections_do_not_hide_a_crash() {
+    let mut reports = reports();
+    for number in 0..100 {
+        reports.record_broken(at(100 + number), broken(true, &[A, PartId(1_000 + number)]));
+    }
+    reports.runner_seen(at(60_000), BORN, false);
+    reports.record_broken(at(60_100), broken(true, &[A, B]));
+    reports.runner_down(at(60_150));
+    assert_eq!(changed(&mut reports), [crash(true, &[&[A, B]], &[])]);
+    reports.record_broken(at(70_000), broken(true, &[A, C]));
+    assert_eq!(changed(&mut reports), [], "the crash is long over");
+}
+
 #[test]
 fn runner_that_answers_again_has_not_crashed() {
     let mut reports = reports();
