--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,7 @@
 use rig::runner::Runner;
 use rustix::process::Signal;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
 use crate::harness::BOUNDS;
@@ -269,16 +270,30 @@
     }
 }
 
-/// Stops the runners that have crashed on a deadly part, and starts them again after a while.
+/// Stops the runners that have crashed on a deadly part, and starts them again after a while. Ends after
+/// `stop`, when the last of them has started.
+///
+/// # Errors
+///
+/// Fails if a runner cannot be started, or its task panics.
 pub(crate) async fn stop_crashed_runners(
     harness: Arc<Harness>,
     mut crashes: mpsc::UnboundedReceiver<String>,
-) {
+    mut stop: oneshot::Receiver<()>,
+) -> Result<(), Report<RunError>> {
     let mut restarts = JoinSet::new();
-    while let Some(runner) = crashes.recv().await {
+    loop {
+        let runner = tokio::select! {
+            Some(runner) = crashes.recv() => runner,
+            _ = &mut stop => break,
+        };
         let harness = harness.clone();
         restarts.spawn(async move { harness.restart_crashed(&runner).await });
     }
+    while let Some(result) = restarts.join_next().await {
+        result.change_context(RunError::Task)??;
+    }
+    Ok(())
 }
 
 fn target_of(program: Program) -> FaultTarget {
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -28,6 +28,7 @@
 use rig::runner::Runner;
 use rig::store::Store;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
 use crate::caller::Caller;
@@ -137,8 +138,9 @@
 ) -> Result<History, Report<RunError>> {
     let (crashed, crashes) = mpsc::unbounded_channel();
     let harness = Arc::new(Harness::start(size, paths, crashed).await?);
-    let mut crash_watcher = JoinSet::new();
-    crash_watcher.spawn(faults::stop_crashed_runners(harness.clone(), crashes));
+    let (stop_watcher, stopped) = oneshot::channel();
+    let watcher = faults::stop_crashed_runners(harness.clone(), crashes, stopped);
+    let watcher = tokio::spawn(watcher);
     let mut callers = JoinSet::new();
     for index in 0..size.callers {
         let caller = Caller::new(harness.clone(), format!("c{index}"), seed ^ index as u64);
@@ -164,7 +166,9 @@
     while let Some(result) = callers.join_next().await {
         result.change_context(RunError::Task)?;
     }
-    crash_watcher.shutdown().await;
+    // The watcher has ended by itself only if it failed, which its result tells.
+    let _ = stop_watcher.send(());
+    watcher.await.change_context(RunError::Task)??;
     let Some(harness) = Arc::into_inner(harness) else {
         return Err(Report::new(RunError::Task));
     };
