Log requests whose callers leave, and what their connections showed at each send

Cause: a request whose caller leaves is dropped without a line, so that the hypotheses about requests that are sent on after their callers left (GONE) can't be told apart from any log: a close hidden behind bytes, an old view of the connection, or a wait that goes on. Change: `request ended` with the outcome `abandoned`, the step in which the request was, and what the kernel showed of the caller's connection right before the last send; `sends_total` by the same. Nothing that is decided changes; the body of a request is read after its record exists instead of before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -33,6 +33,8 @@
 use crate::attempt::AttemptResponse;
 use crate::attempt::FailedAttempt;
 use crate::buffer::BufferedBody;
+use crate::caller::CallerConn;
+use crate::caller::Presence;
 use crate::entry::Entry;
 use crate::quarantine::Trial;
 use crate::relay;
@@ -74,6 +76,35 @@
     HeldBack(Refusal),
 }
 
+/// What a request in progress waits for.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Step {
+    /// The request's body.
+    #[display("request body")]
+    RequestBody,
+    /// The store's permission to probe a held prompt part.
+    #[display("probe")]
+    Probe,
+    /// A runner that holds the adapter.
+    #[display("adapter")]
+    Adapter,
+    /// The admission of the prompt.
+    #[display("admission")]
+    Admission,
+    /// A connection to the runner.
+    #[display("connection")]
+    Connection,
+    /// The head of the runner's response.
+    #[display("response")]
+    Response,
+    /// The rest of the response, or the first event of a stream.
+    #[display("response body")]
+    ResponseBody,
+    /// The next event of a stream that is being relayed.
+    #[display("event")]
+    Event,
+}
+
 /// Why no response can be delivered.
 #[derive(Debug)]
 pub enum DispatchError {
@@ -89,6 +120,8 @@
 pub struct ActiveRequest {
     /// The entry that serves it, with its fleet, connections and metrics.
     pub entry: Arc<Entry>,
+    /// The connection of its caller.
+    pub caller: Arc<CallerConn>,
     /// Target, headers and the platform's fields of the request.
     pub head: RequestHead,
     /// When the request head was read.
@@ -113,6 +146,13 @@
     pub(crate) first_response: Duration,
     /// Number of times the request was written to a runner.
     pub(crate) sends: u32,
+    /// What the caller's connection showed right before the last of these.
+    pub(crate) presence: Presence,
+    /// When the last of these was.
+    pub(crate) sent_at: Time,
+    pub(crate) step: Step,
+    /// Whether its end is logged.
+    pub(crate) ended: bool,
     pub(crate) last_placement: Option<Placement>,
     /// Whether this request tries parts of prompts that are under suspicion.
     pub(crate) trial: Option<Trial>,
@@ -122,7 +162,11 @@
 
 /// Serves one request of a caller. A request that is not sent to a runner gets a response of the
 /// entry itself.
-pub async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    entry: Arc<Entry>,
+    caller: Arc<CallerConn>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let arrival = entry.now();
     let (parts, incoming) = request.into_parts();
     let head = match ingress::decode_head(&parts) {
@@ -156,13 +200,6 @@
             Some(&id),
         );
     }
-    let body = match read_body(incoming, &config.limits).await {
-        Ok(body) => body,
-        Err(response) => {
-            warn!("request body cannot be read", kv: { id = &*id, answer = response.to_string().as_str() });
-            return entry_response(&entry, response, Some(&id));
-        }
-    };
     let draw = entry.state().rng.u64(..);
     let Some(service) = route.pick_service(draw).cloned() else {
         return entry_response(
@@ -175,11 +212,11 @@
         .request
         .timeout
         .map_or(route.timeout, |wait| wait.min(route.timeout));
-    let request = ActiveRequest {
+    let mut request = ActiveRequest {
         attempts: Attempts::new(route.kind, route.max_attempts),
         arrival,
         deadline: arrival.after(timeout),
-        body,
+        body: Bytes::new(),
         service,
         excluded: Vec::new(),
         wait_time: Duration::ZERO,
@@ -187,13 +224,22 @@
         longest_gap: Duration::ZERO,
         first_response: Duration::ZERO,
         sends: 0,
+        presence: Presence::Waiting,
+        sent_at: arrival,
+        step: Step::RequestBody,
+        ended: false,
         last_placement: None,
         trial: None,
         response_kind: None,
         route,
         head,
         entry,
+        caller,
     };
+    match read_body(incoming, &config.limits).await {
+        Ok(body) => request.body = body,
+        Err(response) => return request.reject(response),
+    }
     request.serve().await
 }
 
@@ -249,6 +295,14 @@
         }
     }
 
+    /// Ends a request whose body cannot be read.
+    fn reject(mut self, response: LocalResponse) -> Response<Body> {
+        let id = &*self.head.request.id;
+        warn!("request body cannot be read", kv: { id, answer = response.to_string().as_str() });
+        self.ended = true;
+        entry_response(&self.entry, response, Some(&self.head.request.id))
+    }
+
     fn observe_first_response(&mut self) {
         let age = self.entry.now().since(self.arrival);
         self.first_response = age;
@@ -266,7 +320,7 @@
             .observe(self.admission_time.as_secs_f64());
     }
 
-    fn refuse(self, cause: FailureCause) -> Response<Body> {
+    fn refuse(mut self, cause: FailureCause) -> Response<Body> {
         if let FailureCause::HeldBack(refusal) = cause {
             self.log_failure("held back", cause);
             let response = LocalResponse::HeldBack(refusal.retry_after);
@@ -300,7 +354,7 @@
         }
     }
 
-    fn fail(self, cause: FailureCause) -> Response<Body> {
+    fn fail(mut self, cause: FailureCause) -> Response<Body> {
         let response = match cause {
             FailureCause::DeadlineExceeded => LocalResponse::Timeout,
             _ => LocalResponse::ResponseLost,
@@ -310,7 +364,8 @@
     }
 
     /// Logs and counts a request whose response, or failure response, came from a runner.
-    pub fn record_completion(&self, outcome: &'static str) {
+    pub fn record_completion(&mut self, outcome: &'static str) {
+        self.ended = true;
         self.entry
             .metrics
             .requests
@@ -330,7 +385,8 @@
     }
 
     /// Logs a request without a complete response from a runner.
-    pub fn log_failure(&self, outcome: &'static str, cause: FailureCause) {
+    pub fn log_failure(&mut self, outcome: &'static str, cause: FailureCause) {
+        self.ended = true;
         let cause = cause.to_string();
         let runner = self
             .last_placement
@@ -365,8 +421,11 @@
         resume: Option<u64>,
     ) -> Result<AttemptResponse, DispatchError> {
         loop {
+            self.step = Step::Probe;
             self.pass_quarantine().await?;
+            self.step = Step::Adapter;
             let placement = self.locate().await?;
+            self.step = Step::Admission;
             let prompt = self.admit_prompt(&placement).await;
             let result = self.run_attempt(&placement, prompt, resume).await;
             let FailedAttempt {
@@ -457,6 +516,28 @@
     }
 }
 
+/// A request that is dropped before its end has been given up by its caller, or is aborted at the
+/// end of a stop.
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let outcome = "abandoned";
+        let requests = &self.entry.metrics.requests;
+        requests.with_label_values(&[outcome]).inc();
+        let now = self.entry.now();
+        let (caller, step) = (self.caller.look().to_string(), self.step.to_string());
+        let presence = self.presence.to_string();
+        let sent_ms = now.since(self.sent_at).as_millis() as u64;
+        info!("request ended", kv: {
+            id = &*self.head.request.id, outcome, route = &*self.route.name, caller = caller.as_str(), step = step.as_str(),
+            sends = self.sends, at_send = presence.as_str(), sent_ms,
+            total_ms = now.since(self.arrival).as_millis() as u64
+        });
+    }
+}
+
 /// Returns the caller's response with the status and headers of a runner's response.
 pub fn forward_response(head: ResponseHead, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod agent;
 pub mod attempt;
 pub mod buffer;
+pub mod caller;
 pub mod conns;
 pub mod dispatch;
 pub mod entry;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,9 @@
     pub requests: IntCounterVec,
     /// Attempts without a deliverable response by [`Outcome`](serving::attempt::Outcome).
     pub attempts: IntCounterVec,
+    /// Requests written to runners, by what the caller's connection showed right before:
+    /// [`Presence`](crate::caller::Presence).
+    pub sends: IntCounterVec,
     /// Time from a request's arrival to its complete response or first event, in seconds.
     pub first_response_s: Histogram,
     /// Time that a request waited for a runner or an adapter, in seconds.
@@ -62,6 +65,7 @@
         )?;
         let attempts =
             register_counters(&registry, "attempts_total", "Attempts by result", "result")?;
+        let sends = register_counters(&registry, "sends_total", "Sends to runners", "caller")?;
         let store_calls =
             register_counters(&registry, "store_calls_total", "Store calls", "result")?;
         let first_response_s =
@@ -93,6 +97,7 @@
             registry,
             requests,
             attempts,
+            sends,
             first_response_s,
             adapter_wait_s,
             admission_wait_s,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
 use crate::dispatch::FailureCause;
+use crate::dispatch::Step;
 use crate::server::Body;
 
 /// The silence after which a stream is resumed at another runner, as a multiple of the route's goal
@@ -143,6 +144,7 @@
     }
 
     async fn read(&mut self) -> ReadResult {
+        self.request.step = Step::Event;
         let deadline = self.silence_deadline();
         let deadline_at = self.request.entry.clock.instant(deadline);
         match timeout_at(deadline_at, self.body.frame()).await {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -32,6 +32,7 @@
 use crate::buffer::ReadError;
 use crate::conns::RunnerConn;
 use crate::dispatch::ActiveRequest;
+use crate::dispatch::Step;
 
 /// The time after which a repeatable request without a stream is sent to another runner, as a
 /// multiple of the route's latency goal.
@@ -74,6 +75,7 @@
         resume: Option<u64>,
     ) -> Result<AttemptResponse, FailedAttempt> {
         let runner = &placement.runner;
+        self.step = Step::Connection;
         let conn = self
             .connect(placement)
             .await
@@ -115,7 +117,7 @@
         self.response_kind = None;
         let deadline_at = self.entry.clock.instant(deadline);
         self.attempts.record_sent(runner);
-        self.sends += 1;
+        self.record_send(now);
         let sender = attempt.conn.as_mut().map(|conn| &mut conn.sender);
         let Some(sender) = sender else {
             return Err(Outcome::NotSent.into());
@@ -142,6 +144,7 @@
                 return Err(AnswerProgress::Waiting.into());
             }
         };
+        self.step = Step::ResponseBody;
         let (parts, body) = response.into_parts();
         let response_head = runner::decode_response_head(&parts, &self.head.request.id, runner);
         attempt.idle_timeout = response_head.idle_timeout;
@@ -153,6 +156,16 @@
             .await
     }
 
+    fn record_send(&mut self, now: Time) {
+        self.sends += 1;
+        self.sent_at = now;
+        self.step = Step::Response;
+        self.presence = self.caller.look();
+        let presence = self.presence.to_string();
+        let sends = &self.entry.metrics.sends;
+        sends.with_label_values(&[presence.as_str()]).inc();
+    }
+
     async fn handle_response(
         &mut self,
         attempt: RunningAttempt,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,6 +29,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::buffer::BufferedBody;
+use crate::caller::CallerConn;
+use crate::caller::CallerStream;
 use crate::dispatch;
 use crate::entry::Entry;
 use crate::relay::StreamTruncated;
@@ -149,14 +151,15 @@
     let limits = entry.state().config.as_ref().map(|config| config.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
-    let service = service_fn(|request| respond(entry.clone(), request));
+    let caller = CallerConn::new(stream);
+    let service = service_fn(|request| respond(entry.clone(), caller.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer also runs while a connection is idle, so the shorter timeout for a head that
         // has begun cannot be used.
         .header_read_timeout(idle_timeout)
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
     let mut connection = std::pin::pin!(connection);
     // An error of the connection is not logged here: the request that it ends is.
     tokio::select! {
@@ -174,13 +177,16 @@
 
 async fn respond(
     entry: Arc<Entry>,
+    caller: Arc<CallerConn>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let inflight = entry.metrics.inflight.clone();
     inflight.inc();
     let guard = InflightGuard(inflight);
     // The future is large; boxing it keeps idle connections small.
-    let mut response = dispatch::handle(entry.clone(), request).boxed().await;
+    let mut response = dispatch::handle(entry.clone(), caller, request)
+        .boxed()
+        .await;
     if entry.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
