See a caller's close behind bytes that follow its request

Callers saw: their requests were sent to runners, repeated at other runners and worked on after they had closed (GONE). Cause: the HTTP server looks for the end of a connection in the middle of a message only while its read buffer is empty. Bytes behind a request (a line end, the next request) fill it, and a close behind them is never seen. Change: while a request is in progress its connection is read ahead of the HTTP server into a bounded buffer, by the task that serves it; a close drops the server, and with it the request, in whatever it waits for. More unread bytes than the buffer holds are checked for the close at an interval. Between two requests nothing is read ahead. `process::caller` holds it, so that both entries can use it.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::process::caller::RequestGuard;
 use bytes::Bytes;
 use decision::time::Time;
 use derive_more::Display;
@@ -33,8 +34,6 @@
 use crate::attempt::AttemptResponse;
 use crate::attempt::FailedAttempt;
 use crate::buffer::BufferedBody;
-use crate::caller::CallerConn;
-use crate::caller::Presence;
 use crate::entry::Entry;
 use crate::quarantine::Trial;
 use crate::relay;
@@ -120,8 +119,8 @@
 pub struct ActiveRequest {
     /// The entry that serves it, with its fleet, connections and metrics.
     pub entry: Arc<Entry>,
-    /// The connection of its caller.
-    pub caller: Arc<CallerConn>,
+    /// The connection of its caller, on which it is in progress.
+    pub caller: RequestGuard,
     /// Target, headers and the platform's fields of the request.
     pub head: RequestHead,
     /// When the request head was read.
@@ -146,8 +145,6 @@
     pub(crate) first_response: Duration,
     /// Number of times the request was written to a runner.
     pub(crate) sends: u32,
-    /// What the caller's connection showed right before the last of these.
-    pub(crate) presence: Presence,
     /// When the last of these was.
     pub(crate) sent_at: Time,
     pub(crate) step: Step,
@@ -164,7 +161,7 @@
 /// entry itself.
 pub async fn handle(
     entry: Arc<Entry>,
-    caller: Arc<CallerConn>,
+    caller: RequestGuard,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let arrival = entry.now();
@@ -224,7 +221,6 @@
         longest_gap: Duration::ZERO,
         first_response: Duration::ZERO,
         sends: 0,
-        presence: Presence::Waiting,
         sent_at: arrival,
         step: Step::RequestBody,
         ended: false,
@@ -527,12 +523,14 @@
         let requests = &self.entry.metrics.requests;
         requests.with_label_values(&[outcome]).inc();
         let now = self.entry.now();
-        let (caller, step) = (self.caller.look().to_string(), self.step.to_string());
-        let presence = self.presence.to_string();
+        let (caller, step) = (
+            self.caller.conn.presence().to_string(),
+            self.step.to_string(),
+        );
         let sent_ms = now.since(self.sent_at).as_millis() as u64;
         info!("request ended", kv: {
             id = &*self.head.request.id, outcome, route = &*self.route.name, caller = caller.as_str(), step = step.as_str(),
-            sends = self.sends, at_send = presence.as_str(), sent_ms,
+            sends = self.sends, sent_ms,
             total_ms = now.since(self.arrival).as_millis() as u64
         });
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod agent;
 pub mod attempt;
 pub mod buffer;
-pub mod caller;
 pub mod conns;
 pub mod dispatch;
 pub mod entry;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,8 +22,8 @@
     pub requests: IntCounterVec,
     /// Attempts without a deliverable response by [`Outcome`](serving::attempt::Outcome).
     pub attempts: IntCounterVec,
-    /// Requests written to runners, by what the caller's connection showed right before:
-    /// [`Presence`](crate::caller::Presence).
+    /// Requests that were to be written to runners, by the caller's
+    /// [`Presence`](::process::caller::Presence) right before; those of callers that left are withheld.
     pub sends: IntCounterVec,
     /// Time from a request's arrival to its complete response or first event, in seconds.
     pub first_response_s: Histogram,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -160,8 +160,7 @@
         self.sends += 1;
         self.sent_at = now;
         self.step = Step::Response;
-        self.presence = self.caller.look();
-        let presence = self.presence.to_string();
+        let presence = self.caller.conn.presence().to_string();
         let sends = &self.entry.metrics.sends;
         sends.with_label_values(&[presence.as_str()]).inc();
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::process::caller::CallerConn;
+use ::process::caller::CallerStream;
+use ::process::caller::RequestGuard;
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::BodyExt;
@@ -29,8 +32,6 @@
 use tokio_util::task::TaskTracker;
 
 use crate::buffer::BufferedBody;
-use crate::caller::CallerConn;
-use crate::caller::CallerStream;
 use crate::dispatch;
 use crate::entry::Entry;
 use crate::relay::StreamTruncated;
@@ -152,7 +153,7 @@
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let caller = CallerConn::new(stream);
-    let service = service_fn(|request| respond(entry.clone(), caller.clone(), request));
+    let service = service_fn(|request| respond(entry.clone(), caller.begin_request(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer also runs while a connection is idle, so the shorter timeout for a head that
@@ -161,23 +162,25 @@
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
     let mut connection = std::pin::pin!(connection);
-    // An error of the connection is not logged here: the request that it ends is.
+    // An error of the connection, or its close by the caller, is not logged here: the request that it
+    // ends is.
     tokio::select! {
-        _ = connection.as_mut() => return,
+        _ = caller.drive(connection.as_mut()) => return,
         () = stop.cancelled() => {}
     }
     // Responses close the connection from now on, so it is read for one more request at most.
-    let last_request = tokio::time::timeout(LAST_REQUEST_PERIOD, connection.as_mut()).await;
+    let last_request =
+        tokio::time::timeout(LAST_REQUEST_PERIOD, caller.drive(connection.as_mut())).await;
     if last_request.is_ok() {
         return;
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let _ = caller.drive(connection.as_mut()).await;
 }
 
 async fn respond(
     entry: Arc<Entry>,
-    caller: Arc<CallerConn>,
+    caller: RequestGuard,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let inflight = entry.metrics.inflight.clone();
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -4,9 +4,11 @@
 //! force never decreases ([`decision::adopt`]); [`Node::stop`] joins every task that a node starts.
 //!
 //! API boundary: a daemon loads its settings with [`settings::load`], starts a [`Node`], and
-//! delegates the `exchange_heads` and `blob` calls of its peers to [`Node::adopter`].
+//! delegates the `exchange_heads` and `blob` calls of its peers to [`Node::adopter`]; servers of callers wrap
+//! their connections with [`caller`].
 
 pub mod adopter;
+pub mod caller;
 pub mod clock;
 pub mod config;
 pub mod logs;
