Check right before the bytes of a request that its caller still waits

Callers saw: an entry that was short of processor time sent requests whose callers had left long before (GONE). Cause: the bytes of a request are written by the task of the runner's connection, some time after the request's own task handed them over; the runtime learns of a caller's close only between its tasks. Change: the stream to a runner asks the kernel for the caller's connection at the first byte of each request and writes nothing if it is closed; such a request counts as not sent. `sends_total` counts both cases.

--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -24,6 +24,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::recover::lock;
+use crate::send_check::RunnerStream;
+use crate::send_check::SendCheck;
 
 /// The time limit for opening a connection. A lost packet is retransmitted only after about one
 /// second, later than this.
@@ -52,6 +54,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether it came from the pool.
     pub reused: bool,
+    /// Keeps requests whose callers have left from being written.
+    pub check: SendCheck,
     task: AbortHandle,
 }
 
@@ -118,6 +122,8 @@
             Err(_) => return Err(error("timeout".into())),
         };
         stream.set_nodelay(true).map_err(|e| error(e.to_string()))?;
+        let check = SendCheck::default();
+        let stream = RunnerStream::new(stream, check.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -130,6 +136,7 @@
         Ok(RunnerConn {
             sender,
             reused: false,
+            check,
             task: task.abort_handle(),
         })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod recover;
 pub mod relay;
 mod send;
+pub mod send_check;
 pub mod server;
 mod signals;
 pub mod watch;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -33,6 +33,7 @@
 use crate::conns::RunnerConn;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::Step;
+use crate::send_check::PendingSend;
 
 /// The time after which a repeatable request without a stream is sent to another runner, as a
 /// multiple of the route's latency goal.
@@ -118,12 +119,18 @@
         let deadline_at = self.entry.clock.instant(deadline);
         self.attempts.record_sent(runner);
         self.record_send(now);
-        let sender = attempt.conn.as_mut().map(|conn| &mut conn.sender);
-        let Some(sender) = sender else {
+        let Some(conn) = attempt.conn.as_mut() else {
             return Err(Outcome::NotSent.into());
         };
-        let response = match timeout_at(deadline_at, sender.try_send_request(request)).await {
+        conn.check.announce(PendingSend {
+            caller: self.caller.conn.clone(),
+            sends: self.entry.metrics.sends.clone(),
+        });
+        let sent = timeout_at(deadline_at, conn.sender.try_send_request(request)).await;
+        let withheld = conn.check.is_withheld();
+        let response = match sent {
             Ok(Ok(response)) => response,
+            _ if withheld => return Err(Outcome::NotSent.into()),
             Ok(Err(mut error)) => {
                 let not_sent = error.take_message().is_some();
                 attempt.finish(
@@ -160,9 +167,6 @@
         self.sends += 1;
         self.sent_at = now;
         self.step = Step::Response;
-        let presence = self.caller.conn.presence().to_string();
-        let sends = &self.entry.metrics.sends;
-        sends.with_label_values(&[presence.as_str()]).inc();
     }
 
     async fn handle_response(
