See a caller's close behind bytes in the older entry as well

Callers saw: jobs at agents ran on after they had closed, if bytes lay behind their request. Cause: the same HTTP server as on the platform's path, which misses the end of a connection while it holds bytes. Evidence: `disconnect_behind_a_line_end_cancels_at_the_agent` failed before. Change: the entry serves HTTP/1.1 through `process::caller` too. HTTP/2 reads a connection to its end anyway. Result: the test passes, and all others of the crate.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,13 +1,27 @@
 //! HTTP server for callers: HTTP/1.1 and HTTP/2 on one port, with limits.
 
+use std::convert::Infallible;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http_body_util::BodyExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::service::Service;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
+use process::caller::CallerConn;
+use process::caller::CallerStream;
+use process::caller::RequestGuard;
 use spdlog::debug;
 use spdlog::warn;
 use tokio::net::TcpListener;
@@ -173,33 +187,40 @@
 impl Connection {
     async fn serve(self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        if !self.wait_for_request(&stream).await {
+        let Some(protocol) = self.wait_for_request(&stream).await else {
             return;
-        }
-        let responder = Responder::new(self.tree.clone(), Some(self.peer));
-        let connection = self
-            .builder
-            .serve_connection(TokioIo::new(stream), responder);
+        };
+        let caller = CallerConn::new(stream);
+        let service = CallerService {
+            caller: caller.clone(),
+            protocol,
+            responder: Responder::new(self.tree.clone(), Some(self.peer)),
+        };
+        let stream = TokioIo::new(CallerStream(caller.clone()));
+        let connection = self.builder.serve_connection(stream, service);
         tokio::pin!(connection);
         let result = tokio::select! {
-            result = connection.as_mut() => result,
+            result = caller.drive(connection.as_mut()) => result,
             () = self.shutdown_grace_elapsed() => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                caller.drive(connection.as_mut()).await
             }
         };
-        if let Err(err) = result {
-            debug!("connection from {} ended with an error: {err}", self.peer);
+        match result {
+            Some(Err(err)) => debug!("connection from {} ended with an error: {err}", self.peer),
+            None => debug!("caller {} left during a request", self.peer),
+            Some(Ok(())) => {}
         }
     }
 
-    /// Returns whether the caller starts a request within the header timeout.
-    async fn wait_for_request(&self, stream: &TcpStream) -> bool {
+    /// Returns the protocol of the first request; `None` if the caller starts none within the header
+    /// timeout.
+    async fn wait_for_request(&self, stream: &TcpStream) -> Option<Protocol> {
         tokio::select! {
-            ready = tokio::time::timeout(self.header_timeout, wait_for_protocol(stream)) => {
-                matches!(ready, Ok(true))
+            protocol = tokio::time::timeout(self.header_timeout, wait_for_protocol(stream)) => {
+                protocol.ok().flatten()
             }
-            () = self.shutdown_grace_elapsed() => false,
+            () = self.shutdown_grace_elapsed() => None,
         }
     }
 
@@ -211,16 +232,58 @@
     }
 }
 
-/// Waits until the received bytes tell HTTP/1.1 from HTTP/2; returns `false` if the connection ends
+/// The protocol of a caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Protocol {
+    Http1,
+    Http2,
+}
+
+/// Serves the requests of one caller.
+struct CallerService {
+    caller: Arc<CallerConn>,
+    protocol: Protocol,
+    responder: Responder<SocketAddr>,
+}
+
+impl Service<Request<Incoming>> for CallerService {
+    type Response = Response<UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>>>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
+
+    /// The request counts as in progress until its response is sent or dropped.
+    fn call(&self, request: Request<Incoming>) -> Self::Future {
+        // HTTP/2 reads a connection to its end while requests are in progress.
+        let guard = (self.protocol == Protocol::Http1).then(|| self.caller.begin_request());
+        let response = self.responder.call(request);
+        async move {
+            let response = response.await?;
+            Ok(response.map(|body| hold_until_sent(body, guard)))
+        }
+        .boxed()
+    }
+}
+
+fn hold_until_sent(
+    body: viz::Body,
+    guard: Option<RequestGuard>,
+) -> UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>> {
+    let held = body.map_frame(move |frame| {
+        let _guard = &guard;
+        frame
+    });
+    held.map_err(Into::into).boxed_unsync()
+}
+
+/// Waits until the received bytes tell HTTP/1.1 from HTTP/2; returns `None` if the connection ends
 /// before. Hyper's own detection waits for these bytes without a time limit.
-async fn wait_for_protocol(stream: &TcpStream) -> bool {
+async fn wait_for_protocol(stream: &TcpStream) -> Option<Protocol> {
     let mut start = [0; H2_PREFACE.len()];
     loop {
         match stream.peek(&mut start).await {
-            Ok(0) | Err(_) => return false,
-            Ok(count) if count == start.len() || start[..count] != H2_PREFACE[..count] => {
-                return true;
-            }
+            Ok(0) | Err(_) => return None,
+            Ok(count) if start[..count] != H2_PREFACE[..count] => return Some(Protocol::Http1),
+            Ok(count) if count == start.len() => return Some(Protocol::Http2),
             Ok(_) => tokio::time::sleep(PEEK_INTERVAL).await,
         }
     }
--- a/crates/entry/tests/token_streams.rs
+++ b/crates/entry/tests/token_streams.rs
@@ -10,7 +10,11 @@
 use harness::Reply;
 use harness::Script;
 use http_body_util::BodyExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
+/// The time after a close within which it must have its effect.
+const CLOSE_BOUND: Duration = Duration::from_millis(500);
 const BODY: &str = r#"{"model":"rooms","stream":true}"#;
 const CHUNKS: [&str; 2] = [
     "data: {\"n\":1}\n\ndata: {\"n\":2,\"t\":\"[DONE]\"}\n\n",
@@ -90,6 +94,29 @@
     harness.stop().await;
 }
 
+/// Guards against a job that keeps running because a line end lies between its request and the close.
+#[tokio::test]
+async fn disconnect_behind_a_line_end_cancels_at_the_agent() {
+    let harness = Harness::start(1).await;
+    harness.set_scripts(&Script::Paused(CHUNKS[0], CHUNKS[1]));
+    let mut count = 0;
+    for body in [BODY, r#"{"model":"rooms"}"#] {
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n\
+             authorization: Bearer inn-key\r\ncontent-length: {}\r\n\r\n{body}\r\n",
+            body.len()
+        );
+        let mut caller = TcpStream::connect(harness.addr).await.unwrap();
+        caller.write_all(request.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        drop(caller);
+        count += 1;
+        let cancelled = tokio::time::timeout(CLOSE_BOUND, wait_cancelled(&harness, count)).await;
+        assert!(cancelled.is_ok(), "{body} is not cancelled in time");
+    }
+    harness.stop().await;
+}
+
 async fn wait_cancelled(harness: &Harness, count: usize) {
     let wait = async {
         while harness.agent("e0").cancelled().len() < count {
