--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -1,6 +1,7 @@
 //! Data that runners publish about themselves: membership records, engine reports and load.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::Name;
 
@@ -81,6 +82,17 @@
     }
 }
 
+/// What a runner says of itself with a response, beyond its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// The requests per second that it takes from all entries together; `None` if it names no limit.
+    pub rate_limit: Option<f64>,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// How long it wants no request from this entry; `None` if it did not reject this one for that.
+    pub retry_after: Option<Duration>,
+}
+
 /// The load that a runner reports with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestLoad {
