Keep to the rate that a runner takes from all entries together

Class: a signal of overload that reaches the caller of a server and ends there; the client side of back-pressure was missing. Change: `serving::backpressure` keeps what an incarnation says of itself. A limit binds until an answer to a later request names none, or for a minute. No entry sees what others send, so each uses an equal part: slots of one request, which lapse unused, spread over the entries by a random first one; the share of the limit that is used is what keeps chance within the rule (Chernoff's bound, computed from the limit and the number of entries). Agents tell the number of entries; without them it is assumed. A runner without an open slot is left out of the choice; if none is left, the request waits for the next slot if that is in time, otherwise it is refused at once with that time as Retry-After. A slot is taken right before the bytes, so that repeats and rejected requests count.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -324,10 +324,15 @@
         }
         let jitter = RETRY_AFTER_JITTER.mul_f64(self.entry.state().rng.f64());
         let wait = self.retry_after(cause).unwrap_or(MIN_RETRY_AFTER);
+        let longest = match cause {
+            // The runners have said when they take requests again.
+            FailureCause::NoRunner(NoRunner::Limited(_)) => wait.max(MAX_RETRY_AFTER),
+            _ => MAX_RETRY_AFTER,
+        };
         self.log_failure("refused", cause);
         entry_response(
             &self.entry,
-            LocalResponse::Refused(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER) + jitter),
+            LocalResponse::Refused(wait.clamp(MIN_RETRY_AFTER, longest) + jitter),
             Some(&self.head.request.id),
         )
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -364,6 +364,8 @@
         }
         let (held, isolated) = state.quarantine.counts(now);
         self.metrics.held_parts.set(held as i64);
+        let limited = state.fleet.backpressure.limited_count(now);
+        self.metrics.limited_runners.set(limited as i64);
         self.metrics.isolated_parts.set(isolated as i64);
         let unlinked = state
             .members
@@ -396,6 +398,7 @@
                     "linked": runner.linked,
                     "up": runner.up,
                     "room": runner.room,
+                    "limit": state.fleet.backpressure.rate_limit(now, &runner.member.id, runner.member.born),
                     "report_age_ms": now.since(runner.reported_at).as_millis() as u64,
                     "error_rate": runner.health.error_rate(),
                     "adapters": runner.adapters.iter().map(|(name, view)| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod locate;
 pub mod logs;
 pub mod metrics;
+mod notices;
 pub mod process;
 mod quarantine;
 pub mod recover;
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -45,6 +45,10 @@
             let now = self.entry.now();
             let placement = match self.place(now) {
                 Ok(placement) => placement,
+                Err(NoRunner::Limited(at)) if at < wait_deadline => {
+                    tokio::time::sleep_until(self.entry.clock.instant(at)).await;
+                    continue;
+                }
                 Err(cause) if self.attempts.may_have_run() => {
                     return Err(DispatchError::Unknown(FailureCause::NoRunner(cause)));
                 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,11 @@
     pub store_calls: IntCounterVec,
     /// Changes of held prompt parts: `held` or `released`.
     pub part_holds: IntCounterVec,
+    /// Changes in what runners say of themselves, by
+    /// [`NoticeChange`](serving::backpressure::NoticeChange).
+    pub runner_notices: IntCounterVec,
+    /// Runners that name a rate limit, as of the last maintenance.
+    pub limited_runners: IntGauge,
     /// Prompt parts whose requests are refused, as of the last maintenance.
     pub held_parts: IntGauge,
     /// Prompt parts that one request at a time may try, as of the last maintenance.
@@ -85,6 +90,14 @@
             "Holds of prompt parts",
             "event",
         )?;
+        let runner_notices = register_counters(
+            &registry,
+            "runner_notices_total",
+            "Changes in what runners say of themselves",
+            "change",
+        )?;
+        let limited_runners = IntGauge::new("limited_runners", "Runners that name a limit")?;
+        registry.register(Box::new(limited_runners.clone()))?;
         let held_parts = IntGauge::new("held_parts", "Held prompt parts")?;
         let isolated_parts = IntGauge::new("isolated_parts", "Isolated prompt parts")?;
         registry.register(Box::new(held_parts.clone()))?;
@@ -106,6 +119,8 @@
             runner_connects,
             store_calls,
             part_holds,
+            runner_notices,
+            limited_runners,
             held_parts,
             isolated_parts,
             inflight,
--- /dev/null
+++ b/crates/gateway/src/notices.rs
@@ -0,0 +1,53 @@
+//! Records and logs what runners say of themselves in their responses.
+
+use platform::runner::ResponseHead;
+use platform::runner::ResponseKind;
+use serving::backpressure::NoticeChange;
+use serving::backpressure::NoticeSource;
+use serving::placement::Placement;
+use spdlog::info;
+
+use crate::dispatch::ActiveRequest;
+
+impl ActiveRequest {
+    /// Records what the runner of an attempt says of itself with its response. A response that is not
+    /// known to be its own says nothing.
+    pub(crate) fn record_notice(&self, placement: &Placement, response_head: &ResponseHead) {
+        let ran = match response_head.kind {
+            ResponseKind::Success | ResponseKind::Failure => true,
+            ResponseKind::NotRun | ResponseKind::NotLoaded => false,
+            ResponseKind::OtherRunner | ResponseKind::Unverified => return,
+        };
+        let source = NoticeSource {
+            runner: &placement.runner,
+            born: placement.born,
+            sent_at: self.sent_at,
+            ran,
+        };
+        let now = self.entry.now();
+        let mut state = self.entry.state();
+        let state = &mut *state;
+        let notice = &response_head.notice;
+        let changes = state
+            .fleet
+            .record_notice(now, &mut state.rng, source, notice);
+        let entries = state.fleet.backpressure.entry_count();
+        for change in changes {
+            self.log_change(placement, change, entries);
+        }
+    }
+
+    fn log_change(&self, placement: &Placement, change: NoticeChange, entries: u32) {
+        let text = change.to_string();
+        let notices = &self.entry.metrics.runner_notices;
+        notices.with_label_values(&[text.as_str()]).inc();
+        let limit = match change {
+            NoticeChange::Limited(rate) => rate,
+            NoticeChange::Unlimited => 0.0,
+        };
+        info!("runner notice", kv: {
+            id = &*self.head.request.id, runner = &*placement.runner, born = placement.born,
+            change = text.as_str(), limit, entries
+        });
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -19,7 +19,6 @@
 use serving::fleet::HealthSignal;
 use serving::placement::Access;
 use serving::placement::Placement;
-use serving::runner::Notice;
 use spdlog::info;
 use spdlog::warn;
 use tokio::time::timeout_at;
@@ -90,6 +89,7 @@
         }
         // The runner may have begun to leave, or have started again, since it was chosen.
         let begun = self.entry.state().fleet.begin_request(
+            now,
             runner,
             placement.born,
             adapter.as_ref(),
@@ -157,7 +157,7 @@
         let response_head = runner::decode_response_head(&parts, &self.head.request.id, runner);
         attempt.idle_timeout = response_head.idle_timeout;
         self.response_kind = Some(response_head.kind);
-        self.log_notice(placement, &response_head);
+        self.record_notice(placement, &response_head);
         if let Some(load) = response_head.load {
             self.entry.state().fleet.record_load(runner, load);
         }
@@ -275,19 +275,6 @@
         Ok(AttemptResponse::Complete(response_head, body))
     }
 
-    /// Logs what a runner says of itself.
-    fn log_notice(&self, placement: &Placement, response_head: &ResponseHead) {
-        let notice = response_head.notice;
-        if notice == Notice::default() {
-            return;
-        }
-        let retry_ms = notice.retry_after.map_or(0, |wait| wait.as_millis() as u64);
-        info!("runner notice", kv: {
-            id = &*self.head.request.id, runner = &*placement.runner, born = placement.born,
-            limit = notice.rate_limit.unwrap_or(-1.0), leaving = notice.leaving, retry_ms
-        });
-    }
-
     fn log_unreadable(&self, runner: &str, error: &str) {
         warn!("response cannot be read", kv: { id = &*self.head.request.id, runner, error });
     }
--- /dev/null
+++ b/crates/serving/src/backpressure.rs
@@ -0,0 +1,228 @@
+//! What runners say of themselves in their responses, and what an entry may send to them since.
+//!
+//! A runner may name the rate of requests that it takes from all entries together. No entry sees what
+//! the others send, so each uses an equal part of the rate: it sends one request in a slot, and the
+//! slots of an entry are as far apart as its part asks for. A slot that is not used in time lapses, so
+//! that idle entries cannot all send at once later.
+//!
+//! Invariants: what a runner says binds its own incarnation only, also while its membership record is
+//! missing; a rate limit binds until an answer to a request that was sent after the last one that
+//! named it names none, or until a period after that.
+//!
+//! API boundary: [`Fleet`](crate::fleet::Fleet) records notices, asks for the permission of each
+//! candidate of a placement, and takes a slot right before a request is sent.
+
+mod rate_limit;
+
+use decision::collections::Map;
+use decision::time::Time;
+use derive_more::Display;
+
+pub use rate_limit::LIMIT_PERIOD;
+
+use self::rate_limit::EntryCount;
+use self::rate_limit::RateLimit;
+
+use crate::Name;
+use crate::runner::Notice;
+
+/// The most incarnations of which anything is kept.
+const MAX_RUNNERS: usize = 4_096;
+
+/// The response by which a runner says something of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct NoticeSource<'a> {
+    /// The identifier of the runner.
+    pub runner: &'a Name,
+    /// The start of its incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// When the request was sent.
+    pub sent_at: Time,
+    /// Whether the runner ran the request. Only such a response lifts a limit by not naming it.
+    pub ran: bool,
+}
+
+/// A change in what a runner says of itself.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum NoticeChange {
+    /// It names a limit, in requests per second, or another one than before.
+    #[display("limited")]
+    Limited(f64),
+    /// It no longer names a limit.
+    #[display("unlimited")]
+    Unlimited,
+}
+
+/// Whether a request may be sent to a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// A request may be sent now.
+    Granted,
+    /// None before this time.
+    At(Time),
+}
+
+/// What all runners have said of themselves, as one entry knows it.
+#[derive(Debug, Default)]
+pub struct Backpressure {
+    runners: Map<Name, RunnerNotices>,
+    entries: EntryCount,
+}
+
+/// What one incarnation of a runner has said of itself.
+#[derive(Clone, Copy, Debug)]
+struct RunnerNotices {
+    born: u64,
+    /// When it last said something.
+    heard_at: Time,
+    limit: Option<RateLimit>,
+}
+
+impl Backpressure {
+    /// Records what a runner says of itself; returns what that changes. What an earlier incarnation
+    /// says is ignored.
+    pub fn record(
+        &mut self,
+        now: Time,
+        rng: &mut fastrand::Rng,
+        source: NoticeSource<'_>,
+        notice: &Notice,
+    ) -> Vec<NoticeChange> {
+        let known = self.runners.get(source.runner).copied();
+        if known.is_none() && *notice == Notice::default() {
+            return Vec::new();
+        }
+        let fresh = RunnerNotices::new(source.born);
+        let mut notices = known.filter(|known| known.born >= source.born);
+        let notices = notices.get_or_insert(fresh);
+        if notices.born > source.born {
+            return Vec::new();
+        }
+        notices.heard_at = now;
+        let entries = self.entries.get();
+        let change = notices.record_limit(now, rng, source, notice, entries);
+        self.insert(source.runner, *notices);
+        change.into_iter().collect()
+    }
+
+    /// Records the number of entries that an agent reports.
+    pub fn record_entries(&mut self, now: Time, count: u32) {
+        let before = self.entries.get();
+        self.entries.record(now, count);
+        let entries = self.entries.get();
+        if entries == before {
+            return;
+        }
+        let notices = self.runners.values_mut();
+        for limit in notices.filter_map(|known| known.limit.as_mut()) {
+            limit.set_entries(now, entries);
+        }
+    }
+
+    /// Returns the number of entries among which a rate limit is divided.
+    pub fn entry_count(&self) -> u32 {
+        self.entries.get()
+    }
+
+    /// Returns whether a request may be sent to this incarnation of a runner.
+    pub fn permission(&self, now: Time, runner: &str, born: u64) -> Permission {
+        let Some(known) = self.get(runner, born) else {
+            return Permission::Granted;
+        };
+        let at = known
+            .limit_in_force(now)
+            .map_or(now, |limit| limit.slot(now));
+        if at <= now {
+            Permission::Granted
+        } else {
+            Permission::At(at)
+        }
+    }
+
+    /// Takes the permission for a request that is about to be sent; returns whether it is granted.
+    pub fn take(&mut self, now: Time, runner: &str, born: u64) -> bool {
+        if self.permission(now, runner, born) != Permission::Granted {
+            return false;
+        }
+        let Some(known) = self.runners.get_mut(runner) else {
+            return true;
+        };
+        if known.born == born
+            && let Some(limit) = &mut known.limit
+        {
+            limit.take(now);
+        }
+        true
+    }
+
+    /// Returns the limit that this incarnation of a runner names, in requests per second from all
+    /// entries together.
+    pub fn rate_limit(&self, now: Time, runner: &str, born: u64) -> Option<f64> {
+        let known = self.get(runner, born)?;
+        known.limit_in_force(now).map(|limit| limit.rate)
+    }
+
+    /// Returns the number of runners that name a limit.
+    pub fn limited_count(&self, now: Time) -> usize {
+        let runners = self.runners.values();
+        let limited = runners.filter(|known| known.limit_in_force(now).is_some());
+        limited.count()
+    }
+
+    fn get(&self, runner: &str, born: u64) -> Option<&RunnerNotices> {
+        let known = self.runners.get(runner)?;
+        (known.born == born).then_some(known)
+    }
+
+    /// Keeps what a runner said; if too much is kept, forgets the runner that was silent the longest.
+    fn insert(&mut self, runner: &Name, notices: RunnerNotices) {
+        self.runners.insert(runner.clone(), notices);
+        if self.runners.len() <= MAX_RUNNERS {
+            return;
+        }
+        let silent = self.runners.iter().min_by_key(|(_, known)| known.heard_at);
+        if let Some(silent) = silent.map(|(name, _)| name.clone()) {
+            self.runners.remove(&silent);
+        }
+    }
+}
+
+impl RunnerNotices {
+    fn new(born: u64) -> Self {
+        RunnerNotices {
+            born,
+            heard_at: Time::default(),
+            limit: None,
+        }
+    }
+
+    fn limit_in_force(&self, now: Time) -> Option<&RateLimit> {
+        let limit = self.limit.as_ref()?;
+        (now < limit.expires_at).then_some(limit)
+    }
+
+    /// Records the limit of a response, or that it names none.
+    fn record_limit(
+        &mut self,
+        now: Time,
+        rng: &mut fastrand::Rng,
+        source: NoticeSource<'_>,
+        notice: &Notice,
+        entries: u32,
+    ) -> Option<NoticeChange> {
+        let known = self.limit_in_force(now).copied();
+        let Some(rate) = notice.rate_limit else {
+            // Answers overtake each other; one to an earlier request does not lift a limit.
+            let lifted = known.is_some_and(|known| source.ran && source.sent_at >= known.named_at);
+            if lifted {
+                self.limit = None;
+            }
+            return lifted.then_some(NoticeChange::Unlimited);
+        };
+        let mut limit = known.unwrap_or_else(|| RateLimit::new(now, rng, rate, entries));
+        limit.renew(now, rate);
+        self.limit = Some(limit);
+        let unchanged = known.is_some_and(|known| known.rate.to_bits() == rate.to_bits());
+        (!unchanged).then_some(NoticeChange::Limited(rate))
+    }
+}
--- /dev/null
+++ b/crates/serving/src/backpressure/rate_limit.rs
@@ -0,0 +1,176 @@
+//! One entry's part of the rate of requests that a runner takes from all entries together.
+//!
+//! An entry sends one request in a slot, and its slots are as far apart as its part of the rate asks
+//! for. The first one opens after a random time, so that the slots of many entries spread.
+//!
+//! Invariant: a slot that is not used within [`SLOT_PERIOD`] lapses, so that idle entries cannot all
+//! send at once later.
+
+use std::time::Duration;
+
+use decision::time::Time;
+
+/// How long a rate limit binds that no answer has repeated, at least. An entry whose slots are further
+/// apart keeps it for two of them.
+pub const LIMIT_PERIOD: Duration = Duration::from_secs(60);
+/// How long a slot stays open.
+const SLOT_PERIOD: Duration = Duration::from_secs(1);
+/// The longest distance between two slots, for limits near 0.
+const MAX_INTERVAL: Duration = Duration::from_secs(30 * 60);
+/// The number of entries that is assumed until an agent reports it.
+const DEFAULT_ENTRY_COUNT: u32 = 8;
+/// How long a higher number of entries counts after the last report of it. An agent that has just
+/// started is not connected to all entries.
+const ENTRY_COUNT_PERIOD: Duration = Duration::from_secs(10);
+
+/// The window in which the platform counts the requests at a limited runner, in seconds.
+const WINDOW_S: f64 = 4.0;
+/// The requests in a window that are in order, as a multiple of what the limit allows, and beyond it.
+const ALLOWED_FACTOR: f64 = 1.5;
+const ALLOWED_EXTRA: f64 = 5.0;
+/// The largest share of a limit that entries use.
+const MAX_SHARE: f64 = 0.8;
+/// The step in which a smaller share is looked for.
+const SHARE_STEP: f64 = 0.05;
+/// The natural logarithm of the probability, for one window, that slots which fall together by chance
+/// are more than allowed.
+const LN_EXCESS_PROBABILITY: f64 = -13.8;
+
+/// A rate limit that a runner names, and this entry's slots.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RateLimit {
+    /// Requests per second, from all entries together.
+    pub(super) rate: f64,
+    /// When an answer last named it.
+    pub(super) named_at: Time,
+    /// When it ends if no answer names it again.
+    pub(super) expires_at: Time,
+    /// The number of entries that share it.
+    entries: u32,
+    /// The distance between two slots.
+    interval: Duration,
+    /// When the next slot opens or has opened.
+    next_slot: Time,
+}
+
+impl RateLimit {
+    /// Returns a limit that is new to this entry.
+    pub(super) fn new(now: Time, rng: &mut fastrand::Rng, rate: f64, entries: u32) -> RateLimit {
+        let interval = interval(rate, entries);
+        RateLimit {
+            rate,
+            named_at: now,
+            expires_at: expiry(now, interval),
+            entries,
+            interval,
+            next_slot: now.after(interval.mul_f64(rng.f64())),
+        }
+    }
+
+    /// Records that an answer names a limit again, perhaps another one.
+    pub(super) fn renew(&mut self, now: Time, rate: f64) {
+        self.named_at = now;
+        self.set_share(now, rate, self.entries);
+        self.expires_at = expiry(now, self.interval);
+    }
+
+    /// Divides the limit among another number of entries.
+    pub(super) fn set_entries(&mut self, now: Time, entries: u32) {
+        self.set_share(now, self.rate, entries);
+    }
+
+    /// Returns when the first slot that has not lapsed opens or has opened.
+    pub(super) fn slot(&self, now: Time) -> Time {
+        let lapsed = now.since(self.next_slot.after(SLOT_PERIOD));
+        let missed = lapsed
+            .as_micros()
+            .div_ceil(self.interval.as_micros().max(1));
+        let missed = missed.try_into().unwrap_or(u32::MAX);
+        self.next_slot.after(self.interval.saturating_mul(missed))
+    }
+
+    /// Uses the slot that is open.
+    pub(super) fn take(&mut self, now: Time) {
+        self.next_slot = self.slot(now).after(self.interval);
+    }
+
+    fn set_share(&mut self, now: Time, rate: f64, entries: u32) {
+        if self.rate.to_bits() == rate.to_bits() && self.entries == entries {
+            return;
+        }
+        let before = self.interval;
+        self.rate = rate;
+        self.entries = entries;
+        self.interval = interval(rate, entries);
+        // The time to the next slot keeps its share of the interval, so that slots stay spread.
+        let wait = self.next_slot.since(now);
+        let scale = self.interval.as_secs_f64() / before.as_secs_f64();
+        self.next_slot = now.after(wait.mul_f64(scale));
+    }
+}
+
+/// The number of entries that share the limits of runners.
+#[derive(Debug, Default)]
+pub(super) struct EntryCount {
+    count: u32,
+    reported_at: Time,
+}
+
+impl EntryCount {
+    /// Records what an agent reports.
+    pub(super) fn record(&mut self, now: Time, count: u32) {
+        let outdated = now >= self.reported_at.after(ENTRY_COUNT_PERIOD);
+        if count > 0 && (count >= self.count || outdated) {
+            self.count = count;
+            self.reported_at = now;
+        }
+    }
+
+    pub(super) fn get(&self) -> u32 {
+        match self.count {
+            0 => DEFAULT_ENTRY_COUNT,
+            count => count,
+        }
+    }
+}
+
+fn expiry(now: Time, interval: Duration) -> Time {
+    now.after(LIMIT_PERIOD.max(interval * 2))
+}
+
+/// Returns the distance between two slots of one entry.
+fn interval(rate: f64, entries: u32) -> Duration {
+    let seconds = f64::from(entries) / (rate * share(rate, entries));
+    let interval = Duration::try_from_secs_f64(seconds);
+    interval.map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL))
+}
+
+/// Returns the largest share of a limit whose slots are rarely more than allowed in a window.
+fn share(rate: f64, entries: u32) -> f64 {
+    let mut share = MAX_SHARE;
+    while share > SHARE_STEP && ln_excess(rate, rate * share, entries) > LN_EXCESS_PROBABILITY {
+        share -= SHARE_STEP;
+    }
+    share
+}
+
+/// Returns an upper bound of the logarithm of the probability that more requests than `limit` allows
+/// fall into a window, if the entries together use the rate `used`: each entry has a fixed number of slots in it, and with some
+/// probability one more (Chernoff's bound of a binomial distribution).
+fn ln_excess(limit: f64, used: f64, entries: u32) -> f64 {
+    let count = f64::from(entries);
+    let slots = (WINDOW_S + SLOT_PERIOD.as_secs_f64()) * used / count;
+    let (fixed, probability) = (slots.floor(), slots.fract());
+    let excess = ALLOWED_FACTOR * WINDOW_S * limit + ALLOWED_EXTRA + 1.0 - fixed * count;
+    let excess_share = excess / count;
+    if excess_share >= 1.0 {
+        return f64::NEG_INFINITY;
+    }
+    if excess_share <= probability {
+        return 0.0;
+    }
+    let rest = 1.0 - excess_share;
+    let divergence =
+        excess_share * (excess_share / probability).ln() + rest * (rest / (1.0 - probability)).ln();
+    -count * divergence
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -16,11 +16,15 @@
 pub use view::Runner;
 
 use crate::Name;
+use crate::backpressure::Backpressure;
+use crate::backpressure::NoticeChange;
+use crate::backpressure::NoticeSource;
 use crate::demand::Demand;
 use crate::demand::RateLevel;
 use crate::link::RunnerUpdate;
 use crate::link::Usage;
 use crate::runner::Member;
+use crate::runner::Notice;
 use crate::runner::RequestLoad;
 
 /// How long an agent that did not answer is not asked again. A connection in use that is silent is
@@ -47,6 +51,8 @@
     pub domain: Name,
     /// The recent demand for each adapter.
     pub demand: Demand,
+    /// What runners say of themselves.
+    pub backpressure: Backpressure,
     /// When a further replica of each adapter was last requested.
     pub(crate) last_replicated: Map<Name, Time>,
     /// Buffer for rendezvous hashes, kept to avoid an allocation per request.
@@ -61,6 +67,7 @@
         Fleet {
             domain,
             demand: Demand::default(),
+            backpressure: Backpressure::default(),
             last_replicated: Map::default(),
             rank_buffer: Vec::new(),
             runners: Map::default(),
@@ -122,6 +129,7 @@
     /// number of entries.
     pub fn apply_update(&mut self, now: Time, id: &str, update: &RunnerUpdate) -> bool {
         self.entry_count = update.entries;
+        self.backpressure.record_entries(now, update.entries);
         match self.runners.get_mut(id) {
             Some(runner) if update.born == runner.member.born => runner.apply_update(now, update),
             _ => false,
@@ -171,10 +179,22 @@
         runner.adapters.insert(adapter.clone(), view);
     }
 
+    /// Records what a runner says of itself; returns what that changes.
+    pub fn record_notice(
+        &mut self,
+        now: Time,
+        rng: &mut fastrand::Rng,
+        source: NoticeSource<'_>,
+        notice: &Notice,
+    ) -> Vec<NoticeChange> {
+        self.backpressure.record(now, rng, source, notice)
+    }
+
     /// Counts a request that is about to be sent to the incarnation of a runner that started at
-    /// `born`; `None` if that one is gone or accepts no requests.
+    /// `born`; `None` if that one is gone, accepts no requests, or wants none now.
     pub fn begin_request(
         &mut self,
+        now: Time,
         id: &Name,
         born: u64,
         adapter: Option<&Name>,
@@ -184,6 +204,9 @@
         if runner.member.born != born || !runner.accepts_requests() {
             return None;
         }
+        if !self.backpressure.take(now, id, born) {
+            return None;
+        }
         runner.inflight += 1;
         runner.pending_prompt_tokens = runner.pending_prompt_tokens.saturating_add(prompt_tokens);
         if let Some(adapter) = adapter {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod backpressure;
 pub mod config;
 mod cost;
 pub mod crash_reports;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -14,6 +14,7 @@
 use derive_more::Display;
 
 use crate::Name;
+use crate::backpressure::Permission;
 use crate::cost;
 use crate::fleet::AdapterView;
 use crate::fleet::Fleet;
@@ -92,6 +93,9 @@
     /// All known runners of the service are draining or replaced.
     #[display("all runners are draining or replaced")]
     Leaving,
+    /// The remaining runners want no request before this time.
+    #[display("the runners limit their requests")]
+    Limited(Time),
     /// The remaining runners are excluded or do not answer their agents, or they lack the adapter
     /// and there is no connection to their agents.
     #[display("no runner is left to try")]
@@ -106,6 +110,9 @@
     /// Returns the more specific of two causes.
     fn or(self, other: NoRunner) -> NoRunner {
         match (self, other) {
+            (NoRunner::Limited(a), NoRunner::Limited(b)) => NoRunner::Limited(a.min(b)),
+            (NoRunner::Limited(_), _) => self,
+            (_, NoRunner::Limited(_)) => other,
             (NoRunner::Loading(a), NoRunner::Loading(b)) => NoRunner::Loading(a.min(b)),
             (NoRunner::Loading(_), _) | (NoRunner::Exhausted, NoRunner::Leaving) => self,
             (_, NoRunner::Unknown) => self,
@@ -118,6 +125,7 @@
     pub fn retry_after(self, now: Time, model_load: Duration) -> Option<Duration> {
         match self {
             NoRunner::Loading(since) => Some(model_load.saturating_sub(now.since(since))),
+            NoRunner::Limited(until) => Some(until.since(now)),
             NoRunner::Unknown | NoRunner::Leaving | NoRunner::Exhausted => None,
         }
     }
@@ -196,6 +204,11 @@
         }
         let access = access(now, requirements, runner)
             .ok_or_else(|| unavailable_cause(requirements, runner))?;
+        let member = &runner.member;
+        let permission = self.backpressure.permission(now, &member.id, member.born);
+        if let Permission::At(at) = permission {
+            return Err(NoRunner::Limited(at));
+        }
         let rank = order.rank(runner);
         let cost = cost::estimate(
             now,
--- a/crates/serving/tests/fleet_sim/mod.rs
+++ b/crates/serving/tests/fleet_sim/mod.rs
@@ -221,7 +221,7 @@
             let ready = matches!(placement.access, Access::Ready { .. });
             if ready && engine.held.contains(&adapter) {
                 let inflight =
-                    fleet.begin_request(&placement.runner, placement.born, Some(&adapter), 0);
+                    fleet.begin_request(now, &placement.runner, placement.born, Some(&adapter), 0);
                 let inflight = inflight.expect("a known engine");
                 engine
                     .running
