Send nothing more to a runner that has said in an answer that it leaves

Callers saw: requests ended with a runner that had said that it leaves while its membership record still said ready (DRAIN). Cause: `Server-Leaving` was not acted on; a draining runner was known from its record and its agent only. Change: the notice drains the incarnation in the fleet. It is kept apart from the membership, so that a record that returns after an outage, or was read again, does not make the runner ready; the next incarnation is free of it.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -43,7 +43,7 @@
         notices.with_label_values(&[text.as_str()]).inc();
         let limit = match change {
             NoticeChange::Limited(rate) => rate,
-            NoticeChange::Unlimited => 0.0,
+            NoticeChange::Unlimited | NoticeChange::Leaving => 0.0,
         };
         info!("runner notice", kv: {
             id = &*self.head.request.id, runner = &*placement.runner, born = placement.born,
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -7,7 +7,7 @@
 //!
 //! Invariants: what a runner says binds its own incarnation only, also while its membership record is
 //! missing; a rate limit binds until an answer to a request that was sent after the last one that
-//! named it names none, or until a period after that.
+//! named it names none, or until a period after that; a runner that leaves does so for good.
 //!
 //! API boundary: [`Fleet`](crate::fleet::Fleet) records notices, asks for the permission of each
 //! candidate of a placement, and takes a slot right before a request is sent.
@@ -51,6 +51,9 @@
     /// It no longer names a limit.
     #[display("unlimited")]
     Unlimited,
+    /// It is about to leave.
+    #[display("leaving")]
+    Leaving,
 }
 
 /// Whether a request may be sent to a runner.
@@ -76,6 +79,7 @@
     /// When it last said something.
     heard_at: Time,
     limit: Option<RateLimit>,
+    leaving: bool,
 }
 
 impl Backpressure {
@@ -100,9 +104,12 @@
         }
         notices.heard_at = now;
         let entries = self.entries.get();
-        let change = notices.record_limit(now, rng, source, notice, entries);
+        let changes = [
+            notices.record_limit(now, rng, source, notice, entries),
+            notices.record_leaving(notice),
+        ];
         self.insert(source.runner, *notices);
-        change.into_iter().collect()
+        changes.into_iter().flatten().collect()
     }
 
     /// Records the number of entries that an agent reports.
@@ -124,6 +131,11 @@
         self.entries.get()
     }
 
+    /// Returns whether this incarnation of a runner has said that it is about to leave.
+    pub fn is_leaving(&self, runner: &str, born: u64) -> bool {
+        self.get(runner, born).is_some_and(|known| known.leaving)
+    }
+
     /// Returns whether a request may be sent to this incarnation of a runner.
     pub fn permission(&self, now: Time, runner: &str, born: u64) -> Permission {
         let Some(known) = self.get(runner, born) else {
@@ -193,6 +205,7 @@
             born,
             heard_at: Time::default(),
             limit: None,
+            leaving: false,
         }
     }
 
@@ -225,4 +238,10 @@
         let unchanged = known.is_some_and(|known| known.rate.to_bits() == rate.to_bits());
         (!unchanged).then_some(NoticeChange::Limited(rate))
     }
+
+    fn record_leaving(&mut self, notice: &Notice) -> Option<NoticeChange> {
+        let begins = notice.leaving && !self.leaving;
+        self.leaving |= notice.leaving;
+        begins.then_some(NoticeChange::Leaving)
+    }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -25,6 +25,7 @@
 use crate::link::Usage;
 use crate::runner::Member;
 use crate::runner::Notice;
+use crate::runner::Phase;
 use crate::runner::RequestLoad;
 
 /// How long an agent that did not answer is not asked again. A connection in use that is silent is
@@ -109,6 +110,11 @@
         }
         let mut runner = Runner::new(now, member);
         runner.replaced = replaced;
+        // The record may return after an outage of the store, and still say that the runner is ready.
+        let member = &mut runner.member;
+        if self.backpressure.is_leaving(&member.id, member.born) {
+            member.phase = Phase::Draining;
+        }
         self.runners.insert(runner.member.id.clone(), runner);
     }
 
@@ -187,7 +193,14 @@
         source: NoticeSource<'_>,
         notice: &Notice,
     ) -> Vec<NoticeChange> {
-        self.backpressure.record(now, rng, source, notice)
+        let changes = self.backpressure.record(now, rng, source, notice);
+        if changes.contains(&NoticeChange::Leaving)
+            && let Some(runner) = self.runners.get_mut(source.runner)
+            && runner.member.born == source.born
+        {
+            runner.member.phase = Phase::Draining;
+        }
+        changes
     }
 
     /// Counts a request that is about to be sent to the incarnation of a runner that started at
