Send nothing to a runner while it wants no requests

Cause: `Retry-After` of a runner's 503 was not read. Evidence: both tests of `runner_pauses` failed before. Change: the notice pauses the incarnation for this entry; it is left out of the choice, and where no runner is left a request is refused at once with the rest of the pause. Result: `runner_pauses` passes.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -366,6 +366,8 @@
         self.metrics.held_parts.set(held as i64);
         let limited = state.fleet.backpressure.limited_count(now);
         self.metrics.limited_runners.set(limited as i64);
+        let paused = state.fleet.backpressure.paused_count(now);
+        self.metrics.paused_runners.set(paused as i64);
         self.metrics.isolated_parts.set(isolated as i64);
         let unlinked = state
             .members
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub runner_notices: IntCounterVec,
     /// Runners that name a rate limit, as of the last maintenance.
     pub limited_runners: IntGauge,
+    /// Runners that want no request for a while, as of the last maintenance.
+    pub paused_runners: IntGauge,
     /// Prompt parts whose requests are refused, as of the last maintenance.
     pub held_parts: IntGauge,
     /// Prompt parts that one request at a time may try, as of the last maintenance.
@@ -97,7 +99,9 @@
             "change",
         )?;
         let limited_runners = IntGauge::new("limited_runners", "Runners that name a limit")?;
+        let paused_runners = IntGauge::new("paused_runners", "Runners that want no request")?;
         registry.register(Box::new(limited_runners.clone()))?;
+        registry.register(Box::new(paused_runners.clone()))?;
         let held_parts = IntGauge::new("held_parts", "Held prompt parts")?;
         let isolated_parts = IntGauge::new("isolated_parts", "Isolated prompt parts")?;
         registry.register(Box::new(held_parts.clone()))?;
@@ -121,6 +125,7 @@
             part_holds,
             runner_notices,
             limited_runners,
+            paused_runners,
             held_parts,
             isolated_parts,
             inflight,
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -43,11 +43,15 @@
         notices.with_label_values(&[text.as_str()]).inc();
         let limit = match change {
             NoticeChange::Limited(rate) => rate,
-            NoticeChange::Unlimited | NoticeChange::Leaving => 0.0,
+            NoticeChange::Unlimited | NoticeChange::Leaving | NoticeChange::Paused(_) => 0.0,
+        };
+        let pause_ms = match change {
+            NoticeChange::Paused(until) => until.since(self.entry.now()).as_millis() as u64,
+            NoticeChange::Limited(_) | NoticeChange::Unlimited | NoticeChange::Leaving => 0,
         };
         info!("runner notice", kv: {
             id = &*self.head.request.id, runner = &*placement.runner, born = placement.born,
-            change = text.as_str(), limit, entries
+            change = text.as_str(), limit, pause_ms, entries
         });
     }
 }
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -7,7 +7,8 @@
 //!
 //! Invariants: what a runner says binds its own incarnation only, also while its membership record is
 //! missing; a rate limit binds until an answer to a request that was sent after the last one that
-//! named it names none, or until a period after that; a runner that leaves does so for good.
+//! named it names none, or until a period after that; a runner that leaves does so for good, and a pause that it asks
+//! for is never shortened.
 //!
 //! API boundary: [`Fleet`](crate::fleet::Fleet) records notices, asks for the permission of each
 //! candidate of a placement, and takes a slot right before a request is sent.
@@ -54,6 +55,9 @@
     /// It is about to leave.
     #[display("leaving")]
     Leaving,
+    /// It wants no request until this time.
+    #[display("paused")]
+    Paused(Time),
 }
 
 /// Whether a request may be sent to a runner.
@@ -80,6 +84,7 @@
     heard_at: Time,
     limit: Option<RateLimit>,
     leaving: bool,
+    paused_until: Time,
 }
 
 impl Backpressure {
@@ -107,6 +112,7 @@
         let changes = [
             notices.record_limit(now, rng, source, notice, entries),
             notices.record_leaving(notice),
+            notices.record_pause(now, notice),
         ];
         self.insert(source.runner, *notices);
         changes.into_iter().flatten().collect()
@@ -141,9 +147,10 @@
         let Some(known) = self.get(runner, born) else {
             return Permission::Granted;
         };
-        let at = known
+        let slot = known
             .limit_in_force(now)
             .map_or(now, |limit| limit.slot(now));
+        let at = slot.max(known.paused_until);
         if at <= now {
             Permission::Granted
         } else {
@@ -181,6 +188,13 @@
         limited.count()
     }
 
+    /// Returns the number of runners that want no request now.
+    pub fn paused_count(&self, now: Time) -> usize {
+        let runners = self.runners.values();
+        let paused = runners.filter(|known| now < known.paused_until);
+        paused.count()
+    }
+
     fn get(&self, runner: &str, born: u64) -> Option<&RunnerNotices> {
         let known = self.runners.get(runner)?;
         (known.born == born).then_some(known)
@@ -206,6 +220,7 @@
             heard_at: Time::default(),
             limit: None,
             leaving: false,
+            paused_until: Time::default(),
         }
     }
 
@@ -244,4 +259,13 @@
         self.leaving |= notice.leaving;
         begins.then_some(NoticeChange::Leaving)
     }
+
+    fn record_pause(&mut self, now: Time, notice: &Notice) -> Option<NoticeChange> {
+        let until = now.after(notice.retry_after?);
+        if until <= self.paused_until {
+            return None;
+        }
+        self.paused_until = until;
+        Some(NoticeChange::Paused(until))
+    }
 }
