Let nothing but events into a stream that is resumed

Cause: the answer to a resumed stream was taken for a stream by its status and seal alone, and its first identifier was looked for anywhere before the first blank line that follows it. Evidence: `resume_failures` failed before: a 200 of type `application/json` whose body begins like events was relayed and the stream looked complete. Change: an answer that continues a stream must be declared an event stream, and its first event, comments aside, must have an identifier after the last one that the caller has. Everything else breaks the caller's stream off. Ruled out: failures (500, 404) with bodies like events were kept out before. Heads that end in the middle and close are no success at any length: `cut_head`, four heads, each cut after every byte, passed before the change. Result: both tests pass.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -161,6 +161,13 @@
         if let Some(load) = response_head.load {
             self.entry.state().fleet.record_load(runner, load);
         }
+        let continues = resume.is_some() && response_head.kind == ResponseKind::Success;
+        if continues && !response_head.is_event_stream {
+            // Its text must not reach the caller in the middle of a stream.
+            self.log_unreadable(runner, "no stream of events");
+            attempt.finish(HealthSignal::Failed, false);
+            return Err(Outcome::Unknown.into());
+        }
         self.handle_response(attempt, response_head, body, deadline)
             .await
     }
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -26,6 +26,8 @@
     line_start: usize,
     /// Whether an event with data was completed since this was last reset.
     pub has_new_data: bool,
+    /// Whether an event without an identifier came before the first one that has one.
+    first_unnumbered: bool,
     first_id: Option<u64>,
     last_id: Option<u64>,
     out_of_order: bool,
@@ -49,6 +51,9 @@
         self.line_start -= end;
         self.check_length()?;
         self.has_new_data |= has_data(&complete);
+        if self.first_id.is_none() {
+            self.first_unnumbered |= begins_unnumbered(&complete);
+        }
         for id in ids(&complete) {
             self.out_of_order |= self.last_id.is_some_and(|last| id <= last);
             self.first_id = self.first_id.or(Some(id));
@@ -87,9 +92,9 @@
         self.last_id
     }
 
-    /// Returns the id of the first complete event that has a numeric one.
+    /// Returns the id of the first complete event, comments aside; `None` if it has no numeric one.
     pub fn first_id(&self) -> Option<u64> {
-        self.first_id
+        self.first_id.filter(|_| !self.first_unnumbered)
     }
 
     /// Returns whether an id was not greater than the one before it.
@@ -103,6 +108,22 @@
     }
 }
 
+/// Returns whether the first event, comments aside, has no numeric id.
+fn begins_unnumbered(events: &[u8]) -> bool {
+    let mut begun = false;
+    for line in events.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() && begun {
+            return true;
+        }
+        if ids(line).next().is_some() {
+            return false;
+        }
+        begun |= !line.is_empty() && !line.starts_with(b":");
+    }
+    false
+}
+
 fn has_data(events: &[u8]) -> bool {
     let mut lines = events.split(|byte| *byte == b'\n');
     lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
