Do not believe a rejection that may be the copy of an earlier one

Callers saw (report of other operators): they were told "not run" of requests that a runner was running, or such a request ran at a second runner (REFUSED, TWICE), when a faulty runner wrote an earlier refusal once more on a kept connection. Cause: a rejection counted for the request on its connection if it bore its identifier or none. Evidence: `repeated_refusal` failed before: a request ran twice after a copy with its own identifier; copies without one were believed too. Change: a response without an identifier means nothing on a connection that has carried an earlier request, and a request that must not run twice never uses a connection on which the runner has rejected one. Others may, so that rejections cost few new connections. Result: `repeated_refusal` passes for copies with the earlier, the present and no identifier, 503 and 421; so do all tests of platform and gateway.

--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -54,6 +54,9 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether it came from the pool.
     pub reused: bool,
+    /// Whether the runner has rejected a request on it. A faulty runner may write the rejection once
+    /// more, in response to a later request.
+    pub rejected: bool,
     /// Keeps requests whose callers have left from being written.
     pub check: SendCheck,
     task: AbortHandle,
@@ -65,6 +68,26 @@
     }
 }
 
+/// Which idle connections a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Those that were used within this time.
+    Within(Duration),
+    /// Of these, those on which the runner has rejected no request.
+    UnrejectedWithin(Duration),
+}
+
+impl Reuse {
+    fn allows(self, now: Time, idle: &IdleConn) -> bool {
+        match self {
+            Reuse::Within(max_idle) => now < idle.idle_since.after(max_idle),
+            Reuse::UnrejectedWithin(max_idle) => {
+                !idle.conn.rejected && now < idle.idle_since.after(max_idle)
+            }
+        }
+    }
+}
+
 #[derive(Debug)]
 struct IdleConn {
     conn: RunnerConn,
@@ -88,20 +111,18 @@
 }
 
 impl ConnPool {
-    /// Takes an idle connection to the incarnation that started at `born`, which was used within
-    /// `max_idle`, preferably the one used last.
+    /// Takes an idle connection to the incarnation that started at `born`, preferably the one used last.
     pub fn take_idle(
         &self,
         now: Time,
         runner: &str,
         born: u64,
-        max_idle: Duration,
+        reuse: Reuse,
     ) -> Option<RunnerConn> {
         let mut pools = lock(&self.pools);
         let pool = pools.get_mut(runner).filter(|pool| pool.born == born)?;
         pool.close_expired(now);
-        let usable =
-            |idle: &IdleConn| now < idle.idle_since.after(max_idle) && idle.conn.sender.is_ready();
+        let usable = |idle: &IdleConn| reuse.allows(now, idle) && idle.conn.sender.is_ready();
         let index = pool.idle.iter().rposition(usable)?;
         let mut conn = pool.idle.remove(index).conn;
         conn.reused = true;
@@ -136,6 +157,7 @@
         Ok(RunnerConn {
             sender,
             reused: false,
+            rejected: false,
             check,
             task: task.abort_handle(),
         })
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -30,6 +30,7 @@
 use crate::attempt::OpenStream;
 use crate::attempt::RunningAttempt;
 use crate::buffer::ReadError;
+use crate::conns::Reuse;
 use crate::conns::RunnerConn;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::Step;
@@ -154,7 +155,9 @@
         };
         self.step = Step::ResponseBody;
         let (parts, body) = response.into_parts();
-        let response_head = runner::decode_response_head(&parts, &self.head.request.id, runner);
+        let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
+        let id = &self.head.request.id;
+        let response_head = runner::decode_response_head(&parts, id, runner, reused);
         attempt.idle_timeout = response_head.idle_timeout;
         self.response_kind = Some(response_head.kind);
         self.record_notice(placement, &response_head);
@@ -357,12 +360,12 @@
     async fn connect(&self, placement: &Placement) -> Option<RunnerConn> {
         let now = self.entry.now();
         let (runner, born) = (&placement.runner, placement.born);
-        let max_idle = if self.route.kind.is_repeatable() {
-            MAX_IDLE
+        let reuse = if self.route.kind.is_repeatable() {
+            Reuse::Within(MAX_IDLE)
         } else {
-            NON_IDEMPOTENT_MAX_IDLE
+            Reuse::UnrejectedWithin(NON_IDEMPOTENT_MAX_IDLE)
         };
-        if let Some(conn) = self.entry.conns.take_idle(now, runner, born, max_idle) {
+        if let Some(conn) = self.entry.conns.take_idle(now, runner, born, reuse) {
             return Some(conn);
         }
         let addr = {
@@ -390,7 +393,7 @@
 
 /// Reads the short body of a rejection, so that its connection can be reused.
 async fn finish_after_body(
-    attempt: RunningAttempt,
+    mut attempt: RunningAttempt,
     response_head: ResponseHead,
     body: Incoming,
     signal: HealthSignal,
@@ -400,5 +403,8 @@
         tokio::time::timeout(REJECTION_TIMEOUT, collect).await,
         Ok(Ok(_))
     );
+    if let Some(conn) = &mut attempt.conn {
+        conn.rejected = true;
+    }
     attempt.finish(signal, complete && !response_head.closes_connection);
 }
