Soak: callers that leave behind bytes, and runners that speak of themselves

Cause: no soak run had a caller whose close lies behind bytes, nor a runner that limits its rate, says that it leaves or asks for a pause. Change: half of the callers that leave send a line end first; three kinds of fault with a schedule of their own, so that seeds keep their other faults; four checks (sent after the caller left, rate limit, leaving, pause), which bind an entry only from a response that is known to have reached it.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,5 +1,6 @@
 //! Simulated callers. Each sends one request at a time and reuses its connections to the entries.
 
+use std::io::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
 struct Conn {
     sender: SendRequest<Empty<Bytes>>,
     entry_starts: u32,
+    /// Another handle to the socket.
+    socket: std::net::TcpStream,
     task: AbortHandle,
 }
 
@@ -106,6 +109,9 @@
         let entry_starts = self.harness.entry_starts(entry);
         let connect = TcpStream::connect(self.harness.entry_addrs()[entry]);
         let stream = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+        let stream = stream.into_std().ok()?;
+        let socket = stream.try_clone().ok()?;
+        let stream = TcpStream::from_std(stream).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let task = self.tasks.spawn(async move {
             // The request on the connection reports how it ended.
@@ -114,6 +120,7 @@
         Some(Conn {
             sender,
             entry_starts,
+            socket,
             task,
         })
     }
@@ -134,7 +141,13 @@
         };
         let limit = Instant::now() + wait_limit;
         let (outcome, wait) = match timeout_at(limit, conn.sender.try_send_request(request)).await {
-            Err(_) => (CallOutcome::Disconnected, None),
+            Err(_) => {
+                if self.rng.bool() {
+                    // Bytes before the close, which must not hide it. They fit into the socket.
+                    let _ = (&conn.socket).write(b"\r\n");
+                }
+                (CallOutcome::Disconnected, None)
+            }
             Ok(Err(mut error)) => {
                 // An error that contains the request was raised before anything was sent; such a
                 // request is not recorded.
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,6 +4,7 @@
 //! off or restarted so recently that it may not be up to date with the store again.
 
 mod deadly;
+mod notices;
 
 use decision::collections::Map;
 use decision::collections::Set;
@@ -53,6 +54,18 @@
     /// Runners stop working on a request after its caller has disconnected.
     #[display("no work for nobody")]
     WorkCancelled,
+    /// No request reaches a runner after its caller has disconnected.
+    #[display("no start for nobody")]
+    NotSentAfterLeaving,
+    /// All entries together keep to the rate that a runner takes.
+    #[display("rate limit")]
+    RateLimit,
+    /// A runner that says that it leaves receives no requests after the bound.
+    #[display("leaving runner left alone")]
+    LeavingLeft,
+    /// A runner that wants no requests for a while receives none.
+    #[display("pause kept")]
+    PauseKept,
     /// No response is lost at a planned stop or reload.
     #[display("nothing lost at a stop")]
     GracefulStop,
@@ -112,6 +125,8 @@
     all.extend(check_retry_budget(history, &index));
     all.extend(check_single_holder(history));
     all.extend(check_work_cancelled(history, &index));
+    all.extend(check_not_sent_after_leaving(history, &index));
+    all.extend(notices::check_notices(history, &index));
     all.extend(deadly::check_held_back(history));
     all.extend(deadly::check_sound_requests(history));
     all.extend(check_unexpected_exits(history));
@@ -439,6 +454,28 @@
     })
 }
 
+/// Allows a few: a request may be on its way to its runner while its caller disconnects.
+fn check_not_sent_after_leaving(history: &History, index: &Index<'_>) -> Option<Violation> {
+    const MAX_LATE: usize = 3;
+    let calls = history.calls.iter();
+    let left = calls.filter(|call| call.outcome == CallOutcome::Disconnected);
+    let late = left.filter(|call| {
+        let bound = call.ended_at + history.bounds.cancel;
+        let attempts = index.attempts.get(&*call.id).into_iter().flatten();
+        let mut late = attempts.filter(|attempt| {
+            attempt.started_at > bound
+                && history.entry_settled(call.entry, call.sent_at, attempt.started_at)
+                && history.runner_settled(&attempt.runner, call.sent_at, attempt.started_at)
+        });
+        late.next().is_some()
+    });
+    let late: Vec<&Call> = late.collect();
+    (late.len() > MAX_LATE).then(|| {
+        let detail = format!("{} requests were sent to runners after it", late.len());
+        violation(Guarantee::NotSentAfterLeaving, &late[0].id, detail)
+    })
+}
+
 fn check_graceful_stop(history: &History, index: &Index<'_>, call: &Call) -> Option<Violation> {
     if call.outcome != CallOutcome::ConnectionClosed || call.kind.is_stream() {
         return None;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -150,6 +150,7 @@
             proxy,
             agent_proxy,
             runner: tokio::sync::Mutex::new(None),
+            notice: tokio::sync::Mutex::default(),
         });
         let mut runner = self.runner_hosts[index].runner.lock().await;
         *runner = Some(self.start_member(index, self.service(index)).await?);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -23,6 +23,8 @@
 use crate::history::FaultPeriod;
 use crate::history::FaultTarget;
 use crate::history::Ms;
+use crate::history::NoticeKind;
+use crate::history::RunnerNotice;
 use crate::plan::Fault;
 use crate::plan::LinkFault;
 use crate::plan::Program;
@@ -35,6 +37,8 @@
 const REUSE_MEMBER_REMOVAL_DELAY: Duration = Duration::from_millis(1_800);
 /// The time for which a draining runner, or the one at a reused address, still runs.
 const RUNNER_DRAIN_TIME: Duration = Duration::from_millis(4_000);
+/// The time for which a runner that says that it leaves still runs.
+const RUNNER_LEAVE_TIME: Duration = Duration::from_millis(6_000);
 /// The time until a runner that has crashed on a request starts again, in milliseconds.
 const DEADLY_RESTART_MS: Ms = 300;
 
@@ -130,6 +134,21 @@
                 self.history().manifests.push((version, at));
             }
             Fault::NewAdapterVersion(index) => self.announce_version(index),
+            Fault::RunnerLimit(index, rate, length) => {
+                let text = rate.to_string();
+                let kind = NoticeKind::Limit(f64::from(rate));
+                self.announce(index, kind, &[("server-limit", &text)], length)
+                    .await;
+            }
+            Fault::RunnerLeaving(index) => self.leave(index).await?,
+            Fault::RunnerPause(index, length) => {
+                let seconds = (length as f64 / 1_000.0).to_string();
+                self.set_full(index, true).await;
+                let kind = NoticeKind::Pause(length);
+                self.announce(index, kind, &[("retry-after", &seconds)], length)
+                    .await;
+                self.set_full(index, false).await;
+            }
             Fault::DeadlyPart(part, length) => {
                 self.set_deadly(part, true);
                 tokio::time::sleep(ms(length)).await;
@@ -175,6 +194,58 @@
         }
     }
 
+    /// Lets the present runner at a position say something of itself for a while. Another fault may stop
+    /// it meanwhile.
+    async fn announce(
+        &self,
+        index: usize,
+        kind: NoticeKind,
+        headers: &[(&'static str, &str)],
+        length: Ms,
+    ) {
+        let host = &self.runner_hosts[index];
+        let Ok(_notice) = host.notice.try_lock() else {
+            return;
+        };
+        let Some(id) = host.announce(None, headers).await else {
+            return;
+        };
+        let from = self.now();
+        tokio::time::sleep(Duration::from_millis(length)).await;
+        let to = self.now();
+        host.announce(Some(&id), &[]).await;
+        let notice = RunnerNotice {
+            runner: id,
+            kind,
+            from,
+            to,
+        };
+        self.history().notices.push(notice);
+    }
+
+    /// Lets a runner say that it leaves while its record says ready; then stops it.
+    async fn leave(&self, index: usize) -> Result<(), Report<RunError>> {
+        let Ok(_notice) = self.runner_hosts[index].notice.try_lock() else {
+            return Ok(());
+        };
+        let mut current = self.runner_hosts[index].runner.lock().await;
+        if let Some(runner) = current.take() {
+            runner.announce(&[("server-leaving", "1")]);
+            let from = self.now();
+            tokio::time::sleep(RUNNER_LEAVE_TIME).await;
+            let notice = RunnerNotice {
+                runner: runner.id.clone(),
+                kind: NoticeKind::Leaving,
+                from,
+                to: self.now(),
+            };
+            self.history().notices.push(notice);
+            self.stop_and_remove(runner).await;
+        }
+        *current = Some(self.start_member(index, self.service(index)).await?);
+        Ok(())
+    }
+
     fn set_deadly(&self, part: u64, is_deadly: bool) {
         let mut deadly = self.deadly.lock().expect("no panics under the lock");
         let part = format!("{part:x}");
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -101,6 +101,26 @@
     pub(crate) agent_proxy: Option<Proxy>,
     /// The current runner; `None` while it is down. The lock is held while it is replaced.
     pub(crate) runner: tokio::sync::Mutex<Option<Runner>>,
+    /// Held while the runner says something of itself, one thing at a time.
+    pub(crate) notice: tokio::sync::Mutex<()>,
+}
+
+impl RunnerHost {
+    /// Sets the headers that the runner adds to its responses, only if it is still the one with this
+    /// identifier; returns its identifier.
+    pub(crate) async fn announce(
+        &self,
+        expected: Option<&str>,
+        headers: &[(&'static str, &str)],
+    ) -> Option<String> {
+        let current = self.runner.lock().await;
+        let runner = current.as_ref()?;
+        if expected.is_some_and(|id| *id != runner.id) {
+            return None;
+        }
+        runner.announce(headers);
+        Some(runner.id.clone())
+    }
 }
 
 /// The programs, stand-ins and proxies of a run, and its observations so far.
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -141,6 +141,30 @@
     pub ended_at: Option<Ms>,
 }
 
+/// What a runner says of itself in its responses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NoticeKind {
+    /// It takes this many requests per second from all entries together.
+    Limit(f64),
+    /// It is about to leave.
+    Leaving,
+    /// It turns all requests away, and wants none from the same entry for this time.
+    Pause(Ms),
+}
+
+/// The period in which a runner says something of itself.
+#[derive(Clone, Debug)]
+pub struct RunnerNotice {
+    /// The runner's identifier.
+    pub runner: String,
+    /// What it says.
+    pub kind: NoticeKind,
+    /// The first moment from which all its responses say so.
+    pub from: Ms,
+    /// The last one.
+    pub to: Ms,
+}
+
 /// An order to load or unload an adapter that a runner accepted.
 #[derive(Clone, Debug)]
 pub struct AcceptedOrder {
@@ -219,6 +243,8 @@
     pub attempts: Vec<Attempt>,
     /// Accepted orders, grouped by runner.
     pub orders: Vec<AcceptedOrder>,
+    /// What runners said of themselves.
+    pub notices: Vec<RunnerNotice>,
     /// When runners were announced as draining or removed from the membership, by identifier.
     pub departures: Vec<(String, Ms)>,
     /// The versions of the manifest, and when the store had acknowledged them.
@@ -242,6 +268,7 @@
             calls: Vec::new(),
             attempts: Vec::new(),
             orders: Vec::new(),
+            notices: Vec::new(),
             departures: Vec::new(),
             manifests: Vec::new(),
             versions: Vec::new(),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -119,6 +119,15 @@
     /// The next version of an adapter is announced.
     #[display("new version of adapter {_0}")]
     NewAdapterVersion(usize),
+    /// A runner names a limit, in requests per second.
+    #[display("runner {_0} limits to {_1} a second for {_2} ms")]
+    RunnerLimit(usize, u32, Ms),
+    /// A runner says in its responses that it leaves while its record says ready, and then stops.
+    #[display("runner {_0} says that it leaves")]
+    RunnerLeaving(usize),
+    /// A runner turns requests away and wants none for this time.
+    #[display("runner {_0} pauses for {_1} ms")]
+    RunnerPause(usize, Ms),
     /// Some requests have a prompt part on which runners crash.
     #[display("prompt part {_0:x} is deadly for {_1} ms")]
     DeadlyPart(u64, Ms),
@@ -139,6 +148,14 @@
 const DEADLY_MS: std::ops::Range<Ms> = 9_000..16_000;
 /// The number of the first deadly part.
 const FIRST_DEADLY_PART: u64 = 0xd001;
+/// The range of intervals between two runners that begin to say something of themselves.
+const NOTICE_INTERVAL_MS: std::ops::Range<Ms> = 1_000..4_000;
+/// The ranges of the limits that runners name, in requests per second, and of the times.
+const NOTICE_LIMIT: std::ops::Range<u32> = 1..8;
+const NOTICE_LIMIT_MS: std::ops::Range<Ms> = 6_000..14_000;
+const NOTICE_PAUSE_MS: std::ops::Range<Ms> = 1_500..4_000;
+/// Separates the random numbers of the notices from those of other faults.
+const NOTICE_SEED: u64 = 0x5a1d;
 /// Separates the random numbers of the deadly parts from those of other faults.
 const DEADLY_SEED: u64 = 0xdead;
 
@@ -153,6 +170,7 @@
         at += rng.u64(FAULT_INTERVAL_MS);
     }
     faults.extend(deadly_parts(seed, length));
+    faults.extend(notices(seed, length, size));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -173,6 +191,23 @@
     faults
 }
 
+fn notices(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ NOTICE_SEED);
+    let mut faults = Vec::new();
+    let mut at = FIRST_FAULT_MS;
+    while at < length {
+        let runner = rng.usize(..size.runners());
+        let fault = match rng.u32(..4) {
+            0 => Fault::RunnerLeaving(runner),
+            1 => Fault::RunnerPause(runner, rng.u64(NOTICE_PAUSE_MS)),
+            _ => Fault::RunnerLimit(runner, rng.u32(NOTICE_LIMIT), rng.u64(NOTICE_LIMIT_MS)),
+        };
+        faults.push((at, fault));
+        at += rng.u64(NOTICE_INTERVAL_MS);
+    }
+    faults
+}
+
 fn random_fault(rng: &mut fastrand::Rng, size: DeploymentSize) -> Fault {
     let short = rng.u64(SHORT_FAULT_MS);
     let long = rng.u64(LONG_FAULT_MS);
