--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod quarantine;
 pub mod recover;
 pub mod relay;
+mod request_log;
 mod send;
 pub mod send_check;
 pub mod server;
--- a/crates/serving/src/backpressure/rate_limit.rs
+++ b/crates/serving/src/backpressure/rate_limit.rs
@@ -54,7 +54,7 @@
 }
 
 impl RateLimit {
-    /// Returns a limit that is new to this entry.
+    /// Creates the state of a limit that this entry did not know.
     pub(super) fn new(now: Time, rng: &mut fastrand::Rng, rate: f64, entries: u32) -> RateLimit {
         let interval = interval(rate, entries);
         RateLimit {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,6 +4,8 @@
 //! off or restarted so recently that it may not be up to date with the store again.
 
 mod deadly;
+mod disconnects;
+mod manifests;
 mod notices;
 
 use decision::collections::Map;
@@ -16,7 +18,6 @@
 use crate::history::CallOutcome;
 use crate::history::History;
 use crate::history::Ms;
-use crate::history::RouteKind;
 
 /// A guarantee that the programs give under faults.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
@@ -112,7 +113,7 @@
         all.extend(check_refused_not_run(&index, call));
         all.extend(check_intact_response(call));
         all.extend(check_event_order(history, call));
-        all.extend(check_permanent_routes(call));
+        all.extend(manifests::check_permanent_routes(call));
         all.extend(check_graceful_stop(history, &index, call));
     }
     for attempt in &history.attempts {
@@ -120,12 +121,12 @@
         all.extend(check_drain_bound(history, &index, attempt));
         all.extend(check_version(history, &index, attempt));
     }
-    all.extend(check_newest_manifest(history));
-    all.extend(check_no_manifest_rollback(history));
+    all.extend(manifests::check_newest_manifest(history));
+    all.extend(manifests::check_no_manifest_rollback(history));
     all.extend(check_retry_budget(history, &index));
     all.extend(check_single_holder(history));
-    all.extend(check_work_cancelled(history, &index));
-    all.extend(check_not_sent_after_leaving(history, &index));
+    all.extend(disconnects::check_work_cancelled(history, &index));
+    all.extend(disconnects::check_not_sent_after_leaving(history, &index));
     all.extend(notices::check_notices(history, &index));
     all.extend(deadly::check_held_back(history));
     all.extend(deadly::check_sound_requests(history));
@@ -230,21 +231,6 @@
     })
 }
 
-/// Requires that routes of every manifest are never rejected, by any entry at any time.
-fn check_permanent_routes(call: &Call) -> Option<Violation> {
-    let is_versioned = matches!(call.kind, RouteKind::Versioned(_));
-    let rejected = call
-        .status()
-        .is_some_and(|status| matches!(status, 300..=407 | 409..=420));
-    (rejected && !is_versioned).then(|| {
-        violation(
-            Guarantee::NewestManifest,
-            &call.id,
-            format!("{:?}", call.outcome),
-        )
-    })
-}
-
 fn check_known_request(index: &Index<'_>, attempt: &Attempt) -> Option<Violation> {
     if !attempt.ran {
         return None;
@@ -297,67 +283,6 @@
     Some(violation(Guarantee::NewestVersion, &call.id, detail))
 }
 
-/// Returns when the route of a manifest version was added, and when it was removed again.
-fn route_lifetime(history: &History, version: u64) -> Option<(Ms, Option<Ms>)> {
-    let stored_at = |wanted| {
-        let mut manifests = history.manifests.iter();
-        manifests
-            .find(|(known, _)| *known == wanted)
-            .map(|(_, at)| *at)
-    };
-    Some((stored_at(version)?, stored_at(version + 2)))
-}
-
-fn check_newest_manifest(history: &History) -> Vec<Violation> {
-    let bound = history.bounds.manifest;
-    let check_call = |call: &Call| {
-        let RouteKind::Versioned(version) = call.kind else {
-            return None;
-        };
-        let (from, to) = route_lifetime(history, version)?;
-        let current = call.sent_at > from + bound && to.is_none_or(|to| call.ended_at < to);
-        if current
-            && call.status() == Some(404)
-            && history.entry_settled(call.entry, call.sent_at, call.ended_at)
-        {
-            let detail = format!("404 {} ms after its route was added", call.sent_at - from);
-            return Some(violation(Guarantee::NewestManifest, &call.id, detail));
-        }
-        let to = to?;
-        let removed = call.sent_at > to + bound
-            && history.entry_settled(call.entry, call.sent_at, call.ended_at);
-        let detail = || format!("served {} ms after route removal", call.sent_at - to);
-        (removed && call.is_served())
-            .then(|| violation(Guarantee::NewestManifest, &call.id, detail()))
-    };
-    history.calls.iter().filter_map(check_call).collect()
-}
-
-/// Requires that an entry that has served a new route does not return to a manifest without it.
-fn check_no_manifest_rollback(history: &History) -> Vec<Violation> {
-    let mut first_served: Map<(usize, u32, u64), Ms> = Map::default();
-    let mut all = Vec::new();
-    for call in &history.calls {
-        let RouteKind::Versioned(version) = call.kind else {
-            continue;
-        };
-        let key = (call.entry, call.entry_starts, version);
-        if call.is_served() {
-            first_served.entry(key).or_insert(call.ended_at);
-        }
-        let Some(at) = first_served.get(&key) else {
-            continue;
-        };
-        let removed = route_lifetime(history, version).and_then(|(_, to)| to);
-        let valid = removed.is_none_or(|to| call.ended_at < to);
-        if valid && call.status() == Some(404) && call.sent_at > at + history.bounds.rollback {
-            let detail = format!("404 {} ms after its route was served", call.sent_at - at);
-            all.push(violation(Guarantee::NewestManifest, &call.id, detail));
-        }
-    }
-    all
-}
-
 fn check_retry_budget(history: &History, index: &Index<'_>) -> Vec<Violation> {
     let services: Set<&str> = history
         .calls
@@ -420,62 +345,6 @@
     all
 }
 
-/// Reports late ends only if there are several and they are a considerable share: a single request
-/// may reach its runner while its caller disconnects.
-fn check_work_cancelled(history: &History, index: &Index<'_>) -> Option<Violation> {
-    const MIN_LATE: usize = 4;
-    let mut late = Vec::new();
-    let mut all = 0;
-    for call in history
-        .calls
-        .iter()
-        .filter(|call| call.outcome == CallOutcome::Disconnected)
-    {
-        let bound = call.ended_at + history.bounds.cancel;
-        let runs = index.runs(&call.id).filter(|run| {
-            let ran_on = run.ended_at.is_none_or(|ended| ended > call.ended_at);
-            ran_on
-                && history.entry_settled(call.entry, call.sent_at, bound)
-                && history.runner_settled(&run.runner, call.sent_at, bound)
-        });
-        for run in runs {
-            all += 1;
-            if run.ended_at.is_none_or(|ended| ended > bound) {
-                late.push(&*call.id);
-            }
-        }
-    }
-    (late.len() >= MIN_LATE && late.len() * 4 > all).then(|| {
-        violation(
-            Guarantee::WorkCancelled,
-            late[0],
-            format!("{} of {all} requests still ran", late.len()),
-        )
-    })
-}
-
-/// Allows a few: a request may be on its way to its runner while its caller disconnects.
-fn check_not_sent_after_leaving(history: &History, index: &Index<'_>) -> Option<Violation> {
-    const MAX_LATE: usize = 3;
-    let calls = history.calls.iter();
-    let left = calls.filter(|call| call.outcome == CallOutcome::Disconnected);
-    let late = left.filter(|call| {
-        let bound = call.ended_at + history.bounds.cancel;
-        let attempts = index.attempts.get(&*call.id).into_iter().flatten();
-        let mut late = attempts.filter(|attempt| {
-            attempt.started_at > bound
-                && history.entry_settled(call.entry, call.sent_at, attempt.started_at)
-                && history.runner_settled(&attempt.runner, call.sent_at, attempt.started_at)
-        });
-        late.next().is_some()
-    });
-    let late: Vec<&Call> = late.collect();
-    (late.len() > MAX_LATE).then(|| {
-        let detail = format!("{} requests were sent to runners after it", late.len());
-        violation(Guarantee::NotSentAfterLeaving, &late[0].id, detail)
-    })
-}
-
 fn check_graceful_stop(history: &History, index: &Index<'_>, call: &Call) -> Option<Violation> {
     if call.outcome != CallOutcome::ConnectionClosed || call.kind.is_stream() {
         return None;
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -33,7 +33,7 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 16);
+    assert_eq!(kinds.len(), 19);
 }
 
 #[test]
@@ -47,6 +47,9 @@
                 Fault::RunnerLink(runner, ..)
                 | Fault::RunnerCrash(runner, _)
                 | Fault::RunnerFull(runner, _)
+                | Fault::RunnerLimit(runner, ..)
+                | Fault::RunnerLeaving(runner)
+                | Fault::RunnerPause(runner, _)
                 | Fault::AddressReuse(runner)
                 | Fault::RunnerDrain(runner) => (runner, size.runners()),
                 _ => continue,
