--- a/crates/faults/src/page.rs
+++ b/crates/faults/src/page.rs
@@ -168,7 +168,7 @@
     tests: &'static str,
 }
 
-const LESSONS: [Lesson; 9] = [
+const LESSONS: [Lesson; 14] = [
     Lesson {
         fault: "a second, late answer on a connection in use again",
         protection: "the identifier in each response is compared; a connection with bytes left over is \
@@ -223,6 +223,35 @@
             each send (both were faults here)",
         tests: "`leaving_runner`, `member_outage`, `home_choice`",
     },
+    Lesson {
+        fault: "requests sent on, and work that goes on, for callers that have left",
+        protection: "a connection is read ahead while its request is in progress, and looked at right \
+            before the bytes of a send (both were faults here)",
+        tests: "`caller_left`, `token_streams`, soak",
+    },
+    Lesson {
+        fault: "far more requests than a runner has said that it takes",
+        protection: "each entry uses a part of the limit; a runner that leaves or pauses is left out (was \
+            a fault here)",
+        tests: "`rate_limits`, `runner_limits`, `runner_pauses`, `leaving_runner`, soak",
+    },
+    Lesson {
+        fault: "an earlier refusal, written once more, is taken for the answer to the next request",
+        protection: "without an identifier an answer on a used connection means nothing; a request that may \
+            run once uses no connection with a rejection on it (was a fault here)",
+        tests: "`repeated_refusal`, `response_kinds`",
+    },
+    Lesson {
+        fault: "an error's text in the middle of a stream that was resumed, or the stream ends as if complete",
+        protection: "what continues a stream must be declared one and begin with a later event (was a fault \
+            here)",
+        tests: "`resume_failures`, `event_split`",
+    },
+    Lesson {
+        fault: "an answer's head that is cut off becomes a success with an empty or short body",
+        protection: "a head without its end is no response, whatever it says so far",
+        tests: "`cut_head`",
+    },
 ];
 
 const CALLER_EFFECTS: [Effect; 6] = [
