Divide limits and budgets among the highest number of entries that agents report

Callers saw: nothing yet; runners would get more repeats and more limited requests than they allow. Cause: the number of entries among which the retry budget is divided was the last one that any agent had reported; an agent that has just started reports one or two, and each entry then took the whole slack for itself. Limits of runners used the highest number of ten seconds, in a copy of their own, but assumed eight entries until an agent reported any: 68 entries without agents would have sent eight times a runner's limit. Change: one EntryCount for both: the highest number reported within ten seconds, and while none is reported as many entries as there are runners, eight at least.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -46,8 +46,6 @@
 
 /// How long before the bound for using an announced version older ones are no longer allowed.
 const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
-/// The number of entries assumed to share the retry budget until agents report it.
-const DEFAULT_ENTRY_COUNT: u32 = 8;
 
 /// The configuration, the runners and the other changing state of an entry. Guarded by one lock,
 /// which is never held across an await.
@@ -141,11 +139,13 @@
             slack: bounds.retry_slack,
             window: Duration::from_secs_f64(bounds.retry_window_s),
         };
+        let fleet = Fleet::new(settings.domain.as_str().into());
+        let entries = fleet.entries.get();
         let state = EntryState {
             config: None,
-            fleet: Fleet::new(settings.domain.as_str().into()),
+            fleet,
             versions: Versions::default(),
-            retry_budget: RetryBudget::new(allowance, DEFAULT_ENTRY_COUNT),
+            retry_budget: RetryBudget::new(allowance, entries),
             overload: OverloadDetector::new(settings.memory_mb),
             quarantine: Quarantine::default(),
             hold_changes: HoldChanges::default(),
@@ -358,10 +358,8 @@
         let now = self.now();
         let mut state = self.state();
         let changes = state.members.expire(now);
-        let entries = state.fleet.entry_count();
-        if entries > 0 {
-            state.retry_budget.set_entry_count(entries);
-        }
+        let entries = state.fleet.entries.get();
+        state.retry_budget.set_entry_count(entries);
         let (held, isolated) = state.quarantine.counts(now);
         self.metrics.held_parts.set(held as i64);
         let limited = state.fleet.backpressure.limited_count(now);
@@ -420,7 +418,7 @@
         json!({
             "instance": self.settings.instance,
             "config_version": version,
-            "entries": state.fleet.entry_count(),
+            "entries": state.fleet.entries.reported(),
             "log_lines_dropped": logs::dropped_lines(),
             "runners": runners,
             "held_parts": held,
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -31,7 +31,7 @@
         let changes = state
             .fleet
             .record_notice(now, &mut state.rng, source, notice);
-        let entries = state.fleet.backpressure.entry_count();
+        let entries = state.fleet.entries.get();
         for change in changes {
             self.log_change(placement, change, entries);
         }
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -21,7 +21,6 @@
 
 pub use rate_limit::LIMIT_PERIOD;
 
-use self::rate_limit::EntryCount;
 use self::rate_limit::RateLimit;
 
 use crate::Name;
@@ -70,10 +69,11 @@
 }
 
 /// What all runners have said of themselves, as one entry knows it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Backpressure {
     runners: Map<Name, RunnerNotices>,
-    entries: EntryCount,
+    /// The number of entries that share a rate limit.
+    entries: u32,
 }
 
 /// What one incarnation of a runner has said of itself.
@@ -88,6 +88,14 @@
 }
 
 impl Backpressure {
+    /// Creates the state of one of `entries` entries; 0 counts as 1.
+    pub fn new(entries: u32) -> Backpressure {
+        Backpressure {
+            runners: Map::default(),
+            entries: entries.max(1),
+        }
+    }
+
     /// Records what a runner says of itself; returns what that changes. What an earlier incarnation
     /// says is ignored.
     pub fn record(
@@ -108,7 +116,7 @@
             return Vec::new();
         }
         notices.heard_at = now;
-        let entries = self.entries.get();
+        let entries = self.entries;
         let changes = [
             notices.record_limit(now, rng, source, notice, entries),
             notices.record_leaving(notice),
@@ -118,25 +126,19 @@
         changes.into_iter().flatten().collect()
     }
 
-    /// Records the number of entries that an agent reports.
-    pub fn record_entries(&mut self, now: Time, count: u32) {
-        let before = self.entries.get();
-        self.entries.record(now, count);
-        let entries = self.entries.get();
-        if entries == before {
+    /// Sets the number of entries that share a rate limit; 0 counts as 1.
+    pub fn set_entries(&mut self, now: Time, entries: u32) {
+        let entries = entries.max(1);
+        if self.entries == entries {
             return;
         }
+        self.entries = entries;
         let notices = self.runners.values_mut();
         for limit in notices.filter_map(|known| known.limit.as_mut()) {
             limit.set_entries(now, entries);
         }
     }
 
-    /// Returns the number of entries among which a rate limit is divided.
-    pub fn entry_count(&self) -> u32 {
-        self.entries.get()
-    }
-
     /// Returns whether this incarnation of a runner has said that it is about to leave.
     pub fn is_leaving(&self, runner: &str, born: u64) -> bool {
         self.get(runner, born).is_some_and(|known| known.leaving)
--- a/crates/serving/src/backpressure/rate_limit.rs
+++ b/crates/serving/src/backpressure/rate_limit.rs
@@ -17,11 +17,6 @@
 const SLOT_PERIOD: Duration = Duration::from_secs(1);
 /// The longest distance between two slots, for limits near 0.
 const MAX_INTERVAL: Duration = Duration::from_secs(30 * 60);
-/// The number of entries that is assumed until an agent reports it.
-const DEFAULT_ENTRY_COUNT: u32 = 8;
-/// How long a higher number of entries counts after the last report of it. An agent that has just
-/// started is not connected to all entries.
-const ENTRY_COUNT_PERIOD: Duration = Duration::from_secs(10);
 
 /// The window in which the platform counts the requests at a limited runner, in seconds.
 const WINDOW_S: f64 = 4.0;
@@ -109,31 +104,6 @@
     }
 }
 
-/// The number of entries that share the limits of runners.
-#[derive(Debug, Default)]
-pub(super) struct EntryCount {
-    count: u32,
-    reported_at: Time,
-}
-
-impl EntryCount {
-    /// Records what an agent reports.
-    pub(super) fn record(&mut self, now: Time, count: u32) {
-        let outdated = now >= self.reported_at.after(ENTRY_COUNT_PERIOD);
-        if count > 0 && (count >= self.count || outdated) {
-            self.count = count;
-            self.reported_at = now;
-        }
-    }
-
-    pub(super) fn get(&self) -> u32 {
-        match self.count {
-            0 => DEFAULT_ENTRY_COUNT,
-            count => count,
-        }
-    }
-}
-
 fn expiry(now: Time, interval: Duration) -> Time {
     now.after(LIMIT_PERIOD.max(interval * 2))
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::backpressure::NoticeSource;
 use crate::demand::Demand;
 use crate::demand::RateLevel;
+use crate::entry_count::EntryCount;
 use crate::link::RunnerUpdate;
 use crate::link::Usage;
 use crate::runner::Member;
@@ -54,25 +55,27 @@
     pub demand: Demand,
     /// What runners say of themselves.
     pub backpressure: Backpressure,
+    /// The number of entries, this one included.
+    pub entries: EntryCount,
     /// When a further replica of each adapter was last requested.
     pub(crate) last_replicated: Map<Name, Time>,
     /// Buffer for rendezvous hashes, kept to avoid an allocation per request.
     pub(crate) rank_buffer: Vec<u64>,
     runners: Map<Name, Runner>,
-    entry_count: u32,
 }
 
 impl Fleet {
     /// Creates an empty fleet for an entry in this failure domain.
     pub fn new(domain: Name) -> Self {
+        let entries = EntryCount::default();
         Fleet {
             domain,
             demand: Demand::default(),
-            backpressure: Backpressure::default(),
+            backpressure: Backpressure::new(entries.get()),
+            entries,
             last_replicated: Map::default(),
             rank_buffer: Vec::new(),
             runners: Map::default(),
-            entry_count: 0,
         }
     }
 
@@ -86,11 +89,6 @@
         self.runners.values()
     }
 
-    /// Returns the number of entry processes, as last reported by an agent; 0 if unknown.
-    pub fn entry_count(&self) -> u32 {
-        self.entry_count
-    }
-
     /// Applies a membership record.
     pub fn join(&mut self, now: Time, member: Member) {
         let known = self.runners.get_mut(&member.id);
@@ -116,6 +114,8 @@
             member.phase = Phase::Draining;
         }
         self.runners.insert(runner.member.id.clone(), runner);
+        self.entries.record_runners(self.runners.len());
+        self.backpressure.set_entries(now, self.entries.get());
     }
 
     /// Records that another runner answers at a runner's address.
@@ -134,8 +134,8 @@
     /// there should choose a runner again. An update about another incarnation changes only the
     /// number of entries.
     pub fn apply_update(&mut self, now: Time, id: &str, update: &RunnerUpdate) -> bool {
-        self.entry_count = update.entries;
-        self.backpressure.record_entries(now, update.entries);
+        self.entries.record(now, update.entries);
+        self.backpressure.set_entries(now, self.entries.get());
         match self.runners.get_mut(id) {
             Some(runner) if update.born == runner.member.born => runner.apply_update(now, update),
             _ => false,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 mod cost;
 pub mod crash_reports;
 pub mod demand;
+pub mod entry_count;
 pub mod events;
 pub mod fleet;
 pub mod link;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -16,6 +16,7 @@
 use crate::Name;
 use crate::backpressure::Permission;
 use crate::cost;
+use crate::entry_count::EntryCount;
 use crate::fleet::AdapterView;
 use crate::fleet::Fleet;
 use crate::fleet::Runner;
@@ -160,7 +161,7 @@
                 Err(other) => cause = cause.or(other),
             }
         }
-        let best = choose(rng, &mut candidates, self.entry_count());
+        let best = choose(rng, &mut candidates, self.entries);
         let best = best.map(|best| {
             let runner = best.runner;
             let placement = Placement {
@@ -298,13 +299,14 @@
 fn choose<'a, 'b>(
     rng: &mut fastrand::Rng,
     candidates: &'b mut Vec<Candidate<'a>>,
-    entries: u32,
+    entries: EntryCount,
 ) -> Option<&'b Candidate<'a>> {
     if candidates.iter().any(|candidate| !candidate.last_resort) {
         candidates.retain(|candidate| !candidate.last_resort);
     }
     let ready = candidates.iter().filter(|candidate| candidate.is_ready());
-    let sample = MIN_SAMPLE + ready.count() / entries.max(1) as usize;
+    let entries = entries.reported().unwrap_or(1);
+    let sample = MIN_SAMPLE + ready.count() / entries as usize;
     drop_failing(candidates);
     rng.shuffle(candidates);
     let mut sampled = 0;
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -57,7 +57,9 @@
 fn simulate(load: Load, entries: usize, rate: f64, seed: u64) -> Vec<u64> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let runner = "r0".into();
-    let mut states: Vec<Backpressure> = (0..entries).map(|_| Backpressure::default()).collect();
+    let mut states: Vec<Backpressure> = (0..entries)
+        .map(|_| Backpressure::new(entries as u32))
+        .collect();
     let mut told: Vec<Option<u64>> = vec![None; entries];
     let mut answers: VecDeque<(u64, usize)> = VecDeque::new();
     let mut arrivals = Vec::new();
@@ -65,9 +67,6 @@
         rate_limit: Some(rate),
         ..Notice::default()
     };
-    for state in &mut states {
-        state.record_entries(Time::default(), entries as u32);
-    }
     for now_ms in (0..60_000).step_by(STEP_MS) {
         let now = Time::from_ms(now_ms);
         while answers.front().is_some_and(|(due, _)| *due <= now_ms) {
@@ -141,8 +140,7 @@
 
 /// The state of an entry that a limit of 2 a second was named to, at this time.
 fn limited(now: Time) -> Backpressure {
-    let mut state = Backpressure::default();
-    state.record_entries(now, 1);
+    let mut state = Backpressure::new(1);
     let changes = record(&mut state, now, now, Some(2.0));
     assert_eq!(changes, [NoticeChange::Limited(2.0)]);
     state
@@ -233,7 +231,7 @@
 #[test]
 fn limit_of_zero_sends_nothing() {
     let now = Time::from_ms(1_000);
-    let mut state = Backpressure::default();
+    let mut state = Backpressure::new(8);
     record(&mut state, now, now, Some(0.0));
     for second in 1..60 {
         let later = now.after(Duration::from_secs(second));
