Reserve the slots of a limited runner, and refuse at once whom no slot is left for

Callers saw: where all runners of a service limit their requests, callers were held for most of their time and then refused. Cause: every request that found no open slot waited for the next one, as if it were alone; one got it and the others waited again. A request that was chosen for an open slot could also lose it to another one while it waited for its connection. Change: a slot belongs to one request, from the choice of the runner to the bytes, and is given back if it is not used. If no runner takes a request now, the earliest slot in time is reserved; if there is none, the request is refused at once with the time of the first slot that nobody holds. A changed limit voids reserved slots.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -40,6 +40,7 @@
 use crate::server::Body;
 use crate::server::buffered_body;
 use crate::server::full_body;
+use crate::slot::HeldSlot;
 
 /// `Retry-After` of a request that is refused because the entry has no usable configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -87,6 +88,9 @@
     /// A runner that holds the adapter.
     #[display("adapter")]
     Adapter,
+    /// A slot at a runner that limits its requests.
+    #[display("slot")]
+    Slot,
     /// The admission of the prompt.
     #[display("admission")]
     Admission,
@@ -153,6 +157,8 @@
     pub(crate) last_placement: Option<Placement>,
     /// Whether this request tries parts of prompts that are under suspicion.
     pub(crate) trial: Option<Trial>,
+    /// Its slot at a runner that limits its requests.
+    pub(crate) slot: Option<HeldSlot>,
     /// Meaning of the last response head; `None` if the last attempt got none.
     pub(crate) response_kind: Option<ResponseKind>,
 }
@@ -226,6 +232,7 @@
         ended: false,
         last_placement: None,
         trial: None,
+        slot: None,
         response_kind: None,
         route,
         head,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod send_check;
 pub mod server;
 mod signals;
+mod slot;
 pub mod watch;
 
 use ::process::Clock;
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -7,6 +7,7 @@
 
 use decision::time::Time;
 use serving::Name;
+use serving::backpressure::Slot;
 use serving::placement::Access;
 use serving::placement::NoRunner;
 use serving::placement::Placement;
@@ -15,6 +16,9 @@
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
 use crate::dispatch::FailureCause;
+use crate::dispatch::Step;
+use crate::entry::EntryState;
+use crate::slot::HeldSlot;
 
 /// The longest wait for an adapter, as a multiple of the route's latency goal.
 const MAX_WAIT_PER_GOAL: f64 = 2.0;
@@ -28,6 +32,12 @@
 /// The longest wait for a state change of the chosen runner before a runner is chosen again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// What becomes of the slot that a request holds when a runner is chosen.
+enum SlotChoice {
+    Keep,
+    Replace(Option<Slot>),
+}
+
 impl ActiveRequest {
     /// Chooses a runner and waits until it has the request's adapter. Fails if no runner can be
     /// chosen, or if the adapter is not expected before the longest wait ends.
@@ -43,10 +53,12 @@
         let mut requested_at = started_at;
         loop {
             let now = self.entry.now();
-            let placement = match self.place(now) {
+            let placement = match self.place(now, wait_deadline) {
                 Ok(placement) => placement,
                 Err(NoRunner::Limited(at)) if at < wait_deadline => {
-                    tokio::time::sleep_until(self.entry.clock.instant(at)).await;
+                    self.step = Step::Slot;
+                    let wake = at.min(now.after(RECHECK_INTERVAL));
+                    tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
                     continue;
                 }
                 Err(cause) if self.attempts.may_have_run() => {
@@ -89,6 +101,7 @@
                 .min(now.after(RECHECK_INTERVAL))
                 .min(wait_deadline);
             let wake = self.entry.clock.instant(wake);
+            self.step = Step::Adapter;
             self.entry
                 .links
                 .wait_for_change(&placement.runner, wake)
@@ -105,21 +118,47 @@
         }
     }
 
-    fn place(&mut self, now: Time) -> Result<Placement, NoRunner> {
+    /// Chooses a runner, and takes the slot that it has open if it limits its requests. If all of them
+    /// do and none has, the earliest slot that opens before `wait_deadline` is reserved.
+    fn place(&mut self, now: Time, wait_deadline: Time) -> Result<Placement, NoRunner> {
         let entry = self.entry.clone();
-        let mut state = entry.state();
-        let state = &mut *state;
-        let artifact = self.head.request.artifact.as_ref();
-        let adapter = artifact.and_then(|artifact| artifact.adapter.as_ref());
-        let grace = entry.version_grace();
+        let (placement, slot) = self.choose(now, wait_deadline, &mut entry.state());
+        match slot {
+            SlotChoice::Keep => {}
+            SlotChoice::Replace(slot) => {
+                self.slot = slot.map(|slot| HeldSlot::new(entry.clone(), slot));
+            }
+        }
+        let placement = placement?;
+        self.last_placement = Some(placement.clone());
+        if let (Some(replica), Some(adapter)) = (&placement.replica, self.adapter()) {
+            let version = entry.state().versions.newest(adapter);
+            entry
+                .links
+                .request_adapter(replica, adapter, version, false);
+        }
+        Ok(placement)
+    }
+
+    fn choose(
+        &self,
+        now: Time,
+        wait_deadline: Time,
+        state: &mut EntryState,
+    ) -> (Result<Placement, NoRunner>, SlotChoice) {
+        let held = self.slot.as_ref().and_then(HeldSlot::get);
+        let held = held.filter(|slot| state.fleet.backpressure.has_time_left(now, slot));
+        let adapter = self.adapter();
+        let grace = self.entry.version_grace();
         let min_version =
             adapter.map_or(0, |adapter| state.versions.min_version(now, adapter, grace));
         let mut requirements = Requirements {
             service: &self.service,
-            artifact,
+            artifact: self.head.request.artifact.as_ref(),
             min_version,
             excluded: &self.excluded,
             only_runner: self.attempts.only_runner(),
+            slot: held,
         };
         if let (Some(adapter), Duration::ZERO, 0) = (adapter, self.wait_time, self.sends) {
             state.fleet.demand.record(now, adapter, 1);
@@ -132,15 +171,22 @@
             requirements.excluded = must_exclude;
             placement = state.fleet.place(now, &mut state.rng, &requirements);
         }
-        let placement = placement?;
-        self.last_placement = Some(placement.clone());
-        if let (Some(replica), Some(adapter)) = (&placement.replica, adapter) {
-            let version = state.versions.newest(adapter);
-            entry
-                .links
-                .request_adapter(replica, adapter, version, false);
-        }
-        Ok(placement)
+        let slot = match &placement {
+            Ok(chosen) if matches!(chosen.access, Access::Ready { .. }) => {
+                let (runner, born) = (&chosen.runner, chosen.born);
+                if held.is_some_and(|slot| slot.is_of(runner, born)) {
+                    SlotChoice::Keep
+                } else {
+                    SlotChoice::Replace(state.fleet.backpressure.reserve(now, runner, born))
+                }
+            }
+            Err(NoRunner::Limited(_)) if held.is_none() => {
+                let slot = state.fleet.reserve_slot(now, &requirements, wait_deadline);
+                SlotChoice::Replace(slot)
+            }
+            Ok(_) | Err(_) => SlotChoice::Keep,
+        };
+        (placement, slot)
     }
 
     /// Requests the adapter from a runner's agent and returns when it is expected to be loaded.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -35,6 +35,7 @@
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::Step;
 use crate::send_check::PendingSend;
+use crate::slot::HeldSlot;
 
 /// The time after which a repeatable request without a stream is sent to another runner, as a
 /// multiple of the route's latency goal.
@@ -88,6 +89,7 @@
         if self.is_held() {
             return Err(Outcome::NotSent.into());
         }
+        let slot = self.slot.take();
         // The runner may have begun to leave, or have started again, since it was chosen.
         let begun = self.entry.state().fleet.begin_request(
             now,
@@ -95,8 +97,12 @@
             placement.born,
             adapter.as_ref(),
             tokens,
+            slot.as_ref().and_then(HeldSlot::get),
         );
         let inflight = begun.ok_or(FailedAttempt::from(Outcome::NotSent))?;
+        if let Some(slot) = slot {
+            slot.set_used();
+        }
         let mut attempt = RunningAttempt {
             entry: self.entry.clone(),
             inflight: Some(inflight),
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -22,6 +22,7 @@
 pub use rate_limit::LIMIT_PERIOD;
 
 use self::rate_limit::RateLimit;
+use self::rate_limit::SlotTime;
 
 use crate::Name;
 use crate::runner::Notice;
@@ -68,6 +69,27 @@
     At(Time),
 }
 
+/// The right to send one request to an incarnation of a runner that names a limit. A request that ends
+/// without using it gives it back to [`Backpressure::release`].
+#[derive(Debug)]
+pub struct Slot {
+    runner: Name,
+    born: u64,
+    time: SlotTime,
+}
+
+impl Slot {
+    /// Returns when a request may be sent.
+    pub fn opens_at(&self) -> Time {
+        self.time.opens_at
+    }
+
+    /// Returns whether it is a slot at this incarnation of a runner.
+    pub fn is_of(&self, runner: &str, born: u64) -> bool {
+        *self.runner == *runner && self.born == born
+    }
+}
+
 /// What all runners have said of themselves, as one entry knows it.
 #[derive(Debug)]
 pub struct Backpressure {
@@ -144,15 +166,24 @@
         self.get(runner, born).is_some_and(|known| known.leaving)
     }
 
-    /// Returns whether a request may be sent to this incarnation of a runner.
-    pub fn permission(&self, now: Time, runner: &str, born: u64) -> Permission {
+    /// Returns whether a request that may have reserved a slot may be sent to this incarnation of a
+    /// runner.
+    pub fn permission(
+        &self,
+        now: Time,
+        runner: &str,
+        born: u64,
+        slot: Option<&Slot>,
+    ) -> Permission {
         let Some(known) = self.get(runner, born) else {
             return Permission::Granted;
         };
-        let slot = known
-            .limit_in_force(now)
-            .map_or(now, |limit| limit.slot(now));
-        let at = slot.max(known.paused_until);
+        let slot = slot.filter(|slot| slot.is_of(runner, born));
+        let opens_at = known.limit_in_force(now).map_or(now, |limit| match slot {
+            Some(slot) if limit.has_time_left(now, slot.time) => slot.time.opens_at,
+            _ => limit.slot(now),
+        });
+        let at = opens_at.max(known.paused_until);
         if at <= now {
             Permission::Granted
         } else {
@@ -160,18 +191,42 @@
         }
     }
 
-    /// Takes the permission for a request that is about to be sent; returns whether it is granted.
-    pub fn take(&mut self, now: Time, runner: &str, born: u64) -> bool {
-        if self.permission(now, runner, born) != Permission::Granted {
+    /// Reserves the next slot of a runner for one request; `None` if the runner names no limit.
+    pub fn reserve(&mut self, now: Time, runner: &Name, born: u64) -> Option<Slot> {
+        let limit = self.limit_mut(now, runner, born)?;
+        Some(Slot {
+            runner: runner.clone(),
+            born,
+            time: limit.reserve(now),
+        })
+    }
+
+    /// Returns whether a request can still use its slot.
+    pub fn has_time_left(&self, now: Time, slot: &Slot) -> bool {
+        let known = self.get(&slot.runner, slot.born);
+        let limit = known.and_then(|known| known.limit_in_force(now));
+        limit.is_some_and(|limit| limit.has_time_left(now, slot.time))
+    }
+
+    /// Gives back a slot that no request has used.
+    pub fn release(&mut self, now: Time, slot: &Slot) {
+        if let Some(limit) = self.limit_mut(now, &slot.runner, slot.born) {
+            limit.release(slot.time);
+        }
+    }
+
+    /// Uses the permission for a request that is about to be sent, and its slot if it has reserved one;
+    /// returns whether it is granted.
+    pub fn take(&mut self, now: Time, runner: &str, born: u64, slot: Option<&Slot>) -> bool {
+        if self.permission(now, runner, born, slot) != Permission::Granted {
             return false;
         }
-        let Some(known) = self.runners.get_mut(runner) else {
+        let Some(limit) = self.limit_mut(now, runner, born) else {
             return true;
         };
-        if known.born == born
-            && let Some(limit) = &mut known.limit
-        {
-            limit.take(now);
+        let slot = slot.filter(|slot| slot.is_of(runner, born));
+        if !slot.is_some_and(|slot| limit.has_time_left(now, slot.time)) {
+            limit.reserve(now);
         }
         true
     }
@@ -202,6 +257,12 @@
         (known.born == born).then_some(known)
     }
 
+    fn limit_mut(&mut self, now: Time, runner: &str, born: u64) -> Option<&mut RateLimit> {
+        let known = self.runners.get_mut(runner)?;
+        let limit = known.limit.as_mut()?;
+        (known.born == born && now < limit.expires_at).then_some(limit)
+    }
+
     /// Keeps what a runner said; if too much is kept, forgets the runner that was silent the longest.
     fn insert(&mut self, runner: &Name, notices: RunnerNotices) {
         self.runners.insert(runner.clone(), notices);
--- a/crates/serving/src/backpressure/rate_limit.rs
+++ b/crates/serving/src/backpressure/rate_limit.rs
@@ -46,6 +46,17 @@
     interval: Duration,
     /// When the next slot opens or has opened.
     next_slot: Time,
+    /// Tells the present share of this entry from earlier ones.
+    generation: u64,
+}
+
+/// The right to send one request to a limited runner, from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SlotTime {
+    /// When the slot opens or has opened.
+    pub(super) opens_at: Time,
+    /// The share by which it was given; another share makes it void.
+    generation: u64,
 }
 
 impl RateLimit {
@@ -59,6 +70,7 @@
             entries,
             interval,
             next_slot: now.after(interval.mul_f64(rng.f64())),
+            generation: rng.u64(..),
         }
     }
 
@@ -84,9 +96,31 @@
         self.next_slot.after(self.interval.saturating_mul(missed))
     }
 
-    /// Uses the slot that is open.
-    pub(super) fn take(&mut self, now: Time) {
-        self.next_slot = self.slot(now).after(self.interval);
+    /// Reserves the first slot that no request has, which may open later.
+    pub(super) fn reserve(&mut self, now: Time) -> SlotTime {
+        let opens_at = self.slot(now);
+        self.next_slot = opens_at.after(self.interval);
+        SlotTime {
+            opens_at,
+            generation: self.generation,
+        }
+    }
+
+    /// Gives back a slot that no request has used. Only the one that was reserved last can be given to
+    /// another request.
+    pub(super) fn release(&mut self, slot: SlotTime) {
+        if self.is_valid(slot) && self.next_slot == slot.opens_at.after(self.interval) {
+            self.next_slot = slot.opens_at;
+        }
+    }
+
+    /// Returns whether a reserved slot is still to be used, or to be waited for.
+    pub(super) fn has_time_left(&self, now: Time, slot: SlotTime) -> bool {
+        self.is_valid(slot) && now < slot.opens_at.after(SLOT_PERIOD)
+    }
+
+    fn is_valid(&self, slot: SlotTime) -> bool {
+        slot.generation == self.generation
     }
 
     fn set_share(&mut self, now: Time, rate: f64, entries: u32) {
@@ -96,6 +130,7 @@
         let before = self.interval;
         self.rate = rate;
         self.entries = entries;
+        self.generation = self.generation.wrapping_add(1);
         self.interval = interval(rate, entries);
         // The time to the next slot keeps its share of the interval, so that slots stay spread.
         let wait = self.next_slot.since(now);
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::backpressure::Backpressure;
 use crate::backpressure::NoticeChange;
 use crate::backpressure::NoticeSource;
+use crate::backpressure::Slot;
 use crate::demand::Demand;
 use crate::demand::RateLevel;
 use crate::entry_count::EntryCount;
@@ -204,7 +205,8 @@
     }
 
     /// Counts a request that is about to be sent to the incarnation of a runner that started at
-    /// `born`; `None` if that one is gone, accepts no requests, or wants none now.
+    /// `born`, and uses its slot there; `None` if that one is gone, accepts no requests, or wants none
+    /// now.
     pub fn begin_request(
         &mut self,
         now: Time,
@@ -212,12 +214,13 @@
         born: u64,
         adapter: Option<&Name>,
         prompt_tokens: u32,
+        slot: Option<&Slot>,
     ) -> Option<InflightRequest> {
         let runner = self.runners.get_mut(id)?;
         if runner.member.born != born || !runner.accepts_requests() {
             return None;
         }
-        if !self.backpressure.take(now, id, born) {
+        if !self.backpressure.take(now, id, born, slot) {
             return None;
         }
         runner.inflight += 1;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -15,6 +15,7 @@
 
 use crate::Name;
 use crate::backpressure::Permission;
+use crate::backpressure::Slot;
 use crate::cost;
 use crate::entry_count::EntryCount;
 use crate::fleet::AdapterView;
@@ -49,6 +50,8 @@
     pub excluded: &'a [Name],
     /// The only runner that may be chosen; `None` for no such restriction.
     pub only_runner: Option<&'a Name>,
+    /// The slot that the request has reserved at a limited runner.
+    pub slot: Option<&'a Slot>,
 }
 
 /// Availability of the required adapter at a runner.
@@ -182,15 +185,38 @@
         Ok(placement)
     }
 
-    /// Computes the cost of a runner for a request, or why the runner cannot serve it.
-    fn evaluate<'a>(
+    /// Reserves a slot for a request that no runner takes now: the earliest one of the limited runners
+    /// that can serve it. `None` if it opens at `before` or later.
+    pub fn reserve_slot(
+        &mut self,
+        now: Time,
+        requirements: &Requirements<'_>,
+        before: Time,
+    ) -> Option<Slot> {
+        let service = requirements.service;
+        let runners = self
+            .runners()
+            .filter(|runner| *runner.member.service == *service);
+        let limited = runners.filter_map(|runner| {
+            let (id, born) = (&runner.member.id, runner.member.born);
+            self.backpressure.rate_limit(now, id, born)?;
+            match self.availability(now, requirements, runner) {
+                Err(NoRunner::Limited(at)) if at < before => Some((at, id, born)),
+                _ => None,
+            }
+        });
+        let earliest = limited.min_by_key(|(at, ..)| *at);
+        let (id, born) = earliest.map(|(_, id, born)| (id.clone(), born))?;
+        self.backpressure.reserve(now, &id, born)
+    }
+
+    /// Returns the availability of the adapter at a runner, or why the runner cannot serve a request.
+    fn availability(
         &self,
         now: Time,
         requirements: &Requirements<'_>,
-        order: &RendezvousOrder,
-        average_rate: f32,
-        runner: &'a Runner,
-    ) -> Result<Candidate<'a>, NoRunner> {
+        runner: &Runner,
+    ) -> Result<Access, NoRunner> {
         if !runner.accepts_requests() {
             return Err(NoRunner::Leaving);
         }
@@ -206,10 +232,26 @@
         let access = access(now, requirements, runner)
             .ok_or_else(|| unavailable_cause(requirements, runner))?;
         let member = &runner.member;
-        let permission = self.backpressure.permission(now, &member.id, member.born);
-        if let Permission::At(at) = permission {
-            return Err(NoRunner::Limited(at));
+        let slot = requirements.slot;
+        let permission = self
+            .backpressure
+            .permission(now, &member.id, member.born, slot);
+        match permission {
+            Permission::Granted => Ok(access),
+            Permission::At(at) => Err(NoRunner::Limited(at)),
         }
+    }
+
+    /// Computes the cost of a runner for a request, or why the runner cannot serve it.
+    fn evaluate<'a>(
+        &self,
+        now: Time,
+        requirements: &Requirements<'_>,
+        order: &RendezvousOrder,
+        average_rate: f32,
+        runner: &'a Runner,
+    ) -> Result<Candidate<'a>, NoRunner> {
+        let access = self.availability(now, requirements, runner)?;
         let rank = order.rank(runner);
         let cost = cost::estimate(
             now,
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -91,6 +91,7 @@
         min_version,
         excluded: &[],
         only_runner: None,
+        slot: None,
     }
 }
 
@@ -102,5 +103,6 @@
         min_version: 0,
         excluded: &[],
         only_runner: None,
+        slot: None,
     }
 }
--- a/crates/serving/tests/entry_counts.rs
+++ b/crates/serving/tests/entry_counts.rs
@@ -68,6 +68,6 @@
     let mut rng = fastrand::Rng::with_seed(1);
     fleet.record_notice(named_at, &mut rng, source, &notice);
     let times = (1_000..60_000).step_by(10).map(Time::from_ms);
-    let taken = times.filter(|now| fleet.backpressure.take(*now, "r0", common::BORN));
+    let taken = times.filter(|now| fleet.backpressure.take(*now, "r0", common::BORN, None));
     taken.count()
 }
--- a/crates/serving/tests/fleet_sim/mod.rs
+++ b/crates/serving/tests/fleet_sim/mod.rs
@@ -208,6 +208,7 @@
                 min_version: 0,
                 excluded: &[],
                 only_runner: None,
+                slot: None,
             };
             let fleet = &mut self.entries[request.entry];
             let placement = fleet.place(now, &mut self.rng, &requirements);
@@ -220,8 +221,14 @@
             let engine = engine_mut(&mut self.engines, &placement.runner);
             let ready = matches!(placement.access, Access::Ready { .. });
             if ready && engine.held.contains(&adapter) {
-                let inflight =
-                    fleet.begin_request(now, &placement.runner, placement.born, Some(&adapter), 0);
+                let inflight = fleet.begin_request(
+                    now,
+                    &placement.runner,
+                    placement.born,
+                    Some(&adapter),
+                    0,
+                    None,
+                );
                 let inflight = inflight.expect("a known engine");
                 engine
                     .running
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -63,7 +63,7 @@
     let mut fleet = fleet(9, now);
     let home = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0)).runner;
     for _ in 0..30 {
-        let request = fleet.begin_request(now, &home, common::BORN, None, 400);
+        let request = fleet.begin_request(now, &home, common::BORN, None, 400, None);
         assert!(request.is_some());
     }
     let again = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0)).runner;
@@ -162,7 +162,7 @@
     let mut fleet = fleet(1, now);
     fleet.apply_update(now, "r0", &update(&[(&adapter, 1, 0)]));
     let request = fleet
-        .begin_request(now, &Name::from("r0"), common::BORN, None, 0)
+        .begin_request(now, &Name::from("r0"), common::BORN, None, 0, None)
         .expect("r0 is in the fleet");
     let mut member = common::member("r0");
     member.born = 99;
@@ -247,7 +247,7 @@
         "no replica is added while the only one is idle"
     );
     for _ in 0..20 {
-        let request = fleet.begin_request(now, &"r0".into(), common::BORN, None, 0);
+        let request = fleet.begin_request(now, &"r0".into(), common::BORN, None, 0, None);
         assert!(request.is_some());
     }
     let placement = choose(&mut fleet, now, &mut rng, &requirements(&artifact, 0));
@@ -310,12 +310,12 @@
     fleet.join(now, member);
     assert!(
         fleet
-            .begin_request(now, &restarted, common::BORN, None, 0)
+            .begin_request(now, &restarted, common::BORN, None, 0, None)
             .is_none()
     );
     assert!(
         fleet
-            .begin_request(now, &restarted, common::BORN + 1, None, 0)
+            .begin_request(now, &restarted, common::BORN + 1, None, 0, None)
             .is_some()
     );
     let mut member = common::member("r1");
@@ -323,7 +323,7 @@
     fleet.join(now, member);
     assert!(
         fleet
-            .begin_request(now, &leaving, common::BORN, None, 0)
+            .begin_request(now, &leaving, common::BORN, None, 0, None)
             .is_none()
     );
 }
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -14,7 +14,11 @@
 use serving::backpressure::NoticeChange;
 use serving::backpressure::NoticeSource;
 use serving::backpressure::Permission;
+use serving::backpressure::Slot;
+use serving::fleet::Fleet;
+use serving::link::RunnerState;
 use serving::placement::NoRunner;
+use serving::placement::Requirements;
 use serving::runner::Notice;
 
 /// The bound after the first notice from which the limit must hold, in milliseconds.
@@ -84,7 +88,7 @@
         }
         for entry in 0..entries {
             let due = load.has_work(now_ms, entry, &mut rng);
-            if !due || !states[entry].take(now, &runner, BORN) {
+            if !due || !states[entry].take(now, &runner, BORN, None) {
                 continue;
             }
             answers.push_back((now_ms + ANSWER_MS, entry));
@@ -205,7 +209,10 @@
     let now = Time::from_ms(1_000);
     let state = limited(now);
     assert_eq!(state.rate_limit(now, "r0", BORN + 1), None);
-    assert_eq!(state.permission(now, "r0", BORN + 1), Permission::Granted);
+    assert_eq!(
+        state.permission(now, "r0", BORN + 1, None),
+        Permission::Granted
+    );
     let expired = now.after(LIMIT_PERIOD);
     assert_eq!(state.rate_limit(expired, "r0", BORN), None);
 }
@@ -235,10 +242,119 @@
     record(&mut state, now, now, Some(0.0));
     for second in 1..60 {
         let later = now.after(Duration::from_secs(second));
-        assert!(!state.take(later, "r0", BORN), "after {second} s");
+        assert!(!state.take(later, "r0", BORN, None), "after {second} s");
     }
 }
 
+/// The fleet of one entry alone, with one runner that names a limit of 2 a second.
+fn limited_fleet(now: Time) -> Fleet {
+    let mut fleet = common::fleet(1, now);
+    let alone = RunnerState {
+        entries: 1,
+        ..common::state(&[])
+    };
+    let later = now.after(Duration::from_secs(20));
+    fleet.apply_update(later, "r0", &alone.update_since(None));
+    announce_limit(&mut fleet, now, "r0", 2.0);
+    fleet
+}
+
+fn announce_limit(fleet: &mut Fleet, now: Time, id: &str, rate: f64) {
+    let notice = Notice {
+        rate_limit: Some(rate),
+        ..Notice::default()
+    };
+    let source = NoticeSource {
+        runner: &id.into(),
+        born: common::BORN,
+        sent_at: now,
+        ran: true,
+    };
+    let mut rng = fastrand::Rng::with_seed(1);
+    fleet.record_notice(now, &mut rng, source, &notice);
+}
+
+/// Reserves slots for requests that all wait until the same time; returns those that were given one.
+fn reserve_all(fleet: &mut Fleet, now: Time, before: Time, count: usize) -> Vec<Slot> {
+    let requirements = common::no_model();
+    let slots = (0..count).map(|_| fleet.reserve_slot(now, &requirements, before));
+    slots.flatten().collect()
+}
+
+/// Guards against requests that wait in vain because they all wait for the same slot: each has its own,
+/// and those beyond the slots in time are refused at once, with the time of a slot that nobody has.
+#[test]
+fn waiting_requests_have_one_slot_each() {
+    let now = Time::from_ms(30_000);
+    let mut fleet = limited_fleet(now);
+    let before = now.after(Duration::from_secs(2));
+    let slots = reserve_all(&mut fleet, now, before, 20);
+    assert!((2..=4).contains(&slots.len()), "{slots:?}");
+    let times: Vec<Time> = slots.iter().map(Slot::opens_at).collect();
+    let gaps = times.windows(2).map(|pair| pair[1].since(pair[0]));
+    assert!(gaps.min() >= Some(Duration::from_millis(500)), "{times:?}");
+    let mut rng = fastrand::Rng::with_seed(1);
+    let refused = fleet.place(now, &mut rng, &common::no_model());
+    let Err(NoRunner::Limited(at)) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(at >= before, "{at:?}");
+}
+
+/// Guards against a request that takes the slot of one that has waited for it.
+#[test]
+fn reserved_slot_is_for_its_request_only() {
+    let now = Time::from_ms(30_000);
+    let mut fleet = limited_fleet(now);
+    let before = now.after(Duration::from_secs(1));
+    let slots = reserve_all(&mut fleet, now, before, 1);
+    let at = slots[0].opens_at();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let other = fleet.place(at, &mut rng, &common::no_model());
+    assert!(matches!(other, Err(NoRunner::Limited(_))), "{other:?}");
+    let requirements = Requirements {
+        slot: Some(&slots[0]),
+        ..common::no_model()
+    };
+    let placement = fleet.place(at, &mut rng, &requirements);
+    let placement = placement.expect("its slot is open");
+    let (runner, born) = (&placement.runner, placement.born);
+    let begun = fleet.begin_request(at, runner, born, None, 0, Some(&slots[0]));
+    assert!(begun.is_some());
+    let other = fleet.begin_request(at, runner, born, None, 0, None);
+    assert!(other.is_none(), "two requests in one slot");
+}
+
+/// Guards against slots that are lost because callers leave while they wait.
+#[test]
+fn released_slot_goes_to_the_next_request() {
+    let now = Time::from_ms(30_000);
+    let mut fleet = limited_fleet(now);
+    let before = now.after(Duration::from_secs(1));
+    let mut slots = reserve_all(&mut fleet, now, before, 20);
+    let last = slots.pop().expect("a slot in time");
+    assert_eq!(reserve_all(&mut fleet, now, before, 1).len(), 0);
+    fleet.backpressure.release(now, &last);
+    let again = reserve_all(&mut fleet, now, before, 1);
+    assert_eq!(again[0].opens_at(), last.opens_at());
+}
+
+/// Guards against requests that use the slots of a higher limit after the runner has named a lower one.
+#[test]
+fn changed_limit_voids_reserved_slots() {
+    let now = Time::from_ms(30_000);
+    let mut fleet = limited_fleet(now);
+    let before = now.after(Duration::from_secs(2));
+    let slots = reserve_all(&mut fleet, now, before, 20);
+    announce_limit(&mut fleet, now, "r0", 0.01);
+    let used = slots.iter().filter(|slot| {
+        let at = slot.opens_at();
+        let begun = fleet.begin_request(at, &"r0".into(), common::BORN, None, 0, Some(slot));
+        begun.is_some()
+    });
+    assert_eq!(used.count(), 0);
+}
+
 /// Guards against requests that wait for a limited runner although another one could serve them, and
 /// against a refusal without the time at which the next one is taken.
 #[test]
@@ -246,27 +362,13 @@
     let now = Time::from_ms(1_000);
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = common::fleet(2, now);
-    let notice = Notice {
-        rate_limit: Some(1.0),
-        ..Notice::default()
-    };
-    let name = |id: &str| serving::Name::from(id);
-    let limit = |fleet: &mut serving::fleet::Fleet, id: &str| {
-        let source = NoticeSource {
-            runner: &name(id),
-            born: common::BORN,
-            sent_at: now,
-            ran: true,
-        };
-        fleet.record_notice(now, &mut fastrand::Rng::with_seed(1), source, &notice);
-    };
-    limit(&mut fleet, "r0");
+    announce_limit(&mut fleet, now, "r0", 1.0);
     for _ in 0..20 {
         let placement = fleet.place(now, &mut rng, &common::no_model());
         let placement = placement.expect("r1 takes requests");
         assert_eq!(&*placement.runner, "r1");
     }
-    limit(&mut fleet, "r1");
+    announce_limit(&mut fleet, now, "r1", 1.0);
     let refused = fleet.place(now, &mut rng, &common::no_model());
     let Err(NoRunner::Limited(at)) = refused else {
         panic!("{refused:?}");
@@ -274,8 +376,8 @@
     assert!(at > now);
     let placement = fleet.place(at, &mut rng, &common::no_model());
     let placement = placement.expect("a slot is open");
-    let begun = fleet.begin_request(at, &placement.runner, placement.born, None, 0);
+    let begun = fleet.begin_request(at, &placement.runner, placement.born, None, 0, None);
     assert!(begun.is_some());
-    let again = fleet.begin_request(at, &placement.runner, placement.born, None, 0);
+    let again = fleet.begin_request(at, &placement.runner, placement.born, None, 0, None);
     assert!(again.is_none(), "the slot is used twice");
 }
