Bound the pause that a runner asks for

Cause: a pause was kept for whatever time its Retry-After named; one faulty answer left a runner out for years, and a time beyond what the clock holds wrapped to an arbitrary one. What a runner says of itself is to be bound in time. Change: a pause ends after ten minutes, and the runner is asked again; Time::after saturates.

--- a/crates/decision/src/time.rs
+++ b/crates/decision/src/time.rs
@@ -24,8 +24,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
-    /// Returns the time `delay` later than `self`.
+    /// Returns the time `delay` later than `self`, or the last one that can be held.
     pub const fn after(self, delay: Duration) -> Time {
-        Time(self.0.saturating_add(delay.as_micros() as u64))
+        let micros = delay.as_micros();
+        if micros > u64::MAX as u128 {
+            return Time(u64::MAX);
+        }
+        Time(self.0.saturating_add(micros as u64))
     }
 }
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -6,15 +6,17 @@
 //! that idle entries cannot all send at once later.
 //!
 //! Invariants: what a runner says binds its own incarnation only, also while its membership record is
-//! missing; a rate limit binds until an answer to a request that was sent after the last one that
-//! named it names none, or until a period after that; a runner that leaves does so for good, and a pause that it asks
-//! for is never shortened.
+//! missing. A rate limit binds until an answer to a request that was sent after the last one that named
+//! it names none, or until a period after that. A runner that leaves does so for good. A pause is never
+//! shortened, and ends after [`MAX_PAUSE`]. A slot belongs to one request.
 //!
 //! API boundary: [`Fleet`](crate::fleet::Fleet) records notices, asks for the permission of each
-//! candidate of a placement, and takes a slot right before a request is sent.
+//! candidate of a placement, reserves slots, and uses one right before a request is sent.
 
 mod rate_limit;
 
+use std::time::Duration;
+
 use decision::collections::Map;
 use decision::time::Time;
 use derive_more::Display;
@@ -29,6 +31,8 @@
 
 /// The most incarnations of which anything is kept.
 const MAX_RUNNERS: usize = 4_096;
+/// The longest pause. A runner that wants a longer one asks for it again.
+pub const MAX_PAUSE: Duration = Duration::from_secs(10 * 60);
 
 /// The response by which a runner says something of itself.
 #[derive(Clone, Copy, Debug)]
@@ -324,7 +328,8 @@
     }
 
     fn record_pause(&mut self, now: Time, notice: &Notice) -> Option<NoticeChange> {
-        let until = now.after(notice.retry_after?);
+        let length = notice.retry_after?.min(MAX_PAUSE);
+        let until = now.after(length);
         if until <= self.paused_until {
             return None;
         }
