Open no lapsed slot again when the number of entries or the limit changes

Cause: a change of the share counted the time to the next slot from one that might have lapsed long ago, and gave zero; at all entries at once, when agents report another number of them after an idle time. Evidence: `changed_number_of_entries_opens_no_slots` failed before: 45 requests in 4 s, 17 allowed (68 entries, limit 2). Change: the time is counted from the first slot that has not lapsed. Result: the test passes, and the rest of `rate_limits`.

--- a/crates/serving/src/backpressure/rate_limit.rs
+++ b/crates/serving/src/backpressure/rate_limit.rs
@@ -127,13 +127,15 @@
         if self.rate.to_bits() == rate.to_bits() && self.entries == entries {
             return;
         }
+        // A slot that has lapsed must not open again.
+        let next = self.slot(now);
         let before = self.interval;
         self.rate = rate;
         self.entries = entries;
         self.generation = self.generation.wrapping_add(1);
         self.interval = interval(rate, entries);
         // The time to the next slot keeps its share of the interval, so that slots stay spread.
-        let wait = self.next_slot.since(now);
+        let wait = next.since(now);
         let scale = self.interval.as_secs_f64() / before.as_secs_f64();
         self.next_slot = now.after(wait.mul_f64(scale));
     }
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -131,6 +131,32 @@
     }
 }
 
+/// Guards against slots that open at all entries at once when their number changes, after a time in which
+/// they were idle.
+#[test]
+fn changed_number_of_entries_opens_no_slots() {
+    let rate = 2.0;
+    let named_at = Time::from_ms(1_000);
+    let mut states: Vec<Backpressure> = (0..68).map(|_| Backpressure::new(68)).collect();
+    for (seed, state) in states.iter_mut().enumerate() {
+        record_with(state, named_at, named_at, Some(rate), seed as u64);
+    }
+    let changed_at = named_at.after(Duration::from_secs(50));
+    for state in &mut states {
+        state.set_entries(changed_at, 67);
+    }
+    let mut sent = 0;
+    for step in 0..WINDOW_MS / STEP_MS as u64 {
+        let now = changed_at.after(Duration::from_millis(step * STEP_MS as u64));
+        let taken = states
+            .iter_mut()
+            .filter_map(|state| state.take(now, "r0", BORN, None).then_some(()));
+        sent += taken.count();
+    }
+    let allowed = 1.5 * rate * 4.0 + 5.0;
+    assert!(sent as f64 <= allowed, "{sent} requests, {allowed} allowed");
+}
+
 /// Guards against a limit that keeps requests from a runner that would take them: where all entries have
 /// work, most of what the runner takes is used.
 #[test]
@@ -155,6 +181,16 @@
     now: Time,
     sent_at: Time,
     rate: Option<f64>,
+) -> Vec<NoticeChange> {
+    record_with(state, now, sent_at, rate, 1)
+}
+
+fn record_with(
+    state: &mut Backpressure,
+    now: Time,
+    sent_at: Time,
+    rate: Option<f64>,
+    seed: u64,
 ) -> Vec<NoticeChange> {
     let source = NoticeSource {
         runner: &"r0".into(),
@@ -166,7 +202,7 @@
         rate_limit: rate,
         ..Notice::default()
     };
-    let mut rng = fastrand::Rng::with_seed(1);
+    let mut rng = fastrand::Rng::with_seed(seed);
     state.record(now, &mut rng, source, &notice)
 }
 
