Split the simulated entry by its claims and its attempts

Change: entries/claims and entries/attempts take the functions of these jobs; nothing but places and visibility changes.

--- a/crates/faults/src/entries.rs
+++ b/crates/faults/src/entries.rs
@@ -1,14 +1,12 @@
 //! Entries, which route calls to agents and relay the responses, driven by [`decision::request`].
 
+mod attempts;
+mod claims;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use decision::claim::ClaimRow;
-use decision::claim::ClaimedAttempt;
-use decision::claim::StoredOutcome;
 use decision::claim::group::GroupCommit;
-use decision::claim::group::TxResult;
-use decision::claim::group::WriteResult;
 use decision::collections::Map;
 use decision::ids::Name;
 use decision::ids::RequestId;
@@ -17,7 +15,6 @@
 use decision::job::Refusal;
 use decision::ledger::AttemptKey;
 use decision::placement::CostParams;
-use decision::placement::EndpointOutcome;
 use decision::placement::EndpointTable;
 use decision::placement::Pick;
 use decision::problem::Code;
@@ -28,10 +25,11 @@
 use decision::request::Request;
 use decision::request::RequestSpec;
 use decision::request::Step as Next;
-use decision::request::endpoint_outcome;
 use decision::retry::RetryBudget;
 use decision::route::RouteTable;
 
+use self::claims::WritePurpose;
+
 use crate::history::CallResult;
 use crate::history::ResponseChunk;
 use crate::inject::FaultTarget;
@@ -39,8 +37,6 @@
 use crate::mutant::Mutant;
 use crate::sample::WORKSPACE;
 use crate::simulation::AgentMessage;
-use crate::simulation::AttemptOrigin;
-use crate::simulation::CALL_TIMEOUT;
 use crate::simulation::EntryMessage;
 use crate::simulation::MS;
 use crate::simulation::ProcessId;
@@ -49,17 +45,9 @@
 use crate::simulation::Simulation;
 use crate::simulation::TableCaller;
 use crate::storage::RowValue;
-use crate::storage::RowWrite;
 use crate::storage::TableOp;
 use crate::storage::TableReply;
 
-/// Time within which an agent must accept a job; after it the link counts as lost.
-const DISPATCH_TIMEOUT: u64 = 500 * MS;
-/// Tries to store an outcome in the claim row.
-const MAX_STORE_TRIES: u32 = 10;
-/// Delay between two tries to store an outcome.
-const STORE_RETRY_DELAY: u64 = 500 * MS;
-
 /// State of a call at its entry.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -97,15 +85,6 @@
     }
 }
 
-/// Purpose of a queued write of a claim row.
-#[derive(Clone, Copy, Debug)]
-enum WritePurpose {
-    /// The request writes its claim: call, step number.
-    Claim(usize, u32),
-    /// The outcome is stored after the response: call, outcome, number of the try.
-    StoreOutcome(usize, Outcome, u32),
-}
-
 #[derive(Debug)]
 pub(crate) struct EntryProcess {
     pub(crate) process: ProcessState,
@@ -319,32 +298,6 @@
         self.perform_step(call, step);
     }
 
-    /// Records the outcome of an attempt for routing, and cancels the attempt if it can still run
-    /// and has no idempotency key.
-    fn end_attempt(&mut self, call: usize, event: &Event, pid: usize, key: AttemptKey) {
-        let entry = self.calls[call].entry;
-        let now = self.local_time(ProcessId::Entry(entry));
-        let Some(pick) = self.calls[call].pick.take() else {
-            return;
-        };
-        let outcome = match event {
-            Event::Ended(end) => endpoint_outcome(end, Duration::from_millis(50)),
-            Event::LinkLost { sent: true } => EndpointOutcome::Failure,
-            _ => EndpointOutcome::Neutral,
-        };
-        let endpoints = &mut self.entries[entry].endpoints;
-        endpoints.finish(now, &mut self.rng, &pick, outcome);
-        match event {
-            Event::Ended(end) => endpoints.set_link(&pick.name, Some(end.incarnation)),
-            Event::LinkLost { .. } => endpoints.set_link(&pick.name, None),
-            _ => {}
-        }
-        let has_key = self.history.calls[call].key.is_some();
-        if !matches!(event, Event::Ended(_)) && !has_key {
-            self.send_message(SimEvent::Agent(pid, AgentMessage::Cancel(key)));
-        }
-    }
-
     fn perform_step(&mut self, call: usize, step: Next) {
         let entry = self.calls[call].entry;
         let matrix_step = match &step {
@@ -409,10 +362,6 @@
         self.schedule(delay, SimEvent::Entry(entry, epoch, message));
     }
 
-    fn idempotency_key(&self, call: usize) -> String {
-        self.history.calls[call].key.clone().unwrap_or_default()
-    }
-
     fn pick_endpoint(&mut self, call: usize, step_no: u32) {
         let entry = self.calls[call].entry;
         let now = self.local_time(ProcessId::Entry(entry));
@@ -425,187 +374,6 @@
         self.schedule_request_event(call, step_no, 0, Event::Picked(pick));
     }
 
-    fn queue_claim_write(
-        &mut self,
-        call: usize,
-        version: u64,
-        row: ClaimRow,
-        purpose: WritePurpose,
-    ) {
-        let entry = self.calls[call].entry;
-        let key = ClaimRow::key(WORKSPACE, &self.idempotency_key(call));
-        let ticket = self.entries[entry].group_commit.push(key, version, row);
-        self.entries[entry].write_purposes.insert(ticket, purpose);
-        self.send_next_tx(entry);
-    }
-
-    fn send_next_tx(&mut self, entry: usize) {
-        let Some(writes) = self.entries[entry].group_commit.next_tx() else {
-            return;
-        };
-        let writes = writes.iter().map(|write| RowWrite {
-            key: write.key.clone(),
-            version: write.version,
-            value: RowValue::Claim(write.row.clone()),
-        });
-        let op = TableOp::Tx(writes.collect());
-        let epoch = self.entries[entry].process.epoch;
-        self.call_table(op, TableCaller::ClaimCommit(entry, epoch));
-    }
-
-    fn on_commit_reply(&mut self, entry: usize, reply: TableReply) {
-        let result = match reply {
-            TableReply::Committed(versions) => TxResult::Committed(versions),
-            TableReply::Conflict(keys) => TxResult::Conflict(keys),
-            _ => TxResult::Unknown,
-        };
-        for (ticket, result) in self.entries[entry].group_commit.finish(&result) {
-            match self.entries[entry].write_purposes.remove(&ticket) {
-                Some(WritePurpose::Claim(call, step_no)) => {
-                    self.on_request_event(call, step_no, Event::Written(result))
-                }
-                Some(WritePurpose::StoreOutcome(call, outcome, tries)) => {
-                    let should_retry =
-                        matches!(result, WriteResult::NotSent | WriteResult::Unknown);
-                    if should_retry && tries < MAX_STORE_TRIES {
-                        let epoch = self.entries[entry].process.epoch;
-                        let run = self.first_run(call);
-                        let message =
-                            EntryMessage::RetryStore(call, tries + 1, Box::new((outcome, run)));
-                        self.schedule(STORE_RETRY_DELAY, SimEvent::Entry(entry, epoch, message));
-                    }
-                }
-                None => {}
-            }
-        }
-        self.send_next_tx(entry);
-    }
-
-    /// Sends the settle call to the agent that the visible membership list has under the name, like
-    /// the driver of the `entry` crate.
-    fn request_settle(&mut self, call: usize, step_no: u32, claimed_attempt: &ClaimedAttempt) {
-        self.schedule_request_event(call, step_no, CALL_TIMEOUT, Event::SettleFailed);
-        let Some(ProcessId::Agent(pid)) = self.find_process(&claimed_attempt.endpoint) else {
-            return;
-        };
-        let key = AttemptKey {
-            request: claimed_attempt.request,
-            attempt: claimed_attempt.attempt,
-        };
-        let origin = AttemptOrigin {
-            entry: self.calls[call].entry,
-            call,
-            step_no,
-        };
-        self.calls[call].end = None;
-        self.send_message(SimEvent::Agent(pid, AgentMessage::Settle(key, origin)));
-    }
-
-    fn on_settled(
-        &mut self,
-        call: usize,
-        step_no: u32,
-        incarnation: decision::ids::Incarnation,
-        outcome: Outcome,
-    ) {
-        // Like the driver of the `entry` crate, compares the incarnation in the row with that in
-        // the reply.
-        let row = self
-            .storage
-            .claim_row(&ClaimRow::key(WORKSPACE, &self.idempotency_key(call)));
-        let event = match row {
-            Some(row) if row.agent == incarnation => Event::Settled(outcome),
-            _ => Event::AgentGone,
-        };
-        self.on_request_event(call, step_no, event);
-    }
-
-    fn dispatch_attempt(&mut self, call: usize, step_no: u32, pause: u64) {
-        let entry = self.calls[call].entry;
-        let now = self.local_time(ProcessId::Entry(entry));
-        let (Some(request), Some(pick)) = (&self.calls[call].request, &self.calls[call].pick)
-        else {
-            return self.schedule_request_event(call, step_no, 0, Event::LinkLost { sent: false });
-        };
-        let job = Box::new(request.job(now));
-        let name = pick.name.clone();
-        let Some(ProcessId::Agent(pid)) = self.find_process(&name) else {
-            return self.schedule_request_event(call, step_no, MS, Event::LinkLost { sent: false });
-        };
-        let key = AttemptKey::of(&job);
-        let state = &mut self.calls[call];
-        state.attempt = Some((pid, key));
-        state.accepted = false;
-        state.chunks.clear();
-        state.end = None;
-        if !self.agents[pid].process.up {
-            return self.schedule_request_event(call, step_no, MS, Event::LinkLost { sent: false });
-        }
-        self.record_sent(pid);
-        let origin = AttemptOrigin {
-            entry,
-            call,
-            step_no,
-        };
-        let message = SimEvent::Agent(pid, AgentMessage::Dispatch(job, origin));
-        match pause {
-            0 => self.send_message(message),
-            _ => self.schedule(pause, message),
-        }
-        let epoch = self.calls[call].epoch;
-        let timeout = EntryMessage::Step(call, step_no, Box::new(Event::LinkLost { sent: true }));
-        self.schedule(
-            pause + DISPATCH_TIMEOUT,
-            SimEvent::Entry(entry, epoch, timeout),
-        );
-    }
-
-    fn record_sent(&mut self, pid: usize) {
-        let now = self.now;
-        if let Some(stop) = self.history.stops.iter_mut().find(|stop| stop.pid == pid) {
-            stop.last_sent_at = Some(now);
-        }
-    }
-
-    fn on_chunk(&mut self, call: usize, step_no: u32, seq: u64, chunk: ResponseChunk) {
-        if self.calls[call].step_no != step_no || self.calls[call].attempt.is_none() {
-            return;
-        }
-        self.calls[call].chunks.insert(seq, chunk);
-        if self.calls[call].stream
-            && let Some(request) = &mut self.calls[call].request
-        {
-            request.mark_response_started();
-        }
-        if self.mutant == Some(Mutant::CompleteAfterFirstChunk) {
-            let chunks = self.calls[call].chunks.values().cloned().collect();
-            self.report_result(call, CallResult::Complete(chunks));
-        }
-        self.finish_if_complete(call, step_no);
-    }
-
-    /// Completes the attempt once its end and all chunks before it have arrived.
-    fn finish_if_complete(&mut self, call: usize, step_no: u32) {
-        let state = &mut self.calls[call];
-        let is_complete = |end: &End| state.chunks.len() as u64 == end.chunks;
-        if state.end.as_deref().is_some_and(is_complete)
-            && let Some(end) = state.end.take()
-        {
-            self.on_request_event(call, step_no, Event::Ended(end));
-        }
-    }
-
-    /// Ends all attempts of an entry at an agent that is down.
-    fn break_links(&mut self, entry: usize, pid: usize) {
-        for call in 0..self.calls.len() {
-            let state = &self.calls[call];
-            if state.entry == entry && state.attempt.is_some_and(|attempt| attempt.0 == pid) {
-                let step_no = state.step_no;
-                self.on_request_event(call, step_no, Event::LinkLost { sent: true });
-            }
-        }
-    }
-
     fn deliver_answer(&mut self, call: usize, answer: Answer) {
         let (result, store) = match answer {
             Answer::Complete => {
@@ -637,37 +405,6 @@
         }
     }
 
-    fn first_run(&self, call: usize) -> Option<usize> {
-        let first = self.calls[call].chunks.values().next();
-        first.map(|chunk| chunk.run)
-    }
-
-    /// Stores the outcome of a request in its claim row. `run` is the run that a replay refers to.
-    fn store_outcome(&mut self, call: usize, outcome: Outcome, run: Option<usize>, tries: u32) {
-        let stored = run.map(|run| StoredOutcome {
-            outcome,
-            status: 200,
-            content: String::new(),
-            body: Some(run.to_string()),
-            receipt: None,
-        });
-        let request = self.calls[call].request.as_ref();
-        let row_update = request.and_then(|request| request.record(outcome, stored));
-        let Some((version, row)) = row_update else {
-            return;
-        };
-        self.inject_at(Step::Record, self.fault_target(call));
-        if !self.entries[self.calls[call].entry].process.up {
-            return;
-        }
-        self.queue_claim_write(
-            call,
-            version,
-            row,
-            WritePurpose::StoreOutcome(call, outcome, tries),
-        );
-    }
-
     /// Returns the processes that take part in the current step of a call. Without a known agent,
     /// agent 0 stands in.
     fn fault_target(&self, call: usize) -> FaultTarget {
