--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -60,17 +60,12 @@
 /// known it for [`NOTICE_MS`] at least.
 fn simulate(load: Load, entries: usize, rate: f64, seed: u64) -> Vec<u64> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let runner = "r0".into();
     let mut states: Vec<Backpressure> = (0..entries)
         .map(|_| Backpressure::new(entries as u32))
         .collect();
     let mut told: Vec<Option<u64>> = vec![None; entries];
     let mut answers: VecDeque<(u64, usize)> = VecDeque::new();
     let mut arrivals = Vec::new();
-    let notice = Notice {
-        rate_limit: Some(rate),
-        ..Notice::default()
-    };
     for now_ms in (0..60_000).step_by(STEP_MS) {
         let now = Time::from_ms(now_ms);
         while answers.front().is_some_and(|(due, _)| *due <= now_ms) {
@@ -78,17 +73,13 @@
                 break;
             };
             told[entry].get_or_insert(now_ms);
-            let source = NoticeSource {
-                runner: &runner,
-                born: BORN,
-                sent_at: Time::from_ms(now_ms.saturating_sub(ANSWER_MS)),
-                ran: true,
-            };
-            states[entry].record(now, &mut rng, source, &notice);
+            let sent_at = Time::from_ms(now_ms.saturating_sub(ANSWER_MS));
+            let answer = Answer::new(sent_at, Some(rate));
+            record_with(&mut states[entry], now, answer, &mut rng);
         }
         for entry in 0..entries {
             let due = load.has_work(now_ms, entry, &mut rng);
-            if !due || !states[entry].take(now, &runner, BORN, None) {
+            if !due || !states[entry].take(now, "r0", BORN, None) {
                 continue;
             }
             answers.push_back((now_ms + ANSWER_MS, entry));
@@ -138,8 +129,10 @@
     let rate = 2.0;
     let named_at = Time::from_ms(1_000);
     let mut states: Vec<Backpressure> = (0..68).map(|_| Backpressure::new(68)).collect();
-    for (seed, state) in states.iter_mut().enumerate() {
-        record_with(state, named_at, named_at, Some(rate), seed as u64);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let answer = Answer::new(named_at, Some(rate));
+    for state in &mut states {
+        record_with(state, named_at, answer, &mut rng);
     }
     let changed_at = named_at.after(Duration::from_secs(50));
     for state in &mut states {
@@ -178,7 +171,7 @@
         let mut sent = 0;
         for now_ms in (1_000..600_000).step_by(request_ms) {
             let now = Time::from_ms(now_ms);
-            record(&mut state, now, named_at, Some(6.0));
+            record(&mut state, now, Answer::new(named_at, Some(6.0)));
             sent += u32::from(state.take(now, "r0", BORN, None));
         }
         sent
@@ -190,39 +183,54 @@
 /// The state of an entry that a limit of 2 a second was named to, at this time.
 fn limited(now: Time) -> Backpressure {
     let mut state = Backpressure::new(1);
-    let changes = record(&mut state, now, now, Some(2.0));
+    let changes = record(&mut state, now, Answer::new(now, Some(2.0)));
     assert_eq!(changes, [NoticeChange::Limited(2.0)]);
     state
 }
 
-fn record(
-    state: &mut Backpressure,
-    now: Time,
+/// An answer of runner `r0`, as an entry gets it.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
     sent_at: Time,
+    born: u64,
+    ran: bool,
     rate: Option<f64>,
-) -> Vec<NoticeChange> {
-    record_with(state, now, sent_at, rate, 1)
+}
+
+impl Answer {
+    /// An answer to a request that was sent at this time, and run.
+    fn new(sent_at: Time, rate: Option<f64>) -> Answer {
+        Answer {
+            sent_at,
+            born: BORN,
+            ran: true,
+            rate,
+        }
+    }
+}
+
+fn record(state: &mut Backpressure, now: Time, answer: Answer) -> Vec<NoticeChange> {
+    let mut rng = fastrand::Rng::with_seed(1);
+    record_with(state, now, answer, &mut rng)
 }
 
 fn record_with(
     state: &mut Backpressure,
     now: Time,
-    sent_at: Time,
-    rate: Option<f64>,
-    seed: u64,
+    answer: Answer,
+    rng: &mut fastrand::Rng,
 ) -> Vec<NoticeChange> {
     let source = NoticeSource {
         runner: &"r0".into(),
-        born: BORN,
-        sent_at,
-        ran: true,
+        born: answer.born,
+        sent_at: answer.sent_at,
+        ran: answer.ran,
     };
     let notice = Notice {
-        rate_limit: rate,
+        rate_limit: answer.rate,
         ..Notice::default()
     };
-    let mut rng = fastrand::Rng::with_seed(seed);
-    state.record(now, &mut rng, source, &notice)
+    state.record(now, rng, source, &notice)
 }
 
 /// Guards against an answer that overtakes another one: only an answer to a request that was sent after
@@ -232,9 +240,10 @@
     let now = Time::from_ms(1_000);
     let mut state = limited(now);
     let later = Time::from_ms(1_200);
-    assert_eq!(record(&mut state, later, Time::from_ms(900), None), []);
+    let earlier = Answer::new(Time::from_ms(900), None);
+    assert_eq!(record(&mut state, later, earlier), []);
     assert_eq!(state.rate_limit(later, "r0", BORN), Some(2.0));
-    let changes = record(&mut state, later, Time::from_ms(1_100), None);
+    let changes = record(&mut state, later, Answer::new(Time::from_ms(1_100), None));
     assert_eq!(changes, [NoticeChange::Unlimited]);
     assert_eq!(state.rate_limit(later, "r0", BORN), None);
 }
@@ -245,15 +254,11 @@
     let now = Time::from_ms(1_000);
     let mut state = limited(now);
     let later = Time::from_ms(1_200);
-    let source = NoticeSource {
-        runner: &"r0".into(),
-        born: BORN,
-        sent_at: Time::from_ms(1_100),
+    let rejection = Answer {
         ran: false,
+        ..Answer::new(Time::from_ms(1_100), None)
     };
-    let mut rng = fastrand::Rng::with_seed(1);
-    let changes = state.record(later, &mut rng, source, &Notice::default());
-    assert_eq!(changes, []);
+    assert_eq!(record(&mut state, later, rejection), []);
     assert_eq!(state.rate_limit(later, "r0", BORN), Some(2.0));
 }
 
@@ -277,15 +282,11 @@
 fn earlier_incarnation_changes_nothing() {
     let now = Time::from_ms(1_000);
     let mut state = limited(now);
-    let source = NoticeSource {
-        runner: &"r0".into(),
+    let old = Answer {
         born: BORN - 1,
-        sent_at: now,
-        ran: true,
+        ..Answer::new(now, None)
     };
-    let mut rng = fastrand::Rng::with_seed(1);
-    let changes = state.record(now, &mut rng, source, &Notice::default());
-    assert_eq!(changes, []);
+    assert_eq!(record(&mut state, now, old), []);
     assert_eq!(state.rate_limit(now, "r0", BORN), Some(2.0));
 }
 
@@ -294,7 +295,7 @@
 fn limit_of_zero_sends_nothing() {
     let now = Time::from_ms(1_000);
     let mut state = Backpressure::new(8);
-    record(&mut state, now, now, Some(0.0));
+    record(&mut state, now, Answer::new(now, Some(0.0)));
     for second in 1..60 {
         let later = now.after(Duration::from_secs(second));
         assert!(!state.take(later, "r0", BORN, None), "after {second} s");
