Tell callers that no slot is left for when to try another entry

Callers saw: where a limit is divided among many entries, refused callers were told to stay away for as long as it was to the next slot of the one entry that they had asked: 25 s with a limit of 0.1 and eight entries, minutes with hundreds. Cause: the slot of a limit and the end of a pause were one thing. A pause is the runner's own word; a slot is this entry's part. Evidence: `refused_caller_may_soon_try_another_entry` failed before: Retry-After 25.415 for a caller with 3 s left. Change: two causes, which the log tells apart; the Retry-After of a limit is bounded like that of other refusals, that of a pause is not. Of a slot and a pause, the earlier one is waited for. Result: the test passes, and the others of `runner_limits`, `runner_pauses` and serving.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -88,7 +88,7 @@
     /// A runner that holds the adapter.
     #[display("adapter")]
     Adapter,
-    /// A slot at a runner that limits its requests.
+    /// A slot at a runner that limits its requests, or the end of a pause.
     #[display("slot")]
     Slot,
     /// The admission of the prompt.
@@ -332,8 +332,9 @@
         let jitter = RETRY_AFTER_JITTER.mul_f64(self.entry.state().rng.f64());
         let wait = self.retry_after(cause).unwrap_or(MIN_RETRY_AFTER);
         let longest = match cause {
-            // The runners have said when they take requests again.
-            FailureCause::NoRunner(NoRunner::Limited(_)) => wait.max(MAX_RETRY_AFTER),
+            // The runners have said when they take requests again. The slot of a limit is the entry's
+            // own, and another entry may have one sooner.
+            FailureCause::NoRunner(NoRunner::Paused(_)) => wait.max(MAX_RETRY_AFTER),
             _ => MAX_RETRY_AFTER,
         };
         self.log_failure("refused", cause);
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -55,7 +55,7 @@
             let now = self.entry.now();
             let placement = match self.place(now, wait_deadline) {
                 Ok(placement) => placement,
-                Err(NoRunner::Limited(at)) if at < wait_deadline => {
+                Err(NoRunner::Limited(at) | NoRunner::Paused(at)) if at < wait_deadline => {
                     self.step = Step::Slot;
                     let wake = at.min(now.after(RECHECK_INTERVAL));
                     tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -69,8 +69,10 @@
 pub enum Permission {
     /// A request may be sent now.
     Granted,
-    /// None before this time.
-    At(Time),
+    /// None before the slot that opens at this time.
+    FromSlot(Time),
+    /// None before the pause ends at this time.
+    AfterPause(Time),
 }
 
 /// The right to send one request to an incarnation of a runner that names a limit. A request that ends
@@ -187,11 +189,12 @@
             Some(slot) if limit.has_time_left(now, slot.time) => slot.time.opens_at,
             _ => limit.slot(now),
         });
-        let at = opens_at.max(known.paused_until);
-        if at <= now {
-            Permission::Granted
+        if now < known.paused_until {
+            Permission::AfterPause(opens_at.max(known.paused_until))
+        } else if now < opens_at {
+            Permission::FromSlot(opens_at)
         } else {
-            Permission::At(at)
+            Permission::Granted
         }
     }
 
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -97,9 +97,12 @@
     /// All known runners of the service are draining or replaced.
     #[display("all runners are draining or replaced")]
     Leaving,
-    /// The remaining runners want no request before this time.
+    /// The remaining runners limit their requests, and this entry has no slot before this time.
     #[display("the runners limit their requests")]
     Limited(Time),
+    /// The remaining runners want no request of this entry before this time.
+    #[display("the runners have asked for a pause")]
+    Paused(Time),
     /// The remaining runners are excluded or do not answer their agents, or they lack the adapter
     /// and there is no connection to their agents.
     #[display("no runner is left to try")]
@@ -115,8 +118,14 @@
     fn or(self, other: NoRunner) -> NoRunner {
         match (self, other) {
             (NoRunner::Limited(a), NoRunner::Limited(b)) => NoRunner::Limited(a.min(b)),
-            (NoRunner::Limited(_), _) => self,
-            (_, NoRunner::Limited(_)) => other,
+            (NoRunner::Paused(a), NoRunner::Paused(b)) => NoRunner::Paused(a.min(b)),
+            (NoRunner::Limited(slot), NoRunner::Paused(end))
+            | (NoRunner::Paused(end), NoRunner::Limited(slot)) => match slot <= end {
+                true => NoRunner::Limited(slot),
+                false => NoRunner::Paused(end),
+            },
+            (NoRunner::Limited(_) | NoRunner::Paused(_), _) => self,
+            (_, NoRunner::Limited(_) | NoRunner::Paused(_)) => other,
             (NoRunner::Loading(a), NoRunner::Loading(b)) => NoRunner::Loading(a.min(b)),
             (NoRunner::Loading(_), _) | (NoRunner::Exhausted, NoRunner::Leaving) => self,
             (_, NoRunner::Unknown) => self,
@@ -129,7 +138,7 @@
     pub fn retry_after(self, now: Time, model_load: Duration) -> Option<Duration> {
         match self {
             NoRunner::Loading(since) => Some(model_load.saturating_sub(now.since(since))),
-            NoRunner::Limited(until) => Some(until.since(now)),
+            NoRunner::Limited(until) | NoRunner::Paused(until) => Some(until.since(now)),
             NoRunner::Unknown | NoRunner::Leaving | NoRunner::Exhausted => None,
         }
     }
@@ -238,7 +247,8 @@
             .permission(now, &member.id, member.born, slot);
         match permission {
             Permission::Granted => Ok(access),
-            Permission::At(at) => Err(NoRunner::Limited(at)),
+            Permission::FromSlot(at) => Err(NoRunner::Limited(at)),
+            Permission::AfterPause(at) => Err(NoRunner::Paused(at)),
         }
     }
 
