State the lock order of a send

Cause: the check before a send locks the caller's connection while it holds its own state, and no page said so. Result: comments only.

--- a/crates/gateway/src/send_check.rs
+++ b/crates/gateway/src/send_check.rs
@@ -3,6 +3,8 @@
 //! Invariants: between the look at the caller's connection and the first byte of a request no other task
 //! runs; a connection that is given up after a request was written is reset, so that bytes which the
 //! runner has not received yet are not delivered later.
+//!
+//! Lock order: the state of a send, then the caller's connection.
 
 use std::io;
 use std::io::IoSlice;
