--- a/crates/faults/src/page.rs
+++ b/crates/faults/src/page.rs
@@ -226,14 +226,14 @@
     Lesson {
         fault: "requests sent on, and work that goes on, for callers that have left",
         protection: "a connection is read ahead while its request is in progress, and looked at right \
-            before the bytes of a send (both were faults here)",
+            before the bytes of a send; what is abandoned is reset (all were faults here)",
         tests: "`caller_left`, `token_streams`, soak",
     },
     Lesson {
         fault: "far more requests than a runner has said that it takes",
         protection: "each entry uses a part of the limit; a runner that leaves or pauses is left out (was \
             a fault here)",
-        tests: "`rate_limits`, `runner_limits`, `runner_pauses`, `leaving_runner`, soak",
+        tests: "`rate_limits`, `entry_counts`, `runner_limits`, `runner_pauses`, `leaving_runner`, soak",
     },
     Lesson {
         fault: "an earlier refusal, written once more, is taken for the answer to the next request",
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -34,7 +34,9 @@
 
 /// What becomes of the slot that a request holds when a runner is chosen.
 enum SlotChoice {
+    /// It is kept, if there is one.
     Keep,
+    /// It is given back, and this one is held instead.
     Replace(Option<Slot>),
 }
 
