Let stand-in runners say what they say of themselves by type, not by header

Change: a stand-in takes the Notice that entries decode, and writes the headers itself. The programs are the same.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -11,6 +11,7 @@
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rustix::process::Signal;
+use serving::runner::Notice;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -135,17 +136,13 @@
             }
             Fault::NewAdapterVersion(index) => self.announce_version(index),
             Fault::RunnerLimit(index, rate, length) => {
-                let text = rate.to_string();
                 let kind = NoticeKind::Limit(f64::from(rate));
-                self.announce(index, kind, &[("server-limit", &text)], length)
-                    .await;
+                self.announce(index, kind, length).await;
             }
             Fault::RunnerLeaving(index) => self.leave(index).await?,
             Fault::RunnerPause(index, length) => {
-                let seconds = (length as f64 / 1_000.0).to_string();
                 self.set_full(index, true).await;
-                let kind = NoticeKind::Pause(length);
-                self.announce(index, kind, &[("retry-after", &seconds)], length)
+                self.announce(index, NoticeKind::Pause(length), length)
                     .await;
                 self.set_full(index, false).await;
             }
@@ -196,24 +193,18 @@
 
     /// Lets the present runner at a position say something of itself for a while. Another fault may stop
     /// it meanwhile.
-    async fn announce(
-        &self,
-        index: usize,
-        kind: NoticeKind,
-        headers: &[(&'static str, &str)],
-        length: Ms,
-    ) {
+    async fn announce(&self, index: usize, kind: NoticeKind, length: Ms) {
         let host = &self.runner_hosts[index];
         let Ok(_notice) = host.notice.try_lock() else {
             return;
         };
-        let Some(id) = host.announce(None, headers).await else {
+        let Some(id) = host.announce(None, kind.to_notice()).await else {
             return;
         };
         let from = self.now();
         tokio::time::sleep(Duration::from_millis(length)).await;
         let to = self.now();
-        host.announce(Some(&id), &[]).await;
+        host.announce(Some(&id), Notice::default()).await;
         let notice = RunnerNotice {
             runner: id,
             kind,
@@ -230,7 +221,7 @@
         };
         let mut current = self.runner_hosts[index].runner.lock().await;
         if let Some(runner) = current.take() {
-            runner.announce(&[("server-leaving", "1")]);
+            runner.announce(NoticeKind::Leaving.to_notice());
             let from = self.now();
             tokio::time::sleep(RUNNER_LEAVE_TIME).await;
             let notice = RunnerNotice {
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -27,6 +27,7 @@
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rig::store::Store;
+use serving::runner::Notice;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -106,19 +107,15 @@
 }
 
 impl RunnerHost {
-    /// Sets the headers that the runner adds to its responses, only if it is still the one with this
+    /// Sets what the runner says of itself in its responses, only if it is still the one with this
     /// identifier; returns its identifier.
-    pub(crate) async fn announce(
-        &self,
-        expected: Option<&str>,
-        headers: &[(&'static str, &str)],
-    ) -> Option<String> {
+    pub(crate) async fn announce(&self, expected: Option<&str>, notice: Notice) -> Option<String> {
         let current = self.runner.lock().await;
         let runner = current.as_ref()?;
         if expected.is_some_and(|id| *id != runner.id) {
             return None;
         }
-        runner.announce(headers);
+        runner.announce(notice);
         Some(runner.id.clone())
     }
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,9 @@
 //! What callers, runners and the store observed during a run.
 
+use std::time::Duration;
+
 use derive_more::Display;
+use serving::runner::Notice;
 
 /// A time since the start of the run, or a duration, in milliseconds.
 pub type Ms = u64;
@@ -152,6 +155,27 @@
     Pause(Ms),
 }
 
+impl NoticeKind {
+    /// Returns what the runner says of itself.
+    pub(crate) fn to_notice(self) -> Notice {
+        let silent = Notice::default();
+        match self {
+            NoticeKind::Limit(rate) => Notice {
+                rate_limit: Some(rate),
+                ..silent
+            },
+            NoticeKind::Leaving => Notice {
+                leaving: true,
+                ..silent
+            },
+            NoticeKind::Pause(length) => Notice {
+                retry_after: Some(Duration::from_millis(length)),
+                ..silent
+            },
+        }
+    }
+}
+
 /// The period in which a runner says something of itself.
 #[derive(Clone, Debug)]
 pub struct RunnerNotice {
