Read the store's era in each answer, and log and count its restores

Nothing in logs or metrics told a restore of the store from an ordinary outage, or that one had happened at all. All calls of an entry now go through gateway::store::Store, which records the era of each answer (serving::store_era, pure): 'store restored from a copy' with the eras before and after, store_restores_total. A delayed answer of an earlier era is an error. What follows from a restore is unchanged.

--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -104,6 +105,8 @@
 pub struct Reply {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -162,6 +165,7 @@
         let deadline = Instant::now() + timeout;
         let response = self.send(call, deadline).await?;
         let status = response.status();
+        let headers = response.headers().clone();
         let oversized = || {
             let text = format!("response exceeds {limit} bytes");
             self.error(operation, ErrorKind::Malformed(text))
@@ -175,7 +179,11 @@
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(oversized()),
             Ok(Err(_)) | Err(_) => return Err(self.error(operation, ErrorKind::NoResponse)),
         };
-        Ok(Reply { status, body })
+        Ok(Reply {
+            status,
+            headers,
+            body,
+        })
     }
 
     /// Sends a request and decodes the JSON body of a successful response. Any other status is an
@@ -284,6 +292,7 @@
         }
         Reply {
             status,
+            headers: HeaderMap::new(),
             body: text.into(),
         }
         .error_kind()
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -16,7 +16,6 @@
 use error_stack::ResultExt;
 use platform::manifest::VersionAnnouncement;
 use platform::settings;
-use platform::store::StoreClient;
 use platform::store::Table;
 use serde_json::json;
 use serving::config::Config;
@@ -43,6 +42,7 @@
 use crate::metrics::EntryMetrics;
 use crate::process::ProcessError;
 use crate::recover::lock;
+use crate::store::Store;
 
 /// How long before the bound for using an announced version older ones are no longer allowed.
 const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
@@ -80,8 +80,8 @@
     pub clock: RuntimeClock,
     /// Counters, gauges and histograms, served at the metrics address.
     pub metrics: EntryMetrics,
-    /// The client of the platform's store.
-    pub store: StoreClient,
+    /// The platform's store.
+    pub store: Store,
     /// The memory for responses that are not passed on yet.
     pub buffers: Arc<BufferBudget>,
     /// Idle connections to runners.
@@ -153,10 +153,12 @@
             members: Members::new(Duration::from_millis(bounds.contact_ms)),
             members_known: false,
         };
+        let clock = RuntimeClock::start();
+        let metrics = EntryMetrics::new().change_context(ProcessError::Setup)?;
         Ok(Arc::new(Entry {
-            clock: RuntimeClock::start(),
-            metrics: EntryMetrics::new().change_context(ProcessError::Setup)?,
-            store: StoreClient::new(settings.store),
+            clock,
+            store: Store::new(settings.store, clock, metrics.store_restores.clone()),
+            metrics,
             buffers: BufferBudget::new(settings.memory_mb),
             conns: ConnPool::default(),
             links: AgentLinks::default(),
--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -9,13 +9,13 @@
 
 use decision::collections::Map;
 use decision::collections::Set;
-use edges::EdgeError;
 use platform::holds::HoldRow;
 use serving::quarantine::Quarantine;
 use serving::request::PartId;
 use spdlog::warn;
 
 use crate::entry::Entry;
+use crate::store::StoreError;
 
 /// The pause after a call to the store that failed.
 const STORE_RETRY_PAUSE: Duration = Duration::from_secs(1);
@@ -76,15 +76,16 @@
 
     /// Extends the hold of a part in the store unless another entry has done so; returns whether this
     /// entry may probe it.
-    async fn claim_probe(&self, part: PartId) -> Result<bool, EdgeError> {
-        let row = self.store.read_hold(part).await?;
+    async fn claim_probe(&self, part: PartId) -> Result<bool, StoreError> {
+        let row = self.store.read_hold(part).await?.value;
         if self.adopt_hold(&row) {
             return Ok(false);
         }
         let known = self.state().quarantine.find_held(&[part]);
         let level = known.map_or(0, |(_, hold)| hold.level) + 1;
         let length = Quarantine::hold_time(level);
-        if !self.store.write_hold(&row, length, level).await? {
+        let written = self.store.write_hold(&row, length, level).await?;
+        if !written.value {
             return Ok(false);
         }
         self.hold_part(part, length, level);
@@ -101,8 +102,8 @@
     }
 
     /// Reads the held parts from the store and removes those that have long expired.
-    async fn recall_holds(&self) -> Result<(), EdgeError> {
-        let stored = self.store.read_holds().await?;
+    async fn recall_holds(&self) -> Result<(), StoreError> {
+        let stored = self.store.read_holds().await?.value;
         let (old, current): (Vec<_>, Vec<_>) = stored
             .into_iter()
             .partition(|hold| hold.expired > STORED_HOLD_MEMORY);
@@ -118,9 +119,9 @@
     }
 
     /// Writes the changes of held parts to the store.
-    async fn store_changes(&self) -> Result<(), EdgeError> {
+    async fn store_changes(&self) -> Result<(), StoreError> {
         while let Some((part, level)) = self.next_held() {
-            let row = self.store.read_hold(part).await?;
+            let row = self.store.read_hold(part).await?.value;
             if !self.adopt_hold(&row) {
                 let length = Quarantine::hold_time(level);
                 self.store.write_hold(&row, length, level).await?;
@@ -163,7 +164,7 @@
     }
 }
 
-fn log_store_failure(failures: &mut u32, error: &EdgeError) {
+fn log_store_failure(failures: &mut u32, error: &StoreError) {
     if *failures == 0 {
         let error = error.to_string();
         warn!("held parts cannot be read or stored", kv: { error = error.as_str() });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod server;
 mod signals;
 mod slot;
+pub mod store;
 pub mod watch;
 
 use ::process::Clock;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub runner_connects: IntCounter,
     /// Reads of the store by result: `ok`, `expired` or `failed`.
     pub store_calls: IntCounterVec,
+    /// Restores of the store from a copy that were seen in its answers.
+    pub store_restores: IntCounter,
     /// Changes of held prompt parts: `held` or `released`.
     pub part_holds: IntCounterVec,
     /// Changes in what runners say of themselves, by
@@ -86,6 +88,9 @@
         let resumed_streams =
             IntCounter::new("streams_resumed_total", "Streams that were resumed")?;
         let runner_connects = IntCounter::new("runner_connects_total", "Connections to runners")?;
+        let store_restores =
+            IntCounter::new("store_restores_total", "Restores of the store from a copy")?;
+        registry.register(Box::new(store_restores.clone()))?;
         let part_holds = register_counters(
             &registry,
             "part_holds_total",
@@ -122,6 +127,7 @@
             resumed_streams,
             runner_connects,
             store_calls,
+            store_restores,
             part_holds,
             runner_notices,
             limited_runners,
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,148 @@
+//! The entry's access to the platform's store, and the one place that knows the store's era.
+//!
+//! Invariants: the era of each answer is recorded before the answer is used; an answer of before the
+//! last restore is never used.
+//!
+//! API boundary: all tasks of an entry call the store through [`Store`].
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::From;
+use edges::EdgeError;
+use edges::EdgeResult;
+use platform::holds::HoldRow;
+use platform::holds::StoredHold;
+use platform::store::Answer;
+use platform::store::FeedReply;
+use platform::store::RowBatch;
+use platform::store::StoreClient;
+use platform::store::Table;
+use prometheus::IntCounter;
+use serving::request::PartId;
+use serving::store_era::EraChange;
+use serving::store_era::EraTracker;
+use serving::store_era::Generation;
+use spdlog::warn;
+use tokio::sync::watch;
+
+use crate::RuntimeClock;
+use crate::recover::lock;
+
+/// Why a call to the store has no usable answer.
+#[derive(Debug, Display, From)]
+pub enum StoreError {
+    /// The call failed.
+    #[display("{_0}")]
+    Call(EdgeError),
+    /// The store answered before it came back from a copy.
+    #[display("the answer was given before the store was restored")]
+    Outdated,
+}
+
+/// An answer of the store, with the generation of the rows that it is about.
+#[derive(Debug)]
+pub struct Fresh<T> {
+    /// What the store was asked for.
+    pub value: T,
+    /// The generation of the rows.
+    pub generation: Generation,
+}
+
+/// The platform's store, as all tasks of an entry use it.
+#[derive(Debug)]
+pub struct Store {
+    client: StoreClient,
+    clock: RuntimeClock,
+    era: Mutex<EraTracker>,
+    generation: watch::Sender<Generation>,
+    restores: IntCounter,
+}
+
+impl Store {
+    /// Creates a client for the store at this address, which counts the restores that it sees.
+    pub(crate) fn new(addr: SocketAddr, clock: RuntimeClock, restores: IntCounter) -> Store {
+        Store {
+            client: StoreClient::new(addr),
+            clock,
+            era: Mutex::default(),
+            generation: watch::Sender::default(),
+            restores,
+        }
+    }
+
+    /// Returns a receiver of the generation, which changes when the store turns out to be restored.
+    pub fn subscribe(&self) -> watch::Receiver<Generation> {
+        self.generation.subscribe()
+    }
+
+    /// Reads all rows of a table.
+    pub(crate) async fn read_all(&self, table: Table) -> Result<Fresh<RowBatch>, StoreError> {
+        self.observe(self.client.read_all(table)).await
+    }
+
+    /// Waits up to `wait` until rows of a table change after version `after`.
+    pub(crate) async fn wait_for_changes(
+        &self,
+        table: Table,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Fresh<FeedReply>, StoreError> {
+        self.observe(self.client.wait_for_changes(table, after, wait))
+            .await
+    }
+
+    /// Reads all held parts.
+    pub(crate) async fn read_holds(&self) -> Result<Fresh<Vec<StoredHold>>, StoreError> {
+        self.observe(self.client.read_holds()).await
+    }
+
+    /// Reads the row of one held part.
+    pub(crate) async fn read_hold(&self, part: PartId) -> Result<Fresh<HoldRow>, StoreError> {
+        self.observe(self.client.read_hold(part)).await
+    }
+
+    /// Writes a hold unless its row has changed since it was read; returns whether it was written.
+    pub(crate) async fn write_hold(
+        &self,
+        row: &HoldRow,
+        length: Duration,
+        level: u32,
+    ) -> Result<Fresh<bool>, StoreError> {
+        self.observe(self.client.write_hold(row, length, level))
+            .await
+    }
+
+    /// Removes the rows of these parts.
+    pub(crate) async fn remove_holds(&self, parts: &[PartId]) -> Result<(), StoreError> {
+        self.observe(self.client.remove_holds(parts)).await?;
+        Ok(())
+    }
+
+    /// Records the era of a call's answer, and drops an outdated one.
+    async fn observe<T>(
+        &self,
+        call: impl Future<Output = EdgeResult<Answer<T>>>,
+    ) -> Result<Fresh<T>, StoreError> {
+        let started_at = self.clock.now();
+        let Answer { value, era } = call.await?;
+        let (change, generation) = {
+            let mut tracker = lock(&self.era);
+            let change = tracker.record(started_at, self.clock.now(), era);
+            (change, tracker.generation())
+        };
+        match change {
+            EraChange::None => {}
+            EraChange::Outdated => return Err(StoreError::Outdated),
+            EraChange::Restored(before) => {
+                let (era, before) = (era.map_or(0, |era| era.0), before.0);
+                warn!("store restored from a copy", kv: { era, before });
+                self.restores.inc();
+                self.generation.send_replace(generation);
+            }
+        }
+        Ok(Fresh { value, generation })
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -47,9 +47,14 @@
     loop {
         let started_at = entry.now();
         let result = match version {
-            None => entry.store.read_all(table).await.map(FeedReply::Changes),
+            None => {
+                let read = entry.store.read_all(table).await;
+                read.map(|read| FeedReply::Changes(read.value))
+            }
             Some(after) => tokio::select! {
-                feed = entry.store.wait_for_changes(table, after, poll_timeout) => feed,
+                feed = entry.store.wait_for_changes(table, after, poll_timeout) => {
+                    feed.map(|feed| feed.value)
+                }
                 () = entry.other_table_failed(table) => {
                     version = None;
                     continue;
