Read the membership in full when the store's era changes, and keep what a copy must not undo

What callers saw: requests to runners that were gone, and none to runners that had come, for as long as nothing else failed. Cause: follow_table read in full after an error or a 410 only. Between two reads of the membership no call is open, so that a restore whose new versions overtake the known one passed for a run of changes (class: a position in one history used in another one).

A position now belongs to a generation of the store, and each table reads in full when the generation changes, whichever call has shown it.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,6 +21,7 @@
 use serving::config::Config;
 use serving::fleet::Fleet;
 use serving::members::Change;
+use serving::members::Extent;
 use serving::members::MemberRow;
 use serving::members::Members;
 use serving::overload::OverloadDetector;
@@ -123,6 +124,15 @@
     }
 }
 
+/// Returns the records among the rows of a whole table.
+fn written(rows: Vec<MemberRow>) -> Vec<Member> {
+    let records = rows.into_iter().filter_map(|row| match row {
+        MemberRow::Written(member) => Some(member),
+        MemberRow::Removed(_) => None,
+    });
+    records.collect()
+}
+
 impl Entry {
     /// Creates an entry that draws all its random numbers from `rng`; starts no tasks.
     ///
@@ -274,27 +284,35 @@
         self.members_outdated.notified().await;
     }
 
-    /// Applies rows of the membership table: the whole table if `full`, otherwise its changes.
-    pub fn apply_members(self: &Arc<Self>, rows: Vec<MemberRow>, full: bool) {
+    /// Applies rows of the membership table.
+    pub fn apply_members(self: &Arc<Self>, rows: Vec<MemberRow>, extent: Extent) {
         let now = self.now();
         let mut state = self.state();
-        state.members.store_answered(now);
         state.members_known = true;
-        let changes = if full {
-            let records = rows.into_iter().filter_map(|row| match row {
-                MemberRow::Written(member) => Some(member),
-                MemberRow::Removed(_) => None,
-            });
-            state.members.apply_snapshot(now, records.collect())
-        } else {
-            state.members.apply_rows(now, rows)
+        let members = &mut state.members;
+        let changes = match extent {
+            Extent::Changes => {
+                members.store_answered(now);
+                members.apply_rows(now, rows)
+            }
+            Extent::All => {
+                members.store_answered(now);
+                members.apply_snapshot(now, written(rows))
+            }
+            Extent::Copy => members.apply_copy(now, written(rows)),
         };
-        let missing = state.members.missing_count();
-        let expiry = state.members.next_expiry();
+        let (missing, returned) = (members.missing_count(), members.returned_count());
+        let expiry = members.next_expiry();
         drop(state);
+        if extent == Extent::Copy {
+            let changed = changes.len();
+            info!("membership read from the restored store", kv: { changed, missing, returned });
+        }
         if let Some(expiry) = expiry {
             let kept_ms = expiry.since(now).as_millis() as u64;
-            info!("records missing after an outage are kept", kv: { missing, kept_ms });
+            if missing > 0 {
+                info!("records missing after an outage are kept", kv: { missing, kept_ms });
+            }
             self.records_missing.notify_one();
         }
         self.apply_changes(changes);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -3,15 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use decision::time::Time;
+use edges::EdgeError;
 use platform::store::FeedReply;
 use platform::store::Row;
 use platform::store::RowBatch;
 use platform::store::Table;
+use serving::members::Extent;
 use serving::members::MemberRow;
+use serving::store_era::Generation;
 use spdlog::info;
 use spdlog::warn;
+use tokio::sync::watch;
 
 use crate::entry::Entry;
+use crate::store::Fresh;
+use crate::store::StoreError;
 
 /// How long the store may hold a read of the membership's changes, as a share of the bound for
 /// restored contact. A dead connection is noticed only after that time; the rest of the bound
@@ -33,98 +40,179 @@
     Duration::from_millis(500),
 ];
 
+/// Up to where a table is known.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    generation: Generation,
+    version: u64,
+}
+
 /// Reads a table in full and then its changes, and applies them to the entry. Never returns; after
-/// a failure it starts again with a full read.
+/// a failure, or when the store has come back from a copy, it starts again with a full read.
 pub async fn follow_table(entry: Arc<Entry>, table: Table) {
-    let bounds = entry.settings.bounds;
-    let poll_timeout = match table {
-        Table::Operator => OPERATOR_POLL_TIMEOUT,
-        Table::Members => Duration::from_millis(bounds.contact_ms).mul_f64(CONTACT_SHARE),
+    let generations = entry.store.subscribe();
+    let mut follower = Follower {
+        entry,
+        table,
+        generations,
+        position: None,
+        generation: Generation::default(),
+        failures: 0,
     };
-    let pause = Duration::from_millis(bounds.drain_ms).mul_f64(MEMBERS_PAUSE_SHARE);
-    let mut version = None;
-    let mut failures = 0;
     loop {
-        let started_at = entry.now();
-        let result = match version {
-            None => {
-                let read = entry.store.read_all(table).await;
-                read.map(|read| FeedReply::Changes(read.value))
+        follower.advance().await;
+    }
+}
+
+/// Follows one table.
+struct Follower {
+    entry: Arc<Entry>,
+    table: Table,
+    generations: watch::Receiver<Generation>,
+    /// `None` if all rows are to be read.
+    position: Option<Position>,
+    /// The generation of the last full read.
+    generation: Generation,
+    /// Reads that have failed since the last answer.
+    failures: u32,
+}
+
+impl Follower {
+    /// Makes one read and applies its rows.
+    async fn advance(&mut self) {
+        let started_at = self.entry.now();
+        match self.read().await {
+            None => self.position = None,
+            Some(Ok(answer)) => {
+                self.record_success();
+                self.handle_answer(answer).await;
             }
-            Some(after) => tokio::select! {
-                feed = entry.store.wait_for_changes(table, after, poll_timeout) => {
-                    feed.map(|feed| feed.value)
-                }
-                () = entry.other_table_failed(table) => {
-                    version = None;
-                    continue;
-                }
-            },
+            Some(Err(StoreError::Outdated)) => self.position = None,
+            Some(Err(StoreError::Call(error))) => self.handle_failure(started_at, &error).await,
+        }
+    }
+
+    /// Returns `None` if the read was given up because all rows are to be read again.
+    async fn read(&mut self) -> Option<Result<Fresh<FeedReply>, StoreError>> {
+        let (entry, table) = (&self.entry, self.table);
+        let generation = *self.generations.borrow_and_update();
+        let Some(position) = self.position.filter(|known| known.generation == generation) else {
+            let read = entry.store.read_all(table).await;
+            return Some(read.map(|read| Fresh {
+                value: FeedReply::Changes(read.value),
+                generation: read.generation,
+            }));
         };
-        match result {
-            Ok(FeedReply::Changes(batch)) => {
-                if failures > 0 {
-                    info!("store reachable again", kv: { table = table.name(), failures });
-                }
-                failures = 0;
-                entry.metrics.store_calls.with_label_values(&["ok"]).inc();
-                if version.is_some_and(|known| batch.version < known) {
-                    warn!("store returned an older version", kv: { table = table.name() });
-                    tokio::time::sleep(RETRY_PAUSES[1]).await;
-                    continue;
-                }
-                let full = version.is_none();
-                version = Some(batch.version);
-                apply_rows(&entry, table, batch, full);
-                if table == Table::Members {
-                    pause_members_reads(&entry, pause).await;
-                }
-            }
-            Ok(FeedReply::Expired) => {
-                entry
-                    .metrics
-                    .store_calls
-                    .with_label_values(&["expired"])
-                    .inc();
-                info!("store history expired, reading all rows", kv: { table = table.name() });
-                version = None;
-            }
-            Err(error) => {
-                entry
-                    .metrics
-                    .store_calls
-                    .with_label_values(&["failed"])
-                    .inc();
-                if failures == 0 {
-                    let error = error.to_string();
-                    warn!("store read failed", kv: { table = table.name(), error = error.as_str() });
-                }
-                entry.mark_store_lost(table, started_at);
-                // A restarted history or a missed removal shows only in a full read.
-                version = None;
-                let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len() - 1)];
-                failures += 1;
-                tokio::time::sleep(pause).await;
-            }
+        let wait = poll_timeout(table, entry.settings.bounds.contact_ms);
+        tokio::select! {
+            biased;
+            feed = entry.store.wait_for_changes(table, position.version, wait) => Some(feed),
+            // Fails only without a store.
+            _ = self.generations.changed() => None,
+            () = entry.other_table_failed(table) => None,
+        }
+    }
+
+    async fn handle_answer(&mut self, answer: Fresh<FeedReply>) {
+        let generation = answer.generation;
+        let known = self.position;
+        if known.is_some_and(|known| known.generation != generation) {
+            // What was lost and what the copy has shows only in a full read.
+            self.position = None;
+            return;
+        }
+        let FeedReply::Changes(batch) = answer.value else {
+            self.handle_expired();
+            return;
+        };
+        self.count("ok");
+        if known.is_some_and(|known| batch.version < known.version) {
+            self.handle_lower_version().await;
+            return;
         }
+        let extent = match known {
+            Some(_) => Extent::Changes,
+            None if self.generation == generation => Extent::All,
+            None => Extent::Copy,
+        };
+        self.generation = generation;
+        self.position = Some(Position {
+            generation,
+            version: batch.version,
+        });
+        apply_rows(&self.entry, self.table, batch, extent);
+        if self.table == Table::Members {
+            self.pause_members_reads().await;
+        }
+    }
+
+    /// Waits before the next read of the membership's changes; less long if the known membership turns
+    /// out to be outdated, or the store to be restored.
+    async fn pause_members_reads(&mut self) {
+        let drain = Duration::from_millis(self.entry.settings.bounds.drain_ms);
+        let pause = drain.mul_f64(MEMBERS_PAUSE_SHARE);
+        tokio::time::sleep(MIN_MEMBERS_PAUSE.min(pause)).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause.saturating_sub(MIN_MEMBERS_PAUSE)) => {}
+            () = self.entry.members_outdated() => {}
+            // Fails only without a store.
+            _ = self.generations.changed() => {}
+        }
+    }
+
+    fn record_success(&mut self) {
+        if self.failures > 0 {
+            let (table, failures) = (self.table.name(), self.failures);
+            info!("store reachable again", kv: { table, failures });
+        }
+        self.failures = 0;
+    }
+
+    fn handle_expired(&mut self) {
+        self.count("expired");
+        info!("store history expired, reading all rows", kv: { table = self.table.name() });
+        self.position = None;
+    }
+
+    async fn handle_lower_version(&mut self) {
+        warn!("store returned an older version", kv: { table = self.table.name() });
+        tokio::time::sleep(RETRY_PAUSES[1]).await;
+    }
+
+    async fn handle_failure(&mut self, started_at: Time, error: &EdgeError) {
+        self.count("failed");
+        if self.failures == 0 {
+            let (table, error) = (self.table.name(), error.to_string());
+            warn!("store read failed", kv: { table, error = error.as_str() });
+        }
+        self.entry.mark_store_lost(self.table, started_at);
+        // A restarted history or a missed removal shows only in a full read.
+        self.position = None;
+        let pause = RETRY_PAUSES[(self.failures as usize).min(RETRY_PAUSES.len() - 1)];
+        self.failures += 1;
+        tokio::time::sleep(pause).await;
+    }
+
+    fn count(&self, result: &str) {
+        let calls = &self.entry.metrics.store_calls;
+        calls.with_label_values(&[result]).inc();
     }
 }
 
-/// Waits before the next read of the membership's changes: for `pause`, or for less if the known
-/// membership turns out to be outdated.
-async fn pause_members_reads(entry: &Entry, pause: Duration) {
-    tokio::time::sleep(MIN_MEMBERS_PAUSE.min(pause)).await;
-    let rest = pause.saturating_sub(MIN_MEMBERS_PAUSE);
-    // An elapsed pause and a notification both mean that the next read is due.
-    let _ = tokio::time::timeout(rest, entry.members_outdated()).await;
+/// Returns how long the store may hold a read of a table's changes.
+fn poll_timeout(table: Table, contact_ms: u64) -> Duration {
+    match table {
+        Table::Operator => OPERATOR_POLL_TIMEOUT,
+        Table::Members => Duration::from_millis(contact_ms).mul_f64(CONTACT_SHARE),
+    }
 }
 
-fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, full: bool) {
+fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, extent: Extent) {
     let mut members = Vec::new();
     for row in batch.rows {
         match row {
             Row::Config(config) => entry.apply_config(*config),
-            Row::Version(announced) => entry.apply_version(&announced, !full),
+            Row::Version(announced) => entry.apply_version(&announced, extent == Extent::Changes),
             Row::Member(member) => members.push(MemberRow::Written(member)),
             Row::Removed(key) => members.push(MemberRow::Removed(key)),
             Row::Invalid(key, error) => {
@@ -136,6 +224,6 @@
         }
     }
     if table == Table::Members {
-        entry.apply_members(members, full);
+        entry.apply_members(members, extent);
     }
 }
--- a/crates/serving/src/members.rs
+++ b/crates/serving/src/members.rs
@@ -3,8 +3,11 @@
 //! Invariants: a record that may have expired during an outage of the store is kept for
 //! [`RETURN_GRACE`] after the outage, but never beyond the bound within which an entry must be up to
 //! date with a store that it reaches again; if it is still missing then, its runner is removed. An
-//! older incarnation never replaces a newer one with the same identifier.
+//! older incarnation never replaces a newer one with the same identifier; a record that a copy of the
+//! store brings back after its removal names no runner to use until it is written again or stays; the
+//! number of remembered removals is bounded.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use decision::collections::Map;
@@ -13,6 +16,7 @@
 
 use crate::Name;
 use crate::runner::Member;
+use crate::runner::Phase;
 
 /// Time after an outage of the store in which missing records are kept. Live runners write their
 /// records again within about 2 s of the end of an outage.
@@ -26,6 +30,23 @@
 /// to have dropped them; single runners leave without an outage.
 const DROPPED_SHARE: f64 = 0.34;
 
+/// How long a removed record that a copy of the store brings back is not used. The store removes it
+/// again within three heartbeats unless its runner lives.
+pub const RETURNED_RECORD_PERIOD: Duration = Duration::from_millis(6_000);
+/// The most removed records that are remembered; the oldest is forgotten first.
+const MAX_REMOVED: usize = 1_024;
+
+/// How much of the membership table has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// The changes since the last read.
+    Changes,
+    /// All records.
+    All,
+    /// All records, for the first time since the store came back from a copy.
+    Copy,
+}
+
 /// A change of the membership list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -44,6 +65,15 @@
     Removed(Name),
 }
 
+/// A record that was removed.
+#[derive(Debug)]
+struct Removed {
+    id: Name,
+    born: u64,
+    /// The last phase of the runner.
+    phase: Phase,
+}
+
 /// The membership list as one entry process knows it.
 #[derive(Debug)]
 pub struct Members {
@@ -60,6 +90,10 @@
     outage: Duration,
     /// Until when missing records are kept.
     kept_until: Time,
+    /// The records that were removed, the oldest first.
+    removed: VecDeque<Removed>,
+    /// Removed records that a copy of the store has brought back, and from when they count.
+    returned: Map<Name, (Member, Time)>,
 }
 
 impl Members {
@@ -74,6 +108,8 @@
             lost_at: None,
             outage: Duration::ZERO,
             kept_until: Time::default(),
+            removed: VecDeque::new(),
+            returned: Map::default(),
         }
     }
 
@@ -95,8 +131,13 @@
 
     /// Applies a record that was written. Returns `None` if the record is unchanged or belongs to
     /// an older incarnation than the known one.
-    pub fn apply_write(&mut self, member: Member) -> Option<Change> {
+    pub fn apply_write(&mut self, mut member: Member) -> Option<Change> {
         self.missing.remove(&member.id);
+        self.returned.remove(&member.id);
+        // A copy of the store may have the record of before the drain.
+        if self.removal(&member).map(|removed| removed.phase) == Some(Phase::Draining) {
+            member.phase = Phase::Draining;
+        }
         let known = self.members.get(&member.id);
         if known.is_some_and(|known| known.born > member.born || *known == member) {
             return None;
@@ -108,6 +149,7 @@
     /// Applies the removal of a record, or a record that cannot be decoded. Returns `None` if the
     /// runner is unknown or is kept for [`RETURN_GRACE`].
     pub fn apply_removal(&mut self, now: Time, id: &Name) -> Option<Change> {
+        self.returned.remove(id);
         if !self.members.contains_key(id) {
             return None;
         }
@@ -129,38 +171,78 @@
 
     /// Applies the complete list of records.
     pub fn apply_snapshot(&mut self, now: Time, records: Vec<Member>) -> Vec<Change> {
-        let present: Set<Name> = records.iter().map(|member| member.id.clone()).collect();
-        let absent: Vec<Name> = self
-            .members
-            .keys()
-            .filter(|id| !present.contains(*id))
-            .cloned()
-            .collect();
+        let absent = self.absent(&records);
         if !self.has_dropped(absent.len()) {
             self.kept_until = now;
         }
-        let mut changes: Vec<Change> = records
-            .into_iter()
-            .filter_map(|member| self.apply_write(member))
-            .collect();
+        self.replace_records(now, records, &absent)
+    }
+
+    /// Applies the complete list of records after the store has come back from a copy. Live runners that
+    /// the copy does not have write their records again, and runners that have left since are back in
+    /// it for a while.
+    pub fn apply_copy(&mut self, now: Time, records: Vec<Member>) -> Vec<Change> {
+        // The store may have been back since its last answer.
+        let back_at = self.lost_at.take().unwrap_or(self.answered_at);
+        let bound = back_at.after(self.contact.saturating_sub(CONTACT_MARGIN));
+        self.kept_until = now.after(RETURN_GRACE).min(bound);
+        self.answered_at = now;
+        let counts_from = now.after(RETURNED_RECORD_PERIOD);
+        for member in &records {
+            let is_removed = self.removal(member).is_some();
+            if is_removed && !self.members.contains_key(&member.id) {
+                let returned = (member.clone(), counts_from);
+                self.returned.insert(member.id.clone(), returned);
+            }
+        }
+        let absent = self.absent(&records);
+        self.replace_records(now, records, &absent)
+    }
+
+    fn absent(&self, records: &[Member]) -> Vec<Name> {
+        let present: Set<&Name> = records.iter().map(|member| &member.id).collect();
+        let known = self.members.keys().chain(self.returned.keys());
+        known.filter(|id| !present.contains(id)).cloned().collect()
+    }
+
+    fn replace_records(&mut self, now: Time, records: Vec<Member>, absent: &[Name]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for member in records {
+            let returned = self.returned.get(&member.id);
+            if returned.is_none_or(|(returned, _)| returned.born != member.born) {
+                changes.extend(self.apply_write(member));
+            }
+        }
         changes.extend(absent.iter().filter_map(|id| self.apply_removal(now, id)));
         changes
     }
 
-    /// Removes the runners whose records are still missing when [`Members::next_expiry`] has come.
+    /// Removes the runners whose records are still missing when they are no longer kept, and takes the
+    /// returned records that have stayed.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
-        if self.next_expiry().is_none_or(|due| now < due) {
+        if self.lost_at.is_some() {
             return Vec::new();
         }
-        let expired: Vec<Name> = self.missing.iter().cloned().collect();
-        expired.iter().filter_map(|id| self.remove(id)).collect()
+        let mut changes = Vec::new();
+        if now >= self.kept_until {
+            let expired: Vec<Name> = self.missing.iter().cloned().collect();
+            changes.extend(expired.iter().filter_map(|id| self.remove(id)));
+        }
+        let stayed = self.returned.values().filter(|(_, from)| now >= *from);
+        let stayed: Vec<Member> = stayed.map(|(member, _)| member.clone()).collect();
+        changes.extend(stayed.into_iter().filter_map(|m| self.apply_write(m)));
+        changes
     }
 
-    /// Returns when missing records are no longer kept; `None` if none is missing, or while the store
-    /// does not answer.
+    /// Returns when [`Members::expire`] changes something; `None` if nothing is pending, or while the
+    /// store does not answer.
     pub fn next_expiry(&self) -> Option<Time> {
-        let pending = self.lost_at.is_none() && !self.missing.is_empty();
-        pending.then_some(self.kept_until)
+        if self.lost_at.is_some() {
+            return None;
+        }
+        let missing = (!self.missing.is_empty()).then_some(self.kept_until);
+        let returned = self.returned.values().map(|(_, from)| *from);
+        missing.into_iter().chain(returned).min()
     }
 
     /// Returns the number of runners whose records are missing.
@@ -168,6 +250,11 @@
         self.missing.len()
     }
 
+    /// Returns the number of removed records that a copy of the store has brought back.
+    pub fn returned_count(&self) -> usize {
+        self.returned.len()
+    }
+
     /// Returns the runners of the membership list.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -181,7 +268,21 @@
 
     fn remove(&mut self, id: &Name) -> Option<Change> {
         self.missing.remove(id);
-        self.members.remove(id)?;
+        let member = self.members.remove(id)?;
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.pop_front();
+        }
+        self.removed.push_back(Removed {
+            id: id.clone(),
+            born: member.born,
+            phase: member.phase,
+        });
         Some(Change::Gone(id.clone()))
     }
+
+    /// Returns the last removal of this incarnation's record, if there was one.
+    fn removal(&self, member: &Member) -> Option<&Removed> {
+        let mut removed = self.removed.iter().rev();
+        removed.find(|removed| removed.id == member.id && removed.born == member.born)
+    }
 }
