End reads from a version that the store does not have with a full read

What callers saw: an entry that followed nothing any more, where the store answers with a lower version and neither names an era nor refuses the read. Cause: the answer was dropped, and the same read made again, without an end. Evidence: lower_version_without_an_era_ends_in_a_full_read, failed before (no full read within 10 s). Four more such answers, each held half a second at most, now lead to a read of all rows; a replica that lags by three seconds catches up before.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -40,6 +40,12 @@
     Duration::from_millis(500),
 ];
 
+/// How often a lower version is answered until all rows are read again. A replica of the store that
+/// lags behind catches up sooner.
+const MAX_LOWER_ANSWERS: u32 = 4;
+/// How long the store may hold the reads in between.
+const LOWER_POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Up to where a table is known.
 #[derive(Clone, Copy, Debug)]
 struct Position {
@@ -58,6 +64,7 @@
         position: None,
         generation: Generation::default(),
         failures: 0,
+        lower_answers: 0,
     };
     loop {
         follower.advance().await;
@@ -75,6 +82,8 @@
     generation: Generation,
     /// Reads that have failed since the last answer.
     failures: u32,
+    /// Answers with a lower version than the known one since the last other answer.
+    lower_answers: u32,
 }
 
 impl Follower {
@@ -103,7 +112,10 @@
                 generation: read.generation,
             }));
         };
-        let wait = poll_timeout(table, entry.settings.bounds.contact_ms);
+        let mut wait = poll_timeout(table, entry.settings.bounds.contact_ms);
+        if self.lower_answers > 0 {
+            wait = wait.min(LOWER_POLL_TIMEOUT);
+        }
         tokio::select! {
             biased;
             feed = entry.store.wait_for_changes(table, position.version, wait) => Some(feed),
@@ -130,6 +142,7 @@
             self.handle_lower_version().await;
             return;
         }
+        self.lower_answers = 0;
         let extent = match known {
             Some(_) => Extent::Changes,
             None if self.generation == generation => Extent::All,
@@ -176,6 +189,11 @@
 
     async fn handle_lower_version(&mut self) {
         warn!("store returned an older version", kv: { table = self.table.name() });
+        self.lower_answers += 1;
+        if self.lower_answers > MAX_LOWER_ANSWERS {
+            self.lower_answers = 0;
+            self.position = None;
+        }
         tokio::time::sleep(RETRY_PAUSES[1]).await;
     }
 
