Take a version of the manifest that is given out again with another content

What callers saw: requests that went by a manifest which the store no longer has, until the next version. Cause: versions alone were compared, and a version that was lost in a restore may be given out again (class: an identifier that is reused). Evidence: manifest_version_that_is_given_out_again_takes_effect, failed before (not taken within 10 s). A configuration is now compared together with the generation of the store in which it was read (config_precedence). A confirmed version that the copy lacks stays in force until the operator has written it again; that the store has an older one is logged.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,6 +19,7 @@
 use platform::store::Table;
 use serde_json::json;
 use serving::config::Config;
+use serving::config::Precedence;
 use serving::fleet::Fleet;
 use serving::members::Change;
 use serving::members::Extent;
@@ -30,8 +31,10 @@
 use serving::retry_budget::Allowance;
 use serving::retry_budget::RetryBudget;
 use serving::runner::Member;
+use serving::store_era::Generation;
 use serving::versions::Versions;
 use spdlog::info;
+use spdlog::warn;
 use tokio::sync::Notify;
 
 use crate::RuntimeClock;
@@ -54,6 +57,8 @@
 pub struct EntryState {
     /// The configuration in force; `None` until the store has been read.
     pub config: Option<Arc<Config>>,
+    /// The generation of the store in which the configuration was last read.
+    config_generation: Generation,
     /// The known runners of all services, with their load and health.
     pub fleet: Fleet,
     /// The announced versions of adapters, from which the oldest allowed ones follow.
@@ -153,6 +158,7 @@
         let entries = fleet.entries.get();
         let state = EntryState {
             config: None,
+            config_generation: Generation::default(),
             fleet,
             versions: Versions::default(),
             retry_budget: RetryBudget::new(allowance, entries),
@@ -226,18 +232,29 @@
         Ok(())
     }
 
-    /// Puts a configuration in force unless its version is not newer than the current one.
-    pub fn apply_config(&self, config: Config) {
+    /// Puts a configuration, read in `generation` of the store, in force unless it is the current one or
+    /// an older one.
+    pub fn apply_config(&self, config: Config, generation: Generation) {
         let mut state = self.state();
-        let known = state.config.as_ref().map(|config| config.version);
+        let known = state.config.clone();
+        let known_generation = state.config_generation;
+        let compared = known.as_deref().map(|known| (known, known_generation));
+        let precedence = config.precedence(generation, compared);
         let version = config.version;
-        if known.is_some_and(|known| version <= known) {
+        let before = known.map_or(0, |known| known.version);
+        if precedence == Precedence::Older {
+            drop(state);
+            warn!("store has an older configuration than the one in force", kv: { version, in_force = before });
+            return;
+        }
+        state.config_generation = generation;
+        if precedence == Precedence::Same {
             return;
         }
         state.config = Some(Arc::new(config));
         drop(state);
-        let before = known.unwrap_or(0);
-        info!("configuration in force", kv: { version, before });
+        let generation = generation.0;
+        info!("configuration in force", kv: { version, before, generation });
     }
 
     /// Records an announced version of an adapter. `fresh` says whether it was announced just now;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -153,7 +153,7 @@
             generation,
             version: batch.version,
         });
-        apply_rows(&self.entry, self.table, batch, extent);
+        apply_rows(&self.entry, self.table, batch, extent, generation);
         if self.table == Table::Members {
             self.pause_members_reads().await;
         }
@@ -225,11 +225,17 @@
     }
 }
 
-fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, extent: Extent) {
+fn apply_rows(
+    entry: &Arc<Entry>,
+    table: Table,
+    batch: RowBatch,
+    extent: Extent,
+    generation: Generation,
+) {
     let mut members = Vec::new();
     for row in batch.rows {
         match row {
-            Row::Config(config) => entry.apply_config(*config),
+            Row::Config(config) => entry.apply_config(*config, generation),
             Row::Version(announced) => entry.apply_version(&announced, extent == Extent::Changes),
             Row::Member(member) => members.push(MemberRow::Written(member)),
             Row::Removed(key) => members.push(MemberRow::Removed(key)),
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -5,6 +5,7 @@
 use decision::collections::Map;
 
 use crate::Name;
+use crate::store_era::Generation;
 
 /// Whether and how the requests of a route may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,8 +112,20 @@
     pub idle_timeout: Duration,
 }
 
+/// Whether a configuration that the store has replaces the one in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Precedence {
+    /// It takes effect.
+    Newer,
+    /// It is the one in force.
+    Same,
+    /// It was in force before, or was overtaken. A copy of the store may have it until the operator has
+    /// written the newer one again.
+    Older,
+}
+
 /// A version of the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// The version number; a higher one replaces a lower one.
     pub version: u64,
@@ -154,6 +167,29 @@
         }
     }
 
+    /// Compares this configuration, read in `generation` of the store, with the one in force and the
+    /// generation that it was read in. A version that was lost in a restore may be given out again with
+    /// another content, which then takes effect.
+    pub fn precedence(
+        &self,
+        generation: Generation,
+        known: Option<(&Config, Generation)>,
+    ) -> Precedence {
+        let Some((known, known_generation)) = known else {
+            return Precedence::Newer;
+        };
+        if self.version > known.version {
+            return Precedence::Newer;
+        }
+        if self.version < known.version {
+            return Precedence::Older;
+        }
+        if generation > known_generation && self != known {
+            return Precedence::Newer;
+        }
+        Precedence::Same
+    }
+
     /// Returns the shortest latency objective of the routes to a service; zero if there is none.
     pub fn least_goal(&self, service: &str) -> Duration {
         let least = self.least_goals.get(service);
