Write holds again after a restore, and grant no probe twice

What callers saw: requests that crash runners, sent again at once, since the row that held them was lost with the store's latest changes; and sound ones refused, since a row that had been removed was back. Cause: holds were written once, by the entry whose attempts broke, and the store's word on a probe was taken for good (class: own state in a store that is trusted never to lose it). Evidence: hold_and_its_probe_outlive_the_restore, failed before (200 in place of 503); released_hold_is_released_again, new.

When the generation changes, each entry reads the held parts within a second, spread at random, and writes what it holds longer, and removes what it has served since. No probe is claimed until all entries in touch had time for that (contact bound, spread and a second), and none is granted if the store was restored between its read and its write. A stored hold that ends sooner no longer shortens a known one.

--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -12,6 +12,7 @@
 use platform::holds::HoldRow;
 use serving::quarantine::Quarantine;
 use serving::request::PartId;
+use spdlog::info;
 use spdlog::warn;
 
 use crate::entry::Entry;
@@ -21,6 +22,13 @@
 const STORE_RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// How long after its expiry a hold is removed from the store.
 const STORED_HOLD_MEMORY: Duration = Duration::from_secs(600);
+/// The time over which entries spread the read of the holds after a restore of the store. Most find what
+/// is missing already written by another one.
+const RESTORE_SPREAD: Duration = Duration::from_secs(1);
+/// The time from the end of the spread to the first probe, for the writes themselves.
+const RESTORE_MARGIN: Duration = Duration::from_secs(1);
+/// A hold in the store that ends earlier than the known one by no more than this is the same one.
+const HOLD_TOLERANCE: Duration = Duration::from_millis(500);
 
 /// Changes of held parts that are not in the store yet. Bounded by the number of held parts.
 #[derive(Debug, Default)]
@@ -77,15 +85,21 @@
     /// Extends the hold of a part in the store unless another entry has done so; returns whether this
     /// entry may probe it.
     async fn claim_probe(&self, part: PartId) -> Result<bool, StoreError> {
-        let row = self.store.read_hold(part).await?.value;
-        if self.adopt_hold(&row) {
+        let read = self.store.read_hold(part).await?;
+        let row = read.value;
+        // The store may have lost a probe that it has granted, and the entry that sends it writes the
+        // hold again.
+        let bounds = &self.settings.bounds;
+        let settled = Duration::from_millis(bounds.contact_ms) + RESTORE_SPREAD + RESTORE_MARGIN;
+        if self.adopt_hold(&row) || !self.store.is_settled(settled) {
             return Ok(false);
         }
         let known = self.state().quarantine.find_held(&[part]);
         let level = known.map_or(0, |(_, hold)| hold.level) + 1;
         let length = Quarantine::hold_time(level);
         let written = self.store.write_hold(&row, length, level).await?;
-        if !written.value {
+        // The condition of a write means nothing in another generation than that of the read.
+        if !written.value || written.generation != read.generation {
             return Ok(false);
         }
         self.hold_part(part, length, level);
@@ -118,12 +132,44 @@
         self.store.remove_holds(&old).await
     }
 
+    /// Compares the held parts with those of a store that has come back from a copy, and notes what is
+    /// to be written or removed again.
+    async fn restore_holds(&self) -> Result<(), StoreError> {
+        let stored = self.store.read_holds().await?.value;
+        let now = self.now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let mut lost = 0;
+        for (part, hold) in state.quarantine.held() {
+            let remaining = hold.until.since(now);
+            let row = stored.iter().find(|stored| stored.part == part);
+            let kept = row.map_or(Duration::ZERO, |row| row.remaining);
+            if remaining > kept + HOLD_TOLERANCE {
+                state.hold_changes.hold(part, hold.level);
+                lost += 1;
+            }
+        }
+        let mut returned = 0;
+        for part in stored.iter().map(|stored| stored.part) {
+            let is_held = state.quarantine.find_held(&[part]).is_some();
+            if !is_held && state.quarantine.has_served(now, part) {
+                state.hold_changes.release(part);
+                returned += 1;
+            }
+        }
+        info!("held parts read from the restored store", kv: { lost, returned });
+        Ok(())
+    }
+
     /// Writes the changes of held parts to the store.
     async fn store_changes(&self) -> Result<(), StoreError> {
         while let Some((part, level)) = self.next_held() {
             let row = self.store.read_hold(part).await?.value;
-            if !self.adopt_hold(&row) {
-                let length = Quarantine::hold_time(level);
+            let length = self.remaining_hold(part, level);
+            let stored = row.hold.map_or(Duration::ZERO, |hold| hold.remaining);
+            if stored + HOLD_TOLERANCE >= length {
+                self.adopt_hold(&row);
+            } else {
                 self.store.write_hold(&row, length, level).await?;
             }
             self.state().hold_changes.held.remove(&part);
@@ -140,6 +186,15 @@
         Ok(())
     }
 
+    /// Returns how much longer a part is held; if it is not any more, how long a hold of this level is.
+    fn remaining_hold(&self, part: PartId, level: u32) -> Duration {
+        let now = self.now();
+        let known = self.state().quarantine.find_held(&[part]);
+        known.map_or(Quarantine::hold_time(level), |(_, hold)| {
+            hold.until.since(now)
+        })
+    }
+
     fn next_held(&self) -> Option<(PartId, u32)> {
         let state = self.state();
         let mut held = state.hold_changes.held.iter();
@@ -149,13 +204,25 @@
 
 /// Reads the held parts at the start, and then keeps the store up to date with their changes.
 pub(crate) async fn keep_holds(entry: Arc<Entry>) {
+    let mut generations = entry.store.subscribe();
     let mut failures = 0;
     while let Err(error) = entry.recall_holds().await {
         log_store_failure(&mut failures, &error);
         tokio::time::sleep(STORE_RETRY_PAUSE).await;
     }
     loop {
-        entry.holds_changed.notified().await;
+        tokio::select! {
+            () = entry.holds_changed.notified() => {}
+            // Fails only without a store.
+            _ = generations.changed() => {
+                let delay = RESTORE_SPREAD.mul_f64(entry.state().rng.f64());
+                tokio::time::sleep(delay).await;
+                while let Err(error) = entry.restore_holds().await {
+                    log_store_failure(&mut failures, &error);
+                    tokio::time::sleep(STORE_RETRY_PAUSE).await;
+                }
+            }
+        }
         while let Err(error) = entry.store_changes().await {
             log_store_failure(&mut failures, &error);
             tokio::time::sleep(STORE_RETRY_PAUSE).await;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -78,6 +78,11 @@
         self.generation.subscribe()
     }
 
+    /// Returns whether the last restore was seen at least `period` ago.
+    pub fn is_settled(&self, period: Duration) -> bool {
+        lock(&self.era).is_settled(self.clock.now(), period)
+    }
+
     /// Reads all rows of a table.
     pub(crate) async fn read_all(&self, table: Table) -> Result<Fresh<RowBatch>, StoreError> {
         self.observe(self.client.read_all(table)).await
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -306,6 +306,11 @@
         FIRST_HOLD * (1 << level.min(MAX_HOLD_LEVEL))
     }
 
+    /// Returns whether requests with this part have been answered lately.
+    pub fn has_served(&self, now: Time, part: PartId) -> bool {
+        self.served.contains(now, part)
+    }
+
     /// Returns each held part with its hold, also if that has expired.
     pub fn held(&self) -> impl Iterator<Item = (PartId, Hold)> {
         self.held.iter().map(|(part, hold)| (*part, *hold))
