Count the age of a version found in a repeated read from the read before

What callers saw: after a 410, a failed read or a restore, requests for an adapter with a new version refused or waiting until it is loaded. Cause: a version in a full read was taken for one of unknown age, which binds at once, although the answer before did not have it. The first read of a process is as before.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -257,15 +257,13 @@
         info!("configuration in force", kv: { version, before, generation });
     }
 
-    /// Records an announced version of an adapter. `fresh` says whether it was announced just now;
-    /// the age of other announcements is unknown, so that they bind at once.
-    pub fn apply_version(&self, announced: &VersionAnnouncement, fresh: bool) {
+    /// Records an announced version of an adapter. `since` is the earliest time at which it can have
+    /// been announced; if it is not known, the version binds at once.
+    pub fn apply_version(&self, announced: &VersionAnnouncement, since: Option<Time>) {
         let Some(adapter) = &announced.adapter else {
             return;
         };
-        let now = self.now();
         let version = announced.version;
-        let since = fresh.then_some(now);
         if self.state().versions.announce(since, adapter, version) {
             info!("adapter version announced", kv: { adapter = &**adapter, version });
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -63,6 +63,7 @@
         generations,
         position: None,
         generation: Generation::default(),
+        answered_at: None,
         failures: 0,
         lower_answers: 0,
     };
@@ -80,6 +81,8 @@
     position: Option<Position>,
     /// The generation of the last full read.
     generation: Generation,
+    /// When the store last answered with rows; `None` before the first answer.
+    answered_at: Option<Time>,
     /// Reads that have failed since the last answer.
     failures: u32,
     /// Answers with a lower version than the known one since the last other answer.
@@ -153,7 +156,18 @@
             generation,
             version: batch.version,
         });
-        apply_rows(&self.entry, self.table, batch, extent, generation);
+        let now = self.entry.now();
+        let origin = Origin {
+            extent,
+            generation,
+            // What is new in a full read was written after the answer before it.
+            written_at: match extent {
+                Extent::Changes => Some(now),
+                Extent::All | Extent::Copy => self.answered_at,
+            },
+        };
+        self.answered_at = Some(now);
+        apply_rows(&self.entry, self.table, batch, origin);
         if self.table == Table::Members {
             self.pause_members_reads().await;
         }
@@ -225,18 +239,22 @@
     }
 }
 
-fn apply_rows(
-    entry: &Arc<Entry>,
-    table: Table,
-    batch: RowBatch,
+/// Where rows come from.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
     extent: Extent,
     generation: Generation,
-) {
+    /// The earliest time at which rows that were not known can have been written; `None` if it is not
+    /// known.
+    written_at: Option<Time>,
+}
+
+fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, origin: Origin) {
     let mut members = Vec::new();
     for row in batch.rows {
         match row {
-            Row::Config(config) => entry.apply_config(*config, generation),
-            Row::Version(announced) => entry.apply_version(&announced, extent == Extent::Changes),
+            Row::Config(config) => entry.apply_config(*config, origin.generation),
+            Row::Version(announced) => entry.apply_version(&announced, origin.written_at),
             Row::Member(member) => members.push(MemberRow::Written(member)),
             Row::Removed(key) => members.push(MemberRow::Removed(key)),
             Row::Invalid(key, error) => {
@@ -248,6 +266,6 @@
         }
     }
     if table == Table::Members {
-        entry.apply_members(members, extent);
+        entry.apply_members(members, origin.extent);
     }
 }
