--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -40,6 +41,8 @@
 const RUNNER_DRAIN_TIME: Duration = Duration::from_millis(4_000);
 /// The time for which a runner that says that it leaves still runs.
 const RUNNER_LEAVE_TIME: Duration = Duration::from_millis(6_000);
+/// The time within which operators and runners write again what a restore of the store has lost.
+const REWRITE_PERIOD: Duration = Duration::from_millis(1_500);
 /// The time until a runner that has crashed on a request starts again, in milliseconds.
 const DEADLY_RESTART_MS: Ms = 300;
 
@@ -79,6 +82,7 @@
                 self.record(FaultTarget::Store, false, outage).await;
             }
             Fault::StoreHistoryLost => self.store.forget_history(),
+            Fault::StoreRestored(age, down) => self.restore_store(ms(age), ms(down)).await,
             Fault::StoreLink(entry, fault, length) => {
                 let link = &self.store_links[entry];
                 self.fail_link(FaultTarget::Entry(entry), link, fault, length)
@@ -155,6 +159,25 @@
         Ok(())
     }
 
+    /// Restores the store; what was lost is written again within [`REWRITE_PERIOD`].
+    async fn restore_store(&self, age: Duration, down: Duration) {
+        let started_at = Instant::now();
+        let restore = async {
+            self.store.set_down(!down.is_zero());
+            tokio::time::sleep(down).await;
+            let lost = self
+                .store
+                .restore(started_at.checked_sub(age).unwrap_or(started_at));
+            self.store.set_down(false);
+            lost
+        };
+        let lost = self.record(FaultTarget::Store, false, restore).await;
+        for index in 0..lost.len() {
+            tokio::time::sleep(REWRITE_PERIOD / lost.len() as u32).await;
+            self.store.write_again(&lost, index);
+        }
+    }
+
     async fn fail_link(&self, target: FaultTarget, link: &Proxy, fault: LinkFault, length: Ms) {
         let active = async {
             link.set_fault(Some(fault));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -80,6 +80,10 @@
     /// The store discards its history of changes, so that entries must read all rows again.
     #[display("store history forgotten")]
     StoreHistoryLost,
+    /// The store comes back from a copy of this age, after it was down for this time. What operators and
+    /// runners had written since is written again.
+    #[display("store restored from a copy {_0} ms old, after {_1} ms")]
+    StoreRestored(Ms, Ms),
     /// The link from an entry to the store is faulty.
     #[display("store link of entry {_0} {_1} for {_2} ms")]
     StoreLink(usize, LinkFault, Ms),
@@ -154,6 +158,13 @@
 const NOTICE_LIMIT: std::ops::Range<u32> = 1..8;
 const NOTICE_LIMIT_MS: std::ops::Range<Ms> = 6_000..14_000;
 const NOTICE_PAUSE_MS: std::ops::Range<Ms> = 1_500..4_000;
+/// The range of intervals between two restores of the store, of the ages of its copies, and of the times
+/// for which it is down before. Half of the restores show in the store's answers only.
+const RESTORE_INTERVAL_MS: std::ops::Range<Ms> = 4_000..12_000;
+const RESTORE_AGE_MS: std::ops::Range<Ms> = 300..9_000;
+const RESTORE_DOWN_MS: std::ops::Range<Ms> = 200..2_500;
+/// Separates the random numbers of the restores from those of other faults.
+const RESTORE_SEED: u64 = 0xc0b1;
 /// Separates the random numbers of the notices from those of other faults.
 const NOTICE_SEED: u64 = 0x5a1d;
 /// Separates the random numbers of the deadly parts from those of other faults.
@@ -171,6 +182,7 @@
     }
     faults.extend(deadly_parts(seed, length));
     faults.extend(notices(seed, length, size));
+    faults.extend(restores(seed, length));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -191,6 +203,23 @@
     faults
 }
 
+fn restores(seed: u64, length: Ms) -> Vec<(Ms, Fault)> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ RESTORE_SEED);
+    let mut faults = Vec::new();
+    let mut at = FIRST_FAULT_MS + rng.u64(RESTORE_INTERVAL_MS) / 2;
+    while at < length {
+        let age = rng.u64(RESTORE_AGE_MS);
+        let down = if rng.bool() {
+            rng.u64(RESTORE_DOWN_MS)
+        } else {
+            0
+        };
+        faults.push((at, Fault::StoreRestored(age, down)));
+        at += rng.u64(RESTORE_INTERVAL_MS);
+    }
+    faults
+}
+
 fn notices(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
     let mut rng = fastrand::Rng::with_seed(seed ^ NOTICE_SEED);
     let mut faults = Vec::new();
