--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -177,6 +177,7 @@
             crash: CrashTrigger {
                 deadly: self.deadly.clone(),
                 crashed: Some(self.crashed.clone()),
+                ..CrashTrigger::default()
             },
             ..RunnerSpec::plain(&id)
         };
