--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Serves one request: reads it, runs the allowed attempts and builds the response.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use ::process::caller::RequestGuard;
@@ -28,6 +29,7 @@
 use serving::placement::NoRunner;
 use serving::placement::Placement;
 use serving::quarantine::Refusal;
+use serving::request::PartId;
 use spdlog::info;
 use spdlog::warn;
 
@@ -136,6 +138,8 @@
     /// Runners tried so far and whether one of them may have run the request.
     pub attempts: Attempts,
     pub(crate) body: Bytes,
+    /// What the request is recognized by when it comes again; computed when it is first needed.
+    fingerprint: OnceLock<PartId>,
     pub(crate) service: Name,
     /// Runners to avoid in the next attempt.
     pub(crate) excluded: Vec<Name>,
@@ -220,6 +224,7 @@
         arrival,
         deadline: arrival.after(timeout),
         body: Bytes::new(),
+        fingerprint: OnceLock::new(),
         service,
         excluded: Vec::new(),
         wait_time: Duration::ZERO,
@@ -394,7 +399,7 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            self.log_attempt(&placement, outcome);
+            self.log_attempt(&placement, outcome, broken);
             if let Some(progress) = broken {
                 self.report_broken(&placement, progress);
             }
@@ -449,6 +454,13 @@
         }
     }
 
+    /// Returns what the request is recognized by when it comes again.
+    pub(crate) fn fingerprint(&self) -> PartId {
+        *self
+            .fingerprint
+            .get_or_init(|| self.head.fingerprint(&self.body))
+    }
+
     /// Returns the adapter that the request needs, if any.
     pub(crate) fn adapter(&self) -> Option<&Name> {
         let artifact = self.head.request.artifact.as_ref()?;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -7,6 +7,7 @@
 use spdlog::info;
 use spdlog::warn;
 
+use crate::attempt::AnswerProgress;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::FailureCause;
 
@@ -62,7 +63,12 @@
         });
     }
 
-    pub(crate) fn log_attempt(&self, placement: &Placement, outcome: Outcome) {
+    pub(crate) fn log_attempt(
+        &self,
+        placement: &Placement,
+        outcome: Outcome,
+        broken: Option<AnswerProgress>,
+    ) {
         let outcome = format!("{outcome:?}");
         self.entry
             .metrics
@@ -73,9 +79,11 @@
         let kind = self.response_kind.map(|kind| kind.to_string());
         let adapter = self.adapter().map_or("", |adapter| &**adapter);
         let parts = self.head.request.parts_text();
+        let whole = broken.map(|_| self.fingerprint().to_string());
+        let whole = whole.unwrap_or_default();
         info!("attempt ended", kv: {
             id = &*self.head.request.id, runner = &*placement.runner, outcome = outcome.as_str(),
-            meaning = kind.as_deref().unwrap_or("none"), parts = parts.as_str(), adapter, access = access.as_str(), cost_ms = placement.cost_ms,
+            meaning = kind.as_deref().unwrap_or("none"), parts = parts.as_str(), whole = whole.as_str(), adapter, access = access.as_str(), cost_ms = placement.cost_ms,
             total_ms = self.entry.now().since(self.arrival).as_millis() as u64
         });
     }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -9,7 +9,8 @@
 use crate::Name;
 
 /// The identifier of a part of a prompt; requests whose prompts begin alike share parts. It is
-/// displayed as the hexadecimal number that callers send.
+/// displayed as the hexadecimal number that callers send. A whole request is its own most specific
+/// part, identified by its fingerprint.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
