Hold whole requests on which runners crash, also where runners have no agents

Cause: the quarantine knew prompt parts only, and only agents put crashes together, so that a request without parts, or at a service without agents, left no evidence anywhere (class: a protection tied to a property that only some of the requests have).

The fingerprint of a request is its most specific part: one quarantine, one hold, one probe. It is held after three crashes without an answer in between; after one its repeats are tried one at a time, after two beside no other such request, so that sound requests that were running beside it are told from it by where they run. An entry watches runners without an agent itself (serving::crash_watch): an attempt that broke is a crash if the address refuses connections or has a later incarnation. Entries share what they find as rows of the table of held parts, which all of them follow by the store's feed; holds, releases and the word of an answer travel the same way. Agents pass fingerprints on with the parts.

--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -4,6 +4,7 @@
 //! runner; it returns to the pool only after a complete response, and dropping it closes it at
 //! once, which makes the runner stop its work; one that has not returned to the pool is reset.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     pub peer: SocketAddr,
     /// The I/O error, or `timeout`.
     pub reason: String,
+    /// Whether the runner's instance refused the connection, since no process listens.
+    pub refused: bool,
 }
 
 /// A connection in use; dropping it closes it.
@@ -135,11 +138,23 @@
     ///
     /// Fails if the connection is refused or not established in time.
     pub async fn open(&self, addr: SocketAddr) -> Result<RunnerConn, ConnectError> {
-        let error = |reason: String| ConnectError { peer: addr, reason };
+        let error = |reason: String| ConnectError {
+            peer: addr,
+            reason,
+            refused: false,
+        };
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let stream = match stream {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(error(e.to_string())),
+            Ok(Err(e)) => {
+                let refused = e.kind() == ErrorKind::ConnectionRefused;
+                let reason = e.to_string();
+                return Err(ConnectError {
+                    peer: addr,
+                    reason,
+                    refused,
+                });
+            }
             Err(_) => return Err(error("timeout".into())),
         };
         stream.set_nodelay(true).map_err(|e| error(e.to_string()))?;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -20,6 +20,7 @@
 use serde_json::json;
 use serving::config::Config;
 use serving::config::Precedence;
+use serving::crash_watch::CrashWatch;
 use serving::fleet::Fleet;
 use serving::members::Change;
 use serving::members::Extent;
@@ -40,6 +41,7 @@
 use crate::RuntimeClock;
 use crate::buffer::BufferBudget;
 use crate::conns::ConnPool;
+use crate::evidence::SharedEvidence;
 use crate::holds::HoldChanges;
 use crate::links::AgentLinks;
 use crate::logs;
@@ -71,6 +73,10 @@
     pub quarantine: Quarantine,
     /// Changes of held prompt parts that are not in the store yet.
     pub(crate) hold_changes: HoldChanges,
+    /// The runners without an agent on which attempts broke.
+    pub(crate) crash_watch: CrashWatch,
+    /// The evidence that is shared with other entries.
+    pub(crate) evidence: SharedEvidence,
     /// For the choice of a service and of a runner, and for jitter.
     pub rng: fastrand::Rng,
     members: Members,
@@ -103,6 +109,10 @@
     records_missing: Notify,
     /// Notified when held prompt parts have changed.
     pub(crate) holds_changed: Notify,
+    /// Notified when a runner is to be checked for a crash, or one was found.
+    pub(crate) crash_check_due: Notify,
+    /// Notified when evidence is to be shared.
+    pub(crate) evidence_changed: Notify,
     stopping: AtomicBool,
 }
 
@@ -165,6 +175,8 @@
             overload: OverloadDetector::new(settings.memory_mb),
             quarantine: Quarantine::default(),
             hold_changes: HoldChanges::default(),
+            crash_watch: CrashWatch::default(),
+            evidence: SharedEvidence::default(),
             rng,
             members: Members::new(Duration::from_millis(bounds.contact_ms)),
             members_known: false,
@@ -183,6 +195,8 @@
             members_outdated: Notify::new(),
             records_missing: Notify::new(),
             holds_changed: Notify::new(),
+            crash_check_due: Notify::new(),
+            evidence_changed: Notify::new(),
             stopping: AtomicBool::new(false),
             settings,
         }))
@@ -282,7 +296,7 @@
     /// are a signal for the other table.
     pub async fn other_table_failed(&self, table: Table) {
         match table {
-            Table::Operator => self.store_lost.notified().await,
+            Table::Operator | Table::Quarantine => self.store_lost.notified().await,
             Table::Members => std::future::pending().await,
         }
     }
@@ -355,7 +369,11 @@
         let changed = known.is_none_or(|known| restarted || known.phase != member.phase);
         let has_engine = state.has_engine(&member.service);
         state.fleet.join(now, member.clone());
+        state
+            .crash_watch
+            .record_start(now, &member.id, member.addr, member.born);
         drop(state);
+        self.crash_check_due.notify_one();
         if changed {
             let phase = format!("{:?}", member.phase);
             let addr = member.addr.to_string();
--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -10,6 +10,9 @@
 use decision::collections::Map;
 use decision::collections::Set;
 use platform::holds::HoldRow;
+use platform::holds::StoredHold;
+use platform::store::StoreClient;
+use serving::members::Extent;
 use serving::quarantine::Quarantine;
 use serving::request::PartId;
 use spdlog::info;
@@ -115,17 +118,41 @@
         true
     }
 
-    /// Reads the held parts from the store and removes those that have long expired.
-    async fn recall_holds(&self) -> Result<(), StoreError> {
-        let stored = self.store.read_holds().await?.value;
-        let (old, current): (Vec<_>, Vec<_>) = stored
-            .into_iter()
-            .partition(|hold| hold.expired > STORED_HOLD_MEMORY);
-        for hold in current {
-            self.hold_part(hold.part, hold.remaining, hold.level);
-            self.log_held(hold.part, hold.remaining, hold.level);
+    /// Takes over a hold that another entry has written, if it is longer than the known one. After a
+    /// restore of the store, one of a part that has been answered lately may have been released.
+    pub(crate) fn adopt_stored_hold(&self, stored: &StoredHold, extent: Extent) {
+        let now = self.now();
+        let part = stored.part;
+        let state = self.state();
+        let known = state.quarantine.find_held(&[part]);
+        let known = known.map_or(Duration::ZERO, |(_, hold)| hold.until.since(now));
+        let is_old = extent == Extent::Copy && state.quarantine.has_served(now, part);
+        drop(state);
+        if is_old || stored.remaining <= known + HOLD_TOLERANCE {
+            return;
         }
-        let old: Vec<PartId> = old.iter().map(|hold| hold.part).collect();
+        self.hold_part(part, stored.remaining, stored.level);
+        self.log_held(part, stored.remaining, stored.level);
+    }
+
+    /// Releases a part whose hold has been removed from the store.
+    pub(crate) fn apply_removed_hold(&self, key: &str) {
+        let Some(part) = StoreClient::held_part(key) else {
+            return;
+        };
+        let is_pending = self.state().hold_changes.held.contains_key(&part);
+        if !is_pending {
+            self.apply_served(&[part]);
+        }
+    }
+
+    /// Removes the holds from the store that have long expired.
+    async fn remove_old_holds(&self) -> Result<(), StoreError> {
+        let stored = self.store.read_holds().await?.value;
+        let old = stored
+            .iter()
+            .filter(|hold| hold.expired > STORED_HOLD_MEMORY);
+        let old: Vec<PartId> = old.map(|hold| hold.part).collect();
         if old.is_empty() {
             return Ok(());
         }
@@ -202,11 +229,11 @@
     }
 }
 
-/// Reads the held parts at the start, and then keeps the store up to date with their changes.
+/// Removes old holds at the start, and then keeps the store up to date with the changes of holds.
 pub(crate) async fn keep_holds(entry: Arc<Entry>) {
     let mut generations = entry.store.subscribe();
     let mut failures = 0;
-    while let Err(error) = entry.recall_holds().await {
+    while let Err(error) = entry.remove_old_holds().await {
         log_store_failure(&mut failures, &error);
         tokio::time::sleep(STORE_RETRY_PAUSE).await;
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -21,7 +21,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::crash_checks::check_runners;
 use crate::entry::Entry;
+use crate::evidence::share_evidence;
 use crate::holds::keep_holds;
 use crate::logs;
 use crate::recover::supervise;
@@ -117,7 +119,12 @@
             supervised(&entry, "membership", |entry| {
                 follow_table(entry, Table::Members)
             }),
+            supervised(&entry, "quarantine rows", |entry| {
+                follow_table(entry, Table::Quarantine)
+            }),
             supervised(&entry, "held parts", keep_holds),
+            supervised(&entry, "evidence", share_evidence),
+            supervised(&entry, "crash checks", check_runners),
             supervised(&entry, "maintenance", run_maintenance),
             supervised(&entry, "delay", measure_delay),
             tokio::spawn(server::serve_ready(entry.clone(), ready)),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,18 +7,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use decision::time::Time;
 use serving::Name;
 use serving::crash_reports::BrokenAttempt;
 use serving::link::ToAgent;
-use serving::placement::Placement;
 use serving::quarantine::Admission;
 use serving::quarantine::Crash;
+use serving::quarantine::CrashEffect;
 use serving::quarantine::Refusal;
 use serving::quarantine::RefusalCause;
 use serving::request::PartId;
 use spdlog::info;
 
-use crate::attempt::AnswerProgress;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
 use crate::dispatch::FailureCause;
@@ -52,9 +52,10 @@
     /// Checks whether the request may be sent; one that may only try suspected parts keeps the trial.
     pub(crate) async fn pass_quarantine(&mut self) -> Result<(), DispatchError> {
         self.trial = None;
+        let whole = self.suspect_fingerprint();
         let now = self.entry.now();
         let parts = &self.head.request.parts;
-        let admission = self.entry.state().quarantine.admit(now, parts);
+        let admission = self.entry.state().quarantine.admit_whole(now, parts, whole);
         match admission {
             Admission::Free => Ok(()),
             Admission::Canary(parts) => {
@@ -71,8 +72,9 @@
 
     /// Returns whether the request has a held part that it does not probe.
     pub(crate) fn is_held(&self) -> bool {
-        let parts = &self.head.request.parts;
-        let held = self.entry.state().quarantine.find_held(parts);
+        let mut parts = self.head.request.parts.clone();
+        parts.extend(self.suspect_fingerprint());
+        let held = self.entry.state().quarantine.find_held(&parts);
         let kind = self.trial.as_ref().map(|trial| &trial.kind);
         match (held, kind) {
             (None, _) => false,
@@ -90,6 +92,7 @@
             let held = entry.state().quarantine.find_held(&[part]);
             return Err(self.hold_back(Refusal {
                 part,
+                whole: part == self.fingerprint(),
                 cause: RefusalCause::Held,
                 retry_after: held.map_or(Duration::ZERO, |(_, hold)| hold.until.since(now)),
             }));
@@ -112,45 +115,29 @@
         }
     }
 
-    /// Tells the runner's agent of an attempt that broke before its answer.
-    pub(crate) fn report_broken(&self, placement: &Placement, progress: AnswerProgress) {
-        let parts = &self.head.request.parts;
-        if parts.is_empty() {
-            return;
-        }
-        let (runner, born) = (&placement.runner, placement.born);
-        let now = self.entry.now();
-        let mut state = self.entry.state();
-        let view = state.fleet.get(runner);
-        if !view.is_some_and(serving::fleet::Runner::collects_crashes) {
-            return;
-        }
-        let served = state.quarantine.record_report(now, runner, born, parts);
-        drop(state);
-        let attempt = BrokenAttempt {
-            runner: runner.clone(),
-            born,
-            begun: progress == AnswerProgress::Begun,
-            parts: parts.clone(),
-            served,
-        };
-        self.entry.links.tell(runner, ToAgent::Broken(attempt));
-    }
-
     /// Records that a runner has begun to answer the request.
     pub(crate) fn record_answer(&mut self, runner: &str) {
+        let whole = self.entry.state().quarantine.has_suspects();
+        let whole = whole.then(|| self.fingerprint());
         let parts = &self.head.request.parts;
-        if parts.is_empty() {
+        if parts.is_empty() && whole.is_none() {
             return;
         }
         let now = self.entry.now();
         let mut state = self.entry.state();
-        let cleared = state.quarantine.record_answer(now, parts);
+        let shared = whole.filter(|whole| state.quarantine.is_tried_alone(*whole));
+        let mut cleared = state.quarantine.record_answer(now, parts);
+        if let Some(whole) = whole {
+            cleared.add(state.quarantine.clear(now, &[whole]));
+        }
         for part in &cleared.held {
             state.hold_changes.release(*part);
         }
         drop(state);
         self.trial = None;
+        if let Some(whole) = shared {
+            self.entry.share_served(whole);
+        }
         let parts: Vec<PartId> = cleared
             .isolated
             .iter()
@@ -164,15 +151,37 @@
         self.entry.holds_changed.notify_one();
         self.entry.links.tell(runner, ToAgent::Served(parts));
     }
+
+    /// Returns the request's fingerprint if it may be under suspicion.
+    fn suspect_fingerprint(&self) -> Option<PartId> {
+        let is_active = self.entry.state().quarantine.is_active();
+        is_active.then(|| self.fingerprint())
+    }
 }
 
 impl Entry {
+    /// Tells a runner's agent of an attempt that broke.
+    pub(crate) fn tell_broken(&self, attempt: BrokenAttempt) {
+        let runner = attempt.runner.clone();
+        self.links.tell(&runner, ToAgent::Broken(attempt));
+    }
+
     /// Applies what the agent of `runner` tells of a crash.
     pub fn apply_crash(&self, runner: &Name, crash: Crash) {
+        let born = crash.born;
+        let parts = self.record_crash(self.now(), crash).vouched;
+        if !parts.is_empty() {
+            self.links.tell(runner, ToAgent::Vouch { born, parts });
+        }
+    }
+
+    /// Records a crash that became known at `at`; what follows from it is logged, and stored if an
+    /// attempt of this entry has broken in it.
+    pub(crate) fn record_crash(&self, at: Time, crash: Crash) -> CrashEffect {
         let now = self.now();
         let (crashed, born) = (crash.runner.clone(), crash.born);
         let mut state = self.state();
-        let mut effect = state.quarantine.record_crash(now, crash);
+        let effect = state.quarantine.record_crash_at(now, at, crash);
         let holds: Vec<_> = effect
             .held
             .iter()
@@ -195,10 +204,7 @@
         }
         self.log_released(&effect.released, "served by another entry");
         self.holds_changed.notify_one();
-        let parts = std::mem::take(&mut effect.vouched);
-        if !parts.is_empty() {
-            self.links.tell(runner, ToAgent::Vouch { born, parts });
-        }
+        effect
     }
 
     /// Records that another entry's requests have been answered on parts under suspicion.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,6 +13,7 @@
 use platform::runner::AttemptParams;
 use platform::runner::ResponseHead;
 use platform::runner::ResponseKind;
+use serving::Name;
 use serving::attempt::Outcome;
 use serving::config::RouteKind;
 use serving::events::EventSplitter;
@@ -383,12 +384,8 @@
         match self.entry.conns.open(addr).await {
             Ok(conn) => Some(conn),
             Err(error) => {
-                let now = self.entry.now();
-                let mut state = self.entry.state();
-                let state = &mut *state;
-                state
-                    .fleet
-                    .observe(now, runner, HealthSignal::Unreachable, &mut state.rng);
+                self.record_unreachable(runner);
+                self.entry.record_connect_error(runner, born, &error);
                 let error = error.to_string();
                 warn!("runner unreachable", kv: { runner = &**runner, error = error.as_str() });
                 None
@@ -397,6 +394,17 @@
     }
 }
 
+impl ActiveRequest {
+    fn record_unreachable(&self, runner: &Name) {
+        let now = self.entry.now();
+        let mut state = self.entry.state();
+        let state = &mut *state;
+        state
+            .fleet
+            .observe(now, runner, HealthSignal::Unreachable, &mut state.rng);
+    }
+}
+
 /// Reads the short body of a rejection, so that its connection can be reused.
 async fn finish_after_body(
     mut attempt: RunningAttempt,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -13,6 +13,8 @@
 use derive_more::From;
 use edges::EdgeError;
 use edges::EdgeResult;
+use platform::evidence::Evidence;
+use platform::evidence::EvidenceKey;
 use platform::holds::HoldRow;
 use platform::holds::StoredHold;
 use platform::store::Answer;
@@ -126,6 +128,21 @@
         Ok(())
     }
 
+    /// Writes rows of evidence.
+    pub(crate) async fn write_evidence(
+        &self,
+        rows: &[(EvidenceKey, Evidence)],
+    ) -> Result<(), StoreError> {
+        self.observe(self.client.write_evidence(rows)).await?;
+        Ok(())
+    }
+
+    /// Removes rows of evidence.
+    pub(crate) async fn remove_evidence(&self, keys: &[EvidenceKey]) -> Result<(), StoreError> {
+        self.observe(self.client.remove_evidence(keys)).await?;
+        Ok(())
+    }
+
     /// Records the era of a call's answer, and drops an outdated one.
     async fn observe<T>(
         &self,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -24,9 +24,9 @@
 /// restored contact. A dead connection is noticed only after that time; the rest of the bound
 /// covers the response timeout and the read of all rows.
 const CONTACT_SHARE: f64 = 0.6;
-/// How long the store may hold a read of the operator's changes. A dead connection is noticed
+/// How long the store may hold a read of tables that change rarely. A dead connection is noticed
 /// earlier by the reads of the membership, which are more frequent.
-const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_secs(20);
+const RARE_POLL_TIMEOUT: Duration = Duration::from_secs(20);
 /// The pause between two reads of the membership's changes, as a share of the drain bound. Each
 /// heartbeat of a runner is a change and each call has a price, so one read collects many of them.
 const MEMBERS_PAUSE_SHARE: f64 = 0.45;
@@ -234,7 +234,7 @@
 /// Returns how long the store may hold a read of a table's changes.
 fn poll_timeout(table: Table, contact_ms: u64) -> Duration {
     match table {
-        Table::Operator => OPERATOR_POLL_TIMEOUT,
+        Table::Operator | Table::Quarantine => RARE_POLL_TIMEOUT,
         Table::Members => Duration::from_millis(contact_ms).mul_f64(CONTACT_SHARE),
     }
 }
@@ -256,6 +256,12 @@
             Row::Config(config) => entry.apply_config(*config, origin.generation),
             Row::Version(announced) => entry.apply_version(&announced, origin.written_at),
             Row::Member(member) => members.push(MemberRow::Written(member)),
+            Row::Hold(hold) => entry.adopt_stored_hold(&hold, origin.extent),
+            Row::Evidence(key, evidence) => match origin.written_at {
+                Some(at) => entry.apply_evidence(at, evidence),
+                None => entry.adopt_evidence(key),
+            },
+            Row::Removed(key) if table == Table::Quarantine => entry.apply_removed_hold(&key),
             Row::Removed(key) => members.push(MemberRow::Removed(key)),
             Row::Invalid(key, error) => {
                 let error = error.to_string();
--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -45,6 +45,9 @@
     /// Those of the parts on which the entry has served requests before.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<PartId>,
+    /// The fingerprint of the request; `None` in reports of an older release.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub whole: Option<PartId>,
 }
 
 /// A report, as one of the incarnation's.
@@ -53,6 +56,7 @@
     at: Time,
     begun: bool,
     parts: Vec<PartId>,
+    whole: Option<PartId>,
 }
 
 /// What is known of one incarnation of the runner.
@@ -97,6 +101,7 @@
             at: now,
             begun: attempt.begun,
             parts: attempt.parts,
+            whole: attempt.whole,
         });
         known.add_served(&attempt.served);
     }
@@ -200,8 +205,9 @@
             None => self.forget_reports(report.at),
         }
         let mut known = self.reports.iter();
-        let repeated =
-            known.any(|known| known.begun == report.begun && known.parts == report.parts);
+        let repeated = known.any(|known| {
+            (known.begun, &known.parts, known.whole) == (report.begun, &report.parts, report.whole)
+        });
         if !repeated && self.reports.len() < MAX_REPORTS {
             self.reports.push_back(report);
             self.changed = true;
@@ -230,22 +236,29 @@
         }
     }
 
-    /// Returns the crash, if there are reports of it. Where answers had begun, only their requests are
-    /// suspect.
+    /// Returns the crash, if there are reports of it. Where answers had begun, only the parts of their
+    /// requests are suspect.
     fn crash(&self) -> Option<Crash> {
         let crashed_at = self.crashed_at?;
         let is_near = |report: &&Report| {
             let distance = report.at.since(crashed_at) + crashed_at.since(report.at);
-            distance <= CONFIRMATION_PERIOD && !report.parts.is_empty()
+            distance <= CONFIRMATION_PERIOD
         };
-        let reports: Vec<&Report> = self.reports.iter().filter(is_near).collect();
-        let begun = reports.iter().any(|report| report.begun);
-        let suspect = reports.iter().filter(|report| report.begun == begun);
+        let near: Vec<&Report> = self.reports.iter().filter(is_near).collect();
+        let with_parts: Vec<&Report> = near
+            .iter()
+            .copied()
+            .filter(|report| !report.parts.is_empty())
+            .collect();
+        let begun = with_parts.iter().any(|report| report.begun);
+        let suspect = with_parts.iter().filter(|report| report.begun == begun);
         let requests: Vec<Vec<PartId>> = suspect
             .take(MAX_CRASH_REQUESTS)
             .map(|report| report.parts.clone())
             .collect();
-        if requests.is_empty() {
+        let whole = near.iter().filter_map(|report| report.whole);
+        let whole: Vec<PartId> = whole.take(MAX_CRASH_REQUESTS).collect();
+        if requests.is_empty() && whole.is_empty() {
             return None;
         }
         let listed = |part: &&PartId| requests.iter().any(|parts| parts.contains(part));
@@ -256,6 +269,7 @@
             begun,
             requests,
             served,
+            whole,
         })
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config;
 mod cost;
 pub mod crash_reports;
+pub mod crash_watch;
 pub mod demand;
 pub mod entry_count;
 pub mod events;
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -1,7 +1,9 @@
-//! Finds the parts of prompts on which runners crash, and holds back the requests that have them.
+//! Finds the parts of prompts, and the whole requests, on which runners crash, and holds back the
+//! requests that have them.
 //!
 //! A crash is evidence against the parts of the requests that the runner had not answered yet, and an
-//! answer is evidence for the parts of its request. A part under suspicion is isolated: one request at
+//! answer is evidence for the parts of its request. A whole request, known by its fingerprint, is the
+//! most specific of its parts: no other request shares it, only its repeats. A part under suspicion is isolated: one request at
 //! a time, the canary, may try it. A part that explains several crashes is held: its requests are
 //! refused until the hold expires, and then one request may probe it.
 //!
@@ -34,7 +36,7 @@
 use crate::request::PartId;
 
 /// How long a crash is evidence.
-const CRASH_MEMORY: Duration = Duration::from_secs(60);
+pub const CRASH_MEMORY: Duration = Duration::from_secs(60);
 /// The most crashes that are kept; the oldest is dropped first.
 const MAX_CRASHES: usize = 64;
 /// The most held parts; the one whose hold expires first is dropped.
@@ -79,6 +81,14 @@
     pub held: Vec<PartId>,
 }
 
+impl Cleared {
+    /// Adds further parts.
+    pub fn add(&mut self, more: Cleared) {
+        self.isolated.extend(more.isolated);
+        self.held.extend(more.held);
+    }
+}
+
 /// Whether a request may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -94,10 +104,12 @@
 
 /// Why a request is held back.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("{cause} {part}")]
+#[display("{cause} {} {part}", if *whole { "request" } else { "prompt part" })]
 pub struct Refusal {
     /// The part under suspicion.
     pub part: PartId,
+    /// Whether it is the whole request.
+    pub whole: bool,
     /// Whether the part is isolated or held.
     pub cause: RefusalCause,
     /// After what time the caller may try again.
@@ -108,10 +120,10 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RefusalCause {
     /// Another request tries the part.
-    #[display("after a crash another request tries prompt part")]
+    #[display("after a crash another request tries")]
     Isolated,
     /// Runners have crashed on the part.
-    #[display("runners crash on prompt part")]
+    #[display("runners crash on")]
     Held,
 }
 
@@ -129,6 +141,8 @@
     /// Before this time requests are not held back.
     from: Time,
     canary: bool,
+    /// Whether it is tried beside no other part of this kind.
+    alone: bool,
 }
 
 /// An entry's evidence about parts of prompts, and what follows from it.
@@ -171,39 +185,36 @@
 
     /// Decides whether a request with these parts may be sent.
     pub fn admit(&mut self, now: Time, parts: &[PartId]) -> Admission {
-        if self.isolated.is_empty() && self.held.is_empty() {
+        self.admit_whole(now, parts, None)
+    }
+
+    /// Does the same for a request that also has a fingerprint.
+    pub fn admit_whole(&mut self, now: Time, parts: &[PartId], whole: Option<PartId>) -> Admission {
+        if !self.is_active() {
             return Admission::Free;
         }
         self.forget_old_crashes(now);
-        if let Some((part, hold)) = self.find_held(parts) {
+        let parts: Vec<PartId> = parts.iter().copied().chain(whole).collect();
+        let refuse = |part, cause, retry_after| {
+            Admission::Refused(Refusal {
+                part,
+                whole: whole == Some(part),
+                cause,
+                retry_after,
+            })
+        };
+        if let Some((part, hold)) = self.find_held(&parts) {
             if now >= hold.until {
                 return Admission::Probe(part);
             }
-            return Admission::Refused(Refusal {
-                part,
-                cause: RefusalCause::Held,
-                retry_after: hold.until.since(now),
-            });
+            return refuse(part, RefusalCause::Held, hold.until.since(now));
         }
-        self.admit_canary(now, parts)
-    }
-
-    fn admit_canary(&mut self, now: Time, parts: &[PartId]) -> Admission {
-        let isolated = |part: &&PartId| {
-            let isolation = self.isolated.get(*part);
-            isolation.is_some_and(|isolation| now >= isolation.from)
-        };
-        let suspects: Vec<PartId> = parts.iter().filter(isolated).copied().collect();
+        let suspects = self.isolated_parts(now, &parts);
         if suspects.is_empty() {
             return Admission::Free;
         }
-        let tried = suspects.iter().find(|part| self.isolated[*part].canary);
-        if let Some(part) = tried {
-            return Admission::Refused(Refusal {
-                part: *part,
-                cause: RefusalCause::Isolated,
-                retry_after: CANARY_RETRY,
-            });
+        if let Some(part) = self.find_tried(&suspects) {
+            return refuse(part, RefusalCause::Isolated, CANARY_RETRY);
         }
         for part in &suspects {
             if let Some(isolation) = self.isolated.get_mut(part) {
@@ -213,6 +224,43 @@
         Admission::Canary(suspects)
     }
 
+    /// Returns whether any part is isolated or held.
+    pub fn is_active(&self) -> bool {
+        !self.isolated.is_empty() || !self.held.is_empty()
+    }
+
+    /// Returns whether an answer could end a suspicion.
+    pub fn has_suspects(&self) -> bool {
+        self.is_active() || !self.suspects.is_empty()
+    }
+
+    fn isolated_parts(&self, now: Time, parts: &[PartId]) -> Vec<PartId> {
+        let isolated = |part: &&PartId| {
+            let isolation = self.isolated.get(*part);
+            isolation.is_some_and(|isolation| now >= isolation.from)
+        };
+        parts.iter().filter(isolated).copied().collect()
+    }
+
+    /// Returns the first of these isolated parts that must wait for the end of a canary.
+    fn find_tried(&self, suspects: &[PartId]) -> Option<PartId> {
+        let mut isolated = self.isolated.values();
+        let alone_tried = isolated.any(|isolation| isolation.alone && isolation.canary);
+        let mut suspects = suspects.iter();
+        suspects
+            .find(|part| {
+                let isolation = &self.isolated[*part];
+                isolation.canary || (isolation.alone && alone_tried)
+            })
+            .copied()
+    }
+
+    /// Returns whether this is a whole request under such suspicion that it is tried alone.
+    pub fn is_tried_alone(&self, part: PartId) -> bool {
+        let isolation = self.isolated.get(&part);
+        isolation.is_some_and(|isolation| isolation.alone)
+    }
+
     /// Records that the canary of these parts has ended, whatever its outcome.
     pub fn end_canary(&mut self, parts: &[PartId]) {
         for part in parts {
@@ -261,9 +309,14 @@
     }
 
     /// Records a crash, or news of a crash that is known already.
-    pub fn record_crash(&mut self, now: Time, mut crash: Crash) -> CrashEffect {
+    pub fn record_crash(&mut self, now: Time, crash: Crash) -> CrashEffect {
+        self.record_crash_at(now, now, crash)
+    }
+
+    /// Does the same for a crash that was shared at `at`.
+    pub fn record_crash_at(&mut self, now: Time, at: Time, mut crash: Crash) -> CrashEffect {
         self.forget_old_crashes(now);
-        crash.requests.truncate(MAX_CRASH_REQUESTS);
+        crash.truncate();
         let mut effect = CrashEffect {
             vouched: self.vouch(now, &mut crash),
             reported: self.has_reported(&crash),
@@ -279,7 +332,7 @@
             if self.crashes.len() >= MAX_CRASHES {
                 self.crashes.pop_front();
             }
-            self.crashes.push_back(KnownCrash::new(now, crash));
+            self.crashes.push_back(KnownCrash::new(at, crash));
             effect.is_new = true;
         }
         effect.released = self.withdraw_holds(now);
@@ -339,7 +392,7 @@
 
     /// Extends the holds of parts on which a probe has crashed another runner.
     fn extend_holds(&mut self, now: Time, crash: &Crash) -> Vec<PartId> {
-        let parts: Set<PartId> = crash.requests.iter().flatten().copied().collect();
+        let parts: Set<PartId> = crash.suspects().collect();
         let mut extended = Vec::new();
         for part in parts {
             let Some(hold) = self.held.get_mut(&part) else {
@@ -398,8 +451,10 @@
             let new = Isolation {
                 from: now.after(suspicion.isolation_delay()),
                 canary: false,
+                alone: false,
             };
-            let isolation = before.get(&part).copied().unwrap_or(new);
+            let mut isolation = before.get(&part).copied().unwrap_or(new);
+            isolation.alone = suspicion.is_tried_alone();
             self.isolated.insert(part, isolation);
         }
     }
@@ -409,7 +464,7 @@
         let mut suspicions: Map<PartId, Suspicion> = Map::default();
         let explains = |part: &PartId| self.held.contains_key(part);
         for known in &self.crashes {
-            if known.crash.requests.iter().flatten().any(explains) {
+            if known.crash.suspects().any(|part| explains(&part)) {
                 continue;
             }
             for (part, blame) in known.blames() {
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -21,6 +21,11 @@
 const HOLD_SERVED_LAST_CRASHES: u32 = 4;
 /// The number of crashes from which a part is isolated although requests were answered on it before.
 const ISOLATION_CRASHES: u32 = 3;
+/// The number of crashes from which a whole request is held that was not answered in between.
+const HOLD_WHOLE_CRASHES: u32 = 3;
+/// The number of crashes from which a whole request is tried beside no other such request. Requests that
+/// were running beside the one to blame are then tried at other runners than that one.
+const ALONE_CRASHES: u32 = 2;
 /// How long a part that was served before must have been without an answer until it is isolated; other
 /// requests with it are on their way, and end its suspicion if it is sound.
 const ISOLATION_DELAY: Duration = Duration::from_millis(500);
@@ -45,6 +50,9 @@
     /// Those of the parts on which an entry has served requests before.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<PartId>,
+    /// The fingerprints of the requests that the runner had not answered.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub whole: Vec<PartId>,
 }
 
 /// A crash as one entry knows it.
@@ -59,6 +67,8 @@
 /// The evidence against one part, from the crashes that no held part explains.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Suspicion {
+    /// Whether it is a whole request rather than a part of a prompt.
+    whole: bool,
     /// Whether an entry has served requests on the part before the crashes.
     pub(super) served: bool,
     /// The position in the prompt, from 0.
@@ -73,6 +83,7 @@
 impl Suspicion {
     /// Adds the evidence of one more crash; `tried` says whether the part was isolated by then.
     pub(super) fn add(&mut self, blame: Blame, tried: bool) {
+        self.whole |= blame.whole;
         self.served |= blame.served;
         self.position = self.position.max(blame.position);
         self.crashes += 1;
@@ -82,6 +93,9 @@
 
     /// Returns whether the part is to be held.
     pub(super) fn is_conclusive(&self) -> bool {
+        if self.whole {
+            return self.crashes >= HOLD_WHOLE_CRASHES;
+        }
         if self.served {
             return self.last_crashes >= HOLD_SERVED_LAST_CRASHES
                 || self.canary_crashes >= CANARY_CRASHES;
@@ -104,6 +118,13 @@
     }
 }
 
+impl Suspicion {
+    /// Returns whether it is a whole request that is tried beside no other such request.
+    pub(super) fn is_tried_alone(&self) -> bool {
+        self.whole && self.crashes >= ALONE_CRASHES
+    }
+}
+
 /// Returns the part that is to be held first, and whether it was served before: one that nobody was
 /// answered on, and then the last in its prompts, since the parts before it are in them as well.
 pub(super) fn most_suspect(suspicions: &Map<PartId, Suspicion>) -> Option<(PartId, bool)> {
@@ -115,11 +136,34 @@
 /// The evidence of one crash against one part.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Blame {
+    whole: bool,
     served: bool,
     position: usize,
     is_last: bool,
 }
 
+impl Crash {
+    /// Returns the parts and the fingerprints of its requests.
+    pub(super) fn suspects(&self) -> impl Iterator<Item = PartId> {
+        let parts = self.requests.iter().flatten().copied();
+        parts.chain(self.whole.iter().copied())
+    }
+
+    /// Keeps the number of requests within its bound.
+    pub(super) fn truncate(&mut self) {
+        self.requests.truncate(MAX_CRASH_REQUESTS);
+        self.whole.truncate(MAX_CRASH_REQUESTS);
+    }
+}
+
+fn extend_unique<T: PartialEq>(list: &mut Vec<T>, items: Vec<T>) {
+    for item in items {
+        if !list.contains(&item) {
+            list.push(item);
+        }
+    }
+}
+
 impl KnownCrash {
     pub(super) fn new(now: Time, crash: Crash) -> Self {
         KnownCrash {
@@ -131,8 +175,8 @@
 
     /// Returns the parts that are not cleared.
     pub(super) fn suspects(&self) -> impl Iterator<Item = PartId> {
-        let parts = self.crash.requests.iter().flatten().copied();
-        parts.filter(|part| !self.cleared.contains(part))
+        let suspects = self.crash.suspects();
+        suspects.filter(|part| !self.cleared.contains(part))
     }
 
     /// Records that a request has been answered on a part since.
@@ -142,12 +186,17 @@
         }
     }
 
-    /// Takes over what is known of the crash by now.
+    /// Adds what is known of the crash by now. Each entry knows of its own requests only.
     pub(super) fn update(&mut self, crash: Crash) {
-        let mut served = std::mem::take(&mut self.crash.served);
-        self.crash = crash;
-        served.retain(|part| !self.crash.served.contains(part));
-        self.crash.served.extend(served);
+        if crash.begun && !self.crash.begun {
+            self.crash.requests = crash.requests;
+            self.crash.begun = true;
+        } else if crash.begun == self.crash.begun {
+            extend_unique(&mut self.crash.requests, crash.requests);
+        }
+        extend_unique(&mut self.crash.whole, crash.whole);
+        self.crash.truncate();
+        extend_unique(&mut self.crash.served, crash.served);
     }
 
     /// Returns the blame of each part that is not cleared. In a request with parts that nobody was
@@ -159,6 +208,7 @@
             let last = suspects.last().map(|(position, _)| *position);
             for (position, part) in suspects {
                 let blame = blames.entry(part).or_insert(Blame {
+                    whole: false,
                     served: self.crash.served.contains(&part),
                     position,
                     is_last: false,
@@ -167,6 +217,16 @@
                 blame.is_last |= self.crash.begun && Some(position) == last;
             }
         }
+        let whole = self.crash.whole.iter();
+        for part in whole.filter(|part| !self.cleared.contains(part)) {
+            let blame = Blame {
+                whole: true,
+                served: false,
+                position: usize::MAX,
+                is_last: false,
+            };
+            blames.insert(*part, blame);
+        }
         blames
     }
 
--- a/crates/serving/tests/crash_messages.rs
+++ b/crates/serving/tests/crash_messages.rs
@@ -17,6 +17,7 @@
         begun: true,
         requests: vec![vec![PartId(1), LARGEST]],
         served: vec![PartId(1)],
+        whole: Vec::new(),
     }
 }
 
@@ -46,6 +47,7 @@
         begun: false,
         parts: vec![PartId(1), LARGEST],
         served: Vec::new(),
+        whole: None,
     };
     let messages = [
         ToAgent::Broken(attempt),
--- a/crates/serving/tests/crash_reports.rs
+++ b/crates/serving/tests/crash_reports.rs
@@ -23,6 +23,7 @@
         begun,
         parts: parts.to_vec(),
         served: Vec::new(),
+        whole: None,
     }
 }
 
@@ -33,6 +34,7 @@
         begun,
         requests: requests.iter().map(|parts| parts.to_vec()).collect(),
         served: served.to_vec(),
+        whole: Vec::new(),
     }
 }
 
--- a/crates/serving/tests/crash_sim/mod.rs
+++ b/crates/serving/tests/crash_sim/mod.rs
@@ -326,6 +326,7 @@
             begun,
             served,
             parts: request.parts.clone(),
+            whole: None,
         };
         self.post(MESSAGE_MS, Message::Broken(index, attempt));
     }
--- a/crates/serving/tests/deadly_parts.rs
+++ b/crates/serving/tests/deadly_parts.rs
@@ -31,6 +31,7 @@
         begun: true,
         requests: requests.iter().map(|parts| parts.to_vec()).collect(),
         served: served.to_vec(),
+        whole: Vec::new(),
     }
 }
 
