Refuse in a planned stop what cannot be answered before its end, and answer what is cut

With a grace of 4 s and a runner that takes 1.8 s, those sent 1.7, 2.0, 2.2 and 2.4 s after SIGTERM were cut (request_that_cannot_be_answered_before_the_end_is_refused_at_once, failed before with an empty reply at 1,700 ms).

Cause: a stopping entry accepted requests for 2.5 s and compared nothing with the end of its grace. It now takes a request only if its deadline, or one and a half times the longest response of its route in the last 10 to 20 s, ends before the cut (serving::stop, pure, with tests), before each send that follows none; others are refused as not run, at once, with Retry-After 0, since another entry can take them. At the cut, requests that were not sent get 503 and others 502, in place of a closed connection.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -73,7 +73,10 @@
     /// The deadline passed.
     #[display("deadline exceeded")]
     DeadlineExceeded,
-    /// Runners have crashed on a part of its prompt.
+    /// The entry ends before it could answer.
+    #[display("entry stopping")]
+    Stopping,
+    /// Runners have crashed on it, or on a part of its prompt.
     #[display("{_0}")]
     HeldBack(Refusal),
 }
@@ -284,7 +287,13 @@
             .state()
             .retry_budget
             .record_request(now, &self.service);
-        match self.run_attempts(None).await {
+        let entry = self.entry.clone();
+        let result = tokio::select! {
+            biased;
+            result = self.run_attempts(None) => result,
+            () = entry.requests_cut() => Err(self.stopping()),
+        };
+        match result {
             Ok(AttemptResponse::Complete(head, body)) => {
                 self.observe_first_response();
                 self.record_completion("served");
@@ -334,6 +343,12 @@
             let response = LocalResponse::HeldBack(refusal.retry_after);
             return entry_response(&self.entry, response, Some(&self.head.request.id));
         }
+        if cause == FailureCause::Stopping {
+            self.log_failure("refused", cause);
+            // Another entry can take it at once.
+            let response = LocalResponse::Refused(Duration::ZERO);
+            return entry_response(&self.entry, response, Some(&self.head.request.id));
+        }
         let jitter = RETRY_AFTER_JITTER.mul_f64(self.entry.state().rng.f64());
         let wait = self.retry_after(cause).unwrap_or(MIN_RETRY_AFTER);
         let longest = match cause {
@@ -364,6 +379,7 @@
             FailureCause::Rejected
             | FailureCause::ResponseLost
             | FailureCause::HeldBack(_)
+            | FailureCause::Stopping
             | FailureCause::DeadlineExceeded => None,
         }
     }
@@ -384,6 +400,9 @@
         resume: Option<u64>,
     ) -> Result<AttemptResponse, DispatchError> {
         loop {
+            if !self.entry.can_finish(&self.route.name, self.deadline) {
+                return Err(self.stopping());
+            }
             self.step = Step::Probe;
             self.pass_quarantine().await?;
             self.step = Step::Adapter;
@@ -446,6 +465,15 @@
         })
     }
 
+    /// Returns what is known of a request that the stopping entry ends.
+    fn stopping(&self) -> DispatchError {
+        if self.attempts.may_have_run() {
+            DispatchError::Unknown(FailureCause::Stopping)
+        } else {
+            DispatchError::Refused(FailureCause::Stopping)
+        }
+    }
+
     fn deadline_exceeded(&self) -> DispatchError {
         if self.attempts.may_have_run() {
             DispatchError::Unknown(FailureCause::DeadlineExceeded)
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use decision::time::Time;
@@ -32,11 +31,14 @@
 use serving::retry_budget::Allowance;
 use serving::retry_budget::RetryBudget;
 use serving::runner::Member;
+use serving::stop;
+use serving::stop::ResponseTimes;
 use serving::store_era::Generation;
 use serving::versions::Versions;
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::RuntimeClock;
 use crate::buffer::BufferBudget;
@@ -67,6 +69,8 @@
     pub versions: Versions,
     /// Limits the attempts after the first one, over all requests.
     pub retry_budget: RetryBudget,
+    /// How long requests have lately taken.
+    pub(crate) response_times: ResponseTimes,
     /// Decides which requests to refuse while the entry itself is short of CPU or memory.
     pub overload: OverloadDetector,
     /// The evidence about prompt parts on which runners crash.
@@ -113,7 +117,10 @@
     pub(crate) crash_check_due: Notify,
     /// Notified when evidence is to be shared.
     pub(crate) evidence_changed: Notify,
-    stopping: AtomicBool,
+    /// When requests in progress are cut off; set when the entry begins to stop.
+    cut_at: OnceLock<Time>,
+    /// Cancelled when requests in progress are to be answered with what is known.
+    cut: CancellationToken,
 }
 
 impl EntryState {
@@ -172,6 +179,7 @@
             fleet,
             versions: Versions::default(),
             retry_budget: RetryBudget::new(allowance, entries),
+            response_times: ResponseTimes::default(),
             overload: OverloadDetector::new(settings.memory_mb),
             quarantine: Quarantine::default(),
             hold_changes: HoldChanges::default(),
@@ -197,7 +205,8 @@
             holds_changed: Notify::new(),
             crash_check_due: Notify::new(),
             evidence_changed: Notify::new(),
-            stopping: AtomicBool::new(false),
+            cut_at: OnceLock::new(),
+            cut: CancellationToken::new(),
             settings,
         }))
     }
@@ -212,9 +221,31 @@
         self.clock.now()
     }
 
-    /// Makes the entry report that it is not ready, until the process ends.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Makes the entry report that it is not ready, and refuse requests that it cannot answer before
+    /// `cut_at`, until the process ends.
+    pub fn begin_stop(&self, cut_at: Time) {
+        // A second stop changes nothing.
+        let _ = self.cut_at.set(cut_at);
+    }
+
+    /// Ends the requests in progress: those that were not sent are refused.
+    pub fn cut_requests(&self) {
+        self.cut.cancel();
+    }
+
+    /// Waits until [`Entry::cut_requests`] is called.
+    pub(crate) async fn requests_cut(&self) {
+        self.cut.cancelled().await;
+    }
+
+    /// Returns whether a request of a route with this deadline can be answered before the entry ends.
+    pub(crate) fn can_finish(&self, route: &str, deadline: Time) -> bool {
+        let Some(cut_at) = self.cut_at.get() else {
+            return true;
+        };
+        let now = self.now();
+        let expected = self.state().response_times.expected(now, route);
+        stop::can_finish(now, *cut_at, deadline, expected)
     }
 
     /// Returns how long after the announcement of a version older ones may still be used.
@@ -224,7 +255,7 @@
 
     /// Returns whether [`Entry::begin_stop`] was called.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.cut_at.get().is_some()
     }
 
     /// Checks whether the entry can serve requests.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -37,6 +37,8 @@
 /// The part of the grace period before SIGKILL that is reserved for the end of the process after
 /// the requests.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// The part of [`STOP_MARGIN`] in which requests that are cut off get their last answer.
+const LAST_ANSWER_PERIOD: Duration = Duration::from_millis(200);
 /// The longest interval between two runs of [`Entry::run_maintenance`].
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval between two samples of the scheduling delay.
@@ -146,8 +148,9 @@
     }
 
     /// Stops the entry: reports that it is not ready for `unready_period`, then stops accepting
-    /// connections and finishes the requests in progress. Requests that do not end within the grace
-    /// period of the settings are aborted.
+    /// connections and finishes the requests in progress. Requests that cannot end within the grace
+    /// period of the settings are refused, and those that do not are answered with what is known of
+    /// them; streams are broken off.
     pub async fn stop(self, unready_period: Duration) {
         let RunningEntry {
             entry,
@@ -157,25 +160,26 @@
             background,
             ops,
         } = self;
-        let started_at = entry.now();
         let instance = entry.settings.instance.as_str();
         let inflight = entry.metrics.inflight.get();
         info!("entry stopping", kv: { instance, inflight });
-        entry.begin_stop();
+        let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s);
+        let cut_at = entry.now().after(grace.saturating_sub(STOP_MARGIN));
+        entry.begin_stop(cut_at);
         tokio::time::sleep(unready_period).await;
         stop.cancel();
-        let grace = Duration::from_secs_f64(entry.settings.bounds.stop_s);
-        let deadline = started_at.after(grace.saturating_sub(STOP_MARGIN));
-        let deadline = entry.clock.instant(deadline);
-        if tokio::time::timeout_at(deadline, &mut accept_loop)
-            .await
-            .is_err()
-        {
+        let cut_at = entry.clock.instant(cut_at);
+        let ended = tokio::time::timeout_at(cut_at, &mut accept_loop).await;
+        if ended.is_err() {
             let inflight = entry.metrics.inflight.get();
-            info!("grace period over, aborting requests", kv: { inflight });
-            abort.cancel();
-            // A panic has been printed by the task, and the process ends anyway.
-            let _ = accept_loop.await;
+            info!("grace period over, ending requests", kv: { inflight });
+            entry.cut_requests();
+            let answered = tokio::time::timeout(LAST_ANSWER_PERIOD, &mut accept_loop).await;
+            if answered.is_err() {
+                abort.cancel();
+                // A panic has been printed by the task, and the process ends anyway.
+                let _ = accept_loop.await;
+            }
         }
         for task in background {
             task.abort();
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -20,6 +20,10 @@
             .requests
             .with_label_values(&[outcome])
             .inc();
+        let now = self.entry.now();
+        let time = now.since(self.arrival);
+        let times = &mut self.entry.state().response_times;
+        times.record(now, &self.route.name, time);
         let runner = self.attempts.tried().last().map_or("", |name| &**name);
         let adapter = self.adapter().map_or("", |adapter| &**adapter);
         info!("request ended", kv: {
@@ -29,7 +33,7 @@
             gap_ms = self.longest_gap.as_millis() as u64, gap_goal_ms = self.route.gap_goal.as_millis() as u64,
             tokens = self.head.request.prompt_tokens,
             first_ms = self.first_response.as_millis() as u64, goal_ms = self.route.goal.as_millis() as u64,
-            total_ms = self.entry.now().since(self.arrival).as_millis() as u64
+            total_ms = time.as_millis() as u64
         });
     }
 
