Never promise that a request has not run while a runner works on it

Cause: whether a request may have run was known only from the end of an attempt, and until now nothing asked during one. An attempt in progress counts now (attempt_rules, request_at_a_runner_may_have_run).

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -51,6 +51,8 @@
     unsent: u32,
     rejected: u32,
     may_have_run: bool,
+    /// Whether an attempt is in progress.
+    in_progress: bool,
 }
 
 impl Attempts {
@@ -64,6 +66,7 @@
             unsent: 0,
             rejected: 0,
             may_have_run: false,
+            in_progress: false,
         }
     }
 
@@ -86,13 +89,14 @@
         if self.may_have_run { &self.tried } else { &[] }
     }
 
-    /// Returns whether a runner may have run the request.
+    /// Returns whether a runner may have run the request, or may be running it.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run
+        self.may_have_run || self.in_progress
     }
 
     /// Records that the request is about to be written to a runner.
     pub fn record_sent(&mut self, runner: &Name) {
+        self.in_progress = true;
         if !self.tried.contains(runner) {
             self.tried.push(runner.clone());
         }
@@ -105,6 +109,7 @@
         outcome: Outcome,
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
+        self.in_progress = false;
         match outcome {
             Outcome::NotSent => self.after_not_sent(),
             Outcome::NotRun => self.after_not_run(take_retry),
--- a/crates/serving/tests/attempt_rules.rs
+++ b/crates/serving/tests/attempt_rules.rs
@@ -170,3 +170,14 @@
         }
     }
 }
+
+/// Guards against a refusal, which promises that a request has not run, while a runner works on it.
+#[test]
+fn request_at_a_runner_may_have_run() {
+    let mut attempts = Attempts::new(RouteKind::NonIdempotent, 2);
+    assert!(!attempts.may_have_run());
+    attempts.record_sent(&Name::from("r1"));
+    assert!(attempts.may_have_run());
+    attempts.record_outcome(Outcome::NotRun, || true);
+    assert!(!attempts.may_have_run());
+}
