Use a runner again that answers in place of a record which claims its address

What callers saw: no runner, for as long as a well-formed record of another writer names the address of a live one and a later start. Cause: the newer record at an address replaced the older for good; that the older one still answers there was seen, with its name, in each 421, and not used (class: a belief without a way back). A 421 names the runner that has the address; the fleet now uses that one again (home_choice).

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -219,8 +219,12 @@
                 Err(Outcome::NotRun.into())
             }
             ResponseKind::OtherRunner => {
-                info!("runner replaced", kv: { runner = attempt.runner() });
-                self.entry.state().fleet.mark_replaced(attempt.runner());
+                let by = response_head.instance.as_deref().unwrap_or_default();
+                info!("runner replaced", kv: { runner = attempt.runner(), by });
+                let mut state = self.entry.state();
+                state.fleet.mark_replaced(attempt.runner());
+                state.fleet.mark_answering(attempt.runner(), by);
+                drop(state);
                 self.entry.mark_members_outdated();
                 attempt.finish(HealthSignal::Neutral, false);
                 Err(Outcome::NotRun.into())
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -126,6 +126,19 @@
         }
     }
 
+    /// Records that the runner `by` has answered in place of another one, which `id` names. It has the
+    /// address, although a record of the other one says so.
+    pub fn mark_answering(&mut self, id: &str, by: &str) {
+        let Some(addr) = self.runners.get(id).map(|runner| runner.member.addr) else {
+            return;
+        };
+        if let Some(runner) = self.runners.get_mut(by)
+            && runner.member.addr == addr
+        {
+            runner.replaced = false;
+        }
+    }
+
     /// Removes a runner that left the membership list.
     pub fn leave(&mut self, id: &str) {
         self.runners.remove(id);
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -204,6 +204,24 @@
     assert!(fleet.get("r8").is_some_and(|runner| runner.replaced));
 }
 
+/// A record of another writer may claim the address of a live runner.
+#[test]
+fn runner_that_answers_in_place_of_a_newer_record_is_chosen_again() {
+    let now = Time::from_ms(10);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet(1, now);
+    let mut odd = common::member("r9");
+    odd.born = 5;
+    odd.addr = common::member("r0").addr;
+    fleet.join(now, odd);
+    fleet.mark_replaced("r9");
+    fleet.mark_answering("r9", "r7");
+    assert!(fleet.place(now, &mut rng, &common::no_model()).is_err());
+    fleet.mark_answering("r9", "r0");
+    let placement = fleet.place(now, &mut rng, &common::no_model());
+    assert_eq!(&*placement.expect("r0 is back").runner, "r0");
+}
+
 #[test]
 fn unreachable_runner_is_chosen_only_as_a_last_resort() {
     let now = Time::from_ms(10);
