--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -46,6 +46,9 @@
 /// How long the store may hold the reads in between.
 const LOWER_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How many characters of the key of an unusable row are logged.
+const MAX_SHOWN_CHARS: usize = 200;
+
 /// Up to where a table is known.
 #[derive(Clone, Copy, Debug)]
 struct Position {
@@ -265,7 +268,8 @@
             Row::Removed(key) => members.push(MemberRow::Removed(key)),
             Row::Invalid(key, error) => {
                 let error = error.to_string();
-                warn!("row cannot be read", kv: { key = &*key, error = error.as_str() });
+                let shown: String = key.chars().take(MAX_SHOWN_CHARS).collect();
+                warn!("row cannot be read", kv: { key = shown.as_str(), error = error.as_str() });
                 members.push(MemberRow::Removed(key));
             }
             Row::Unknown => {}
