Add up the load that a runner reports without an overflow

Found while looking for odd values: X-Server-Load 4294967295,4294967295 overflows the sum of running and waiting requests, a panic in builds that check for it and a load of nearly none in others. load_at_the_end_of_its_range_is_no_error failed before ('attempt to add with overflow').

--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -174,7 +174,7 @@
     /// Records the load that a runner reported with a response.
     pub fn record_load(&mut self, id: &str, load: RequestLoad) {
         if let Some(runner) = self.runners.get_mut(id) {
-            runner.set_total_load(load.running + load.waiting);
+            runner.set_total_load(load.running.saturating_add(load.waiting));
         }
     }
 
