--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -30,6 +30,7 @@
 use crate::history::Call;
 use crate::history::CallOutcome;
 use crate::history::RouteKind;
+use crate::plan;
 use crate::plan::ADAPTERS;
 
 /// The time limit that every request states to the entry.
@@ -131,8 +132,12 @@
         let id = format!("{}.{}", self.name, self.request_count);
         let kind = self.pick_kind();
         let disconnects = self.rng.f64() < DISCONNECT_PROBABILITY;
-        let deadly = self.pick_deadly_part(kind);
-        let request = self.build_request(&id, kind, disconnects, deadly)?;
+        let path = self.pick_deadly_path(kind);
+        let deadly = match &path {
+            Some(path) => plan::deadly_number(path),
+            None => self.pick_deadly_part(kind),
+        };
+        let request = self.build_request(&id, kind, path, disconnects, deadly)?;
         let sent_at = self.harness.now();
         let wait_limit = if disconnects {
             Duration::from_millis(self.rng.u64(DISCONNECT_AFTER_MS))
@@ -192,11 +197,13 @@
         }
     }
 
-    /// Builds a request; `long` asks for a response that takes a long time.
+    /// Builds a request, to its own path unless it is a deadly one; `long` asks for a response that
+    /// takes a long time.
     fn build_request(
         &mut self,
         id: &str,
         kind: RouteKind,
+        path: Option<String>,
         long: bool,
         deadly: Option<u64>,
     ) -> Option<Request<Empty<Bytes>>> {
@@ -207,8 +214,9 @@
             format!("{MODEL}/a{index}")
         });
         let prefix = kind.is_stream().then(|| self.prompt_parts(deadly));
+        let path = path.unwrap_or_else(|| format!("/{kind}{suffix}"));
         caller::encode_request(&CallerRequest {
-            path: &format!("/{kind}{suffix}"),
+            path: &path,
             id,
             deadline: DEADLINE,
             adapter: adapter.as_deref(),
@@ -216,6 +224,19 @@
         })
     }
 
+    fn pick_deadly_path(&mut self, kind: RouteKind) -> Option<String> {
+        if self.rng.f64() >= DEADLY_PROBABILITY {
+            return None;
+        }
+        let route = format!("/{kind}/");
+        let paths = self.harness.deadly_paths().into_iter();
+        self.rng.choice(
+            paths
+                .filter(|path| path.starts_with(&route))
+                .collect::<Vec<_>>(),
+        )
+    }
+
     fn pick_deadly_part(&mut self, kind: RouteKind) -> Option<u64> {
         if !kind.is_stream() || self.rng.f64() >= DEADLY_PROBABILITY {
             return None;
--- a/crates/soak/src/checks/deadly.rs
+++ b/crates/soak/src/checks/deadly.rs
@@ -1,4 +1,4 @@
-//! The checks on requests with a prompt part on which runners crash, and on the sound ones beside them.
+//! The checks on requests, or prompt parts, on which runners crash, and on the sound ones beside them.
 
 use decision::collections::Map;
 
@@ -8,16 +8,18 @@
 use crate::history::Call;
 use crate::history::History;
 use crate::history::Ms;
+use crate::plan::FIRST_DEADLY_REQUEST;
 
-/// The crash after which the bounds count.
-const COUNTED_CRASH: usize = 5;
+/// The crash by a part, or by a whole request, after which the bounds count.
+const COUNTED_PART_CRASH: usize = 5;
+const COUNTED_REQUEST_CRASH: usize = 3;
 /// The requests with a deadly part that may reach runners after the bound.
 const MAX_LATE: usize = 3;
 /// The sound requests from which their share counts.
 const MIN_SOUND: usize = 20;
 
-/// Requires that at most a few requests with a deadly part reach runners later than the contact bound
-/// after its fifth crash, sent by entries that were undisturbed.
+/// Requires that at most a few deadly requests, or requests with a deadly part, reach runners later than
+/// the contact bound after the counted crash, sent by entries that were undisturbed.
 pub(super) fn check_held_back(history: &History) -> Vec<Violation> {
     let calls: Map<&str, &Call> = history.calls.iter().map(|call| (&*call.id, call)).collect();
     let mut parts: Map<u64, Vec<(Ms, &Call)>> = Map::default();
@@ -35,17 +37,22 @@
     let mut all = Vec::new();
     for (part, mut runs) in parts {
         runs.sort_by_key(|(at, _)| *at);
-        let Some((fifth, _)) = runs.get(COUNTED_CRASH - 1) else {
+        let counted = if part >= FIRST_DEADLY_REQUEST {
+            COUNTED_REQUEST_CRASH
+        } else {
+            COUNTED_PART_CRASH
+        };
+        let Some((counted_at, _)) = runs.get(counted - 1) else {
             continue;
         };
-        let bound = fifth + history.bounds.contact;
+        let bound = counted_at + history.bounds.contact;
         let late = runs.iter().filter(|(at, call)| {
             *at > bound && history.entry_settled(call.entry, call.sent_at, *at)
         });
         let late = late.count();
         if late > MAX_LATE {
             let detail = format!(
-                "{late} requests with part {part:x} reached runners, {} in all",
+                "{late} requests with {part:x} reached runners, {} in all",
                 runs.len()
             );
             all.push(violation(Guarantee::DeadlyHeldBack, "-", detail));
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -177,7 +177,7 @@
             crash: CrashTrigger {
                 deadly: self.deadly.clone(),
                 crashed: Some(self.crashed.clone()),
-                ..CrashTrigger::default()
+                deadly_paths: self.deadly_paths.clone(),
             },
             ..RunnerSpec::plain(&id)
         };
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -30,6 +30,7 @@
 use crate::plan::Fault;
 use crate::plan::LinkFault;
 use crate::plan::Program;
+use crate::plan::deadly_path;
 use crate::program::Process;
 use crate::proxy::Proxy;
 
@@ -150,6 +151,11 @@
                     .await;
                 self.set_full(index, false).await;
             }
+            Fault::DeadlyRequest(number, length) => {
+                self.set_deadly_request(number, true);
+                tokio::time::sleep(ms(length)).await;
+                self.set_deadly_request(number, false);
+            }
             Fault::DeadlyPart(part, length) => {
                 self.set_deadly(part, true);
                 tokio::time::sleep(ms(length)).await;
@@ -270,6 +276,15 @@
         }
     }
 
+    fn set_deadly_request(&self, number: u64, is_deadly: bool) {
+        let mut paths = self.deadly_paths.lock().expect("no panics under the lock");
+        if is_deadly {
+            paths.insert(deadly_path(number));
+        } else {
+            paths.remove(&deadly_path(number));
+        }
+    }
+
     async fn crash_runner(&self, index: usize, length: Ms) -> Result<(), Report<RunError>> {
         let mut current = self.runner_hosts[index].runner.lock().await;
         if let Some(runner) = current.take() {
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -24,6 +24,7 @@
 use rig::engine::NewestVersions;
 use rig::runner::DEFAULT_LAST_EVENT;
 use rig::runner::DeadlyParts;
+use rig::runner::DeadlyPaths;
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rig::store::Store;
@@ -134,6 +135,8 @@
     pub(crate) versions: NewestVersions,
     /// The prompt parts on which runners crash at present.
     pub(crate) deadly: DeadlyParts,
+    /// The paths of the requests on which plain runners crash at present.
+    pub(crate) deadly_paths: DeadlyPaths,
     /// Gets the identifiers of runners that have crashed.
     pub(crate) crashed: mpsc::UnboundedSender<String>,
     pub(crate) manifest: AtomicU64,
@@ -260,6 +263,7 @@
             entry_addrs: Vec::new(),
             versions: NewestVersions::default(),
             deadly: DeadlyParts::default(),
+            deadly_paths: DeadlyPaths::default(),
             crashed,
             manifest: AtomicU64::new(1),
             runner_starts: AtomicU32::new(0),
@@ -385,6 +389,12 @@
             .collect()
     }
 
+    /// Returns the paths of the requests on which plain runners crash at present.
+    pub(crate) fn deadly_paths(&self) -> Vec<String> {
+        let paths = self.deadly_paths.lock().expect("no panics under the lock");
+        paths.iter().cloned().collect()
+    }
+
     /// Returns whether callers must send no further requests.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -83,7 +83,7 @@
     pub entry: usize,
     /// How often that entry had been started when the connection was opened.
     pub entry_starts: u32,
-    /// The part of its prompt on which runners crash; `None` for a sound request.
+    /// The number of the deadly request, or of the deadly part of its prompt; `None` for a sound one.
     pub deadly: Option<u64>,
     /// Whether its prompt has parts that other requests share.
     pub shares_parts: bool,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -132,6 +132,9 @@
     /// A runner turns requests away and wants none for this time.
     #[display("runner {_0} pauses for {_1} ms")]
     RunnerPause(usize, Ms),
+    /// A request on which plain runners crash comes again and again.
+    #[display("request {_0:x} is deadly for {_1} ms")]
+    DeadlyRequest(u64, Ms),
     /// Some requests have a prompt part on which runners crash.
     #[display("prompt part {_0:x} is deadly for {_1} ms")]
     DeadlyPart(u64, Ms),
@@ -147,11 +150,14 @@
 const SHORT_FAULT_MS: std::ops::Range<Ms> = 300..1_500;
 const LONG_FAULT_MS: std::ops::Range<Ms> = 1_500..4_500;
 
-/// The interval in which one prompt part becomes deadly, and the range of times for which it is.
+/// The interval in which one prompt part, and one request, becomes deadly, and the range of times for
+/// which it is.
 const DEADLY_INTERVAL_MS: Ms = 10_000;
 const DEADLY_MS: std::ops::Range<Ms> = 9_000..16_000;
 /// The number of the first deadly part.
 const FIRST_DEADLY_PART: u64 = 0xd001;
+/// The number of the first deadly request; the numbers of deadly parts are lower.
+pub const FIRST_DEADLY_REQUEST: u64 = 0xe001;
 /// The range of intervals between two runners that begin to say something of themselves.
 const NOTICE_INTERVAL_MS: std::ops::Range<Ms> = 1_000..4_000;
 /// The ranges of the limits that runners name, in requests per second, and of the times.
@@ -170,6 +176,22 @@
 /// Separates the random numbers of the deadly parts from those of other faults.
 const DEADLY_SEED: u64 = 0xdead;
 
+/// Returns the path of a deadly request. Every other one may not be repeated.
+pub fn deadly_path(number: u64) -> String {
+    let route = if number.is_multiple_of(2) {
+        "safe"
+    } else {
+        "once"
+    };
+    format!("/{route}/x?deadly={number:x}")
+}
+
+/// Returns the number of the deadly request with this path.
+pub fn deadly_number(path: &str) -> Option<u64> {
+    let (_, number) = path.rsplit_once('=')?;
+    u64::from_str_radix(number, 16).ok()
+}
+
 /// Returns the faults that start before `length`, in the order of their start times. A longer run
 /// with the same seed begins with the same faults.
 pub fn fault_schedule(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
@@ -180,21 +202,34 @@
         faults.push((at, random_fault(&mut rng, size)));
         at += rng.u64(FAULT_INTERVAL_MS);
     }
-    faults.extend(deadly_parts(seed, length));
+    faults.extend(deadly(
+        seed ^ DEADLY_SEED,
+        length,
+        FIRST_DEADLY_PART,
+        Fault::DeadlyPart,
+    ));
+    let seed_of_requests = seed ^ DEADLY_SEED ^ FIRST_DEADLY_REQUEST;
+    faults.extend(deadly(
+        seed_of_requests,
+        length,
+        FIRST_DEADLY_REQUEST,
+        Fault::DeadlyRequest,
+    ));
     faults.extend(notices(seed, length, size));
     faults.extend(restores(seed, length));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
 
-fn deadly_parts(seed: u64, length: Ms) -> Vec<(Ms, Fault)> {
-    let mut rng = fastrand::Rng::with_seed(seed ^ DEADLY_SEED);
+/// Returns the parts or requests that become deadly, with rising numbers.
+fn deadly(seed: u64, length: Ms, first: u64, fault: impl Fn(u64, Ms) -> Fault) -> Vec<(Ms, Fault)> {
+    let mut rng = fastrand::Rng::with_seed(seed);
     let mut faults = Vec::new();
     let mut from = FIRST_FAULT_MS;
     while from < length {
         let at = from + rng.u64(..DEADLY_INTERVAL_MS / 4);
-        let part = FIRST_DEADLY_PART + faults.len() as u64;
-        let fault = Fault::DeadlyPart(part, rng.u64(DEADLY_MS));
+        let number = first + faults.len() as u64;
+        let fault = fault(number, rng.u64(DEADLY_MS));
         if at < length {
             faults.push((at, fault));
         }
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -33,7 +33,7 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 19);
+    assert_eq!(kinds.len(), 21);
 }
 
 #[test]
