Split the entry's membership, its dump and its refusals from the large files

Membership, state dump, refusals and the types of an admission are modules of their own now; nothing else changes. Tests of gateway, serving and platform pass.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -48,13 +48,6 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// `Retry-After` of a request that is refused because the entry is overloaded.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Bounds of `Retry-After` for other refusals.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
-/// Upper bound of the random time added to `Retry-After`, so that refused callers do not all return
-/// at once.
-const RETRY_AFTER_JITTER: Duration = Duration::from_millis(350);
-
 /// Why a request ended without a runner's response.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FailureCause {
@@ -254,7 +247,12 @@
     request.serve().await
 }
 
-fn entry_response(entry: &Entry, response: LocalResponse, id: Option<&str>) -> Response<Body> {
+/// Returns a response of the entry itself, and counts it.
+pub(crate) fn entry_response(
+    entry: &Entry,
+    response: LocalResponse,
+    id: Option<&str>,
+) -> Response<Body> {
     let outcome = response.to_string();
     entry
         .metrics
@@ -337,62 +335,6 @@
             .observe(self.admission_time.as_secs_f64());
     }
 
-    fn refuse(mut self, cause: FailureCause) -> Response<Body> {
-        if let FailureCause::HeldBack(refusal) = cause {
-            self.log_failure("held back", cause);
-            let response = LocalResponse::HeldBack(refusal.retry_after);
-            return entry_response(&self.entry, response, Some(&self.head.request.id));
-        }
-        if cause == FailureCause::Stopping {
-            self.log_failure("refused", cause);
-            // Another entry can take it at once.
-            let response = LocalResponse::Refused(Duration::ZERO);
-            return entry_response(&self.entry, response, Some(&self.head.request.id));
-        }
-        let jitter = RETRY_AFTER_JITTER.mul_f64(self.entry.state().rng.f64());
-        let wait = self.retry_after(cause).unwrap_or(MIN_RETRY_AFTER);
-        let longest = match cause {
-            // The runners have said when they take requests again. The slot of a limit is the entry's
-            // own, and another entry may have one sooner.
-            FailureCause::NoRunner(NoRunner::Paused(_)) => wait.max(MAX_RETRY_AFTER),
-            _ => MAX_RETRY_AFTER,
-        };
-        self.log_failure("refused", cause);
-        entry_response(
-            &self.entry,
-            LocalResponse::Refused(wait.clamp(MIN_RETRY_AFTER, longest) + jitter),
-            Some(&self.head.request.id),
-        )
-    }
-
-    /// Returns the shortest time until a refused caller can be served; `None` if it is not known.
-    fn retry_after(&self, cause: FailureCause) -> Option<Duration> {
-        match cause {
-            FailureCause::NoRunner(cause) => {
-                let artifact = self.head.request.artifact.as_ref();
-                let load = self.entry.state().model_load_time(&self.service, artifact);
-                cause.retry_after(self.entry.now(), load)
-            }
-            FailureCause::AdapterTimeout => {
-                self.last_placement.as_ref().map(|placement| placement.wait)
-            }
-            FailureCause::Rejected
-            | FailureCause::ResponseLost
-            | FailureCause::HeldBack(_)
-            | FailureCause::Stopping
-            | FailureCause::DeadlineExceeded => None,
-        }
-    }
-
-    fn fail(mut self, cause: FailureCause) -> Response<Body> {
-        let response = match cause {
-            FailureCause::DeadlineExceeded => LocalResponse::Timeout,
-            _ => LocalResponse::ResponseLost,
-        };
-        self.log_failure("failed", cause);
-        entry_response(&self.entry, response, Some(&self.head.request.id))
-    }
-
     /// Sends the request until a runner responds or no further attempt is allowed. `resume` is the
     /// identifier of the last event that the caller has, if a stream is resumed.
     pub async fn run_attempts(
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -16,21 +16,16 @@
 use platform::manifest::VersionAnnouncement;
 use platform::settings;
 use platform::store::Table;
-use serde_json::json;
 use serving::config::Config;
 use serving::config::Precedence;
 use serving::crash_watch::CrashWatch;
 use serving::fleet::Fleet;
-use serving::members::Change;
-use serving::members::Extent;
-use serving::members::MemberRow;
 use serving::members::Members;
 use serving::overload::OverloadDetector;
 use serving::quarantine::Quarantine;
 use serving::request::Artifact;
 use serving::retry_budget::Allowance;
 use serving::retry_budget::RetryBudget;
-use serving::runner::Member;
 use serving::stop;
 use serving::stop::ResponseTimes;
 use serving::store_era::Generation;
@@ -46,7 +41,6 @@
 use crate::evidence::SharedEvidence;
 use crate::holds::HoldChanges;
 use crate::links::AgentLinks;
-use crate::logs;
 use crate::metrics::EntryMetrics;
 use crate::process::ProcessError;
 use crate::recover::lock;
@@ -83,9 +77,9 @@
     pub(crate) evidence: SharedEvidence,
     /// For the choice of a service and of a runner, and for jitter.
     pub rng: fastrand::Rng,
-    members: Members,
+    pub(crate) members: Members,
     /// Whether the membership has been read once.
-    members_known: bool,
+    pub(crate) members_known: bool,
 }
 
 /// An entry: its state, its connections and its metrics, shared by all tasks.
@@ -110,7 +104,7 @@
     /// Notified when a runner or an agent shows that the known membership is outdated.
     members_outdated: Notify,
     /// Notified when membership records are missing and kept for a while.
-    records_missing: Notify,
+    pub(crate) records_missing: Notify,
     /// Notified when held prompt parts have changed.
     pub(crate) holds_changed: Notify,
     /// Notified when a runner is to be checked for a crash, or one was found.
@@ -125,7 +119,7 @@
 
 impl EntryState {
     /// Returns whether the runners of a service have a model engine.
-    fn has_engine(&self, service: &str) -> bool {
+    pub(crate) fn has_engine(&self, service: &str) -> bool {
         let config = self.config.as_ref();
         config.is_some_and(|config| config.engine(service).is_some())
     }
@@ -146,15 +140,6 @@
     }
 }
 
-/// Returns the records among the rows of a whole table.
-fn written(rows: Vec<MemberRow>) -> Vec<Member> {
-    let records = rows.into_iter().filter_map(|row| match row {
-        MemberRow::Written(member) => Some(member),
-        MemberRow::Removed(_) => None,
-    });
-    records.collect()
-}
-
 impl Entry {
     /// Creates an entry that draws all its random numbers from `rng`; starts no tasks.
     ///
@@ -343,170 +328,4 @@
     pub async fn members_outdated(&self) {
         self.members_outdated.notified().await;
     }
-
-    /// Applies rows of the membership table.
-    pub fn apply_members(self: &Arc<Self>, rows: Vec<MemberRow>, extent: Extent) {
-        let now = self.now();
-        let mut state = self.state();
-        state.members_known = true;
-        let members = &mut state.members;
-        let changes = match extent {
-            Extent::Changes => {
-                members.store_answered(now);
-                members.apply_rows(now, rows)
-            }
-            Extent::All => {
-                members.store_answered(now);
-                members.apply_snapshot(now, written(rows))
-            }
-            Extent::Copy => members.apply_copy(now, written(rows)),
-        };
-        let (missing, returned) = (members.missing_count(), members.returned_count());
-        let expiry = members.next_expiry();
-        drop(state);
-        if extent == Extent::Copy {
-            let changed = changes.len();
-            info!("membership read from the restored store", kv: { changed, missing, returned });
-        }
-        if let Some(expiry) = expiry {
-            let kept_ms = expiry.since(now).as_millis() as u64;
-            if missing > 0 {
-                info!("records missing after an outage are kept", kv: { missing, kept_ms });
-            }
-            self.records_missing.notify_one();
-        }
-        self.apply_changes(changes);
-    }
-
-    fn apply_changes(self: &Arc<Self>, changes: Vec<Change>) {
-        for change in changes {
-            match change {
-                Change::Present(member) => self.apply_member(member),
-                Change::Gone(id) => {
-                    info!("runner gone", kv: { runner = &*id });
-                    self.state().fleet.leave(&id);
-                    self.conns.remove(&id);
-                    self.links.close(&id);
-                }
-            }
-        }
-    }
-
-    fn apply_member(self: &Arc<Self>, member: Member) {
-        let now = self.now();
-        let mut state = self.state();
-        let known = state.fleet.get(&member.id).map(|runner| &runner.member);
-        let restarted = known.is_some_and(|known| known.born != member.born);
-        let changed = known.is_none_or(|known| restarted || known.phase != member.phase);
-        let has_engine = state.has_engine(&member.service);
-        state.fleet.join(now, member.clone());
-        state
-            .crash_watch
-            .record_start(now, &member.id, member.addr, member.born);
-        drop(state);
-        self.crash_check_due.notify_one();
-        if changed {
-            let phase = format!("{:?}", member.phase);
-            let addr = member.addr.to_string();
-            info!("runner present", kv: {
-                runner = &*member.id, service = &*member.service, phase = phase.as_str(),
-                addr = addr.as_str(), born = member.born
-            });
-        }
-        if restarted {
-            self.conns.remove(&member.id);
-            self.links.close(&member.id);
-        }
-        if has_engine {
-            self.links.open(self, &member);
-        }
-    }
-
-    /// Waits until [`Entry::run_maintenance`] is due: after `interval`, or when missing membership
-    /// records expire.
-    pub async fn maintenance_due(&self, interval: Duration) {
-        let regular = self.now().after(interval);
-        loop {
-            let expiry = self.state().members.next_expiry();
-            let due = expiry.map_or(regular, |expiry| expiry.min(regular));
-            tokio::select! {
-                () = tokio::time::sleep_until(self.clock.instant(due)) => return,
-                () = self.records_missing.notified() => {}
-            }
-        }
-    }
-
-    /// Expires members and idle connections, opens missing connections to agents and updates the
-    /// number of entries that share the retry budget.
-    pub fn run_maintenance(self: &Arc<Self>) {
-        let now = self.now();
-        let mut state = self.state();
-        let changes = state.members.expire(now);
-        let entries = state.fleet.entries.get();
-        state.retry_budget.set_entry_count(entries);
-        let (held, isolated) = state.quarantine.counts(now);
-        self.metrics.held_parts.set(held as i64);
-        let limited = state.fleet.backpressure.limited_count(now);
-        self.metrics.limited_runners.set(limited as i64);
-        let paused = state.fleet.backpressure.paused_count(now);
-        self.metrics.paused_runners.set(paused as i64);
-        self.metrics.isolated_parts.set(isolated as i64);
-        let unlinked = state
-            .members
-            .iter()
-            .filter(|member| state.has_engine(&member.service) && !self.links.contains(&member.id));
-        let unlinked: Vec<Member> = unlinked.cloned().collect();
-        drop(state);
-        for member in &unlinked {
-            self.links.open(self, member);
-        }
-        self.apply_changes(changes);
-        self.conns.close_expired(now);
-    }
-
-    /// Returns the state as JSON, for the dump of the process.
-    pub fn dump(&self) -> String {
-        let now = self.now();
-        let state = self.state();
-        let runners: Vec<_> = state
-            .fleet
-            .runners()
-            .map(|runner| {
-                json!({
-                    "id": &*runner.member.id,
-                    "service": &*runner.member.service,
-                    "addr": runner.member.addr,
-                    "phase": format!("{:?}", runner.member.phase),
-                    "inflight": runner.inflight,
-                    "others": runner.others_inflight,
-                    "linked": runner.linked,
-                    "up": runner.up,
-                    "room": runner.room,
-                    "limit": state.fleet.backpressure.rate_limit(now, &runner.member.id, runner.member.born),
-                    "report_age_ms": now.since(runner.reported_at).as_millis() as u64,
-                    "error_rate": runner.health.error_rate(),
-                    "adapters": runner.adapters.iter().map(|(name, view)| {
-                        format!("{name}@{}{}", view.version, if view.ready_at.is_some() { " coming" } else { "" })
-                    }).collect::<Vec<_>>(),
-                })
-            })
-            .collect();
-        let version = state.config.as_ref().map(|config| config.version);
-        let held = state.quarantine.held();
-        let held: Vec<_> = held
-            .map(|(part, hold)| {
-                let hold_ms = hold.until.since(now).as_millis() as u64;
-                json!({"part": part.to_string(), "hold_ms": hold_ms, "level": hold.level})
-            })
-            .collect();
-        json!({
-            "instance": self.settings.instance,
-            "config_version": version,
-            "entries": state.fleet.entries.reported(),
-            "log_lines_dropped": logs::dropped_lines(),
-            "runners": runners,
-            "held_parts": held,
-        })
-        .to_string()
-    }
 }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -36,7 +36,6 @@
     key: EvidenceKey,
     evidence: Evidence,
     at: Time,
-    /// Whether the store has it.
     stored: bool,
 }
 
