Measure fingerprints, crashes and restores in the capacity example

'capacity' now has the slopes of a request's fingerprint by body bytes, of a crash by known crashes and of a read after a restore by runners.

--- a/crates/bench/examples/capacity/main.rs
+++ b/crates/bench/examples/capacity/main.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod config;
 mod measure;
+mod recovery;
 mod routing;
 mod sample;
 
@@ -30,6 +31,7 @@
     all.extend(config::measure());
     all.extend(routing::measure());
     all.extend(agent::measure());
+    all.extend(recovery::measure());
     if !args.json {
         for series in &all {
             println!("{series}");
