--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -118,17 +118,19 @@
         true
     }
 
-    /// Takes over a hold that another entry has written, if it is longer than the known one. After a
-    /// restore of the store, one of a part that has been answered lately may have been released.
+    /// Takes over a hold that another entry has written, if it is longer than the known one. One that
+    /// has expired is taken over as well, since its part is to be probed first. After a restore of the
+    /// store, one of a part that has been answered lately may have been released.
     pub(crate) fn adopt_stored_hold(&self, stored: &StoredHold, extent: Extent) {
         let now = self.now();
         let part = stored.part;
         let state = self.state();
         let known = state.quarantine.find_held(&[part]);
-        let known = known.map_or(Duration::ZERO, |(_, hold)| hold.until.since(now));
-        let is_old = extent == Extent::Copy && state.quarantine.has_served(now, part);
+        let is_longer =
+            known.is_none_or(|(_, hold)| stored.remaining > hold.until.since(now) + HOLD_TOLERANCE);
+        let is_released = extent == Extent::Copy && state.quarantine.has_served(now, part);
         drop(state);
-        if is_old || stored.remaining <= known + HOLD_TOLERANCE {
+        if !is_longer || is_released || stored.expired > STORED_HOLD_MEMORY {
             return;
         }
         self.hold_part(part, stored.remaining, stored.level);
