Tell a deadly request from sound ones that crash beside it, and confirm crashes in more ways

A whole request is now held after three crashes only if it was, in one of them, the only one that has been in several: where two cannot be told apart they are tried alone, one after the other, and an answer clears the sound one; six crashes hold it in any case.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -104,6 +104,12 @@
             .map_or("", |inflight| &inflight.runner)
     }
 
+    /// Returns the start of the runner's incarnation, in milliseconds since the Unix epoch; `None` once the
+    /// attempt has ended.
+    pub fn born(&self) -> Option<u64> {
+        self.inflight.as_ref().map(|inflight| inflight.born)
+    }
+
     /// Ends the attempt; `reusable` says whether its connection can carry another request.
     pub fn finish(mut self, signal: HealthSignal, reusable: bool) {
         let conn = self.conn.take();
--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -10,7 +10,6 @@
 use spdlog::info;
 
 use crate::attempt::AnswerProgress;
-use crate::conns::ConnectError;
 use crate::dispatch::ActiveRequest;
 use crate::entry::Entry;
 
@@ -53,14 +52,12 @@
 }
 
 impl Entry {
-    /// Records that a connection to an incarnation of a runner was refused, or not.
-    pub(crate) fn record_connect_error(&self, runner: &str, born: u64, error: &ConnectError) {
-        if !error.refused {
-            return;
-        }
+    /// Records that the process of an incarnation of a runner has ended: its address refuses connections,
+    /// or another one answers there.
+    pub(crate) fn record_runner_ended(&self, runner: &str, born: u64) {
         let now = self.now();
         let watch = &mut self.state().crash_watch;
-        watch.record_check(now, runner, born, CheckResult::Refused);
+        watch.record_check(now, runner, born, CheckResult::Ended);
         self.crash_check_due.notify_one();
     }
 
@@ -84,7 +81,7 @@
                 self.conns.put_idle(now, &runner, born, conn, None);
                 CheckResult::Unclear
             }
-            Err(error) if error.refused => CheckResult::Refused,
+            Err(error) if error.refused => CheckResult::Ended,
             Err(_) => CheckResult::Unclear,
         };
         let now = self.now();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -19,6 +19,7 @@
 use serving::request::PartId;
 use spdlog::info;
 
+use crate::attempt::RunningAttempt;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
 use crate::dispatch::FailureCause;
@@ -116,7 +117,12 @@
     }
 
     /// Records that a runner has begun to answer the request.
-    pub(crate) fn record_answer(&mut self, runner: &str) {
+    pub(crate) fn record_answer(&mut self, attempt: &RunningAttempt) {
+        let runner = attempt.runner();
+        if let Some(born) = attempt.born() {
+            let watch = &mut self.entry.state().crash_watch;
+            watch.record_answer(runner, born);
+        }
         let whole = self.entry.state().quarantine.has_suspects();
         let whole = whole.then(|| self.fingerprint());
         let parts = &self.head.request.parts;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -225,6 +225,9 @@
                 state.fleet.mark_replaced(attempt.runner());
                 state.fleet.mark_answering(attempt.runner(), by);
                 drop(state);
+                if let Some(born) = attempt.born() {
+                    self.entry.record_runner_ended(attempt.runner(), born);
+                }
                 self.entry.mark_members_outdated();
                 attempt.finish(HealthSignal::Neutral, false);
                 Err(Outcome::NotRun.into())
@@ -275,7 +278,7 @@
                 return Err(AnswerProgress::Begun.into());
             }
         };
-        self.record_answer(attempt.runner());
+        self.record_answer(&attempt);
         let time = self.entry.now().since(self.arrival);
         let failed = response_head.kind == ResponseKind::Failure;
         let signal = match (failed, response_head.status.is_client_error()) {
@@ -333,7 +336,7 @@
                 continue;
             }
             attempt.prompt = None;
-            self.record_answer(attempt.runner());
+            self.record_answer(&attempt);
             if let Some(inflight) = attempt.inflight.as_mut() {
                 self.entry.state().fleet.mark_answered(inflight);
             }
@@ -389,7 +392,9 @@
             Ok(conn) => Some(conn),
             Err(error) => {
                 self.record_unreachable(runner);
-                self.entry.record_connect_error(runner, born, &error);
+                if error.refused {
+                    self.entry.record_runner_ended(runner, born);
+                }
                 let error = error.to_string();
                 warn!("runner unreachable", kv: { runner = &**runner, error = error.as_str() });
                 None
--- a/crates/serving/src/crash_watch.rs
+++ b/crates/serving/src/crash_watch.rs
@@ -1,7 +1,8 @@
 //! Finds the crashes of runners that no agent watches, from what one entry sees of them.
 //!
 //! An attempt that broke is no crash yet: the connection, the answer or a planned stop may be to blame.
-//! The runner's address tells: it refuses connections, or belongs to a later incarnation.
+//! The runner's address tells: it refuses connections, or another incarnation answers there or is
+//! known to be there. An answer of the incarnation itself tells that it lives.
 //!
 //! Invariants: an incarnation is checked a few times at most, however many attempts broke; the number
 //! of watched runners is bounded.
@@ -22,6 +23,9 @@
 
 /// The most runners that are watched; the one whose last attempt broke first is forgotten.
 const MAX_RUNNERS: usize = 256;
+/// The longest time from the last broken attempt to the news that its incarnation has ended. The news of
+/// the next one may be delayed by the store.
+const NEWS_PERIOD: Duration = Duration::from_secs(8);
 /// The delays of the checks: of the first after the attempt, of the others after the one before. A
 /// process that crashes may take a moment to close its port.
 const CHECK_DELAYS: [Duration; 3] = [
@@ -44,8 +48,8 @@
 /// What came of a check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckResult {
-    /// The connection was refused: no process listens.
-    Refused,
+    /// The connection was refused, or another incarnation has answered: the process has ended.
+    Ended,
     /// A process accepted the connection, or nothing answered.
     Unclear,
 }
@@ -119,7 +123,7 @@
             return;
         };
         match result {
-            CheckResult::Refused => watched.mark_crashed(now),
+            CheckResult::Ended => watched.mark_crashed(now),
             CheckResult::Unclear if watched.checks < CHECK_DELAYS.len() => {
                 watched.check_at = Some(now.after(CHECK_DELAYS[watched.checks]));
             }
@@ -127,6 +131,14 @@
         }
     }
 
+    /// Records that an incarnation has answered a request: what broke before was no crash of it.
+    pub fn record_answer(&mut self, runner: &str, born: u64) {
+        let watched = self.runners.get(runner);
+        if watched.is_some_and(|watched| watched.born == born && !watched.crashed) {
+            self.runners.remove(runner);
+        }
+    }
+
     /// Records that an incarnation has started at an address: an earlier one there has ended.
     pub fn record_start(&mut self, now: Time, runner: &str, addr: SocketAddr, born: u64) {
         for (id, watched) in &mut self.runners {
@@ -170,8 +182,10 @@
 impl Watched {
     fn mark_crashed(&mut self, now: Time) {
         self.check_at = None;
-        if !std::mem::replace(&mut self.crashed, true) {
-            self.reports.runner_down(now);
+        if self.crashed || now.since(self.broken_at) > NEWS_PERIOD {
+            return;
         }
+        self.crashed = true;
+        self.reports.runner_down(self.broken_at);
     }
 }
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -427,20 +427,34 @@
     /// Returns the evidence against each part, from the crashes without a held part.
     fn suspicions(&self) -> Map<PartId, Suspicion> {
         let mut suspicions: Map<PartId, Suspicion> = Map::default();
-        let explains = |part: &PartId| self.held.contains_key(part);
-        for known in &self.crashes {
-            if known.crash.suspects().any(|part| explains(&part)) {
-                continue;
-            }
+        for known in self.unexplained() {
             for (part, blame) in known.blames() {
                 let isolation = self.isolated.get(&part);
                 let tried = isolation.is_some_and(|i| known.at >= i.from.after(CANARY_DELAY));
                 suspicions.entry(part).or_default().add(blame, tried);
             }
         }
+        for known in self.unexplained() {
+            let repeated = |whole: &PartId| suspicions[whole].is_tried_alone();
+            let mut repeated = known.wholes().filter(repeated);
+            let (first, second) = (repeated.next(), repeated.next());
+            drop(repeated);
+            if let (Some(only), None) = (first, second)
+                && let Some(suspicion) = suspicions.get_mut(&only)
+            {
+                suspicion.add_alone();
+            }
+        }
         suspicions
     }
 
+    /// Returns the crashes without a held part.
+    fn unexplained(&self) -> impl Iterator<Item = &KnownCrash> {
+        let explains = |part: PartId| self.held.contains_key(&part);
+        let crashes = self.crashes.iter();
+        crashes.filter(move |known| !known.crash.suspects().any(explains))
+    }
+
     fn forget_old_crashes(&mut self, now: Time) {
         self.held
             .retain(|_, hold| now < hold.until.after(HOLD_MEMORY));
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -21,8 +21,11 @@
 const HOLD_SERVED_LAST_CRASHES: u32 = 4;
 /// The number of crashes from which a part is isolated although requests were answered on it before.
 const ISOLATION_CRASHES: u32 = 3;
-/// The number of crashes from which a whole request is held that was not answered in between.
+/// The number of crashes from which a whole request is held that was not answered in between, if it was
+/// the only one under renewed suspicion in one of them.
 const HOLD_WHOLE_CRASHES: u32 = 3;
+/// The number of crashes from which it is held in any case.
+const HOLD_SHARED_CRASHES: u32 = 6;
 /// The number of crashes from which a whole request is tried beside no other such request. Requests that
 /// were running beside the one to blame are then tried at other runners than that one.
 const ALONE_CRASHES: u32 = 2;
@@ -78,6 +81,8 @@
     last_crashes: u32,
     /// The crashes that came after the part was isolated.
     canary_crashes: u32,
+    /// The crashes in which no other whole request was that has been in several.
+    alone_crashes: u32,
 }
 
 impl Suspicion {
@@ -94,7 +99,8 @@
     /// Returns whether the part is to be held.
     pub(super) fn is_conclusive(&self) -> bool {
         if self.whole {
-            return self.crashes >= HOLD_WHOLE_CRASHES;
+            let was_alone = self.crashes >= HOLD_WHOLE_CRASHES && self.alone_crashes > 0;
+            return was_alone || self.crashes >= HOLD_SHARED_CRASHES;
         }
         if self.served {
             return self.last_crashes >= HOLD_SERVED_LAST_CRASHES
@@ -119,6 +125,11 @@
 }
 
 impl Suspicion {
+    /// Records a crash in which no other whole request was that has been in several.
+    pub(super) fn add_alone(&mut self) {
+        self.alone_crashes += 1;
+    }
+
     /// Returns whether it is a whole request that is tried beside no other such request.
     pub(super) fn is_tried_alone(&self) -> bool {
         self.whole && self.crashes >= ALONE_CRASHES
@@ -179,6 +190,12 @@
         suspects.filter(|part| !self.cleared.contains(part))
     }
 
+    /// Returns the whole requests that are not cleared.
+    pub(super) fn wholes(&self) -> impl Iterator<Item = PartId> {
+        let wholes = self.crash.whole.iter().copied();
+        wholes.filter(|whole| !self.cleared.contains(whole))
+    }
+
     /// Records that a request has been answered on a part since.
     pub(super) fn clear(&mut self, part: PartId) {
         if self.suspects().any(|suspect| suspect == part) {
@@ -217,15 +234,14 @@
                 blame.is_last |= self.crash.begun && Some(position) == last;
             }
         }
-        let whole = self.crash.whole.iter();
-        for part in whole.filter(|part| !self.cleared.contains(part)) {
+        for part in self.wholes() {
             let blame = Blame {
                 whole: true,
                 served: false,
                 position: usize::MAX,
                 is_last: false,
             };
-            blames.insert(*part, blame);
+            blames.insert(part, blame);
         }
         blames
     }
--- a/crates/serving/tests/crash_watches.rs
+++ b/crates/serving/tests/crash_watches.rs
@@ -43,7 +43,7 @@
     let due = watch.due_checks(at(1));
     assert_eq!(due.len(), 1);
     assert_eq!((due[0].addr, due[0].born), (addr(1), 1));
-    watch.record_check(at(2), "i-1", 1, CheckResult::Refused);
+    watch.record_check(at(2), "i-1", 1, CheckResult::Ended);
     assert_eq!(crashes(&mut watch), [[PartId(7), PartId(8)]]);
     // An attempt whose end is seen later belongs to the same crash.
     watch.record_broken(at(3), addr(1), broken(1, 9));
@@ -76,7 +76,7 @@
     watch.record_check(at(1), "i-1", 1, CheckResult::Unclear);
     let next = watch.next_check().expect("another check");
     assert_eq!(watch.due_checks(next).len(), 1);
-    watch.record_check(next, "i-1", 1, CheckResult::Refused);
+    watch.record_check(next, "i-1", 1, CheckResult::Ended);
     assert_eq!(crashes(&mut watch).len(), 1);
 }
 
@@ -102,7 +102,7 @@
 fn result_about_an_earlier_incarnation_changes_nothing() {
     let mut watch = CrashWatch::default();
     watch.record_broken(at(0), addr(1), broken(2, 7));
-    watch.record_check(at(1), "i-1", 1, CheckResult::Refused);
+    watch.record_check(at(1), "i-1", 1, CheckResult::Ended);
     assert!(crashes(&mut watch).is_empty());
 }
 
@@ -116,3 +116,21 @@
     }
     assert!(watch.due_checks(at(2_000)).len() <= 256);
 }
+
+#[test]
+fn answer_after_the_broken_attempt_shows_that_the_runner_lives() {
+    let mut watch = CrashWatch::default();
+    watch.record_broken(at(0), addr(1), broken(1, 7));
+    watch.record_answer("i-1", 1);
+    watch.record_start(at(900), "i-9", addr(1), 5);
+    assert!(crashes(&mut watch).is_empty());
+}
+
+/// The store may be away while the runner starts again.
+#[test]
+fn news_of_the_next_incarnation_may_take_seconds() {
+    let mut watch = CrashWatch::default();
+    watch.record_broken(at(0), addr(1), broken(1, 7));
+    watch.record_start(at(5_000), "i-9", addr(1), 5);
+    assert_eq!(crashes(&mut watch), [[PartId(7)]]);
+}
--- a/crates/serving/tests/deadly_wholes.rs
+++ b/crates/serving/tests/deadly_wholes.rs
@@ -198,3 +198,39 @@
     let later = at(200).after(CRASH_MEMORY + Duration::from_millis(1));
     assert_eq!(quarantine.counts(later), (0, 0));
 }
+
+/// A request that many callers send alike is running in each crash; holding it would refuse them all,
+/// and hide the one to blame.
+#[test]
+fn request_beside_the_deadly_one_is_not_held_in_its_place() {
+    let mut quarantine = Quarantine::default();
+    for born in 0..3 {
+        let effect = quarantine.record_crash(at(born), crash(born, &[SOUND, DEADLY]));
+        assert!(effect.held.is_empty(), "{effect:?}");
+    }
+    // Each of them is tried alone.
+    assert_eq!(
+        admit(&mut quarantine, 4, SOUND),
+        Admission::Canary(vec![SOUND])
+    );
+    quarantine.end_canary(&[SOUND]);
+    quarantine.clear(at(5), &[SOUND]);
+    let (held, _) = quarantine.counts(at(5));
+    assert_eq!(held, 0);
+    let effect = quarantine.record_crash(at(6), crash(6, &[DEADLY, OTHER]));
+    assert_eq!(effect.held, [DEADLY]);
+}
+
+#[test]
+fn requests_that_always_crash_together_are_held_in_the_end() {
+    let mut quarantine = Quarantine::default();
+    let mut held = Vec::new();
+    for born in 0..6 {
+        held.extend(
+            quarantine
+                .record_crash(at(born), crash(born, &[OTHER, DEADLY]))
+                .held,
+        );
+    }
+    assert_eq!(held.len(), 1);
+}
