Keep a drain that the copy of the store does not have, also after the removal

A member that was draining and is ready in the copy was stored as ready, so that a later removal forgot the drain; it stays draining now (restored_members, failed before). A hold is written again if the store was restored between its read and its write.

--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -193,13 +193,17 @@
     /// Writes the changes of held parts to the store.
     async fn store_changes(&self) -> Result<(), StoreError> {
         while let Some((part, level)) = self.next_held() {
-            let row = self.store.read_hold(part).await?.value;
+            let read = self.store.read_hold(part).await?;
+            let row = read.value;
             let length = self.remaining_hold(part, level);
             let stored = row.hold.map_or(Duration::ZERO, |hold| hold.remaining);
             if stored + HOLD_TOLERANCE >= length {
                 self.adopt_hold(&row);
             } else {
-                self.store.write_hold(&row, length, level).await?;
+                let written = self.store.write_hold(&row, length, level).await?;
+                if written.generation != read.generation {
+                    continue;
+                }
             }
             self.state().hold_changes.held.remove(&part);
         }
--- a/crates/serving/src/members.rs
+++ b/crates/serving/src/members.rs
@@ -134,11 +134,13 @@
     pub fn apply_write(&mut self, mut member: Member) -> Option<Change> {
         self.missing.remove(&member.id);
         self.returned.remove(&member.id);
+        let known = self.members.get(&member.id);
         // A copy of the store may have the record of before the drain.
-        if self.removal(&member).map(|removed| removed.phase) == Some(Phase::Draining) {
+        let same = known.filter(|known| known.born == member.born);
+        let removed = self.removal(&member).map(|removed| removed.phase);
+        if same.map(|known| known.phase).or(removed) == Some(Phase::Draining) {
             member.phase = Phase::Draining;
         }
-        let known = self.members.get(&member.id);
         if known.is_some_and(|known| known.born > member.born || *known == member) {
             return None;
         }
--- a/crates/serving/tests/restored_members.rs
+++ b/crates/serving/tests/restored_members.rs
@@ -148,3 +148,14 @@
     let changes = members.apply_copy(RESTORED_AT, vec![ready("a"), next.clone()]);
     assert_eq!(changes, [Change::Present(next)]);
 }
+
+#[test]
+fn draining_member_stays_so_although_the_copy_says_ready() {
+    let mut members = known(&["a", "b"]);
+    members.apply_write(member("b", 1, Phase::Draining));
+    let changes = members.apply_copy(RESTORED_AT, vec![ready("a"), ready("b")]);
+    assert!(changes.is_empty(), "{changes:?}");
+    members.apply_removal(RESTORED_AT.after(CONTACT), &Name::from("b"));
+    let changes = members.apply_rows(RESTORED_AT, vec![MemberRow::Written(ready("b"))]);
+    assert_eq!(changes, [Change::Present(member("b", 1, Phase::Draining))]);
+}
