Call the count of the store's restores by what it counts

'generation' is a published configuration in the glossary and in the older path. The count is RestoreCount now, and 'restores' in the log of 'configuration in force'.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -28,7 +28,7 @@
 use serving::retry_budget::RetryBudget;
 use serving::stop;
 use serving::stop::ResponseTimes;
-use serving::store_era::Generation;
+use serving::store_era::RestoreCount;
 use serving::versions::Versions;
 use spdlog::info;
 use spdlog::warn;
@@ -55,8 +55,8 @@
 pub struct EntryState {
     /// The configuration in force; `None` until the store has been read.
     pub config: Option<Arc<Config>>,
-    /// The generation of the store in which the configuration was last read.
-    config_generation: Generation,
+    /// The number of restores of the store before the configuration was last read.
+    config_restores: RestoreCount,
     /// The known runners of all services, with their load and health.
     pub fleet: Fleet,
     /// The announced versions of adapters, from which the oldest allowed ones follow.
@@ -160,7 +160,7 @@
         let entries = fleet.entries.get();
         let state = EntryState {
             config: None,
-            config_generation: Generation::default(),
+            config_restores: RestoreCount::default(),
             fleet,
             versions: Versions::default(),
             retry_budget: RetryBudget::new(allowance, entries),
@@ -262,14 +262,14 @@
         Ok(())
     }
 
-    /// Puts a configuration, read in `generation` of the store, in force unless it is the current one or
+    /// Puts a configuration, read after so many restores of the store, in force unless it is the current one or
     /// an older one.
-    pub fn apply_config(&self, config: Config, generation: Generation) {
+    pub fn apply_config(&self, config: Config, restores: RestoreCount) {
         let mut state = self.state();
         let known = state.config.clone();
-        let known_generation = state.config_generation;
-        let compared = known.as_deref().map(|known| (known, known_generation));
-        let precedence = config.precedence(generation, compared);
+        let known_restores = state.config_restores;
+        let compared = known.as_deref().map(|known| (known, known_restores));
+        let precedence = config.precedence(restores, compared);
         let version = config.version;
         let before = known.map_or(0, |known| known.version);
         if precedence == Precedence::Older {
@@ -277,14 +277,14 @@
             warn!("store has an older configuration than the one in force", kv: { version, in_force = before });
             return;
         }
-        state.config_generation = generation;
+        state.config_restores = restores;
         if precedence == Precedence::Same {
             return;
         }
         state.config = Some(Arc::new(config));
         drop(state);
-        let generation = generation.0;
-        info!("configuration in force", kv: { version, before, generation });
+        let restores = restores.0;
+        info!("configuration in force", kv: { version, before, restores });
     }
 
     /// Records an announced version of an adapter. `since` is the earliest time at which it can have
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -169,7 +169,7 @@
 
 /// Keeps the entry's rows of evidence in the store up to date.
 pub(crate) async fn share_evidence(entry: Arc<Entry>) {
-    let mut generations = entry.store.subscribe();
+    let mut restored = entry.store.subscribe();
     let mut cleanup = tokio::time::interval(CLEANUP_INTERVAL);
     cleanup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     // Rows that were found at the start may be evidence for others still.
@@ -181,7 +181,7 @@
                 entry.store_evidence().await
             }
             // Fails only without a store.
-            _ = generations.changed() => {
+            _ = restored.changed() => {
                 entry.state().evidence.mark_lost();
                 entry.store_evidence().await
             }
--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -101,8 +101,8 @@
         let level = known.map_or(0, |(_, hold)| hold.level) + 1;
         let length = Quarantine::hold_time(level);
         let written = self.store.write_hold(&row, length, level).await?;
-        // The condition of a write means nothing in another generation than that of the read.
-        if !written.value || written.generation != read.generation {
+        // The condition of a write means nothing if the store was restored after the read.
+        if !written.value || written.restores != read.restores {
             return Ok(false);
         }
         self.hold_part(part, length, level);
@@ -201,7 +201,7 @@
                 self.adopt_hold(&row);
             } else {
                 let written = self.store.write_hold(&row, length, level).await?;
-                if written.generation != read.generation {
+                if written.restores != read.restores {
                     continue;
                 }
             }
@@ -237,7 +237,7 @@
 
 /// Removes old holds at the start, and then keeps the store up to date with the changes of holds.
 pub(crate) async fn keep_holds(entry: Arc<Entry>) {
-    let mut generations = entry.store.subscribe();
+    let mut restored = entry.store.subscribe();
     let mut failures = 0;
     while let Err(error) = entry.remove_old_holds().await {
         log_store_failure(&mut failures, &error);
@@ -247,7 +247,7 @@
         tokio::select! {
             () = entry.holds_changed.notified() => {}
             // Fails only without a store.
-            _ = generations.changed() => {
+            _ = restored.changed() => {
                 let delay = RESTORE_SPREAD.mul_f64(entry.state().rng.f64());
                 tokio::time::sleep(delay).await;
                 while let Err(error) = entry.restore_holds().await {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -26,7 +26,7 @@
 use serving::request::PartId;
 use serving::store_era::EraChange;
 use serving::store_era::EraTracker;
-use serving::store_era::Generation;
+use serving::store_era::RestoreCount;
 use spdlog::warn;
 use tokio::sync::watch;
 
@@ -44,13 +44,13 @@
     Outdated,
 }
 
-/// An answer of the store, with the generation of the rows that it is about.
+/// An answer of the store, with the number of restores before it.
 #[derive(Debug)]
 pub struct Fresh<T> {
     /// What the store was asked for.
     pub value: T,
-    /// The generation of the rows.
-    pub generation: Generation,
+    /// The number of restores that were seen by then. What has the same number fits together.
+    pub restores: RestoreCount,
 }
 
 /// The platform's store, as all tasks of an entry use it.
@@ -59,25 +59,25 @@
     client: StoreClient,
     clock: RuntimeClock,
     era: Mutex<EraTracker>,
-    generation: watch::Sender<Generation>,
-    restores: IntCounter,
+    restores: watch::Sender<RestoreCount>,
+    restores_total: IntCounter,
 }
 
 impl Store {
     /// Creates a client for the store at this address, which counts the restores that it sees.
-    pub(crate) fn new(addr: SocketAddr, clock: RuntimeClock, restores: IntCounter) -> Store {
+    pub(crate) fn new(addr: SocketAddr, clock: RuntimeClock, restores_total: IntCounter) -> Store {
         Store {
             client: StoreClient::new(addr),
             clock,
             era: Mutex::default(),
-            generation: watch::Sender::default(),
-            restores,
+            restores: watch::Sender::default(),
+            restores_total,
         }
     }
 
-    /// Returns a receiver of the generation, which changes when the store turns out to be restored.
-    pub fn subscribe(&self) -> watch::Receiver<Generation> {
-        self.generation.subscribe()
+    /// Returns a receiver of the number of restores, which changes when the store turns out to be restored.
+    pub fn subscribe(&self) -> watch::Receiver<RestoreCount> {
+        self.restores.subscribe()
     }
 
     /// Returns whether the last restore was seen at least `period` ago.
@@ -150,10 +150,10 @@
     ) -> Result<Fresh<T>, StoreError> {
         let started_at = self.clock.now();
         let Answer { value, era } = call.await?;
-        let (change, generation) = {
+        let (change, restores) = {
             let mut tracker = lock(&self.era);
             let change = tracker.record(started_at, self.clock.now(), era);
-            (change, tracker.generation())
+            (change, tracker.restores())
         };
         match change {
             EraChange::None => {}
@@ -161,10 +161,10 @@
             EraChange::Restored(before) => {
                 let (era, before) = (era.map_or(0, |era| era.0), before.0);
                 warn!("store restored from a copy", kv: { era, before });
-                self.restores.inc();
-                self.generation.send_replace(generation);
+                self.restores_total.inc();
+                self.restores.send_replace(restores);
             }
         }
-        Ok(Fresh { value, generation })
+        Ok(Fresh { value, restores })
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,7 +11,7 @@
 use platform::store::Table;
 use serving::members::Extent;
 use serving::members::MemberRow;
-use serving::store_era::Generation;
+use serving::store_era::RestoreCount;
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::watch;
@@ -52,20 +52,20 @@
 /// Up to where a table is known.
 #[derive(Clone, Copy, Debug)]
 struct Position {
-    generation: Generation,
+    restores: RestoreCount,
     version: u64,
 }
 
 /// Reads a table in full and then its changes, and applies them to the entry. Never returns; after
 /// a failure, or when the store has come back from a copy, it starts again with a full read.
 pub async fn follow_table(entry: Arc<Entry>, table: Table) {
-    let generations = entry.store.subscribe();
+    let restored = entry.store.subscribe();
     let mut follower = Follower {
         entry,
         table,
-        generations,
+        restored,
         position: None,
-        generation: Generation::default(),
+        restores: RestoreCount::default(),
         answered_at: None,
         answered_version: 0,
         failures: 0,
@@ -80,11 +80,12 @@
 struct Follower {
     entry: Arc<Entry>,
     table: Table,
-    generations: watch::Receiver<Generation>,
+    /// Changes when the store turns out to be restored.
+    restored: watch::Receiver<RestoreCount>,
     /// `None` if all rows are to be read.
     position: Option<Position>,
-    /// The generation of the last full read.
-    generation: Generation,
+    /// The number of restores before the last full read.
+    restores: RestoreCount,
     /// When the store last answered with rows; `None` before the first answer.
     answered_at: Option<Time>,
     /// The version of that answer.
@@ -113,12 +114,12 @@
     /// Returns `None` if the read was given up because all rows are to be read again.
     async fn read(&mut self) -> Option<Result<Fresh<FeedReply>, StoreError>> {
         let (entry, table) = (&self.entry, self.table);
-        let generation = *self.generations.borrow_and_update();
-        let Some(position) = self.position.filter(|known| known.generation == generation) else {
+        let restores = *self.restored.borrow_and_update();
+        let Some(position) = self.position.filter(|known| known.restores == restores) else {
             let read = entry.store.read_all(table).await;
             return Some(read.map(|read| Fresh {
                 value: FeedReply::Changes(read.value),
-                generation: read.generation,
+                restores: read.restores,
             }));
         };
         let mut wait = poll_timeout(table, entry.settings.bounds.contact_ms);
@@ -129,15 +130,15 @@
             biased;
             feed = entry.store.wait_for_changes(table, position.version, wait) => Some(feed),
             // Fails only without a store.
-            _ = self.generations.changed() => None,
+            _ = self.restored.changed() => None,
             () = entry.other_table_failed(table) => None,
         }
     }
 
     async fn handle_answer(&mut self, answer: Fresh<FeedReply>) {
-        let generation = answer.generation;
+        let restores = answer.restores;
         let known = self.position;
-        if known.is_some_and(|known| known.generation != generation) {
+        if known.is_some_and(|known| known.restores != restores) {
             // What was lost and what the copy has shows only in a full read.
             self.position = None;
             return;
@@ -154,19 +155,19 @@
         self.lower_answers = 0;
         let extent = match known {
             Some(_) => Extent::Changes,
-            None if self.generation == generation => Extent::All,
+            None if self.restores == restores => Extent::All,
             None => Extent::Copy,
         };
-        self.generation = generation;
+        self.restores = restores;
         self.position = Some(Position {
-            generation,
+            restores,
             version: batch.version,
         });
         let now = self.entry.now();
         let version = batch.version;
         let origin = Origin {
             extent,
-            generation,
+            restores,
             // What is new in a full read was written after the answer before it.
             written_at: match extent {
                 Extent::Changes => Some(now),
@@ -192,7 +193,7 @@
             () = tokio::time::sleep(pause.saturating_sub(MIN_MEMBERS_PAUSE)) => {}
             () = self.entry.members_outdated() => {}
             // Fails only without a store.
-            _ = self.generations.changed() => {}
+            _ = self.restored.changed() => {}
         }
     }
 
@@ -252,11 +253,11 @@
 #[derive(Clone, Copy, Debug)]
 struct Origin {
     extent: Extent,
-    generation: Generation,
+    restores: RestoreCount,
     /// The earliest time at which rows that were not known can have been written; `None` if it is not
     /// known.
     written_at: Option<Time>,
-    /// The version up to which rows have been read before, in the same generation unless the extent is
+    /// The version up to which rows have been read before, without a restore since unless the extent is
     /// [`Extent::Copy`].
     known_version: u64,
 }
@@ -277,7 +278,7 @@
     let mut members = Vec::new();
     for row in batch.rows {
         match row {
-            Row::Config(config) => entry.apply_config(*config, origin.generation),
+            Row::Config(config) => entry.apply_config(*config, origin.restores),
             Row::Version(announced) => entry.apply_version(&announced, origin.written_at),
             Row::Member(member) => members.push(MemberRow::Written(member)),
             Row::Hold(hold) => entry.adopt_stored_hold(&hold, origin.extent),
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -5,7 +5,7 @@
 use decision::collections::Map;
 
 use crate::Name;
-use crate::store_era::Generation;
+use crate::store_era::RestoreCount;
 
 /// Whether and how the requests of a route may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -167,15 +167,15 @@
         }
     }
 
-    /// Compares this configuration, read in `generation` of the store, with the one in force and the
-    /// generation that it was read in. A version that was lost in a restore may be given out again with
+    /// Compares this configuration, read after so many `restores` of the store, with the one in force and
+    /// the restores before that was read. A version that was lost in a restore may be given out again with
     /// another content, which then takes effect.
     pub fn precedence(
         &self,
-        generation: Generation,
-        known: Option<(&Config, Generation)>,
+        restores: RestoreCount,
+        known: Option<(&Config, RestoreCount)>,
     ) -> Precedence {
-        let Some((known, known_generation)) = known else {
+        let Some((known, known_restores)) = known else {
             return Precedence::Newer;
         };
         if self.version > known.version {
@@ -184,7 +184,7 @@
         if self.version < known.version {
             return Precedence::Older;
         }
-        if generation > known_generation && self != known {
+        if restores > known_restores && self != known {
             return Precedence::Newer;
         }
         Precedence::Same
--- a/crates/serving/src/store_era.rs
+++ b/crates/serving/src/store_era.rs
@@ -4,7 +4,7 @@
 //! latest changes are then lost, and their versions are given out again, so that what was read in one
 //! era cannot be compared with, or continued in, another one.
 //!
-//! Invariants: the generation rises with each restore and never falls; a delayed answer of before a
+//! Invariants: the number of restores never falls; a delayed answer of before a
 //! restore is not taken for one of after it.
 //!
 //! API boundary: one tracker per process records every answer of the store.
@@ -18,9 +18,10 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Era(pub u64);
 
-/// The number of restores that this process has seen. What was read in one generation fits together.
+/// The number of restores that this process has seen. What was read under one number fits
+/// together.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Generation(pub u64);
+pub struct RestoreCount(pub u64);
 
 /// What an answer says of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +39,7 @@
 pub struct EraTracker {
     /// The last known era, and when an answer first named it; `None` until an answer names one.
     current: Option<(Era, Time)>,
-    generation: Generation,
+    restores: RestoreCount,
     restored_at: Option<Time>,
 }
 
@@ -62,14 +63,14 @@
             return EraChange::Outdated;
         }
         self.current = Some((era, now));
-        self.generation = Generation(self.generation.0 + 1);
+        self.restores = RestoreCount(self.restores.0 + 1);
         self.restored_at = Some(now);
         EraChange::Restored(known)
     }
 
     /// Returns the number of restores that were seen.
-    pub fn generation(&self) -> Generation {
-        self.generation
+    pub fn restores(&self) -> RestoreCount {
+        self.restores
     }
 
     /// Returns whether the last restore was seen at least `period` ago.
--- a/crates/serving/tests/config_precedence.rs
+++ b/crates/serving/tests/config_precedence.rs
@@ -7,7 +7,7 @@
 use serving::config::Limits;
 use serving::config::Precedence;
 use serving::config::Service;
-use serving::store_era::Generation;
+use serving::store_era::RestoreCount;
 
 const LIMITS: Limits = Limits {
     header_bytes: 1_000,
@@ -15,8 +15,8 @@
     read_timeout: Duration::from_secs(1),
     idle_timeout: Duration::from_secs(1),
 };
-const BEFORE: Generation = Generation(0);
-const AFTER: Generation = Generation(1);
+const BEFORE: RestoreCount = RestoreCount(0);
+const AFTER: RestoreCount = RestoreCount(1);
 
 fn config(version: u64, service: &str) -> Config {
     let service = Service {
@@ -39,7 +39,7 @@
     let cases = [
         (config(6, "b"), BEFORE, Precedence::Newer),
         (config(5, "a"), BEFORE, Precedence::Same),
-        // Within one generation a version has one content; the first one read stays.
+        // Without a restore, a version has one content; the first one read stays.
         (config(5, "b"), BEFORE, Precedence::Same),
         (config(4, "b"), BEFORE, Precedence::Older),
         (config(6, "b"), AFTER, Precedence::Newer),
@@ -47,8 +47,8 @@
         (config(5, "b"), AFTER, Precedence::Newer),
         (config(4, "b"), AFTER, Precedence::Older),
     ];
-    for (offered, generation, expected) in cases {
-        let precedence = offered.precedence(generation, Some((&known, BEFORE)));
-        assert_eq!(precedence, expected, "{offered:?} in {generation}");
+    for (offered, restores, expected) in cases {
+        let precedence = offered.precedence(restores, Some((&known, BEFORE)));
+        assert_eq!(precedence, expected, "{offered:?} after {restores}");
     }
 }
--- a/crates/serving/tests/store_eras.rs
+++ b/crates/serving/tests/store_eras.rs
@@ -7,7 +7,7 @@
 use serving::store_era::Era;
 use serving::store_era::EraChange;
 use serving::store_era::EraTracker;
-use serving::store_era::Generation;
+use serving::store_era::RestoreCount;
 
 /// Records answers as `(started_ms, now_ms, era)`.
 fn record(tracker: &mut EraTracker, answers: &[(u64, u64, u64)]) -> Vec<EraChange> {
@@ -27,7 +27,7 @@
 fn first_era_is_no_restore() {
     let mut tracker = EraTracker::default();
     assert_eq!(record(&mut tracker, &[(0, 5, 3)]), [EraChange::None]);
-    assert_eq!(tracker.generation(), Generation(0));
+    assert_eq!(tracker.restores(), RestoreCount(0));
 }
 
 #[test]
@@ -42,7 +42,7 @@
             EraChange::None
         ]
     );
-    assert_eq!(tracker.generation(), Generation(1));
+    assert_eq!(tracker.restores(), RestoreCount(1));
 }
 
 #[test]
@@ -50,7 +50,7 @@
     let mut tracker = EraTracker::default();
     let changes = record(&mut tracker, &[(0, 5, 3), (6, 9, 4), (2, 12, 3)]);
     assert_eq!(changes[2], EraChange::Outdated);
-    assert_eq!(tracker.generation(), Generation(1));
+    assert_eq!(tracker.restores(), RestoreCount(1));
 }
 
 /// A store that counts its eras anew must not be ignored for ever.
