Read evidence that was written during a cut, once, also after a restore

Rows of a full read counted by their version, and those of a copy not at all, so that an entry which could not read the store missed what others had found.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -12,6 +12,7 @@
 use decision::time::Time;
 use platform::evidence::Evidence;
 use platform::evidence::EvidenceKey;
+use serving::members::Extent;
 use serving::quarantine::CRASH_MEMORY;
 use serving::quarantine::Crash;
 use serving::request::PartId;
@@ -23,6 +24,8 @@
 
 /// The most rows that one entry has in the store, which also bounds one write.
 const MAX_ROWS: usize = 64;
+/// The most rows of all entries that are remembered as read.
+const MAX_READ_ROWS: usize = 1_024;
 /// The time over which rows are collected for one write.
 const WRITE_DELAY: Duration = Duration::from_millis(20);
 /// The pause after a call to the store that failed.
@@ -45,6 +48,8 @@
     rows: VecDeque<OwnRow>,
     /// Rows of the store that are to be removed.
     outdated: Vec<EvidenceKey>,
+    /// Rows of all entries that were read, the oldest first: they count once.
+    read: VecDeque<EvidenceKey>,
 }
 
 impl SharedEvidence {
@@ -71,6 +76,18 @@
         }
     }
 
+    /// Notes that a row was read; returns whether it is the first time.
+    fn mark_read(&mut self, key: EvidenceKey) -> bool {
+        if self.read.contains(&key) {
+            return false;
+        }
+        if self.read.len() >= MAX_READ_ROWS {
+            self.read.pop_front();
+        }
+        self.read.push_back(key);
+        true
+    }
+
     fn expire(&mut self, now: Time) {
         while let Some(row) = self.rows.front()
             && now.since(row.at) >= CRASH_MEMORY
@@ -124,8 +141,19 @@
         self.evidence_changed.notify_one();
     }
 
-    /// Applies evidence that an entry has shared at `at`.
-    pub(crate) fn apply_evidence(&self, at: Time, evidence: Evidence) {
+    /// Applies evidence that an entry has shared at `at`, unless it was read before and only stands in
+    /// another read of all rows.
+    pub(crate) fn apply_evidence(
+        &self,
+        at: Time,
+        key: EvidenceKey,
+        evidence: Evidence,
+        extent: Extent,
+    ) {
+        let is_first = self.state().evidence.mark_read(key);
+        if !is_first && extent != Extent::Changes {
+            return;
+        }
         match evidence {
             Evidence::Crash(crash) => {
                 self.record_crash(at, crash);
@@ -136,7 +164,9 @@
 
     /// Notes a row of evidence that was found in the store at the start: its writer may be gone.
     pub(crate) fn adopt_evidence(&self, key: EvidenceKey) {
-        self.state().evidence.mark_outdated(key);
+        let mut state = self.state();
+        state.evidence.mark_read(key);
+        state.evidence.mark_outdated(key);
     }
 
     async fn store_evidence(&self) -> Result<(), StoreError> {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -67,7 +67,6 @@
         position: None,
         restores: RestoreCount::default(),
         answered_at: None,
-        answered_version: 0,
         failures: 0,
         lower_answers: 0,
     };
@@ -88,8 +87,6 @@
     restores: RestoreCount,
     /// When the store last answered with rows; `None` before the first answer.
     answered_at: Option<Time>,
-    /// The version of that answer.
-    answered_version: u64,
     /// Reads that have failed since the last answer.
     failures: u32,
     /// Answers with a lower version than the known one since the last other answer.
@@ -164,7 +161,6 @@
             version: batch.version,
         });
         let now = self.entry.now();
-        let version = batch.version;
         let origin = Origin {
             extent,
             restores,
@@ -173,10 +169,8 @@
                 Extent::Changes => Some(now),
                 Extent::All | Extent::Copy => self.answered_at,
             },
-            known_version: self.answered_version,
         };
         self.answered_at = Some(now);
-        self.answered_version = version;
         apply_rows(&self.entry, self.table, batch, origin);
         if self.table == Table::Members {
             self.pause_members_reads().await;
@@ -257,21 +251,6 @@
     /// The earliest time at which rows that were not known can have been written; `None` if it is not
     /// known.
     written_at: Option<Time>,
-    /// The version up to which rows have been read before, without a restore since unless the extent is
-    /// [`Extent::Copy`].
-    known_version: u64,
-}
-
-impl Origin {
-    /// Returns whether a row of this version was written since the read before. The rows of a copy were
-    /// read before, or are written again.
-    fn is_new(&self, version: u64) -> bool {
-        match self.extent {
-            Extent::Changes => true,
-            Extent::All => version > self.known_version,
-            Extent::Copy => false,
-        }
-    }
 }
 
 fn apply_rows(entry: &Arc<Entry>, table: Table, batch: RowBatch, origin: Origin) {
@@ -282,9 +261,8 @@
             Row::Version(announced) => entry.apply_version(&announced, origin.written_at),
             Row::Member(member) => members.push(MemberRow::Written(member)),
             Row::Hold(hold) => entry.adopt_stored_hold(&hold, origin.extent),
-            Row::Evidence(key, evidence, version) => match origin.written_at {
-                Some(at) if origin.is_new(version) => entry.apply_evidence(at, evidence),
-                Some(_) => {}
+            Row::Evidence(key, evidence) => match origin.written_at {
+                Some(at) => entry.apply_evidence(at, key, evidence, origin.extent),
                 None => entry.adopt_evidence(key),
             },
             Row::Removed(key) if table == Table::Quarantine => entry.apply_removed_hold(&key),
