--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -69,7 +69,7 @@
         });
     }
 
-    /// Notes rows that an earlier process has left in the store.
+    /// Notes a row of the store that is to be removed.
     fn mark_outdated(&mut self, key: EvidenceKey) {
         if self.outdated.len() < MAX_ROWS && !self.outdated.contains(&key) {
             self.outdated.push(key);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,5 +1,5 @@
-//! The entry's part in the quarantine of prompt parts on which runners crash: it holds requests back,
-//! reports broken attempts to the agents and hears of crashes from them.
+//! The entry's part in the quarantine of requests, and prompt parts, on which runners crash: it holds
+//! requests back, and records crashes and answers.
 //!
 //! Invariants: a request that tries suspected parts ends its trial when it is answered or dropped; a
 //! request with a held part is sent only as a probe that the store has granted.
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! What crashes say about the parts of prompts.
+//! What crashes say about the parts of prompts, and about whole requests.
 
 use std::time::Duration;
 
