Blame no request for a crash that it was sent after

An attempt that was sent after another one had broken there, with no answer since, is no evidence now (crash_watches).

--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -46,7 +46,9 @@
             return;
         }
         let addr = view.member.addr;
-        state.crash_watch.record_broken(now, addr, attempt);
+        state
+            .crash_watch
+            .record_broken(now, self.sent_at, addr, attempt);
         self.entry.crash_check_due.notify_one();
     }
 }
--- a/crates/serving/src/crash_watch.rs
+++ b/crates/serving/src/crash_watch.rs
@@ -59,7 +59,9 @@
     addr: SocketAddr,
     born: u64,
     reports: CrashReports,
-    /// When the last attempt broke.
+    /// When the first attempt broke since the last answer.
+    broken_since: Time,
+    /// When the last attempt broke that had been sent by then.
     broken_at: Time,
     /// The checks of the incarnation that were made.
     checks: usize,
@@ -75,8 +77,15 @@
 }
 
 impl CrashWatch {
-    /// Records an attempt that broke at the runner with this address.
-    pub fn record_broken(&mut self, now: Time, addr: SocketAddr, attempt: BrokenAttempt) {
+    /// Records an attempt, sent at `sent_at`, that broke at the runner with this address. One that was sent
+    /// after another one broke there met a runner that had ended, and is not to blame.
+    pub fn record_broken(
+        &mut self,
+        now: Time,
+        sent_at: Time,
+        addr: SocketAddr,
+        attempt: BrokenAttempt,
+    ) {
         let (runner, born) = (attempt.runner.clone(), attempt.born);
         let known = self.runners.get(&runner);
         if known.is_none_or(|known| known.born < born) {
@@ -85,6 +94,9 @@
         let Some(watched) = self.runners.get_mut(&runner) else {
             return;
         };
+        if sent_at > watched.broken_since {
+            return;
+        }
         watched.broken_at = now;
         let is_idle = watched.check_at.is_none() && !watched.crashed && watched.born == born;
         if is_idle && watched.checks < CHECK_DELAYS.len() {
@@ -170,6 +182,7 @@
             addr,
             born,
             reports,
+            broken_since: now,
             broken_at: now,
             checks: 0,
             check_at: None,
