Let runners of the soak fall silent and go on

Change: a schedule of its own of silences, of whole runners (their proxy and the requests of their agents are held) and within answers (before the head, the body or an event, or inside a body), at one, some or all runners of a service; a check that a request whose runners had nothing but silences gets its answer.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::harness::BOUNDS;
 use crate::harness::Harness;
 use crate::history::Call;
 use crate::history::CallOutcome;
@@ -34,7 +35,7 @@
 use crate::plan::ADAPTERS;
 
 /// The time limit that every request states to the entry.
-const DEADLINE: Duration = Duration::from_millis(2_500);
+const DEADLINE: Duration = Duration::from_millis(BOUNDS.limit);
 /// The time for which a caller waits for the response after the time limit.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,6 +7,7 @@
 mod disconnects;
 mod manifests;
 mod notices;
+mod silences;
 
 use decision::collections::Map;
 use decision::collections::Set;
@@ -67,6 +68,9 @@
     /// A runner that wants no requests for a while receives none.
     #[display("pause kept")]
     PauseKept,
+    /// The answer of a sound runner reaches its caller, though the runner is silent for a while.
+    #[display("answer in spite of silence")]
+    SilenceOutlasted,
     /// No response is lost at a planned stop or reload.
     #[display("nothing lost at a stop")]
     GracefulStop,
@@ -115,6 +119,7 @@
         all.extend(check_event_order(history, call));
         all.extend(manifests::check_permanent_routes(call));
         all.extend(check_graceful_stop(history, &index, call));
+        all.extend(silences::check_answer(history, &index, call));
     }
     for attempt in &history.attempts {
         all.extend(check_known_request(&index, attempt));
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::io::ErrorKind;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -151,6 +152,8 @@
             agent_proxy,
             runner: tokio::sync::Mutex::new(None),
             notice: tokio::sync::Mutex::default(),
+            faults: Arc::default(),
+            silence: tokio::sync::Mutex::default(),
         });
         let mut runner = self.runner_hosts[index].runner.lock().await;
         *runner = Some(self.start_member(index, self.service(index)).await?);
@@ -179,6 +182,7 @@
                 crashed: Some(self.crashed.clone()),
                 deadly_paths: self.deadly_paths.clone(),
             },
+            faults: self.runner_hosts[index].faults.clone(),
             ..RunnerSpec::plain(&id)
         };
         let limit = Instant::now() + ADDRESS_RELEASE_LIMIT;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -44,6 +44,8 @@
 const RUNNER_LEAVE_TIME: Duration = Duration::from_millis(6_000);
 /// The time within which operators and runners write again what a restore of the store has lost.
 const REWRITE_PERIOD: Duration = Duration::from_millis(1_500);
+/// The probability per mille with which an answer has a silence while a runner has some.
+const SILENT_ANSWERS_PERMILLE: u32 = 250;
 /// The time until a runner that has crashed on a request starts again, in milliseconds.
 const DEADLY_RESTART_MS: Ms = 300;
 
@@ -151,6 +153,12 @@
                     .await;
                 self.set_full(index, false).await;
             }
+            Fault::RunnerSilent(index, length) => self.silence(index, ms(length)).await,
+            Fault::AnswersSilent(index, length) => {
+                self.set_pauses(index, SILENT_ANSWERS_PERMILLE).await;
+                tokio::time::sleep(ms(length)).await;
+                self.set_pauses(index, 0).await;
+            }
             Fault::DeadlyRequest(number, length) => {
                 self.set_deadly_request(number, true);
                 tokio::time::sleep(ms(length)).await;
@@ -220,6 +228,29 @@
         }
     }
 
+    async fn set_pauses(&self, index: usize, permille: u32) {
+        if let Some(runner) = self.runner_hosts[index].runner.lock().await.as_ref() {
+            runner.set_pauses(permille);
+        }
+    }
+
+    /// Lets the runner at a position be silent for a while, towards entries and its agent.
+    async fn silence(&self, index: usize, length: Duration) {
+        let host = &self.runner_hosts[index];
+        let Ok(_silence) = host.silence.try_lock() else {
+            return;
+        };
+        let silent = async {
+            host.faults.set_frozen(true);
+            host.proxy.set_held(true);
+            tokio::time::sleep(length).await;
+            host.proxy.set_held(false);
+            host.faults.set_frozen(false);
+        };
+        self.record(FaultTarget::SilentRunner(index), false, silent)
+            .await;
+    }
+
     /// Lets the present runner at a position say something of itself for a while. Another fault may stop
     /// it meanwhile.
     async fn announce(&self, index: usize, kind: NoticeKind, length: Ms) {
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -25,6 +25,7 @@
 use rig::runner::DEFAULT_LAST_EVENT;
 use rig::runner::DeadlyParts;
 use rig::runner::DeadlyPaths;
+use rig::runner::FaultInjector;
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rig::store::Store;
@@ -57,6 +58,7 @@
     manifest: 3_000,
     rollback: 250,
     version: 5_000,
+    limit: 2_500,
     retry_ratio: 0.2,
     retry_slack: 12.0,
     retry_window: 10_000,
@@ -105,6 +107,10 @@
     pub(crate) runner: tokio::sync::Mutex<Option<Runner>>,
     /// Held while the runner says something of itself, one thing at a time.
     pub(crate) notice: tokio::sync::Mutex<()>,
+    /// The faults of the server of the runner, whichever it is.
+    pub(crate) faults: Arc<FaultInjector>,
+    /// Held while the runner is silent.
+    pub(crate) silence: tokio::sync::Mutex<()>,
 }
 
 impl RunnerHost {
@@ -311,12 +317,16 @@
     /// Stops a runner and adds its records to the history; returns its identifier.
     pub(crate) async fn stop_runner(&self, runner: Runner) -> String {
         let (id, service) = (runner.id.clone(), runner.service.clone());
+        let at = self.now();
+        self.history().stops.push((id.clone(), at));
         let (attempts, accepted) = runner.stop().await;
         let attempts = attempts.into_iter().map(|attempt| Attempt {
             runner: attempt.runner,
             service: service.clone(),
             request: attempt.request,
             ran: attempt.ran,
+            sound: attempt.sound,
+            pause: attempt.pause.as_millis() as Ms,
             adapter: attempt.adapter,
             started_at: self.ms_since_start(attempt.started_at),
             ended_at: attempt.ended_at.map(|at| self.ms_since_start(at)),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -136,6 +136,10 @@
     pub request: String,
     /// Whether the runner ran the request.
     pub ran: bool,
+    /// Whether the runner was to give its whole answer.
+    pub sound: bool,
+    /// For how long the runner was to be silent within the answer.
+    pub pause: Ms,
     /// The adapter and the version with which it ran; `None` at a runner without an engine.
     pub adapter: Option<(String, u64)>,
     /// When the request arrived.
@@ -209,6 +213,8 @@
     Entry(usize),
     /// The runner at this position, its agent, or the links to them.
     Runner(usize),
+    /// The runner at this position, which is only silent for a while.
+    SilentRunner(usize),
     /// The store, and thereby all entries.
     Store,
 }
@@ -240,6 +246,8 @@
     pub rollback: Ms,
     /// The time within which a new adapter version must be in use.
     pub version: Ms,
+    /// The time limit that callers state.
+    pub limit: Ms,
     /// The retry budget of all entries together, in retries per request.
     pub retry_ratio: f64,
     /// The number of retries allowed in addition to that share.
@@ -271,6 +279,8 @@
     pub notices: Vec<RunnerNotice>,
     /// When runners were announced as draining or removed from the membership, by identifier.
     pub departures: Vec<(String, Ms)>,
+    /// When runners were stopped, or crashed, by identifier.
+    pub stops: Vec<(String, Ms)>,
     /// The versions of the manifest, and when the store had acknowledged them.
     pub manifests: Vec<(u64, Ms)>,
     /// The announced adapter versions, and when the store had acknowledged them.
@@ -294,6 +304,7 @@
             orders: Vec::new(),
             notices: Vec::new(),
             departures: Vec::new(),
+            stops: Vec::new(),
             manifests: Vec::new(),
             versions: Vec::new(),
             fault_periods: Vec::new(),
@@ -319,7 +330,11 @@
     /// Returns whether only planned stops and reloads affected the entry between `from` and `to`,
     /// and in the time before that it may take to be up to date with the store again.
     pub fn only_planned_faults(&self, entry: usize, from: Ms, to: Ms) -> bool {
-        let from = from.saturating_sub(self.bounds.contact);
+        self.entry_sound(entry, from.saturating_sub(self.bounds.contact), to)
+    }
+
+    /// Returns whether only planned stops and reloads affected the entry between `from` and `to`.
+    pub fn entry_sound(&self, entry: usize, from: Ms, to: Ms) -> bool {
         !self.any_fault(from, to, |period| {
             period.target == FaultTarget::Entry(entry) && !period.planned
         })
@@ -331,14 +346,33 @@
         self.runner_undisturbed(runner, from.saturating_sub(self.bounds.contact), to)
     }
 
-    /// Returns whether no fault affected the runner's position between `from` and `to`.
+    /// Returns whether no fault affected the runner's position between `from` and `to`. A silence only
+    /// holds back what was under way, for no longer than callers wait.
     pub fn runner_undisturbed(&self, runner: &str, from: Ms, to: Ms) -> bool {
-        let position = position(runner);
+        let Some(position) = position(runner) else {
+            return true;
+        };
+        let held_since = to.saturating_sub(self.bounds.limit);
+        self.runner_sound(position, from, to) && self.silent_time(position, held_since, to) == 0
+    }
+
+    /// Returns whether nothing but silences affected a position of runners between `from` and `to`.
+    pub fn runner_sound(&self, position: usize, from: Ms, to: Ms) -> bool {
         !self.any_fault(from, to, |period| {
-            position.is_some_and(|index| period.target == FaultTarget::Runner(index))
+            period.target == FaultTarget::Runner(position)
         })
     }
 
+    /// Returns for how long a position of runners was silent between `from` and `to`.
+    pub fn silent_time(&self, position: usize, from: Ms, to: Ms) -> Ms {
+        let target = FaultTarget::SilentRunner(position);
+        let silences = self.fault_periods.iter();
+        silences
+            .filter(|period| period.target == target)
+            .map(|period| period.to.min(to).saturating_sub(period.from.max(from)))
+            .sum()
+    }
+
     fn any_fault(&self, from: Ms, to: Ms, concerns: impl Fn(&FaultPeriod) -> bool) -> bool {
         let mut fault_periods = self.fault_periods.iter();
         fault_periods.any(|period| concerns(period) && period.from <= to && period.to >= from)
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -132,6 +132,12 @@
     /// A runner turns requests away and wants none for this time.
     #[display("runner {_0} pauses for {_1} ms")]
     RunnerPause(usize, Ms),
+    /// A runner is silent as a whole and goes on; nothing is lost.
+    #[display("runner {_0} silent for {_1} ms")]
+    RunnerSilent(usize, Ms),
+    /// A runner is silent for a while within some of its answers, for this time.
+    #[display("answers of runner {_0} silent at times for {_1} ms")]
+    AnswersSilent(usize, Ms),
     /// A request on which plain runners crash comes again and again.
     #[display("request {_0:x} is deadly for {_1} ms")]
     DeadlyRequest(u64, Ms),
@@ -164,6 +170,13 @@
 const NOTICE_LIMIT: std::ops::Range<u32> = 1..8;
 const NOTICE_LIMIT_MS: std::ops::Range<Ms> = 6_000..14_000;
 const NOTICE_PAUSE_MS: std::ops::Range<Ms> = 1_500..4_000;
+/// The ranges of intervals between two silences of runners, of the lengths of those of whole runners, and
+/// of the times in which answers have some.
+const SILENCE_INTERVAL_MS: std::ops::Range<Ms> = 800..3_000;
+const SILENCE_MS: std::ops::Range<Ms> = 300..2_000;
+const SILENT_ANSWERS_MS: std::ops::Range<Ms> = 1_000..3_000;
+/// Separates the random numbers of the silences from those of other faults.
+const SILENCE_SEED: u64 = 0x51e7;
 /// The range of intervals between two restores of the store, of the ages of its copies, and of the times
 /// for which it is down before. Half of the restores show in the store's answers only.
 const RESTORE_INTERVAL_MS: std::ops::Range<Ms> = 4_000..12_000;
@@ -217,6 +230,7 @@
     ));
     faults.extend(notices(seed, length, size));
     faults.extend(restores(seed, length));
+    faults.extend(silences(seed, length, size));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -272,6 +286,39 @@
     faults
 }
 
+/// Returns silences of one, some or all runners of a service at the same moment.
+fn silences(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ SILENCE_SEED);
+    let mut faults = Vec::new();
+    let mut at = FIRST_FAULT_MS + rng.u64(SILENCE_INTERVAL_MS) / 2;
+    while at < length {
+        let mut runners: Vec<usize> = if rng.bool() {
+            (0..size.engines).collect()
+        } else {
+            (size.engines..size.runners()).collect()
+        };
+        rng.shuffle(&mut runners);
+        let count = match rng.u32(..3) {
+            0 => 1,
+            1 => rng.usize(1..=runners.len()),
+            _ => runners.len(),
+        };
+        let whole = rng.bool();
+        let silence = rng.u64(SILENCE_MS);
+        let period = rng.u64(SILENT_ANSWERS_MS);
+        let faults_of = runners.into_iter().take(count).map(|runner| {
+            if whole {
+                (at, Fault::RunnerSilent(runner, silence))
+            } else {
+                (at, Fault::AnswersSilent(runner, period))
+            }
+        });
+        faults.extend(faults_of);
+        at += rng.u64(SILENCE_INTERVAL_MS);
+    }
+    faults
+}
+
 fn random_fault(rng: &mut fastrand::Rng, size: DeploymentSize) -> Fault {
     let short = rng.u64(SHORT_FAULT_MS);
     let long = rng.u64(LONG_FAULT_MS);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -16,13 +16,20 @@
 
 use crate::plan::LinkFault;
 
-/// The current fault of a link, and the number of resets so far.
+/// The current fault of a link, whether it holds all data, and the number of resets so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct LinkState {
     fault: Option<LinkFault>,
+    held: bool,
     resets: u32,
 }
 
+impl LinkState {
+    fn is_blocked(&self) -> bool {
+        self.held || matches!(self.fault, Some(LinkFault::Partition | LinkFault::OneWay))
+    }
+}
+
 /// A running proxy in front of one address.
 #[derive(Debug)]
 pub struct Proxy {
@@ -65,6 +72,12 @@
         });
     }
 
+    /// Holds all data, ends of connections and new connections back, or lets them go on in their order, as
+    /// a target does that is suspended and resumed.
+    pub fn set_held(&self, held: bool) {
+        self.link.send_modify(|link| link.held = held);
+    }
+
     /// Stops the proxy and closes all its connections.
     pub async fn stop(self) {
         self.task.abort();
@@ -75,11 +88,10 @@
 
 async fn forward(client: TcpStream, target: SocketAddr, mut link: watch::Receiver<LinkState>) {
     let resets = link.borrow().resets;
-    // During a partition a new connection stays open without a connection to the target.
-    while link.borrow().fault == Some(LinkFault::Partition) {
-        if link.changed().await.is_err() {
-            return;
-        }
+    // A new connection stays open meanwhile without a connection to the target.
+    let is_closed = |link: &LinkState| link.held || link.fault == Some(LinkFault::Partition);
+    if link.wait_for(|link| !is_closed(link)).await.is_err() {
+        return;
     }
     let Ok(server) = TcpStream::connect(target).await else {
         close_with_reset(&client);
@@ -120,7 +132,9 @@
 ) {
     let mut buffer = vec![0; 16 << 10];
     loop {
-        let Ok(count @ 1..) = from.read(&mut buffer).await else {
+        let read = from.read(&mut buffer).await;
+        wait_while_held(&mut link).await;
+        let Ok(count @ 1..) = read else {
             return;
         };
         let fault = link.borrow().fault;
@@ -140,10 +154,13 @@
 }
 
 async fn wait_until_passing(link: &mut watch::Receiver<LinkState>) {
-    let is_blocked =
-        |link: &LinkState| matches!(link.fault, Some(LinkFault::Partition | LinkFault::OneWay));
     // An error means that the proxy was dropped, which also closes this connection.
-    let _ = link.wait_for(|link| !is_blocked(link)).await;
+    let _ = link.wait_for(|link| !link.is_blocked()).await;
+}
+
+async fn wait_while_held(link: &mut watch::Receiver<LinkState>) {
+    // The same holds for this error.
+    let _ = link.wait_for(|link| !link.held).await;
 }
 
 /// Makes the socket send a reset when it is closed.
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -33,7 +33,7 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 21);
+    assert_eq!(kinds.len(), 23);
 }
 
 #[test]
@@ -50,6 +50,8 @@
                 | Fault::RunnerLimit(runner, ..)
                 | Fault::RunnerLeaving(runner)
                 | Fault::RunnerPause(runner, _)
+                | Fault::RunnerSilent(runner, _)
+                | Fault::AnswersSilent(runner, _)
                 | Fault::AddressReuse(runner)
                 | Fault::RunnerDrain(runner) => (runner, size.runners()),
                 _ => continue,
--- a/crates/soak/tests/notice_violations.rs
+++ b/crates/soak/tests/notice_violations.rs
@@ -28,6 +28,8 @@
         service: "s".into(),
         request: id.clone(),
         ran,
+        sound: true,
+        pause: 0,
         adapter: None,
         started_at: at,
         ended_at: Some(at + 20),
--- a/crates/soak/tests/proxy_faults.rs
+++ b/crates/soak/tests/proxy_faults.rs
@@ -71,3 +71,23 @@
     assert_eq!(echoes(&mut stream).await, Some(true));
     proxy.stop().await;
 }
+
+#[tokio::test]
+async fn held_link_delivers_everything_later() {
+    let at: SocketAddr = ([127, 0, 9, 1], 41_874).into();
+    let (proxy, mut stream) = connect_echo(at).await;
+    proxy.set_held(true);
+    for _ in 0..2 {
+        assert_eq!(echoes(&mut stream).await, Some(false));
+    }
+    let mut new = TcpStream::connect(at).await.expect("a connection");
+    assert_eq!(echoes(&mut new).await, Some(false));
+    proxy.set_held(false);
+    for (mut stream, count) in [(stream, 2), (new, 1)] {
+        let mut bytes = [0; 2];
+        let read = stream.read_exact(&mut bytes[..count]);
+        let read = tokio::time::timeout(ECHO_TIMEOUT * 10, read).await;
+        assert!(matches!(read, Ok(Ok(_))));
+    }
+    proxy.stop().await;
+}
--- a/crates/soak/tests/violations.rs
+++ b/crates/soak/tests/violations.rs
@@ -61,6 +61,8 @@
         service: runner[..1].into(),
         request: request.into(),
         ran: true,
+        sound: true,
+        pause: 0,
         adapter: None,
         started_at,
         ended_at: Some(started_at + 20),
