--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -45,7 +45,7 @@
 /// The time within which operators and runners write again what a restore of the store has lost.
 const REWRITE_PERIOD: Duration = Duration::from_millis(1_500);
 /// The probability per mille with which an answer has a silence while a runner has some.
-const SILENT_ANSWERS_PERMILLE: u32 = 250;
+const SILENT_ANSWERS_PERMILLE: u32 = 300;
 /// The time until a runner that has crashed on a request starts again, in milliseconds.
 const DEADLY_RESTART_MS: Ms = 300;
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -172,9 +172,9 @@
 const NOTICE_PAUSE_MS: std::ops::Range<Ms> = 1_500..4_000;
 /// The ranges of intervals between two silences of runners, of the lengths of those of whole runners, and
 /// of the times in which answers have some.
-const SILENCE_INTERVAL_MS: std::ops::Range<Ms> = 800..3_000;
+const SILENCE_INTERVAL_MS: std::ops::Range<Ms> = 400..1_800;
 const SILENCE_MS: std::ops::Range<Ms> = 300..2_000;
-const SILENT_ANSWERS_MS: std::ops::Range<Ms> = 1_000..3_000;
+const SILENT_ANSWERS_MS: std::ops::Range<Ms> = 2_000..6_000;
 /// Separates the random numbers of the silences from those of other faults.
 const SILENCE_SEED: u64 = 0x51e7;
 /// The range of intervals between two restores of the store, of the ages of its copies, and of the times
