Confirm broken attempts by a crash that another entry has found

Cause: an entry without an agent at the runner counts its own evidence only when it has its own news that the incarnation ended (a refused connection, a 421, a later incarnation). An entry without news of its own never shares what it saw. Change: evidence of a crash that is read from the store confirms the attempts that broke at that incarnation.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -142,7 +142,7 @@
     }
 
     /// Applies evidence that an entry has shared at `at`, unless it was read before and only stands in
-    /// another read of all rows.
+    /// another read of all rows. A crash also confirms the attempts that broke here.
     pub(crate) fn apply_evidence(
         &self,
         at: Time,
@@ -156,6 +156,7 @@
         }
         match evidence {
             Evidence::Crash(crash) => {
+                self.record_runner_ended(&crash.runner, crash.born);
                 self.record_crash(at, crash);
             }
             Evidence::Served(part) => self.apply_served(&[part]),
