Give up no live attempt before another one is answered

Callers saw 502, or a stream cut after some events, while their runner was silent for a second and would have gone on, with most of their time limit left.

Cause: a deadline of the entry was taken for the end of the runner. An attempt that might be repeated was ended after a multiple of the goal, and only then the entry asked whether a retry, a runner and a connection were left; with many requests at one silent runner the first few took the whole budget and the rest were cut. Their `Failed` signals opened its breaker.

Change: `serving::silence` decides, `gateway::replace` and `relay` carry out. A silent attempt is listened to until its deadline. Meanwhile another runner is chosen, its connection opened and a retry taken; the request is sent there beside the first one, and the first answer ends the other attempt. Whole requests wait for both; a stream is at two runners for 250 ms at most, and goes on at the first one unless the other has answered by then; up to three such tries. Replacements keep to `max_attempts`, take a retry only when they are sent, and at most four fifths of the budget, so that requests whose runner has crashed find some. A request under suspicion of crashes is not sent beside itself, nor is one by an entry that stops. A silent runner counts as one failure a second, however many requests wait there; one that answers others counts with each. `attempt silent` logs runner, time, scope, decision and cause; `silent_attempts_total` counts.

Reading an answer no longer borrows the request (`gateway::answer`), which makes two at once possible and splits `send`.

--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,312 @@
+//! Reads the answer of a runner to one attempt and interprets it.
+//!
+//! Invariants: what a runner says of itself is recorded as soon as the head of its answer has arrived; a
+//! connection is reused only after a complete response.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::time::Time;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::body::Incoming;
+use platform::runner;
+use platform::runner::ResponseHead;
+use platform::runner::ResponseKind;
+use serving::Name;
+use serving::attempt::Outcome;
+use serving::config::RouteKind;
+use serving::events::EventSplitter;
+use serving::fleet::HealthSignal;
+use spdlog::info;
+use spdlog::warn;
+use tokio::time::timeout_at;
+
+use crate::attempt::AnswerProgress;
+use crate::attempt::AnswerResult;
+use crate::attempt::AttemptResponse;
+use crate::attempt::FailedAttempt;
+use crate::attempt::OpenStream;
+use crate::attempt::RunningAttempt;
+use crate::buffer::ReadError;
+use crate::entry::Entry;
+
+/// The assumed time until a runner that rejects requests for an adapter has it loaded again.
+const REJECTED_ADAPTER_DELAY: Duration = Duration::from_millis(150);
+/// The largest body of a rejection that is read so that its connection can be reused.
+const MAX_REJECTION_BYTES: usize = 16 << 10;
+/// The time limit for reading the body of a rejection.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// What an attempt's answer is read with. It owns all that it needs, so that two attempts at one request
+/// can be read at the same time.
+pub(crate) struct AnswerReader {
+    pub(crate) entry: Arc<Entry>,
+    /// The identifier of the request.
+    pub(crate) id: Name,
+    pub(crate) kind: RouteKind,
+    pub(crate) adapter: Option<Name>,
+    pub(crate) runner: Name,
+    /// The start of the runner's incarnation, in milliseconds since the Unix epoch.
+    pub(crate) born: u64,
+    /// When the request arrived.
+    pub(crate) arrival: Time,
+    /// When the request was handed to the connection.
+    pub(crate) sent_at: Time,
+    /// The deadline of the request.
+    pub(crate) deadline: Time,
+    /// Whether the attempt resumes a stream.
+    pub(crate) resumes: bool,
+    /// Set when the head of the answer has arrived.
+    pub(crate) head_at: Arc<OnceLock<Time>>,
+}
+
+impl AnswerReader {
+    /// Sends the request and reads its answer, up to the first event of a stream.
+    pub(crate) async fn exchange(
+        self,
+        mut attempt: RunningAttempt,
+        request: Request<Full<Bytes>>,
+    ) -> AnswerResult {
+        let deadline = self.entry.clock.instant(self.deadline);
+        let Some(conn) = attempt.conn.as_mut() else {
+            return Err(Outcome::NotSent.into());
+        };
+        let sent = timeout_at(deadline, conn.sender.try_send_request(request)).await;
+        let withheld = conn.check.is_withheld();
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            _ if withheld => return Err(Outcome::NotSent.into()),
+            Ok(Err(mut error)) => {
+                if error.take_message().is_some() {
+                    attempt.finish(HealthSignal::Neutral, false);
+                    return Err(Outcome::NotSent.into());
+                }
+                attempt.finish(HealthSignal::Failed, false);
+                return Err(AnswerProgress::Waiting.into());
+            }
+            Err(_) => return Err(self.time_out(attempt, AnswerProgress::Waiting)),
+        };
+        let (parts, body) = response.into_parts();
+        let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
+        let head = runner::decode_response_head(&parts, &self.id, &self.runner, reused);
+        attempt.idle_timeout = head.idle_timeout;
+        self.record_head(&head);
+        let kind = head.kind;
+        let result = self.read(attempt, head, body).await;
+        result.map_err(|failed| FailedAttempt {
+            kind: Some(kind),
+            ..failed
+        })
+    }
+
+    fn record_head(&self, head: &ResponseHead) {
+        let now = self.entry.now();
+        // A second head of one attempt does not exist.
+        let _ = self.head_at.set(now);
+        self.record_notice(head);
+        let mut state = self.entry.state();
+        if !matches!(
+            head.kind,
+            ResponseKind::OtherRunner | ResponseKind::Unverified
+        ) {
+            state.fleet.record_heard(now, &self.runner, self.born);
+        }
+        if let Some(load) = head.load {
+            state.fleet.record_load(&self.runner, load);
+        }
+    }
+
+    async fn read(
+        &self,
+        attempt: RunningAttempt,
+        head: ResponseHead,
+        body: Incoming,
+    ) -> AnswerResult {
+        let is_success = head.kind == ResponseKind::Success;
+        if self.resumes && is_success && !head.is_event_stream {
+            // Its text must not reach the caller in the middle of a stream.
+            self.log_unreadable("no stream of events");
+            attempt.finish(HealthSignal::Failed, false);
+            return Err(Outcome::Unknown.into());
+        }
+        match head.kind {
+            ResponseKind::Success if self.kind.is_stream() => {
+                self.read_first_events(attempt, head, body).await
+            }
+            ResponseKind::Success | ResponseKind::Failure => {
+                self.read_whole(attempt, head, body).await
+            }
+            ResponseKind::NotRun => {
+                self.record_rejection();
+                finish_after_body(attempt, head, body).await;
+                Err(Outcome::NotRun.into())
+            }
+            ResponseKind::NotLoaded => {
+                if let Some(adapter) = &self.adapter {
+                    let mut state = self.entry.state();
+                    state.fleet.remove_adapter(&self.runner, adapter);
+                }
+                finish_after_body(attempt, head, body).await;
+                Err(Outcome::NotRun.into())
+            }
+            ResponseKind::OtherRunner => {
+                self.record_replaced(&head);
+                attempt.finish(HealthSignal::Neutral, false);
+                Err(Outcome::NotRun.into())
+            }
+            ResponseKind::Unverified => {
+                attempt.finish(HealthSignal::Failed, false);
+                Err(Outcome::Unknown.into())
+            }
+        }
+    }
+
+    fn record_replaced(&self, head: &ResponseHead) {
+        let (runner, by) = (&*self.runner, head.instance.as_deref().unwrap_or_default());
+        info!("runner replaced", kv: { runner, by });
+        let mut state = self.entry.state();
+        state.fleet.mark_replaced(runner);
+        state.fleet.mark_answering(runner, by);
+        drop(state);
+        self.entry.record_runner_ended(runner, self.born);
+        self.entry.mark_members_outdated();
+    }
+
+    /// Marks the adapter as not ready for a moment at a runner that did not run the request: an
+    /// engine rejects requests while it replaces or unloads their adapter.
+    fn record_rejection(&self) {
+        let Some(adapter) = &self.adapter else {
+            return;
+        };
+        let ready_at = self.entry.now().after(REJECTED_ADAPTER_DELAY);
+        let mut state = self.entry.state();
+        let version = state.versions.newest(adapter);
+        state
+            .fleet
+            .expect_adapter(&self.runner, adapter, version, ready_at);
+    }
+
+    /// Reads the complete body of a response.
+    async fn read_whole(
+        &self,
+        attempt: RunningAttempt,
+        head: ResponseHead,
+        body: Incoming,
+    ) -> AnswerResult {
+        let deadline = self.entry.clock.instant(self.deadline);
+        let read = timeout_at(deadline, self.entry.buffers.read(body)).await;
+        let body = match read {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => {
+                self.log_unreadable(&error.to_string());
+                let signal = match error {
+                    ReadError::NoMemory => HealthSignal::Neutral,
+                    ReadError::TooLarge | ReadError::Broken => HealthSignal::Failed,
+                };
+                attempt.finish(signal, false);
+                return Err(AnswerProgress::Begun.into());
+            }
+            Err(_) => return Err(self.time_out(attempt, AnswerProgress::Begun)),
+        };
+        let now = self.entry.now();
+        let failed = head.kind == ResponseKind::Failure;
+        let signal = match (failed, head.status.is_client_error()) {
+            (true, true) => HealthSignal::Neutral,
+            (true, false) => HealthSignal::Failed,
+            (false, _) => HealthSignal::Success(now.since(self.arrival)),
+        };
+        let mut state = self.entry.state();
+        state.fleet.record_heard(now, &self.runner, self.born);
+        drop(state);
+        attempt.finish(signal, !head.closes_connection);
+        let head = Box::new(head);
+        if failed {
+            return Err(FailedAttempt {
+                failure: Some((head, body)),
+                ..Outcome::Failed.into()
+            });
+        }
+        Ok(AttemptResponse::Complete(head, body))
+    }
+
+    /// Reads a stream up to its first complete event.
+    async fn read_first_events(
+        &self,
+        mut attempt: RunningAttempt,
+        head: ResponseHead,
+        mut body: Incoming,
+    ) -> AnswerResult {
+        let deadline = self.entry.clock.instant(self.deadline);
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = match timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_)) | None) => {
+                    attempt.finish(HealthSignal::Failed, false);
+                    return Err(AnswerProgress::Begun.into());
+                }
+                Err(_) => return Err(self.time_out(attempt, AnswerProgress::Begun)),
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let first_events = match splitter.push(&data) {
+                Ok(events) => events,
+                Err(error) => {
+                    self.log_unreadable(&error.to_string());
+                    attempt.finish(HealthSignal::Failed, false);
+                    return Err(Outcome::Unknown.into());
+                }
+            };
+            if first_events.is_empty() {
+                continue;
+            }
+            attempt.prompt = None;
+            let now = self.entry.now();
+            let mut state = self.entry.state();
+            state.fleet.record_heard(now, &self.runner, self.born);
+            if let Some(inflight) = attempt.inflight.as_mut() {
+                state.fleet.mark_answered(inflight);
+            }
+            drop(state);
+            return Ok(AttemptResponse::Stream(Box::new(OpenStream {
+                closes_connection: head.closes_connection,
+                response_head: head,
+                attempt,
+                body,
+                first_events,
+                splitter,
+            })));
+        }
+    }
+
+    /// Ends an attempt that is not answered at the deadline of its request.
+    fn time_out(&self, attempt: RunningAttempt, progress: AnswerProgress) -> FailedAttempt {
+        self.entry.observe_silence(&self.runner, self.born);
+        attempt.finish(HealthSignal::Neutral, false);
+        progress.into()
+    }
+
+    fn log_unreadable(&self, error: &str) {
+        let (id, runner) = (&*self.id, &*self.runner);
+        warn!("response cannot be read", kv: { id, runner, error });
+    }
+}
+
+/// Reads the short body of a rejection, so that its connection can be reused.
+async fn finish_after_body(mut attempt: RunningAttempt, head: ResponseHead, body: Incoming) {
+    let collect = Limited::new(body, MAX_REJECTION_BYTES).collect();
+    let complete = matches!(
+        tokio::time::timeout(REJECTION_TIMEOUT, collect).await,
+        Ok(Ok(_))
+    );
+    if let Some(conn) = &mut attempt.conn {
+        conn.rejected = true;
+    }
+    attempt.finish(HealthSignal::Neutral, complete && !head.closes_connection);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,15 +4,20 @@
 //! dropping it ends it and closes its connection, which makes the runner stop its work.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
+use decision::time::Time;
+use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use platform::runner::ResponseHead;
+use platform::runner::ResponseKind;
 use serving::attempt::Outcome;
 use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
 use serving::fleet::InflightRequest;
+use serving::placement::Placement;
 
 use crate::admit::AnnouncedPrompt;
 use crate::buffer::BufferedBody;
@@ -37,6 +42,21 @@
     pub failure: Option<(Box<ResponseHead>, BufferedBody)>,
     /// How far the answer had got when the attempt broke, in case the runner has crashed.
     pub broken: Option<AnswerProgress>,
+    /// Meaning of the response head; `None` if none arrived.
+    pub kind: Option<ResponseKind>,
+}
+
+/// How the answer to an attempt ends.
+pub type AnswerResult = Result<AttemptResponse, FailedAttempt>;
+
+/// An attempt that is being sent or whose answer is awaited; dropping it gives the attempt up.
+pub(crate) struct SentAttempt {
+    pub(crate) placement: Placement,
+    pub(crate) sent_at: Time,
+    /// Set when the head of the answer has arrived.
+    pub(crate) head_at: Arc<OnceLock<Time>>,
+    /// Sends the request, and yields the answer.
+    pub(crate) answer: BoxFuture<'static, AnswerResult>,
 }
 
 /// How far the answer to a request had got.
@@ -54,6 +74,7 @@
             outcome,
             failure: None,
             broken: None,
+            kind: None,
         }
     }
 }
@@ -64,6 +85,7 @@
             outcome: Outcome::Unknown,
             failure: None,
             broken: Some(progress),
+            kind: None,
         }
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,7 +19,6 @@
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
 use platform::runner::ResponseHead;
-use platform::runner::ResponseKind;
 use serving::Name;
 use serving::attempt::Attempts;
 use serving::attempt::NextStep;
@@ -30,11 +29,12 @@
 use serving::placement::Placement;
 use serving::quarantine::Refusal;
 use serving::request::PartId;
+use serving::retry_budget::RetryCause;
 use spdlog::info;
 use spdlog::warn;
 
+use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
-use crate::attempt::FailedAttempt;
 use crate::buffer::BufferedBody;
 use crate::entry::Entry;
 use crate::quarantine::Trial;
@@ -151,6 +151,8 @@
     pub(crate) sends: u32,
     /// When the last of these was.
     pub(crate) sent_at: Time,
+    /// Set when the head of the answer to the last attempt has arrived.
+    pub(crate) head_at: Arc<OnceLock<Time>>,
     pub(crate) step: Step,
     /// Whether its end is logged.
     pub(crate) ended: bool,
@@ -159,8 +161,6 @@
     pub(crate) trial: Option<Trial>,
     /// Its slot at a runner that limits its requests.
     pub(crate) slot: Option<HeldSlot>,
-    /// Meaning of the last response head; `None` if the last attempt got none.
-    pub(crate) response_kind: Option<ResponseKind>,
 }
 
 /// Serves one request of a caller. A request that is not sent to a runner gets a response of the
@@ -229,12 +229,12 @@
         first_response: Duration::ZERO,
         sends: 0,
         sent_at: arrival,
+        head_at: Arc::default(),
         step: Step::RequestBody,
         ended: false,
         last_placement: None,
         trial: None,
         slot: None,
-        response_kind: None,
         route,
         head,
         entry,
@@ -342,29 +342,23 @@
         resume: Option<u64>,
     ) -> Result<AttemptResponse, DispatchError> {
         loop {
-            if !self.entry.can_finish(&self.route.name, self.deadline) {
-                return Err(self.stopping());
+            let (placement, result) = self.make_attempt(resume).await?;
+            let is_answered = match &result {
+                Ok(_) => true,
+                Err(failed) => failed.failure.is_some(),
+            };
+            if is_answered {
+                self.record_answer(&placement);
             }
-            self.step = Step::Probe;
-            self.pass_quarantine().await?;
-            self.step = Step::Adapter;
-            let placement = self.locate().await?;
-            self.step = Step::Admission;
-            let prompt = self.admit_prompt(&placement).await;
-            let result = self.run_attempt(&placement, prompt, resume).await;
-            let FailedAttempt {
-                outcome,
-                failure,
-                broken,
-            } = match result {
+            let failed = match result {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            self.log_attempt(&placement, outcome, broken);
-            if let Some(progress) = broken {
+            self.log_attempt(&placement, &failed);
+            if let Some(progress) = failed.broken {
                 self.report_broken(&placement, progress);
             }
-            let step = self.next_step(outcome);
+            let step = self.next_step(failed.outcome);
             match step {
                 NextStep::TryOther => self.exclude_tried(),
                 NextStep::TryAny => self.excluded = vec![placement.runner],
@@ -372,7 +366,7 @@
                 NextStep::Refuse => return Err(DispatchError::Refused(FailureCause::Rejected)),
                 NextStep::Fail => return Err(self.unknown_outcome()),
                 NextStep::Relay => {
-                    let Some((head, body)) = failure else {
+                    let Some((head, body)) = failed.failure else {
                         return Err(self.unknown_outcome());
                     };
                     return Err(DispatchError::RunnerFailure(head, body));
@@ -384,12 +378,33 @@
         }
     }
 
+    /// Chooses a runner, sends the request there and waits for the answer.
+    async fn make_attempt(
+        &mut self,
+        resume: Option<u64>,
+    ) -> Result<(Placement, AnswerResult), DispatchError> {
+        if !self.entry.can_finish(&self.route.name, self.deadline) {
+            return Err(self.stopping());
+        }
+        self.step = Step::Probe;
+        self.pass_quarantine().await?;
+        self.step = Step::Adapter;
+        let placement = self.locate().await?;
+        self.step = Step::Admission;
+        let prompt = self.admit_prompt(&placement).await;
+        match self.send(placement.clone(), prompt, resume).await {
+            Ok(sent) => Ok(self.wait_for_answer(sent, resume).await),
+            Err(failed) => Ok((placement, Err(failed))),
+        }
+    }
+
     /// Decides what follows an attempt.
     pub fn next_step(&mut self, outcome: Outcome) -> NextStep {
         let now = self.entry.now();
         let (entry, service) = (&self.entry, &self.service);
         self.attempts.record_outcome(outcome, || {
-            entry.state().retry_budget.try_take(now, service)
+            let mut state = entry.state();
+            state.retry_budget.try_take(now, service, RetryCause::Ended)
         })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admit;
 pub mod agent;
+mod answer;
 pub mod attempt;
 pub mod buffer;
 pub mod conns;
@@ -30,6 +31,7 @@
 pub mod recover;
 mod refusal;
 pub mod relay;
+mod replace;
 mod request_log;
 mod send;
 pub mod send_check;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,9 @@
     pub requests: IntCounterVec,
     /// Attempts without a deliverable response by [`Outcome`](serving::attempt::Outcome).
     pub attempts: IntCounterVec,
+    /// Silent attempts by what was decided: `kept`, `sent elsewhere`. One that goes on alone counts each
+    /// time that a replacement is looked for.
+    pub silent_attempts: IntCounterVec,
     /// Requests that were to be written to runners, by the caller's
     /// [`Presence`](::process::caller::Presence) right before; those of callers that left are withheld.
     pub sends: IntCounterVec,
@@ -74,6 +77,12 @@
         )?;
         let attempts =
             register_counters(&registry, "attempts_total", "Attempts by result", "result")?;
+        let silent_attempts = register_counters(
+            &registry,
+            "silent_attempts_total",
+            "Silent attempts by decision",
+            "decision",
+        )?;
         let sends = register_counters(&registry, "sends_total", "Sends to runners", "caller")?;
         let store_calls =
             register_counters(&registry, "store_calls_total", "Store calls", "result")?;
@@ -119,6 +128,7 @@
             registry,
             requests,
             attempts,
+            silent_attempts,
             sends,
             first_response_s,
             adapter_wait_s,
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -4,23 +4,22 @@
 use platform::runner::ResponseKind;
 use serving::backpressure::NoticeChange;
 use serving::backpressure::NoticeSource;
-use serving::placement::Placement;
 use spdlog::info;
 
-use crate::dispatch::ActiveRequest;
+use crate::answer::AnswerReader;
 
-impl ActiveRequest {
-    /// Records what the runner of an attempt says of itself with its response. A response that is not
-    /// known to be its own says nothing.
-    pub(crate) fn record_notice(&self, placement: &Placement, response_head: &ResponseHead) {
+impl AnswerReader {
+    /// Records what the runner says of itself with its response. A response that is not known to be its
+    /// own says nothing.
+    pub(crate) fn record_notice(&self, response_head: &ResponseHead) {
         let ran = match response_head.kind {
             ResponseKind::Success | ResponseKind::Failure => true,
             ResponseKind::NotRun | ResponseKind::NotLoaded => false,
             ResponseKind::OtherRunner | ResponseKind::Unverified => return,
         };
         let source = NoticeSource {
-            runner: &placement.runner,
-            born: placement.born,
+            runner: &self.runner,
+            born: self.born,
             sent_at: self.sent_at,
             ran,
         };
@@ -33,11 +32,11 @@
             .record_notice(now, &mut state.rng, source, notice);
         let entries = state.fleet.entries.get();
         for change in changes {
-            self.log_change(placement, change, entries);
+            self.log_change(change, entries);
         }
     }
 
-    fn log_change(&self, placement: &Placement, change: NoticeChange, entries: u32) {
+    fn log_change(&self, change: NoticeChange, entries: u32) {
         let text = change.to_string();
         let notices = &self.entry.metrics.runner_notices;
         notices.with_label_values(&[text.as_str()]).inc();
@@ -50,7 +49,7 @@
             NoticeChange::Limited(_) | NoticeChange::Unlimited | NoticeChange::Leaving => 0,
         };
         info!("runner notice", kv: {
-            id = &*self.head.request.id, runner = &*placement.runner, born = placement.born,
+            id = &*self.id, runner = &*self.runner, born = self.born,
             change = text.as_str(), limit, pause_ms, entries
         });
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,6 +11,7 @@
 use serving::Name;
 use serving::crash_reports::BrokenAttempt;
 use serving::link::ToAgent;
+use serving::placement::Placement;
 use serving::quarantine::Admission;
 use serving::quarantine::Crash;
 use serving::quarantine::CrashEffect;
@@ -19,7 +20,6 @@
 use serving::request::PartId;
 use spdlog::info;
 
-use crate::attempt::RunningAttempt;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
 use crate::dispatch::FailureCause;
@@ -71,6 +71,26 @@
         }
     }
 
+    /// Returns whether a second runner may get the request while the first one works on it: it is under no
+    /// suspicion, and tries nothing that is.
+    pub(crate) fn is_unsuspected(&self) -> bool {
+        if self.trial.is_some() {
+            return false;
+        }
+        let whole = self.suspect_fingerprint();
+        let now = self.entry.now();
+        let parts = &self.head.request.parts;
+        let mut state = self.entry.state();
+        match state.quarantine.admit_whole(now, parts, whole) {
+            Admission::Free => true,
+            Admission::Canary(parts) => {
+                state.quarantine.end_canary(&parts);
+                false
+            }
+            Admission::Probe(_) | Admission::Refused(_) => false,
+        }
+    }
+
     /// Returns whether the request has a held part that it does not probe.
     pub(crate) fn is_held(&self) -> bool {
         let mut parts = self.head.request.parts.clone();
@@ -117,12 +137,11 @@
     }
 
     /// Records that a runner has begun to answer the request.
-    pub(crate) fn record_answer(&mut self, attempt: &RunningAttempt) {
-        let runner = attempt.runner();
-        if let Some(born) = attempt.born() {
-            let watch = &mut self.entry.state().crash_watch;
-            watch.record_answer(runner, born);
-        }
+    pub(crate) fn record_answer(&mut self, placement: &Placement) {
+        let runner = &*placement.runner;
+        let mut state = self.entry.state();
+        state.crash_watch.record_answer(runner, placement.born);
+        drop(state);
         let whole = self.entry.state().quarantine.has_suspects();
         let whole = whole.then(|| self.fingerprint());
         let parts = &self.head.request.parts;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,9 +4,8 @@
 //! Invariants: only complete events are relayed, in ascending order of their identifiers; a
 //! truncated response ends with an error, so that it never looks complete.
 
-use std::time::Duration;
-
 use bytes::Bytes;
+use bytes::BytesMut;
 use decision::time::Time;
 use derive_more::Display;
 use derive_more::Error;
@@ -16,16 +15,22 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use serving::Name;
 use serving::attempt::NextStep;
 use serving::attempt::Outcome;
 use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
+use serving::silence;
+use serving::silence::Choice;
+use serving::silence::KeepCause;
+use serving::silence::SilenceWatch;
 use spdlog::info;
-use tokio::time::timeout_at;
 
+use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
 use crate::attempt::OpenStream;
 use crate::attempt::RunningAttempt;
+use crate::attempt::SentAttempt;
 use crate::dispatch;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
@@ -33,9 +38,8 @@
 use crate::dispatch::Step;
 use crate::server::Body;
 
-/// The silence after which a stream is resumed at another runner, as a multiple of the route's goal
-/// for the gap between events.
-const SILENCE_GAP_FACTOR: f64 = 2.0;
+/// The most bytes of events without data that are kept while a silent stream is being replaced.
+const MAX_KEPT_BYTES: usize = 64 << 10;
 
 /// The stream ended before its last event; aborts the caller's response.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -45,50 +49,100 @@
 struct StreamRelay {
     request: ActiveRequest,
     attempt: Option<RunningAttempt>,
-    body: Incoming,
+    source: Source,
     /// Events that are not relayed yet, from the start of the stream or of its resumption.
     first_events: Bytes,
-    splitter: EventSplitter,
     last_event_at: Time,
+    watch: SilenceWatch,
     /// Whether the runner closes the connection after the stream.
     closes_connection: bool,
     is_aborted: bool,
 }
 
+/// The stream as it comes from one runner.
+struct Source {
+    body: Incoming,
+    splitter: EventSplitter,
+    /// Complete events without data, such as comments, that came while the stream was being replaced.
+    kept: BytesMut,
+}
+
 /// Result of one read from the runner.
 enum ReadResult {
-    Data(Bytes),
+    /// Complete events; empty if none is complete yet.
+    Events(Bytes),
+    /// Bytes that are no event in ascending order.
+    Invalid,
     End,
     Truncated,
-    /// No data within the silence limit, while another runner may still resume the stream.
-    Silent,
+    /// Another runner has resumed the stream.
+    Resumed,
     /// The request's deadline passed.
     DeadlineExceeded,
 }
 
 /// Returns the caller's response, whose body relays the stream.
 pub fn stream_response(request: ActiveRequest, stream: OpenStream) -> Response<Body> {
-    let OpenStream {
-        response_head,
-        attempt,
-        body,
-        first_events,
-        splitter,
-        closes_connection,
-    } = stream;
-    let last_event_at = request.entry.now();
+    let now = request.entry.now();
+    let patience = silence::event_patience(request.route.gap_goal);
     let relay = StreamRelay {
         request,
-        attempt: Some(attempt),
-        body,
-        first_events,
-        splitter,
-        last_event_at,
-        closes_connection,
+        attempt: Some(stream.attempt),
+        source: Source::new(stream.body, stream.splitter),
+        first_events: stream.first_events,
+        last_event_at: now,
+        watch: SilenceWatch::new(now, patience),
+        closes_connection: stream.closes_connection,
         is_aborted: false,
     };
     let frames = stream::unfold(relay, |relay| relay.next());
-    dispatch::forward_response(response_head, StreamBody::new(frames).boxed_unsync())
+    dispatch::forward_response(stream.response_head, StreamBody::new(frames).boxed_unsync())
+}
+
+impl Source {
+    fn new(body: Incoming, mut splitter: EventSplitter) -> Source {
+        splitter.has_new_data = false;
+        Source {
+            body,
+            splitter,
+            kept: BytesMut::new(),
+        }
+    }
+
+    /// Reads the next bytes.
+    async fn read(&mut self) -> ReadResult {
+        if !self.kept.is_empty() {
+            return ReadResult::Events(self.kept.split().freeze());
+        }
+        self.read_body().await
+    }
+
+    async fn read_body(&mut self) -> ReadResult {
+        let data = match self.body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            None if !self.splitter.has_partial_event() => return ReadResult::End,
+            None | Some(Err(_)) => return ReadResult::Truncated,
+        };
+        match self.splitter.push(&data) {
+            Ok(events) if !self.splitter.is_out_of_order() => ReadResult::Events(events),
+            Ok(_) | Err(_) => ReadResult::Invalid,
+        }
+    }
+
+    /// Waits until the stream goes on or ends, and keeps what comes without data meanwhile.
+    async fn wait_for_data(&mut self) -> ReadResult {
+        loop {
+            match self.read_body().await {
+                ReadResult::Events(events) => {
+                    self.kept.extend_from_slice(&events);
+                    if self.splitter.has_new_data || self.kept.len() > MAX_KEPT_BYTES {
+                        return ReadResult::Events(self.kept.split().freeze());
+                    }
+                }
+                result => return result,
+            }
+        }
+    }
 }
 
 impl StreamRelay {
@@ -97,82 +151,183 @@
             return None;
         }
         if !self.first_events.is_empty() {
-            let first_events = std::mem::take(&mut self.first_events);
-            return Some((Ok(Frame::data(first_events)), self));
+            return Some((Ok(self.first_frame()), self));
         }
         loop {
             match self.read().await {
-                ReadResult::Data(data) => {
-                    let Ok(events) = self.splitter.push(&data) else {
-                        return Some((Err(self.abort(FailureCause::ResponseLost)), self));
-                    };
-                    if self.splitter.is_out_of_order() {
-                        return Some((Err(self.abort(FailureCause::ResponseLost)), self));
-                    }
-                    if !events.is_empty() {
-                        self.record_progress();
-                        return Some((Ok(Frame::data(events)), self));
-                    }
+                ReadResult::Events(events) if events.is_empty() => {}
+                ReadResult::Events(events) => {
+                    self.record_progress();
+                    return Some((Ok(Frame::data(events)), self));
                 }
                 ReadResult::End => {
                     self.finish();
                     return None;
                 }
+                ReadResult::Truncated => match self.resume().await {
+                    Ok(()) => return Some((Ok(self.first_frame()), self)),
+                    Err(cause) => return Some((Err(self.abort(cause)), self)),
+                },
+                ReadResult::Resumed => return Some((Ok(self.first_frame()), self)),
+                ReadResult::Invalid => {
+                    return Some((Err(self.abort(FailureCause::ResponseLost)), self));
+                }
                 ReadResult::DeadlineExceeded => {
                     return Some((Err(self.abort(FailureCause::DeadlineExceeded)), self));
                 }
-                ReadResult::Truncated | ReadResult::Silent => {
-                    if let Err(cause) = self.resume().await {
-                        return Some((Err(self.abort(cause)), self));
-                    }
-                    let first_events = std::mem::take(&mut self.first_events);
-                    return Some((Ok(Frame::data(first_events)), self));
-                }
             }
         }
     }
 
+    fn first_frame(&mut self) -> Frame<Bytes> {
+        Frame::data(std::mem::take(&mut self.first_events))
+    }
+
     /// Records the time of new events. Events without data, such as comments, are no progress.
     fn record_progress(&mut self) {
-        if !std::mem::take(&mut self.splitter.has_new_data) {
+        if !std::mem::take(&mut self.source.splitter.has_new_data) {
             return;
         }
         let now = self.request.entry.now();
         let gap = now.since(self.last_event_at);
         self.request.longest_gap = self.request.longest_gap.max(gap);
         self.last_event_at = now;
+        self.watch.record_progress(now);
+        if let Some((runner, born)) = self.runner() {
+            let mut state = self.request.entry.state();
+            state.fleet.record_heard(now, &runner, born);
+        }
     }
 
+    /// Returns the runner that sends the stream, and the start of its incarnation.
+    fn runner(&self) -> Option<(Name, u64)> {
+        let inflight = self.attempt.as_ref()?.inflight.as_ref()?;
+        Some((inflight.runner.clone(), inflight.born))
+    }
+
+    /// Reads from the runner, and replaces it if it is silent and another one can.
     async fn read(&mut self) -> ReadResult {
-        self.request.step = Step::Event;
-        let deadline = self.silence_deadline();
-        let deadline_at = self.request.entry.clock.instant(deadline);
-        match timeout_at(deadline_at, self.body.frame()).await {
-            Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
-            Ok(None) if !self.splitter.has_partial_event() => ReadResult::End,
-            Ok(None | Some(Err(_))) => ReadResult::Truncated,
-            Err(_) if deadline >= self.request.deadline => ReadResult::DeadlineExceeded,
-            Err(_) => ReadResult::Silent,
+        let clock = self.request.entry.clock;
+        let deadline = clock.instant(self.request.deadline);
+        loop {
+            self.request.step = Step::Event;
+            let due_at = self.watch.due_at();
+            let may_replace = self.request.attempts.may_replace()
+                && self.source.splitter.last_id().is_some()
+                && due_at < self.request.deadline;
+            tokio::select! {
+                biased;
+                result = self.source.read() => return result,
+                () = tokio::time::sleep_until(deadline) => return ReadResult::DeadlineExceeded,
+                () = tokio::time::sleep_until(clock.instant(due_at)), if may_replace => {}
+            }
+            if let Some(result) = self.replace().await {
+                return result;
+            }
         }
     }
 
-    fn silence_deadline(&self) -> Time {
-        let request = &self.request;
-        let can_resume =
-            request.route.kind.is_repeatable() && request.attempts.only_runner().is_none();
-        if !can_resume {
-            return request.deadline;
+    /// Looks for a runner that resumes the silent stream. Returns `None` if the stream goes on alone, and
+    /// still is silent.
+    async fn replace(&mut self) -> Option<ReadResult> {
+        let last_id = self.source.splitter.last_id()?;
+        let (runner, born) = self.runner()?;
+        let silent = self.request.find_silent(&runner, born, &self.watch);
+        let replacement = tokio::select! {
+            biased;
+            result = self.source.wait_for_data() => Err(result),
+            replacement = self.request.replace(Some(last_id)) => Ok(replacement),
+        };
+        let cause = match replacement {
+            Err(result) => {
+                self.request.slot = None;
+                return Some(result);
+            }
+            Ok(Err(cause)) => cause,
+            Ok(Ok(second)) => {
+                self.request.log_sent(&silent, &second);
+                match self.race(&runner, second, last_id).await {
+                    Ok(result) => return Some(result),
+                    Err(cause) => cause,
+                }
+            }
+        };
+        let is_new = self.watch.is_first_check();
+        self.request.log_silent(&silent, cause.to_string(), is_new);
+        self.watch.record_check(self.request.entry.now());
+        None
+    }
+
+    /// Listens to the silent stream and the attempt that resumes it, until one of them goes on or the
+    /// attempt has to be given up.
+    async fn race(
+        &mut self,
+        silent: &Name,
+        mut second: SentAttempt,
+        last_id: u64,
+    ) -> Result<ReadResult, KeepCause> {
+        loop {
+            let until = match self.request.choose_attempt(&second) {
+                Choice::Both(until) => until.unwrap_or(self.request.deadline),
+                Choice::Silent => {
+                    self.request.give_up(&second.placement.runner);
+                    return Err(KeepCause::ReplacementSilent);
+                }
+            };
+            let until = self.request.entry.clock.instant(until);
+            let answer = tokio::select! {
+                biased;
+                result = self.source.wait_for_data() => {
+                    self.request.give_up(&second.placement.runner);
+                    return Ok(result);
+                }
+                answer = &mut second.answer => answer,
+                () = tokio::time::sleep_until(until) => continue,
+            };
+            return self.accept(silent, &second, answer, last_id);
         }
-        let silence: Duration = request.route.gap_goal.mul_f64(SILENCE_GAP_FACTOR);
-        self.last_event_at.after(silence).min(request.deadline)
     }
 
-    /// Continues the stream at another runner after the last complete event.
+    /// Switches to the attempt that resumes the silent stream, if its answer does.
+    fn accept(
+        &mut self,
+        silent: &Name,
+        second: &SentAttempt,
+        answer: AnswerResult,
+        last_id: u64,
+    ) -> Result<ReadResult, KeepCause> {
+        let placement = &second.placement;
+        match answer {
+            Ok(AttemptResponse::Stream(stream)) if continues(&stream, last_id) => {
+                self.request.record_answer(placement);
+                self.give_up_silent(silent);
+                self.switch_to(*stream, last_id);
+                Ok(ReadResult::Resumed)
+            }
+            Ok(_) => {
+                self.request.give_up(&placement.runner);
+                Err(KeepCause::ReplacementFailed)
+            }
+            Err(failed) => {
+                self.request.record_failed_beside(placement, &failed);
+                Err(KeepCause::ReplacementFailed)
+            }
+        }
+    }
+
+    fn give_up_silent(&mut self, runner: &Name) {
+        self.request.give_up(runner);
+        if let Some(attempt) = self.attempt.take() {
+            attempt.finish(HealthSignal::Neutral, false);
+        }
+    }
+
+    /// Continues the stream, which has broken off, at another runner after the last complete event.
     async fn resume(&mut self) -> Result<(), FailureCause> {
         if let Some(attempt) = self.attempt.take() {
             attempt.finish(HealthSignal::Failed, false);
         }
-        let Some(last_id) = self.splitter.last_id() else {
+        let Some(last_id) = self.source.splitter.last_id() else {
             return Err(FailureCause::ResponseLost);
         };
         match self.request.next_step(Outcome::Unknown) {
@@ -181,35 +336,27 @@
         }
         self.request.exclude_tried();
         match self.request.run_attempts(Some(last_id)).await {
-            Ok(AttemptResponse::Stream(stream)) => {
-                info!("stream resumed", kv: {
-                    id = &*self.request.head.request.id, after = last_id, runner = stream.attempt.runner()
-                });
-                self.request.entry.metrics.resumed_streams.inc();
-                self.switch_to(*stream, last_id)
-            }
-            Ok(AttemptResponse::Complete(..)) | Err(DispatchError::RunnerFailure(..)) => {
-                Err(FailureCause::ResponseLost)
+            Ok(AttemptResponse::Stream(stream)) if continues(&stream, last_id) => {
+                self.switch_to(*stream, last_id);
+                Ok(())
             }
+            Ok(_) | Err(DispatchError::RunnerFailure(..)) => Err(FailureCause::ResponseLost),
             Err(DispatchError::Refused(cause) | DispatchError::Unknown(cause)) => Err(cause),
         }
     }
 
-    fn switch_to(&mut self, stream: OpenStream, last_id: u64) -> Result<(), FailureCause> {
-        if stream
-            .splitter
-            .first_id()
-            .is_none_or(|first| first <= last_id)
-        {
-            return Err(FailureCause::ResponseLost);
-        }
+    fn switch_to(&mut self, stream: OpenStream, last_id: u64) {
+        info!("stream resumed", kv: {
+            id = &*self.request.head.request.id, after = last_id, runner = stream.attempt.runner()
+        });
+        self.request.entry.metrics.resumed_streams.inc();
         self.attempt = Some(stream.attempt);
-        self.body = stream.body;
+        self.source = Source::new(stream.body, stream.splitter);
         self.first_events = stream.first_events;
-        self.splitter = stream.splitter;
         self.closes_connection = stream.closes_connection;
-        self.last_event_at = self.request.entry.now();
-        Ok(())
+        let now = self.request.entry.now();
+        self.last_event_at = now;
+        self.watch.record_progress(now);
     }
 
     fn finish(&mut self) {
@@ -231,3 +378,9 @@
         StreamTruncated
     }
 }
+
+/// Returns whether a stream goes on after event `last_id`.
+fn continues(stream: &OpenStream, last_id: u64) -> bool {
+    let first_id = stream.splitter.first_id();
+    first_id.is_some_and(|first| first > last_id)
+}
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -2,14 +2,14 @@
 //!
 //! Invariant: each request that was read gets one line for its end, also if it is dropped before.
 
-use serving::attempt::Outcome;
 use serving::placement::Placement;
 use spdlog::info;
 use spdlog::warn;
 
-use crate::attempt::AnswerProgress;
+use crate::attempt::FailedAttempt;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::FailureCause;
+use crate::dispatch::Step;
 
 impl ActiveRequest {
     /// Logs and counts a request whose response, or failure response, came from a runner.
@@ -67,23 +67,18 @@
         });
     }
 
-    pub(crate) fn log_attempt(
-        &self,
-        placement: &Placement,
-        outcome: Outcome,
-        broken: Option<AnswerProgress>,
-    ) {
-        let outcome = format!("{outcome:?}");
+    pub(crate) fn log_attempt(&self, placement: &Placement, failed: &FailedAttempt) {
+        let outcome = format!("{:?}", failed.outcome);
         self.entry
             .metrics
             .attempts
             .with_label_values(&[outcome.as_str()])
             .inc();
         let access = placement.access.to_string();
-        let kind = self.response_kind.map(|kind| kind.to_string());
+        let kind = failed.kind.map(|kind| kind.to_string());
         let adapter = self.adapter().map_or("", |adapter| &**adapter);
         let parts = self.head.request.parts_text();
-        let whole = broken.map(|_| self.fingerprint().to_string());
+        let whole = failed.broken.map(|_| self.fingerprint().to_string());
         let whole = whole.unwrap_or_default();
         info!("attempt ended", kv: {
             id = &*self.head.request.id, runner = &*placement.runner, outcome = outcome.as_str(),
@@ -104,10 +99,11 @@
         let requests = &self.entry.metrics.requests;
         requests.with_label_values(&[outcome]).inc();
         let now = self.entry.now();
-        let (caller, step) = (
-            self.caller.conn.presence().to_string(),
-            self.step.to_string(),
-        );
+        let step = match self.step {
+            Step::Response if self.head_at.get().is_some() => Step::ResponseBody,
+            step => step,
+        };
+        let (caller, step) = (self.caller.conn.presence().to_string(), step.to_string());
         let sent_ms = now.since(self.sent_at).as_millis() as u64;
         info!("request ended", kv: {
             id = &*self.head.request.id, outcome, route = &*self.route.name, caller = caller.as_str(), step = step.as_str(),
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -12,6 +12,10 @@
 /// Maximum number of attempts at one request that runners reject.
 const MAX_REJECTED_ATTEMPTS: u32 = 3;
 
+/// Maximum number of attempts at one request that end without an answer, or are given up, beside
+/// another one.
+const MAX_GIVEN_UP_ATTEMPTS: u32 = 3;
+
 /// Why an attempt yielded no response that can be passed to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -51,8 +55,13 @@
     unsent: u32,
     rejected: u32,
     may_have_run: bool,
-    /// Whether an attempt is in progress.
-    in_progress: bool,
+    /// The number of attempts in progress: two while one that is silent is being replaced.
+    in_progress: u32,
+    /// Whether the attempt at the last runner has ended without an answer beside a silent one at another
+    /// runner, so that it may be tried again.
+    last_ended: bool,
+    /// Number of attempts that were given up beside a silent one.
+    given_up: u32,
 }
 
 impl Attempts {
@@ -66,7 +75,9 @@
             unsent: 0,
             rejected: 0,
             may_have_run: false,
-            in_progress: false,
+            in_progress: 0,
+            last_ended: false,
+            given_up: 0,
         }
     }
 
@@ -86,17 +97,35 @@
 
     /// Returns the runners that must not be tried again, even if no other runner is eligible.
     pub fn excluded(&self) -> &[Name] {
-        if self.may_have_run { &self.tried } else { &[] }
+        if self.may_have_run() {
+            &self.tried
+        } else {
+            &[]
+        }
     }
 
     /// Returns whether a runner may have run the request, or may be running it.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run || self.in_progress
+        self.may_have_run || self.in_progress > 0
+    }
+
+    /// Returns whether a second attempt may be made beside one that is silent.
+    pub fn may_replace(&self) -> bool {
+        let may_repeat = self.kind.is_repeatable() && self.in_progress <= 1;
+        let has_runner = self.only_runner().is_none() || self.last_ended;
+        may_repeat && has_runner && self.is_within_limits()
+    }
+
+    fn is_within_limits(&self) -> bool {
+        self.unsent <= MAX_UNSENT_ATTEMPTS
+            && self.rejected <= MAX_REJECTED_ATTEMPTS
+            && self.given_up < MAX_GIVEN_UP_ATTEMPTS
     }
 
     /// Records that the request is about to be written to a runner.
     pub fn record_sent(&mut self, runner: &Name) {
-        self.in_progress = true;
+        self.in_progress += 1;
+        self.last_ended = false;
         if !self.tried.contains(runner) {
             self.tried.push(runner.clone());
         }
@@ -109,7 +138,7 @@
         outcome: Outcome,
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
-        self.in_progress = false;
+        self.in_progress = self.in_progress.saturating_sub(1);
         match outcome {
             Outcome::NotSent => self.after_not_sent(),
             Outcome::NotRun => self.after_not_run(take_retry),
@@ -118,6 +147,20 @@
         }
     }
 
+    /// Records the end of the attempt at `runner`, while another one goes on.
+    pub fn record_ended_beside(&mut self, runner: &Name, outcome: Outcome) {
+        self.in_progress = self.in_progress.saturating_sub(1);
+        self.last_ended = self.tried.last() == Some(runner);
+        match outcome {
+            Outcome::NotSent => self.unsent += 1,
+            Outcome::NotRun => self.rejected += 1,
+            Outcome::Unknown | Outcome::Failed => {
+                self.may_have_run = true;
+                self.given_up += 1;
+            }
+        }
+    }
+
     fn after_not_sent(&mut self) -> NextStep {
         self.unsent += 1;
         if self.unsent > MAX_UNSENT_ATTEMPTS {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -29,6 +29,7 @@
 use crate::runner::Notice;
 use crate::runner::Phase;
 use crate::runner::RequestLoad;
+use crate::silence::SilenceScope;
 
 /// How long an agent that did not answer is not asked again. A connection in use that is silent is
 /// closed after [`SILENCE_TIMEOUT`](crate::link::SILENCE_TIMEOUT).
@@ -292,6 +293,29 @@
         }
     }
 
+    /// Records that a part of an answer has come from an incarnation of a runner.
+    pub fn record_heard(&mut self, now: Time, id: &str, born: u64) {
+        if let Some(runner) = self.runners.get_mut(id)
+            && runner.member.born == born
+        {
+            runner.heard_at = Some(now);
+        }
+    }
+
+    /// Records that an attempt at an incarnation of a runner is silent; returns what is silent.
+    pub fn observe_silence(
+        &mut self,
+        now: Time,
+        id: &str,
+        born: u64,
+        rng: &mut fastrand::Rng,
+    ) -> SilenceScope {
+        match self.runners.get_mut(id) {
+            Some(runner) if runner.member.born == born => runner.observe_silence(now, rng),
+            _ => SilenceScope::Runner,
+        }
+    }
+
     /// Returns how this entry has used a runner's adapters since the last call, and resets the
     /// hits.
     pub fn take_usage(&mut self, id: &str) -> Vec<Usage> {
--- a/crates/serving/src/fleet/view.rs
+++ b/crates/serving/src/fleet/view.rs
@@ -16,6 +16,8 @@
 use crate::load_profile::RecentAdapters;
 use crate::runner::Member;
 use crate::runner::Phase;
+use crate::silence;
+use crate::silence::SilenceScope;
 
 /// Settings of the circuit breakers. The open periods are short, because runners recover within
 /// seconds and each request that waits for a breaker is late.
@@ -42,6 +44,9 @@
     pub rate: RateLevel,
 }
 
+/// The time in which several silent attempts at a silent runner count as one failure.
+const SILENT_MOMENT: Duration = Duration::from_secs(1);
+
 /// What the end of an attempt says about the runner's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HealthSignal {
@@ -87,6 +92,10 @@
     pub(super) unasked_until: Time,
     /// Whether it answers its agent.
     pub up: bool,
+    /// When this entry last got a part of an answer from it; `None` if it never has.
+    pub heard_at: Option<Time>,
+    /// When it was last found silent as a whole.
+    silent_at: Option<Time>,
     /// When its agent last sent an update.
     pub reported_at: Time,
     /// The moving average of the latency of requests there, in milliseconds.
@@ -129,6 +138,8 @@
             crashes: false,
             unasked_until: Time::default(),
             up: true,
+            heard_at: None,
+            silent_at: None,
             reported_at: Time::default(),
             service_ms: DEFAULT_SERVICE_MS,
             rate: 0,
@@ -286,6 +297,26 @@
         }
     }
 
+    /// Records that an attempt is silent. A runner that is silent as a whole fails once, however many
+    /// attempts wait there; one that answers others fails with each.
+    pub(super) fn observe_silence(&mut self, now: Time, rng: &mut fastrand::Rng) -> SilenceScope {
+        let scope = silence::scope(now, self.heard_at);
+        let counted = match scope {
+            SilenceScope::Request => true,
+            SilenceScope::Runner => {
+                let before = self.silent_at;
+                before.is_none_or(|before| now.since(before) >= SILENT_MOMENT)
+            }
+        };
+        if counted {
+            self.observe(now, HealthSignal::Failed, rng);
+        }
+        if counted && scope == SilenceScope::Runner {
+            self.silent_at = Some(now);
+        }
+        scope
+    }
+
     pub(super) fn usage(&mut self, adapter: &Name) -> &mut Usage {
         self.usage.entry(adapter.clone()).or_insert_with(|| Usage {
             adapter: adapter.clone(),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod request;
 pub mod retry_budget;
 pub mod runner;
+pub mod silence;
 pub mod stop;
 pub mod store_era;
 pub mod usage;
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -16,6 +16,19 @@
 /// counts of the entries.
 const USED_SHARE: f64 = 0.8;
 
+/// Share of these retries that may go to requests whose attempt is only silent, so that a moment in which
+/// many are leaves retries for those whose attempt has ended.
+const SILENT_SHARE: f64 = 0.8;
+
+/// What a retry is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryCause {
+    /// The attempt before has ended without an answer.
+    Ended,
+    /// The attempt before is silent, and may still answer.
+    Silent,
+}
+
 /// The retries allowed for one service, over all entries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
@@ -38,6 +51,8 @@
     index: u64,
     requests: u32,
     retries: u32,
+    /// Those of the retries that had the cause [`RetryCause::Silent`].
+    silent: u32,
 }
 
 /// The retry budget of one entry, counted per service.
@@ -70,18 +85,32 @@
     }
 
     /// Takes one retry from the budget; returns whether one was left.
-    pub fn try_take(&mut self, now: Time, service: &Name) -> bool {
+    pub fn try_take(&mut self, now: Time, service: &Name, cause: RetryCause) -> bool {
+        if !self.has_left(now, service, cause) {
+            return false;
+        }
+        let bucket = self.window(now, service).last_mut();
+        bucket.retries += 1;
+        bucket.silent += u32::from(cause == RetryCause::Silent);
+        true
+    }
+
+    /// Returns whether a retry for this cause is left.
+    pub fn has_left(&mut self, now: Time, service: &Name, cause: RetryCause) -> bool {
         let allowance = self.allowance;
         let slack = allowance.slack / f64::from(self.entry_count);
         let window = self.window(now, service);
-        let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
+        let requests = window.sum(|bucket| bucket.requests);
+        let retries = window.sum(|bucket| bucket.retries);
+        let silent = window.sum(|bucket| bucket.silent);
         let allowed = (allowance.ratio * f64::from(requests) + slack) * USED_SHARE;
         if f64::from(retries + 1) > allowed {
             return false;
         }
-        window.last_mut().retries += 1;
-        true
+        match cause {
+            RetryCause::Ended => true,
+            RetryCause::Silent => f64::from(silent + 1) <= allowed * SILENT_SHARE,
+        }
     }
 
     /// Returns the window of a service, advanced to the current time.
@@ -110,6 +139,10 @@
         }
     }
 
+    fn sum(&self, count: impl Fn(&Bucket) -> u32) -> u32 {
+        self.buckets.iter().map(count).sum()
+    }
+
     fn last_mut(&mut self) -> &mut Bucket {
         if self.buckets.is_empty() {
             self.buckets.push_back(Bucket::default());
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -6,6 +6,7 @@
 use serving::Name;
 use serving::retry_budget::Allowance;
 use serving::retry_budget::RetryBudget;
+use serving::retry_budget::RetryCause;
 
 const ALLOWANCE: Allowance = Allowance {
     ratio: 0.2,
@@ -16,7 +17,7 @@
 /// Returns how many of `tries` retries the budget allows.
 fn take_retries(budget: &mut RetryBudget, now: Time, service: &Name, tries: u32) -> u32 {
     (0..tries)
-        .map(|_| u32::from(budget.try_take(now, service)))
+        .map(|_| u32::from(budget.try_take(now, service, RetryCause::Ended)))
         .sum()
 }
 
@@ -62,5 +63,5 @@
     let mut budget = RetryBudget::new(ALLOWANCE, 1);
     let now = Time::from_ms(5);
     assert!(take_retries(&mut budget, now, &Name::from("chat"), 1_000) > 0);
-    assert!(budget.try_take(now, &Name::from("desk")));
+    assert!(budget.try_take(now, &Name::from("desk"), RetryCause::Ended));
 }
