--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -176,7 +176,7 @@
 const SILENCE_MS: std::ops::Range<Ms> = 300..2_000;
 const SILENT_ANSWERS_MS: std::ops::Range<Ms> = 2_000..6_000;
 /// Separates the random numbers of the silences from those of other faults.
-const SILENCE_SEED: u64 = 0x51e7;
+const SILENCE_SEED: u64 = 0x51eb;
 /// The range of intervals between two restores of the store, of the ages of its copies, and of the times
 /// for which it is down before. Half of the restores show in the store's answers only.
 const RESTORE_INTERVAL_MS: std::ops::Range<Ms> = 4_000..12_000;
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -60,3 +60,27 @@
         }
     }
 }
+
+#[test]
+fn runners_fall_silent_in_the_run_of_ci() {
+    let faults = fault_schedule(1, 8_000, DeploymentSize::DEFAULT);
+    let count = |is_kind: fn(&Fault) -> bool| faults.iter().filter(|(_, f)| is_kind(f)).count();
+    assert!(count(|fault| matches!(fault, Fault::RunnerSilent(..))) > 0);
+    assert!(count(|fault| matches!(fault, Fault::AnswersSilent(..))) > 0);
+}
+
+/// A silence of one runner, of some and of all, in a service of several.
+#[test]
+fn silences_concern_one_or_more_runners_at_the_same_moment() {
+    let size = DeploymentSize::DEFAULT;
+    let mut counts = Vec::new();
+    for seed in 0..20 {
+        let faults = fault_schedule(seed, 20_000, size);
+        let silent = |(_, fault): &&_| matches!(fault, Fault::RunnerSilent(..));
+        let at: Vec<_> = faults.iter().filter(silent).map(|(at, _)| *at).collect();
+        counts.extend(at.chunk_by(|a, b| a == b).map(<[_]>::len));
+    }
+    for count in [1, 2, size.plain, size.engines] {
+        assert!(counts.contains(&count), "{count} of {counts:?}");
+    }
+}
