--- a/crates/faults/src/page.rs
+++ b/crates/faults/src/page.rs
@@ -168,7 +168,7 @@
     tests: &'static str,
 }
 
-const LESSONS: [Lesson; 14] = [
+const LESSONS: [Lesson; 15] = [
     Lesson {
         fault: "a second, late answer on a connection in use again",
         protection: "the identifier in each response is compared; a connection with bytes left over is \
@@ -187,6 +187,12 @@
             here); a slow stream goes on to its deadline",
         tests: "`stalled_stream`, `event_split`",
     },
+    Lesson {
+        fault: "a runner that is silent for a second loses its callers' answers",
+        protection: "a live attempt is given up only for another one that has been answered (was a fault \
+            here); one moment of silence is one failure, and leaves a part of the retries",
+        tests: "`silent_attempts`, `silent_health`, `silent_runner`, `silent_runners`, `hung_runners`, soak",
+    },
     Lesson {
         fault: "an answer that broke off looks complete",
         protection: "whole bodies and whole events only; without a length, a body is complete when its \
