Go on with the second attempt when the silent one breaks, and other findings of the review

Each item: what callers saw, cause, change.

- A stream was cut when its silent runner broke while another one was about to resume it: the race gave the second attempt up with the first one's end.
- A request was lost, or a stream cut, when its runner broke after another one had been tried beside it in vain: that runner counted as used up.
- Streams at a runner that hangs on single requests stayed there if the other one needed more than 250 ms: the last of three tries, or the only one for a long prompt, now takes over for good if the silent runner has answered others meanwhile and the other one is heard.
Progress allows new tries.
- A comment counted as the first event, and a resumption that began anew could win a race: an answer begins with data, after the last event of the caller.
- A timeout at the deadline took a retry that was never sent: the deadline is looked at first.
- Replacing could outlast the deadline: it ends there, and is not tried in the last 250 ms.
- A timeout was reported as an attempt that broke, which makes its request a suspect of a later crash; and a broken attempt was dated by its replacement.
A timeout is none; each attempt has its own time.
- `request ended` named the replacement although the first runner had answered; it names the one that did.
- A runner counted as heard by the last word before its pause: scope `request` now needs one well after this attempt's own last one.
A slot is given back when a replacement fails.

`attempt silent` is written again when its cause changes.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use decision::time::Time;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -39,6 +40,8 @@
 const REJECTED_ADAPTER_DELAY: Duration = Duration::from_millis(150);
 /// The largest body of a rejection that is read so that its connection can be reused.
 const MAX_REJECTION_BYTES: usize = 16 << 10;
+/// The most bytes of comments that are kept before the first event of a stream.
+const MAX_COMMENT_BYTES: usize = 64 << 10;
 /// The time limit for reading the body of a rejection.
 const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -59,8 +62,10 @@
     pub(crate) sent_at: Time,
     /// The deadline of the request.
     pub(crate) deadline: Time,
-    /// Whether the attempt resumes a stream.
-    pub(crate) resumes: bool,
+    /// The last event that the caller has, if the attempt resumes a stream.
+    pub(crate) resume: Option<u64>,
+    /// The time from which the attempt counts as silent; `None` if its silence is observed elsewhere.
+    pub(crate) patience: Option<Duration>,
     /// Set when the head of the answer has arrived.
     pub(crate) head_at: Arc<OnceLock<Time>>,
 }
@@ -69,6 +74,18 @@
     /// Sends the request and reads its answer, up to the first event of a stream.
     pub(crate) async fn exchange(
         self,
+        attempt: RunningAttempt,
+        request: Request<Full<Bytes>>,
+    ) -> AnswerResult {
+        let result = self.send_and_read(attempt, request).await;
+        result.map_err(|failed| FailedAttempt {
+            sent_at: Some(self.sent_at),
+            ..failed
+        })
+    }
+
+    async fn send_and_read(
+        &self,
         mut attempt: RunningAttempt,
         request: Request<Full<Bytes>>,
     ) -> AnswerResult {
@@ -89,7 +106,7 @@
                 attempt.finish(HealthSignal::Failed, false);
                 return Err(AnswerProgress::Waiting.into());
             }
-            Err(_) => return Err(self.time_out(attempt, AnswerProgress::Waiting)),
+            Err(_) => return Err(self.time_out(attempt)),
         };
         let (parts, body) = response.into_parts();
         let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
@@ -128,7 +145,7 @@
         body: Incoming,
     ) -> AnswerResult {
         let is_success = head.kind == ResponseKind::Success;
-        if self.resumes && is_success && !head.is_event_stream {
+        if self.resume.is_some() && is_success && !head.is_event_stream {
             // Its text must not reach the caller in the middle of a stream.
             self.log_unreadable("no stream of events");
             attempt.finish(HealthSignal::Failed, false);
@@ -211,7 +228,7 @@
                 attempt.finish(signal, false);
                 return Err(AnswerProgress::Begun.into());
             }
-            Err(_) => return Err(self.time_out(attempt, AnswerProgress::Begun)),
+            Err(_) => return Err(self.time_out(attempt)),
         };
         let now = self.entry.now();
         let failed = head.kind == ResponseKind::Failure;
@@ -243,6 +260,7 @@
     ) -> AnswerResult {
         let deadline = self.entry.clock.instant(self.deadline);
         let mut splitter = EventSplitter::default();
+        let mut first_events = BytesMut::new();
         loop {
             let frame = match timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -250,22 +268,28 @@
                     attempt.finish(HealthSignal::Failed, false);
                     return Err(AnswerProgress::Begun.into());
                 }
-                Err(_) => return Err(self.time_out(attempt, AnswerProgress::Begun)),
+                Err(_) => return Err(self.time_out(attempt)),
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let first_events = match splitter.push(&data) {
-                Ok(events) => events,
+            match splitter.push(&data) {
+                Ok(events) => first_events.extend_from_slice(&events),
                 Err(error) => {
                     self.log_unreadable(&error.to_string());
                     attempt.finish(HealthSignal::Failed, false);
                     return Err(Outcome::Unknown.into());
                 }
-            };
-            if first_events.is_empty() {
+            }
+            // A comment is no answer.
+            if !splitter.has_new_data && first_events.len() <= MAX_COMMENT_BYTES {
                 continue;
             }
+            if !self.continues(&splitter) {
+                self.log_unreadable("no event after the last one");
+                attempt.finish(HealthSignal::Failed, false);
+                return Err(Outcome::Unknown.into());
+            }
             attempt.prompt = None;
             let now = self.entry.now();
             let mut state = self.entry.state();
@@ -279,17 +303,28 @@
                 response_head: head,
                 attempt,
                 body,
-                first_events,
+                first_events: first_events.freeze(),
                 splitter,
             })));
         }
     }
 
-    /// Ends an attempt that is not answered at the deadline of its request.
-    fn time_out(&self, attempt: RunningAttempt, progress: AnswerProgress) -> FailedAttempt {
-        self.entry.observe_silence(&self.runner, self.born);
+    /// Returns whether a stream that is resumed goes on after the last event that the caller has.
+    fn continues(&self, splitter: &EventSplitter) -> bool {
+        let first_id = splitter.first_id();
+        self.resume
+            .is_none_or(|last_id| first_id.is_some_and(|first| first > last_id))
+    }
+
+    /// Ends an attempt that is not answered at the deadline of its request, which is no sign of a crash.
+    fn time_out(&self, attempt: RunningAttempt) -> FailedAttempt {
+        let lasted = self.entry.now().since(self.sent_at);
+        if self.patience.is_some_and(|patience| lasted >= patience) {
+            self.entry
+                .observe_silence(&self.runner, self.born, self.sent_at);
+        }
         attempt.finish(HealthSignal::Neutral, false);
-        progress.into()
+        Outcome::Unknown.into()
     }
 
     fn log_unreadable(&self, error: &str) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     pub broken: Option<AnswerProgress>,
     /// Meaning of the response head; `None` if none arrived.
     pub kind: Option<ResponseKind>,
+    /// When the request was sent; `None` if it was not.
+    pub sent_at: Option<Time>,
 }
 
 /// How the answer to an attempt ends.
@@ -75,6 +77,7 @@
             failure: None,
             broken: None,
             kind: None,
+            sent_at: None,
         }
     }
 }
@@ -86,6 +89,7 @@
             failure: None,
             broken: Some(progress),
             kind: None,
+            sent_at: None,
         }
     }
 }
--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use decision::time::Time;
 use serving::crash_reports::BrokenAttempt;
 use serving::crash_watch::CheckResult;
 use serving::crash_watch::RunnerCheck;
@@ -10,6 +11,7 @@
 use spdlog::info;
 
 use crate::attempt::AnswerProgress;
+use crate::attempt::FailedAttempt;
 use crate::dispatch::ActiveRequest;
 use crate::entry::Entry;
 
@@ -17,9 +19,16 @@
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 
 impl ActiveRequest {
+    /// Records a failed attempt if it broke.
+    pub(crate) fn report_failed(&self, placement: &Placement, failed: &FailedAttempt) {
+        if let (Some(progress), Some(sent_at)) = (failed.broken, failed.sent_at) {
+            self.report_broken(placement, sent_at, progress);
+        }
+    }
+
     /// Records an attempt that broke before its answer, in case the runner has crashed: with the
     /// runner's agent, or else with the entry's own watch.
-    pub(crate) fn report_broken(&self, placement: &Placement, progress: AnswerProgress) {
+    fn report_broken(&self, placement: &Placement, sent_at: Time, progress: AnswerProgress) {
         let (runner, born) = (&placement.runner, placement.born);
         let whole = self.fingerprint();
         let parts = &self.head.request.parts;
@@ -46,9 +55,7 @@
             return;
         }
         let addr = view.member.addr;
-        state
-            .crash_watch
-            .record_broken(now, self.sent_at, addr, attempt);
+        state.crash_watch.record_broken(now, sent_at, addr, attempt);
         self.entry.crash_check_due.notify_one();
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -35,6 +35,7 @@
 
 use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
+use crate::attempt::SentAttempt;
 use crate::buffer::BufferedBody;
 use crate::entry::Entry;
 use crate::quarantine::Trial;
@@ -147,6 +148,8 @@
     pub(crate) longest_gap: Duration,
     /// The time from the arrival to the complete response or to the first event of a stream.
     pub(crate) first_response: Duration,
+    /// The runner that has answered last; `None` if none has.
+    pub(crate) answered_by: Option<Name>,
     /// Number of times the request was written to a runner.
     pub(crate) sends: u32,
     /// When the last of these was.
@@ -227,6 +230,7 @@
         admission_time: Duration::ZERO,
         longest_gap: Duration::ZERO,
         first_response: Duration::ZERO,
+        answered_by: None,
         sends: 0,
         sent_at: arrival,
         head_at: Arc::default(),
@@ -340,9 +344,21 @@
     pub async fn run_attempts(
         &mut self,
         resume: Option<u64>,
+    ) -> Result<AttemptResponse, DispatchError> {
+        self.continue_attempts(None, resume).await
+    }
+
+    /// Does the same, beginning with an attempt that was sent already, if there is one.
+    pub(crate) async fn continue_attempts(
+        &mut self,
+        mut sent: Option<SentAttempt>,
+        resume: Option<u64>,
     ) -> Result<AttemptResponse, DispatchError> {
         loop {
-            let (placement, result) = self.make_attempt(resume).await?;
+            let (placement, result) = match sent.take() {
+                Some(sent) => self.wait_for_answer(sent, resume).await,
+                None => self.make_attempt(resume).await?,
+            };
             let is_answered = match &result {
                 Ok(_) => true,
                 Err(failed) => failed.failure.is_some(),
@@ -355,8 +371,10 @@
                 Err(failed) => failed,
             };
             self.log_attempt(&placement, &failed);
-            if let Some(progress) = failed.broken {
-                self.report_broken(&placement, progress);
+            self.report_failed(&placement, &failed);
+            if self.entry.now() >= self.deadline && failed.failure.is_none() {
+                self.attempts.record_outcome(failed.outcome, || false);
+                return Err(self.deadline_exceeded());
             }
             let step = self.next_step(failed.outcome);
             match step {
@@ -372,9 +390,6 @@
                     return Err(DispatchError::RunnerFailure(head, body));
                 }
             }
-            if self.entry.now() >= self.deadline {
-                return Err(self.deadline_exceeded());
-            }
         }
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -138,6 +138,7 @@
 
     /// Records that a runner has begun to answer the request.
     pub(crate) fn record_answer(&mut self, placement: &Placement) {
+        self.answered_by = Some(placement.runner.clone());
         let runner = &*placement.runner;
         let mut state = self.entry.state();
         state.crash_watch.record_answer(runner, placement.born);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::dispatch::DispatchError;
 use crate::dispatch::FailureCause;
 use crate::dispatch::Step;
+use crate::replace::SilentAttempt;
 use crate::server::Body;
 
 /// The most bytes of events without data that are kept while a silent stream is being replaced.
@@ -54,6 +55,8 @@
     first_events: Bytes,
     last_event_at: Time,
     watch: SilenceWatch,
+    /// Why the stream was last kept at its runner although that was silent.
+    kept: Option<KeepCause>,
     /// Whether the runner closes the connection after the stream.
     closes_connection: bool,
     is_aborted: bool,
@@ -79,6 +82,8 @@
     Resumed,
     /// The request's deadline passed.
     DeadlineExceeded,
+    /// The stream is lost.
+    Lost(FailureCause),
 }
 
 /// Returns the caller's response, whose body relays the stream.
@@ -92,6 +97,7 @@
         first_events: stream.first_events,
         last_event_at: now,
         watch: SilenceWatch::new(now, patience),
+        kept: None,
         closes_connection: stream.closes_connection,
         is_aborted: false,
     };
@@ -172,6 +178,7 @@
                 ReadResult::Invalid => {
                     return Some((Err(self.abort(FailureCause::ResponseLost)), self));
                 }
+                ReadResult::Lost(cause) => return Some((Err(self.abort(cause)), self)),
                 ReadResult::DeadlineExceeded => {
                     return Some((Err(self.abort(FailureCause::DeadlineExceeded)), self));
                 }
@@ -193,6 +200,7 @@
         self.request.longest_gap = self.request.longest_gap.max(gap);
         self.last_event_at = now;
         self.watch.record_progress(now);
+        self.request.attempts.record_progress();
         if let Some((runner, born)) = self.runner() {
             let mut state = self.request.entry.state();
             state.fleet.record_heard(now, &runner, born);
@@ -212,17 +220,20 @@
         loop {
             self.request.step = Step::Event;
             let due_at = self.watch.due_at();
-            let may_replace = self.request.attempts.may_replace()
-                && self.source.splitter.last_id().is_some()
-                && due_at < self.request.deadline;
+            let may_replace =
+                self.request.attempts.may_replace() && self.source.splitter.last_id().is_some();
+            let is_due = may_replace || self.watch.is_first_check();
             tokio::select! {
                 biased;
                 result = self.source.read() => return result,
                 () = tokio::time::sleep_until(deadline) => return ReadResult::DeadlineExceeded,
-                () = tokio::time::sleep_until(clock.instant(due_at)), if may_replace => {}
+                () = tokio::time::sleep_until(clock.instant(due_at)), if is_due => {}
             }
-            if let Some(result) = self.replace().await {
-                return result;
+            let replacing = self.replace();
+            match tokio::time::timeout_at(deadline, replacing).await {
+                Ok(Some(result)) => return result,
+                Ok(None) => {}
+                Err(_) => return ReadResult::DeadlineExceeded,
             }
         }
     }
@@ -230,30 +241,37 @@
     /// Looks for a runner that resumes the silent stream. Returns `None` if the stream goes on alone, and
     /// still is silent.
     async fn replace(&mut self) -> Option<ReadResult> {
-        let last_id = self.source.splitter.last_id()?;
         let (runner, born) = self.runner()?;
         let silent = self.request.find_silent(&runner, born, &self.watch);
+        let is_new = self.watch.is_first_check();
+        self.watch.record_check(self.request.entry.now());
+        let Some(last_id) = self.source.splitter.last_id() else {
+            let cause = KeepCause::NoAttempt;
+            self.request.log_silent(&silent, cause, is_new);
+            return None;
+        };
         let replacement = tokio::select! {
             biased;
             result = self.source.wait_for_data() => Err(result),
             replacement = self.request.replace(Some(last_id)) => Ok(replacement),
         };
-        let cause = match replacement {
+        let (cause, was_sent) = match replacement {
             Err(result) => {
                 self.request.slot = None;
                 return Some(result);
             }
-            Ok(Err(cause)) => cause,
+            Ok(Err(cause)) => (cause, false),
             Ok(Ok(second)) => {
                 self.request.log_sent(&silent, &second);
-                match self.race(&runner, second, last_id).await {
+                match self.race(&silent, second, last_id).await {
                     Ok(result) => return Some(result),
-                    Err(cause) => cause,
+                    Err(cause) => (cause, true),
                 }
             }
         };
-        let is_new = self.watch.is_first_check();
-        self.request.log_silent(&silent, cause.to_string(), is_new);
+        let is_new = is_new || was_sent || self.kept != Some(cause);
+        self.kept = Some(cause);
+        self.request.log_silent(&silent, cause, is_new);
         self.watch.record_check(self.request.entry.now());
         None
     }
@@ -262,29 +280,42 @@
     /// attempt has to be given up.
     async fn race(
         &mut self,
-        silent: &Name,
+        silent: &SilentAttempt<'_>,
         mut second: SentAttempt,
         last_id: u64,
     ) -> Result<ReadResult, KeepCause> {
         loop {
-            let until = match self.request.choose_attempt(&second) {
+            let scope = self
+                .request
+                .silence_scope(silent.runner, silent.born, silent.since);
+            let until = match self.request.choose_attempt(scope, &second) {
                 Choice::Both(until) => until.unwrap_or(self.request.deadline),
                 Choice::Silent => {
                     self.request.give_up(&second.placement.runner);
                     return Err(KeepCause::ReplacementSilent);
                 }
+                Choice::Replacement => {
+                    self.give_up_silent(silent.runner, HealthSignal::Neutral);
+                    return Ok(self.wait_for_second(second, last_id).await);
+                }
             };
             let until = self.request.entry.clock.instant(until);
             let answer = tokio::select! {
                 biased;
-                result = self.source.wait_for_data() => {
-                    self.request.give_up(&second.placement.runner);
-                    return Ok(result);
-                }
+                result = self.source.wait_for_data() => match result {
+                    ReadResult::Truncated | ReadResult::Invalid => {
+                        self.give_up_silent(silent.runner, HealthSignal::Failed);
+                        return Ok(self.wait_for_second(second, last_id).await);
+                    }
+                    result => {
+                        self.request.give_up(&second.placement.runner);
+                        return Ok(result);
+                    }
+                },
                 answer = &mut second.answer => answer,
                 () = tokio::time::sleep_until(until) => continue,
             };
-            return self.accept(silent, &second, answer, last_id);
+            return self.accept(silent.runner, &second, answer, last_id);
         }
     }
 
@@ -298,9 +329,9 @@
     ) -> Result<ReadResult, KeepCause> {
         let placement = &second.placement;
         match answer {
-            Ok(AttemptResponse::Stream(stream)) if continues(&stream, last_id) => {
+            Ok(AttemptResponse::Stream(stream)) => {
                 self.request.record_answer(placement);
-                self.give_up_silent(silent);
+                self.give_up_silent(silent, HealthSignal::Neutral);
                 self.switch_to(*stream, last_id);
                 Ok(ReadResult::Resumed)
             }
@@ -315,10 +346,18 @@
         }
     }
 
-    fn give_up_silent(&mut self, runner: &Name) {
+    fn give_up_silent(&mut self, runner: &Name, signal: HealthSignal) {
         self.request.give_up(runner);
         if let Some(attempt) = self.attempt.take() {
-            attempt.finish(HealthSignal::Neutral, false);
+            attempt.finish(signal, false);
+        }
+    }
+
+    /// Goes on with the attempt beside a silent one that has ended.
+    async fn wait_for_second(&mut self, second: SentAttempt, last_id: u64) -> ReadResult {
+        match self.continue_with(Some(second), last_id).await {
+            Ok(()) => ReadResult::Resumed,
+            Err(cause) => ReadResult::Lost(cause),
         }
     }
 
@@ -330,13 +369,26 @@
         let Some(last_id) = self.source.splitter.last_id() else {
             return Err(FailureCause::ResponseLost);
         };
+        if self.request.entry.now() >= self.request.deadline {
+            return Err(FailureCause::DeadlineExceeded);
+        }
         match self.request.next_step(Outcome::Unknown) {
-            NextStep::TryOther => {}
+            NextStep::TryOther => self.request.exclude_tried(),
+            NextStep::TrySame => self.request.excluded.clear(),
             _ => return Err(FailureCause::ResponseLost),
         }
-        self.request.exclude_tried();
-        match self.request.run_attempts(Some(last_id)).await {
-            Ok(AttemptResponse::Stream(stream)) if continues(&stream, last_id) => {
+        self.continue_with(None, last_id).await
+    }
+
+    /// Switches to the answer of `second`, or of the next attempt.
+    async fn continue_with(
+        &mut self,
+        second: Option<SentAttempt>,
+        last_id: u64,
+    ) -> Result<(), FailureCause> {
+        let answer = self.request.continue_attempts(second, Some(last_id)).await;
+        match answer {
+            Ok(AttemptResponse::Stream(stream)) => {
                 self.switch_to(*stream, last_id);
                 Ok(())
             }
@@ -378,9 +430,3 @@
         StreamTruncated
     }
 }
-
-/// Returns whether a stream goes on after event `last_id`.
-fn continues(stream: &OpenStream, last_id: u64) -> bool {
-    let first_id = stream.splitter.first_id();
-    first_id.is_some_and(|first| first > last_id)
-}
--- a/crates/gateway/src/replace.rs
+++ b/crates/gateway/src/replace.rs
@@ -14,6 +14,7 @@
 use serving::silence::Choice;
 use serving::silence::Handover;
 use serving::silence::KeepCause;
+use serving::silence::Rivals;
 use serving::silence::SilenceScope;
 use serving::silence::SilenceWatch;
 use spdlog::info;
@@ -34,22 +35,24 @@
     Left(SentAttempt, Option<KeepCause>),
 }
 
-/// A silent attempt, as it is logged.
+/// A silent attempt.
 pub(crate) struct SilentAttempt<'a> {
     pub(crate) runner: &'a Name,
+    pub(crate) born: u64,
+    pub(crate) since: Time,
     pub(crate) silence: Duration,
     pub(crate) scope: SilenceScope,
 }
 
 impl Entry {
     /// Records that an attempt at an incarnation of a runner is silent; returns what is silent.
-    pub(crate) fn observe_silence(&self, runner: &str, born: u64) -> SilenceScope {
+    pub(crate) fn observe_silence(&self, runner: &str, born: u64, since: Time) -> SilenceScope {
         let now = self.now();
         let mut state = self.state();
         let state = &mut *state;
         state
             .fleet
-            .observe_silence(now, runner, born, &mut state.rng)
+            .observe_silence(now, since, runner, born, &mut state.rng)
     }
 
     fn heard_at(&self, runner: &str, born: u64) -> Option<Time> {
@@ -68,13 +71,15 @@
     ) -> (Placement, AnswerResult) {
         let patience = silence::answer_patience(self.route.kind, self.route.goal);
         let mut watch = SilenceWatch::new(sent.sent_at, patience);
+        let mut kept = None;
         loop {
             let due = self.entry.clock.instant(watch.due_at());
-            let may_replace = self.attempts.may_replace() && watch.due_at() < self.deadline;
+            let may_replace = self.attempts.may_replace() || watch.is_first_check();
+            let is_due = may_replace && watch.due_at() < self.deadline;
             tokio::select! {
                 biased;
                 result = &mut sent.answer => return (sent.placement, result),
-                () = tokio::time::sleep_until(due), if may_replace => {}
+                () = tokio::time::sleep_until(due), if is_due => {}
             }
             if !self.route.kind.is_stream() && sent.head_at.get().is_some() {
                 // A body that has begun is read to its end.
@@ -94,13 +99,14 @@
                     return (sent.placement, result);
                 }
                 Ok(Err(cause)) => {
-                    self.log_silent(&silent, cause.to_string(), watch.is_first_check());
+                    self.log_silent(&silent, cause, kept.replace(cause) != Some(cause));
                     watch.record_check(self.entry.now());
                     continue;
                 }
                 Ok(Ok(second)) => {
                     self.log_sent(&silent, &second);
-                    match self.race(sent, second).await {
+                    let since = silent.since;
+                    match self.race(sent, second, since).await {
                         RaceEnd::Answered(placement, result) => return (placement, result),
                         RaceEnd::Left(left, cause) => {
                             sent = left;
@@ -114,7 +120,8 @@
                 watch.record_check(self.entry.now());
                 let Placement { runner, born, .. } = &sent.placement;
                 let silent = self.find_silent(runner, *born, &watch);
-                self.log_silent(&silent, cause.to_string(), true);
+                kept = Some(cause);
+                self.log_silent(&silent, cause, true);
             }
         }
     }
@@ -127,13 +134,15 @@
         watch: &SilenceWatch,
     ) -> SilentAttempt<'a> {
         let now = self.entry.now();
-        let scope = if watch.is_first_check() {
-            self.entry.observe_silence(runner, born)
+        let scope = if watch.is_first_check() && self.attempts.may_replace() {
+            self.entry.observe_silence(runner, born, watch.since())
         } else {
-            silence::scope(now, self.entry.heard_at(runner, born))
+            self.silence_scope(runner, born, watch.since())
         };
         SilentAttempt {
             runner,
+            born,
+            since: watch.since(),
             silence: watch.silence(now),
             scope,
         }
@@ -142,6 +151,14 @@
     /// Sends the request to another runner beside the silent one. Nothing is given up, and no retry taken,
     /// unless it is sent.
     pub(crate) async fn replace(&mut self, resume: Option<u64>) -> Result<SentAttempt, KeepCause> {
+        let result = self.send_beside(resume).await;
+        if result.is_err() {
+            self.slot = None;
+        }
+        result
+    }
+
+    async fn send_beside(&mut self, resume: Option<u64>) -> Result<SentAttempt, KeepCause> {
         self.check_replacement()?;
         self.excluded = match self.attempts.only_runner() {
             Some(_) => Vec::new(),
@@ -153,13 +170,9 @@
         self.step = Step::Connection;
         let conn = self.connect(&placement).await;
         let conn = conn.ok_or(KeepCause::Unreachable)?;
+        // Meanwhile others may have taken the last retry, or the time be over.
+        self.check_replacement()?;
         let now = self.entry.now();
-        // Meanwhile others may have taken the last retry.
-        if let Err(cause) = self.check_replacement() {
-            let pool = &self.entry.conns;
-            pool.put_idle(now, &placement.runner, placement.born, conn, None);
-            return Err(cause);
-        }
         let inflight = self.begin(now, &placement).ok_or(KeepCause::NoRunner)?;
         let prepared = PreparedAttempt {
             placement,
@@ -181,6 +194,9 @@
         if !self.attempts.may_replace() {
             return Err(KeepCause::NoAttempt);
         }
+        if self.deadline.since(self.entry.now()) < silence::MAX_OVERLAP {
+            return Err(KeepCause::NoTime);
+        }
         if !self.entry.can_finish(&self.route.name, self.deadline) {
             return Err(KeepCause::Stopping);
         }
@@ -197,15 +213,26 @@
     }
 
     /// Listens to a silent attempt and its replacement until one of them is left.
-    async fn race(&mut self, mut silent: SentAttempt, mut second: SentAttempt) -> RaceEnd {
+    async fn race(
+        &mut self,
+        mut silent: SentAttempt,
+        mut second: SentAttempt,
+        since: Time,
+    ) -> RaceEnd {
         loop {
-            let choice = self.choose_attempt(&second);
+            let Placement { runner, born, .. } = &silent.placement;
+            let scope = self.silence_scope(runner, *born, since);
+            let choice = self.choose_attempt(scope, &second);
             let until = match choice {
                 Choice::Both(until) => until,
                 Choice::Silent => {
                     self.give_up(&second.placement.runner);
                     return RaceEnd::Left(silent, Some(KeepCause::ReplacementSilent));
                 }
+                Choice::Replacement => {
+                    self.give_up(&silent.placement.runner);
+                    return RaceEnd::Left(second, None);
+                }
             };
             let until = self.entry.clock.instant(until.unwrap_or(self.deadline));
             let (is_silent, result) = tokio::select! {
@@ -232,10 +259,28 @@
         }
     }
 
-    /// Decides whether a silent attempt and its replacement both go on.
-    pub(crate) fn choose_attempt(&self, second: &SentAttempt) -> Choice {
+    /// Decides whether a silent attempt, its replacement or both go on.
+    pub(crate) fn choose_attempt(&self, scope: SilenceScope, second: &SentAttempt) -> Choice {
+        let Placement { runner, born, .. } = &second.placement;
+        let is_slow = {
+            let state = self.entry.state();
+            let prefill = state.fleet.get(runner).map_or(0, |view| view.prefill);
+            silence::is_long_prompt(self.head.request.prompt_tokens, prefill)
+        };
+        let rivals = Rivals {
+            scope,
+            sent_at: second.sent_at,
+            heard_at: self.entry.heard_at(runner, *born),
+            is_last: is_slow || self.attempts.is_last_replacement(),
+        };
         let handover = Handover::of(self.route.kind);
-        silence::choose(self.entry.now(), handover, second.sent_at)
+        silence::choose(self.entry.now(), handover, &rivals)
+    }
+
+    /// Returns what is silent, of an attempt that is silent since a time.
+    pub(crate) fn silence_scope(&self, runner: &Name, born: u64, since: Time) -> SilenceScope {
+        let heard_at = self.entry.heard_at(runner, born);
+        silence::scope(self.entry.now(), since, heard_at)
     }
 
     /// Records that one of two attempts is given up.
@@ -246,22 +291,20 @@
     /// Records that one of two attempts has failed.
     pub(crate) fn record_failed_beside(&mut self, placement: &Placement, failed: &FailedAttempt) {
         self.log_attempt(placement, failed);
-        if let Some(progress) = failed.broken {
-            self.report_broken(placement, progress);
-        }
+        self.report_failed(placement, failed);
         self.attempts
             .record_ended_beside(&placement.runner, failed.outcome);
     }
 
-    /// Logs what is done about a silent attempt that goes on alone.
-    pub(crate) fn log_silent(&self, silent: &SilentAttempt<'_>, cause: String, is_new: bool) {
+    /// Counts a silent attempt that goes on alone, and logs it if the cause is new.
+    pub(crate) fn log_silent(&self, silent: &SilentAttempt<'_>, cause: KeepCause, is_new: bool) {
         let decision = "kept";
         let counter = &self.entry.metrics.silent_attempts;
         counter.with_label_values(&[decision]).inc();
         if !is_new {
             return;
         }
-        let scope = silent.scope.to_string();
+        let (scope, cause) = (silent.scope.to_string(), cause.to_string());
         info!("attempt silent", kv: {
             id = &*self.head.request.id, runner = &**silent.runner,
             silent_ms = silent.silence.as_millis() as u64, scope = scope.as_str(), decision,
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -24,7 +24,7 @@
         let time = now.since(self.arrival);
         let times = &mut self.entry.state().response_times;
         times.record(now, &self.route.name, time);
-        let runner = self.attempts.tried().last().map_or("", |name| &**name);
+        let runner = self.answered_by.as_ref().map_or("", |name| &**name);
         let adapter = self.adapter().map_or("", |adapter| &**adapter);
         info!("request ended", kv: {
             id = &*self.head.request.id, outcome, route = &*self.route.name, runner, adapter,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,6 +17,7 @@
 use serving::fleet::InflightRequest;
 use serving::placement::Access;
 use serving::placement::Placement;
+use serving::silence;
 use spdlog::warn;
 
 use crate::admit::AnnouncedPrompt;
@@ -137,6 +138,8 @@
             sends: self.entry.metrics.sends.clone(),
         });
         let head_at = Arc::<OnceLock<Time>>::default();
+        let patience = silence::answer_patience(self.route.kind, self.route.goal);
+        let is_watched = self.route.kind.is_repeatable() && self.route.max_attempts > 1;
         self.head_at = head_at.clone();
         let reader = AnswerReader {
             entry: self.entry.clone(),
@@ -148,7 +151,8 @@
             arrival: self.arrival,
             sent_at: now,
             deadline: self.deadline,
-            resumes: resume.is_some(),
+            resume,
+            patience: (!is_watched).then_some(patience),
             head_at: head_at.clone(),
         };
         let attempt = RunningAttempt {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -57,9 +57,9 @@
     may_have_run: bool,
     /// The number of attempts in progress: two while one that is silent is being replaced.
     in_progress: u32,
-    /// Whether the attempt at the last runner has ended without an answer beside a silent one at another
-    /// runner, so that it may be tried again.
-    last_ended: bool,
+    /// A runner that was tried, and whose attempt ended in a rejection or beside another one. It may be
+    /// tried again when no further runner may.
+    reusable: Option<Name>,
     /// Number of attempts that were given up beside a silent one.
     given_up: u32,
 }
@@ -76,7 +76,7 @@
             rejected: 0,
             may_have_run: false,
             in_progress: 0,
-            last_ended: false,
+            reusable: None,
             given_up: 0,
         }
     }
@@ -86,13 +86,13 @@
         &self.tried
     }
 
-    /// Returns the only runner that may still be tried, which is the last one, or `None` while the
-    /// limit on the number of runners is not reached.
+    /// Returns the only runner that may still be tried, which is the one that can be used again or the last
+    /// one, or `None` while the limit on the number of runners is not reached.
     pub fn only_runner(&self) -> Option<&Name> {
         if (self.tried.len() as u32) < self.max_runners {
             return None;
         }
-        self.tried.last()
+        self.reusable.as_ref().or(self.tried.last())
     }
 
     /// Returns the runners that must not be tried again, even if no other runner is eligible.
@@ -112,10 +112,20 @@
     /// Returns whether a second attempt may be made beside one that is silent.
     pub fn may_replace(&self) -> bool {
         let may_repeat = self.kind.is_repeatable() && self.in_progress <= 1;
-        let has_runner = self.only_runner().is_none() || self.last_ended;
+        let has_runner = self.only_runner().is_none() || self.reusable.is_some();
         may_repeat && has_runner && self.is_within_limits()
     }
 
+    /// Returns whether the next attempt beside a silent one is the last that may be given up.
+    pub fn is_last_replacement(&self) -> bool {
+        self.given_up + 1 >= MAX_GIVEN_UP_ATTEMPTS
+    }
+
+    /// Records that the only attempt in progress goes on, so that a later silence is a new one.
+    pub fn record_progress(&mut self) {
+        self.given_up = 0;
+    }
+
     fn is_within_limits(&self) -> bool {
         self.unsent <= MAX_UNSENT_ATTEMPTS
             && self.rejected <= MAX_REJECTED_ATTEMPTS
@@ -125,7 +135,7 @@
     /// Records that the request is about to be written to a runner.
     pub fn record_sent(&mut self, runner: &Name) {
         self.in_progress += 1;
-        self.last_ended = false;
+        self.reusable.take_if(|reusable| reusable == runner);
         if !self.tried.contains(runner) {
             self.tried.push(runner.clone());
         }
@@ -150,7 +160,7 @@
     /// Records the end of the attempt at `runner`, while another one goes on.
     pub fn record_ended_beside(&mut self, runner: &Name, outcome: Outcome) {
         self.in_progress = self.in_progress.saturating_sub(1);
-        self.last_ended = self.tried.last() == Some(runner);
+        self.reusable = Some(runner.clone());
         match outcome {
             Outcome::NotSent => self.unsent += 1,
             Outcome::NotRun => self.rejected += 1,
@@ -171,6 +181,7 @@
 
     fn after_not_run(&mut self, take_retry: impl FnOnce() -> bool) -> NextStep {
         self.rejected += 1;
+        self.reusable = self.tried.last().cloned();
         if self.rejected > MAX_REJECTED_ATTEMPTS || !take_retry() {
             return self.give_up();
         }
@@ -183,11 +194,13 @@
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
         self.may_have_run = true;
-        let may_retry = self.kind.is_repeatable() && self.only_runner().is_none();
-        if may_retry && take_retry() {
-            NextStep::TryOther
-        } else {
-            without_retry
+        let has_runner = self.only_runner().is_none() || self.reusable.is_some();
+        if !self.kind.is_repeatable() || !has_runner || !take_retry() {
+            return without_retry;
+        }
+        match self.only_runner() {
+            Some(_) => NextStep::TrySame,
+            None => NextStep::TryOther,
         }
     }
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -302,16 +302,17 @@
         }
     }
 
-    /// Records that an attempt at an incarnation of a runner is silent; returns what is silent.
+    /// Records that an attempt at an incarnation of a runner is silent since a time; returns what is silent.
     pub fn observe_silence(
         &mut self,
         now: Time,
+        since: Time,
         id: &str,
         born: u64,
         rng: &mut fastrand::Rng,
     ) -> SilenceScope {
         match self.runners.get_mut(id) {
-            Some(runner) if runner.member.born == born => runner.observe_silence(now, rng),
+            Some(runner) if runner.member.born == born => runner.observe_silence(now, since, rng),
             _ => SilenceScope::Runner,
         }
     }
--- a/crates/serving/src/fleet/view.rs
+++ b/crates/serving/src/fleet/view.rs
@@ -299,8 +299,13 @@
 
     /// Records that an attempt is silent. A runner that is silent as a whole fails once, however many
     /// attempts wait there; one that answers others fails with each.
-    pub(super) fn observe_silence(&mut self, now: Time, rng: &mut fastrand::Rng) -> SilenceScope {
-        let scope = silence::scope(now, self.heard_at);
+    pub(super) fn observe_silence(
+        &mut self,
+        now: Time,
+        since: Time,
+        rng: &mut fastrand::Rng,
+    ) -> SilenceScope {
+        let scope = silence::scope(now, since, self.heard_at);
         let counted = match scope {
             SilenceScope::Request => true,
             SilenceScope::Runner => {
--- a/crates/serving/src/silence.rs
+++ b/crates/serving/src/silence.rs
@@ -4,7 +4,8 @@
 //! given up only for another one that is certain, and goes on while none is.
 //!
 //! Invariants: two attempts at a stream run at the same time for [`MAX_OVERLAP`] at most; a silent attempt
-//! is given up only for one that has been answered.
+//! is given up only for one that has been answered, or if its runner answers other requests but not this one
+//! and the last replacement is at a runner that lives.
 //!
 //! API boundary: an entry looks for a replacement when [`SilenceWatch::due_at`] says so, sends it beside the
 //! silent attempt, and asks [`choose`] which of the two goes on.
@@ -74,6 +75,11 @@
         }
     }
 
+    /// Returns since when the attempt is silent.
+    pub fn since(&self) -> Time {
+        self.since
+    }
+
     /// Returns how long the attempt has been silent.
     pub fn silence(&self, now: Time) -> Duration {
         now.since(self.since)
@@ -107,10 +113,13 @@
     Runner,
 }
 
-/// Returns what is silent, given when the runner was last heard.
-pub fn scope(now: Time, heard_at: Option<Time>) -> SilenceScope {
+/// Returns what is silent, given since when the attempt is and when its runner was last heard.
+pub fn scope(now: Time, since: Time, heard_at: Option<Time>) -> SilenceScope {
+    let is_heard = |heard_at: Time| {
+        now.since(heard_at) < HEARD_PERIOD && heard_at >= since.after(HEARD_PERIOD)
+    };
     match heard_at {
-        Some(heard_at) if now.since(heard_at) < HEARD_PERIOD => SilenceScope::Request,
+        Some(heard_at) if is_heard(heard_at) => SilenceScope::Request,
         _ => SilenceScope::Runner,
     }
 }
@@ -121,6 +130,9 @@
     /// The request may not be sent to another runner, or to no further one.
     #[display("no attempt left")]
     NoAttempt,
+    /// The request's deadline is too near.
+    #[display("no time left")]
+    NoTime,
     /// The retry budget has nothing left for silent attempts.
     #[display("no retry left")]
     NoRetry,
@@ -170,15 +182,46 @@
     Both(Option<Time>),
     /// The silent one; the replacement is given up.
     Silent,
+    /// The replacement; the silent one is given up.
+    Replacement,
+}
+
+/// What is known of a silent attempt and of the one beside it.
+#[derive(Clone, Copy, Debug)]
+pub struct Rivals {
+    /// What is silent of the first one.
+    pub scope: SilenceScope,
+    /// When the replacement was sent.
+    pub sent_at: Time,
+    /// When its runner was last heard, if ever.
+    pub heard_at: Option<Time>,
+    /// Whether no further replacement may be tried, or none would be answered sooner.
+    pub is_last: bool,
 }
 
-/// Decides which of two attempts go on, as long as neither is answered; the replacement was sent at
-/// `sent_at`.
-pub fn choose(now: Time, handover: Handover, sent_at: Time) -> Choice {
-    let until = sent_at.after(MAX_OVERLAP);
+impl Rivals {
+    /// Returns whether the runner of the silent attempt answers others but not this one, while the other
+    /// runner lives and has had its time.
+    fn is_hung(&self) -> bool {
+        let lives = self.heard_at.is_some_and(|at| at > self.sent_at);
+        self.scope == SilenceScope::Request && lives && self.is_last
+    }
+}
+
+/// Decides which of two attempts go on, as long as neither is answered.
+pub fn choose(now: Time, handover: Handover, rivals: &Rivals) -> Choice {
+    let until = rivals.sent_at.after(MAX_OVERLAP);
     match handover {
         Handover::Beside => Choice::Both(None),
         Handover::Exclusive if now < until => Choice::Both(Some(until)),
+        Handover::Exclusive if rivals.is_hung() => Choice::Replacement,
         Handover::Exclusive => Choice::Silent,
     }
 }
+
+/// Returns whether reading a prompt takes a runner so long that its first event cannot come while both
+/// attempts go on; `prefill` is its throughput in tokens per millisecond, 0 if unknown.
+pub fn is_long_prompt(tokens: u32, prefill: u32) -> bool {
+    let read_ms = tokens.checked_div(prefill).unwrap_or(0);
+    Duration::from_millis(u64::from(read_ms)) >= MAX_OVERLAP / 2
+}
