Use a runner that is silent to its agent as a last resort

An agent that could not read its runner's report once, within 300 ms, said so to all entries, and a runner that does not answer its agent was not to be chosen. A silence of a second at the only runner, or at all of them, thus made the entries refuse all requests at once.

A silent runner now ranks with those whose breaker is open: it is chosen only if no other is left. The agent tells a silent runner from one whose process has ended; of the latter it publishes that it holds nothing, so that no request is sent there.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -19,6 +19,7 @@
 use ::process::ops::OpsState;
 use decision::collections::Map;
 use decision::time::Time;
+use derive_more::Display;
 use edges::ErrorKind;
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -62,6 +63,20 @@
 /// again if it misses some.
 const MAX_QUEUED_NEWS: usize = 256;
 
+/// Whether the runner answers.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Reach {
+    /// Its report was read.
+    #[display("answers")]
+    Answers,
+    /// It does not answer, and may go on.
+    #[display("silent")]
+    Silent,
+    /// Its process has ended.
+    #[display("ended")]
+    Ended,
+}
+
 struct AgentState {
     settings: settings::AgentSettings,
     clock: RuntimeClock,
@@ -221,14 +236,16 @@
 /// Reads the runner's report, gives the orders that are due and publishes the state to the
 /// connected entries, in a loop.
 async fn control_runner(agent: Arc<AgentState>) {
-    let mut up = false;
+    let mut known = Reach::Ended;
     loop {
-        let is_up = poll_and_order(&agent).await;
-        if is_up != up {
-            up = is_up;
-            info!("runner availability changed", kv: { up, addr = agent.settings.runner.to_string().as_str() });
+        let reach = poll_and_order(&agent).await;
+        if reach != known {
+            known = reach;
+            let (reach, addr) = (reach.to_string(), agent.settings.runner.to_string());
+            let up = known == Reach::Answers;
+            info!("runner availability changed", kv: { up, reach = reach.as_str(), addr = addr.as_str() });
         }
-        publish_state(&agent, up);
+        publish_state(&agent, reach);
         agent.deliver_admissions();
         let active = agent.scheduler().is_active();
         let pause = if active {
@@ -243,8 +260,8 @@
     }
 }
 
-/// Reads the report and gives the orders that are due; returns whether the runner responds.
-async fn poll_and_order(agent: &Arc<AgentState>) -> bool {
+/// Reads the report and gives the orders that are due; returns whether the runner answers.
+async fn poll_and_order(agent: &Arc<AgentState>) -> Reach {
     for _ in 0..MAX_ORDERS_PER_ROUND {
         match agent.control.read_report().await {
             Ok(report) => {
@@ -256,21 +273,24 @@
                 }
             }
             Err(error) => {
-                if error.kind == ErrorKind::NotSent {
+                let reach = if error.kind == ErrorKind::NotSent {
                     agent.record_runner_down();
-                }
+                    Reach::Ended
+                } else {
+                    Reach::Silent
+                };
                 if agent.states.borrow().up {
                     let error = error.to_string();
                     warn!("runner report cannot be read", kv: { error = error.as_str() });
                 }
-                return false;
+                return reach;
             }
         }
         if !give_next_order(agent).await {
             break;
         }
     }
-    true
+    Reach::Answers
 }
 
 /// Gives the next order, if one is due; returns whether another one may follow in this round.
@@ -314,12 +334,16 @@
 }
 
 /// Publishes the runner's state to the connections of the entries if it has changed.
-fn publish_state(agent: &Arc<AgentState>, up: bool) {
+fn publish_state(agent: &Arc<AgentState>, reach: Reach) {
     let state = {
         let now = agent.now();
         let mut scheduler = agent.scheduler();
         scheduler.update_rates(now);
-        scheduler.state(now, up, agent.entry_count())
+        let state = scheduler.state(now, reach == Reach::Answers, agent.entry_count());
+        match reach {
+            Reach::Ended => state.into_ended(),
+            Reach::Answers | Reach::Silent => state,
+        }
     };
     agent.metrics.adapters.set(state.adapters.len() as i64);
     agent.states.send_if_modified(|known| {
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -12,6 +12,7 @@
 use serving::placement::NoRunner;
 use serving::placement::Placement;
 use serving::placement::Requirements;
+use spdlog::info;
 
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
@@ -83,6 +84,7 @@
                 }
                 Access::Ready { .. } => {
                     self.wait_time += now.since(started_at);
+                    self.record_silent_choice(&placement);
                     return Ok(placement);
                 }
                 Access::Loading(ready_at) if now < requested_at.after(REQUEST_RENEWAL_INTERVAL) => {
@@ -115,6 +117,16 @@
         }
     }
 
+    /// Logs and counts the choice of a runner that does not answer its agent.
+    fn record_silent_choice(&self, placement: &Placement) {
+        if !placement.silent {
+            return;
+        }
+        self.entry.metrics.silent_choices.inc();
+        let runner = &*placement.runner;
+        info!("silent runner chosen, no other is left", kv: { id = &*self.head.request.id, runner });
+    }
+
     fn wait_timeout(&self) -> DispatchError {
         let cause = FailureCause::AdapterTimeout;
         if self.attempts.may_have_run() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub store_calls: IntCounterVec,
     /// Restores of the store from a copy that were seen in its answers.
     pub store_restores: IntCounter,
+    /// Choices of a runner that does not answer its agent, because no other was left.
+    pub silent_choices: IntCounter,
     /// Changes of held prompt parts: `held` or `released`.
     pub part_holds: IntCounterVec,
     /// Changes in what runners say of themselves, by
@@ -91,6 +93,11 @@
         let store_restores =
             IntCounter::new("store_restores_total", "Restores of the store from a copy")?;
         registry.register(Box::new(store_restores.clone()))?;
+        let silent_choices = IntCounter::new(
+            "silent_choices_total",
+            "Choices of a runner that does not answer its agent",
+        )?;
+        registry.register(Box::new(silent_choices.clone()))?;
         let part_holds = register_counters(
             &registry,
             "part_holds_total",
@@ -128,6 +135,7 @@
             runner_connects,
             store_calls,
             store_restores,
+            silent_choices,
             part_holds,
             runner_notices,
             limited_runners,
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -319,6 +319,18 @@
         }
     }
 
+    /// Returns the state after the end of the runner's process, which holds nothing any more.
+    #[must_use]
+    pub fn into_ended(self) -> RunnerState {
+        RunnerState {
+            up: false,
+            models: Vec::new(),
+            room: 0,
+            adapters: Vec::new(),
+            ..self
+        }
+    }
+
     /// Returns whether an entry that knows `known` must get an update immediately: requests may
     /// wait for an adapter that was loaded, requests for an unloaded adapter would be rejected, and
     /// no request may be sent to a draining runner.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -89,6 +89,8 @@
     pub cost_ms: f32,
     /// The expected wait until the request runs there.
     pub wait: Duration,
+    /// Whether the runner does not answer its agent; such a runner is chosen only if no other is left.
+    pub silent: bool,
     /// Another runner that should load a further replica of the adapter.
     pub replica: Option<Name>,
 }
@@ -108,8 +110,8 @@
     /// The remaining runners want no request of this entry before this time.
     #[display("the runners have asked for a pause")]
     Paused(Time),
-    /// The remaining runners are excluded or do not answer their agents, or they lack the adapter
-    /// and there is no connection to their agents.
+    /// The remaining runners are excluded or have ended, or they lack the adapter and there is no
+    /// connection to their agents.
     #[display("no runner is left to try")]
     Exhausted,
     /// The remaining runners are still loading the model; holds the time at which the first of them
@@ -150,8 +152,8 @@
 }
 
 impl Fleet {
-    /// Chooses the runner with the lowest cost. Runners with an open circuit breaker are considered
-    /// only if there is no other.
+    /// Chooses the runner with the lowest cost. Runners with an open circuit breaker, and those that do
+    /// not answer their agents, are considered only if there is no other: a silent runner may go on.
     ///
     /// # Errors
     ///
@@ -188,6 +190,7 @@
                 opens_at: best.opens_at,
                 cost_ms: best.cost_ms,
                 wait: Duration::from_secs_f32(best.wait_ms / 1_000.0),
+                silent: !runner.up,
                 replica: None,
             };
             (placement, replication::occupancy(runner, average_rate))
@@ -268,7 +271,8 @@
         cost_ms += runner.health.error_rate() * ERROR_COST_MS;
         Ok(Candidate {
             runner,
-            last_resort: runner.health.breaker_decision(now) == BreakerDecision::LastResort,
+            last_resort: !runner.up
+                || runner.health.breaker_decision(now) == BreakerDecision::LastResort,
             access,
             opens_at,
             wait_ms,
@@ -316,7 +320,8 @@
 /// A runner that can serve a request, with the values by which it is compared with others.
 struct Candidate<'a> {
     runner: &'a Runner,
-    /// Whether its circuit breaker is open, so that it is chosen only if there is no other.
+    /// Whether its circuit breaker is open or it does not answer its agent, so that it is chosen only if
+    /// there is no other.
     last_resort: bool,
     access: Access,
     /// When a request may be sent there.
@@ -395,7 +400,7 @@
     let Some(artifact) = requirements.artifact else {
         return Some(Access::Ready { version: 0 });
     };
-    if !runner.up || !runner.holds_model(&artifact.model) {
+    if !runner.holds_model(&artifact.model) {
         return None;
     }
     let Some(adapter) = &artifact.adapter else {
@@ -410,8 +415,9 @@
 
 /// Returns why a runner that accepts requests cannot serve this one.
 fn unavailable_cause(requirements: &Requirements<'_>, runner: &Runner) -> NoRunner {
+    let ended = !runner.up && runner.member.models.is_empty();
     let artifact = requirements.artifact;
-    if artifact.is_none_or(|artifact| runner.holds_model(&artifact.model)) {
+    if ended || artifact.is_none_or(|artifact| runner.holds_model(&artifact.model)) {
         return NoRunner::Exhausted;
     }
     NoRunner::Loading(runner.first_seen)
