Take no runner for ended that only accepts no connection

The agent took each call that was not sent for the end of the runner's process, and a process that is paused while its queue of connections is full lets calls time out unsent. The agent then told all entries of a crash, and of the requests that were to blame.

The test failed before:

no crash: Crash { runner: "r", born: 5, begun: false, requests: [], served: [], whole: [PartId(7)] }

A process has ended only if its address refuses connections. The agent looks once more for that, and takes the runner for silent otherwise.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -8,6 +8,8 @@
 mod crashes;
 mod entries;
 
+use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -37,6 +39,7 @@
 use serving::load_scheduler::Order;
 use spdlog::info;
 use spdlog::warn;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::broadcast;
 use tokio::sync::mpsc;
@@ -57,6 +60,8 @@
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// The same interval while a load is pending.
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The time limit for the refusal of a connection; the runner is on the same instance.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// The most orders given in one round, before the new state is published to the entries.
 const MAX_ORDERS_PER_ROUND: usize = 8;
 /// The most messages about crashes that are queued for a slow entry, which hears of all recent crashes
@@ -273,12 +278,12 @@
                 }
             }
             Err(error) => {
-                let reach = if error.kind == ErrorKind::NotSent {
+                let ended = error.kind == ErrorKind::NotSent
+                    && refuses_connections(agent.settings.runner).await;
+                if ended {
                     agent.record_runner_down();
-                    Reach::Ended
-                } else {
-                    Reach::Silent
-                };
+                }
+                let reach = if ended { Reach::Ended } else { Reach::Silent };
                 if agent.states.borrow().up {
                     let error = error.to_string();
                     warn!("runner report cannot be read", kv: { error = error.as_str() });
@@ -293,6 +298,13 @@
     Reach::Answers
 }
 
+/// Returns whether no process listens at the runner's address. One that is paused accepts connections,
+/// or leaves them without an answer if too many wait.
+async fn refuses_connections(runner: SocketAddr) -> bool {
+    let connect = tokio::time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(runner)).await;
+    matches!(connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Gives the next order, if one is due; returns whether another one may follow in this round.
 async fn give_next_order(agent: &Arc<AgentState>) -> bool {
     let (order, runner, sequence) = {
