Expect no request to last as long as a moment of silence

While an entry stops, it refuses requests that may last longer than what is left, and took the longest response of up to 20 s for the measure. One request that met a silent runner thus made each stopping entry refuse requests of that route that are answered in 30 ms.

The test failed before:

assertion `left == right` failed: 1 of 50 left: Some(3s) right: Some(45ms)

One response in 50, and 7 at most, may now be longer than the measure. With fewer responses the longest still counts: a request that is cut off is worse for its caller than one that is refused.

--- a/crates/serving/src/stop.rs
+++ b/crates/serving/src/stop.rs
@@ -3,8 +3,9 @@
 //! A request that the entry cannot answer before it ends would be cut off, which is worse for its caller
 //! than a refusal: that goes to another entry at once.
 //!
-//! Invariants: a request is taken only if its deadline, or the time that requests of its route have
-//! lately needed, ends before the cut; the number of routes whose times are kept is bounded.
+//! Invariants: a request is taken only if its deadline, or the time that all but the slowest requests of
+//! its route have lately needed, ends before the cut; the number of routes whose times are kept is
+//! bounded.
 
 use std::time::Duration;
 
@@ -15,16 +16,22 @@
 
 /// The time over which response times are collected; those of the window before count as well.
 const WINDOW: Duration = Duration::from_secs(10);
-/// The fewest responses from which the longest tells something of the next one.
+/// The fewest responses whose times tell something of the next one.
 const MIN_RESPONSES: u32 = 8;
-/// The expected time of a request, as a multiple of the longest of late.
+/// One response in so many may be longer than what is expected: a runner that was silent for a moment
+/// says nothing of the next request.
+const RESPONSES_PER_OUTLIER: u32 = 50;
+/// The most responses that are left out for that.
+const MAX_OUTLIERS: usize = 7;
+/// The expected time of a request, as a multiple of the longest of late that is not left out.
 const LENGTH_FACTOR: f64 = 1.5;
 /// The most routes whose times are kept.
 const MAX_ROUTES: usize = 4_096;
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct Window {
-    longest: Duration,
+    /// The longest times, the longest first.
+    longest: [Duration; MAX_OUTLIERS + 1],
     responses: u32,
 }
 
@@ -58,8 +65,7 @@
             times.previous = std::mem::take(&mut times.current);
             times.since = now;
         }
-        times.current.longest = times.current.longest.max(time);
-        times.current.responses += 1;
+        times.current.record(time);
     }
 
     /// Returns the expected time of the next request; `None` if too few were answered lately.
@@ -69,8 +75,23 @@
             return None;
         }
         let responses = times.current.responses + times.previous.responses;
-        let longest = times.current.longest.max(times.previous.longest);
-        (responses >= MIN_RESPONSES).then(|| longest.mul_f64(LENGTH_FACTOR))
+        let outliers = (responses / RESPONSES_PER_OUTLIER) as usize;
+        let mut longest = [times.current.longest, times.previous.longest].concat();
+        longest.sort_unstable_by(|a, b| b.cmp(a));
+        let usual = longest[outliers.min(MAX_OUTLIERS)];
+        (responses >= MIN_RESPONSES).then(|| usual.mul_f64(LENGTH_FACTOR))
+    }
+}
+
+impl Window {
+    fn record(&mut self, time: Duration) {
+        self.responses += 1;
+        let rank = self.longest.partition_point(|longer| *longer >= time);
+        let shorter = &mut self.longest[rank..];
+        if let Some(shortest) = shorter.last_mut() {
+            *shortest = time;
+            shorter.rotate_right(1);
+        }
     }
 }
 
--- a/crates/serving/tests/stop_times.rs
+++ b/crates/serving/tests/stop_times.rs
@@ -50,3 +50,30 @@
     assert_eq!(times.expected(at(30_000), "r"), Some(ms(30)));
     assert_eq!(times.expected(at(90_000), "r"), None);
 }
+
+/// Guards against refusals by all stopping entries because a runner was silent for a moment, and against
+/// requests that are cut off because long responses of their route are taken for such moments.
+#[test]
+fn few_long_responses_do_not_raise_the_expected_time() {
+    // The responses, how many of them are long, and the expected time.
+    let cases = [
+        (49, 1, 3_000),
+        (50, 1, 45),
+        (100, 2, 45),
+        (100, 3, 3_000),
+        (2_000, 7, 45),
+        (2_000, 8, 3_000),
+    ];
+    for (count, long, expected) in cases {
+        let route = Name::from("r");
+        let mut times = ResponseTimes::default();
+        for n in 0..count {
+            let time = if n < long { 2_000 } else { 30 };
+            // The long ones are of the window before.
+            let now = if n < long { 5_000 } else { 16_000 };
+            times.record(at(now), &route, ms(time));
+        }
+        let found = times.expected(at(17_000), "r");
+        assert_eq!(found, Some(ms(expected)), "{long} of {count}");
+    }
+}
