--- a/crates/gateway/src/replace.rs
+++ b/crates/gateway/src/replace.rs
@@ -165,6 +165,9 @@
             None => self.attempts.tried().to_vec(),
         };
         let placement = self.locate().await.map_err(|_| KeepCause::NoRunner)?;
+        if placement.silent {
+            return Err(KeepCause::NoRunner);
+        }
         self.step = Step::Admission;
         let prompt = self.admit_prompt(&placement).await;
         self.step = Step::Connection;
