--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -8,6 +8,8 @@
 mod crashes;
 mod entries;
 
+use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,6 +21,7 @@
 use ::process::ops::OpsState;
 use decision::collections::Map;
 use decision::time::Time;
+use derive_more::Display;
 use edges::ErrorKind;
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -36,6 +39,7 @@
 use serving::load_scheduler::Order;
 use spdlog::info;
 use spdlog::warn;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::broadcast;
 use tokio::sync::mpsc;
@@ -56,12 +60,28 @@
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// The same interval while a load is pending.
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The time limit for the refusal of a connection; the runner is on the same instance.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// The most orders given in one round, before the new state is published to the entries.
 const MAX_ORDERS_PER_ROUND: usize = 8;
 /// The most messages about crashes that are queued for a slow entry, which hears of all recent crashes
 /// again if it misses some.
 const MAX_QUEUED_NEWS: usize = 256;
 
+/// Whether the runner answers.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Reach {
+    /// Its report was read.
+    #[display("answers")]
+    Answers,
+    /// It does not answer, and may go on.
+    #[display("silent")]
+    Silent,
+    /// Its process has ended.
+    #[display("ended")]
+    Ended,
+}
+
 struct AgentState {
     settings: settings::AgentSettings,
     clock: RuntimeClock,
@@ -221,14 +241,16 @@
 /// Reads the runner's report, gives the orders that are due and publishes the state to the
 /// connected entries, in a loop.
 async fn control_runner(agent: Arc<AgentState>) {
-    let mut up = false;
+    let mut known = Reach::Ended;
     loop {
-        let is_up = poll_and_order(&agent).await;
-        if is_up != up {
-            up = is_up;
-            info!("runner availability changed", kv: { up, addr = agent.settings.runner.to_string().as_str() });
+        let reach = poll_and_order(&agent).await;
+        if reach != known {
+            known = reach;
+            let (reach, addr) = (reach.to_string(), agent.settings.runner.to_string());
+            let up = known == Reach::Answers;
+            info!("runner availability changed", kv: { up, reach = reach.as_str(), addr = addr.as_str() });
         }
-        publish_state(&agent, up);
+        publish_state(&agent, reach);
         agent.deliver_admissions();
         let active = agent.scheduler().is_active();
         let pause = if active {
@@ -243,8 +265,8 @@
     }
 }
 
-/// Reads the report and gives the orders that are due; returns whether the runner responds.
-async fn poll_and_order(agent: &Arc<AgentState>) -> bool {
+/// Reads the report and gives the orders that are due; returns whether the runner answers.
+async fn poll_and_order(agent: &Arc<AgentState>) -> Reach {
     for _ in 0..MAX_ORDERS_PER_ROUND {
         match agent.control.read_report().await {
             Ok(report) => {
@@ -256,21 +278,31 @@
                 }
             }
             Err(error) => {
-                if error.kind == ErrorKind::NotSent {
+                let ended = error.kind == ErrorKind::NotSent
+                    && refuses_connections(agent.settings.runner).await;
+                if ended {
                     agent.record_runner_down();
                 }
+                let reach = if ended { Reach::Ended } else { Reach::Silent };
                 if agent.states.borrow().up {
                     let error = error.to_string();
                     warn!("runner report cannot be read", kv: { error = error.as_str() });
                 }
-                return false;
+                return reach;
             }
         }
         if !give_next_order(agent).await {
             break;
         }
     }
-    true
+    Reach::Answers
+}
+
+/// Returns whether no process listens at the runner's address. One that is paused accepts connections,
+/// or leaves them without an answer if too many wait.
+async fn refuses_connections(runner: SocketAddr) -> bool {
+    let connect = tokio::time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(runner)).await;
+    matches!(connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 /// Gives the next order, if one is due; returns whether another one may follow in this round.
@@ -314,12 +346,16 @@
 }
 
 /// Publishes the runner's state to the connections of the entries if it has changed.
-fn publish_state(agent: &Arc<AgentState>, up: bool) {
+fn publish_state(agent: &Arc<AgentState>, reach: Reach) {
     let state = {
         let now = agent.now();
         let mut scheduler = agent.scheduler();
         scheduler.update_rates(now);
-        scheduler.state(now, up, agent.entry_count())
+        let state = scheduler.state(now, reach == Reach::Answers, agent.entry_count());
+        match reach {
+            Reach::Ended => state.into_ended(),
+            Reach::Answers | Reach::Silent => state,
+        }
     };
     agent.metrics.adapters.set(state.adapters.len() as i64);
     agent.states.send_if_modified(|known| {
