Count partial events and unread bytes of connections in one bound

Heads were not counted at all: 50 heads of 12 KiB showed 0 bytes in use.

One holder may take an eighth of what the others leave, so that many large ones leave room for small ones.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,12 +10,12 @@
 use hyper::body::Incoming;
 use platform::runner::ResponseHead;
 use serving::attempt::Outcome;
-use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
 use serving::fleet::InflightRequest;
 
 use crate::admit::AnnouncedPrompt;
 use crate::buffer::BufferedBody;
+use crate::buffer::StreamEvents;
 use crate::conns::RunnerConn;
 use crate::entry::Entry;
 
@@ -79,7 +79,7 @@
     /// The complete events read so far; none of them is relayed yet.
     pub first_events: Bytes,
     /// Holds the event identifiers seen and the start of an incomplete event.
-    pub splitter: EventSplitter,
+    pub splitter: StreamEvents,
     /// Whether the runner closes the connection after the stream.
     pub closes_connection: bool,
 }
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -1,10 +1,13 @@
 //! Bounds the bytes of responses that the entry holds in memory.
 //!
 //! Invariants: the reserved bytes of all responses together stay below the limit; a reservation is
-//! released when the response has been passed on or dropped.
+//! released when the response has been passed on or dropped; the less memory is free, the less one
+//! response may hold, so that many large ones leave room for small ones.
 
+use std::ops::DerefMut;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -12,6 +15,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use derive_more::Deref;
 use derive_more::Display;
 use derive_more::Error;
 use http_body_util::BodyExt;
@@ -20,10 +24,15 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use serving::events::EventSplitter;
+use serving::events::EventTooLong;
+use serving::fleet::HealthSignal;
+
+use crate::recover::lock;
 
 /// Share of the process's memory that responses may take, as a divisor.
 const MEMORY_DIVISOR: usize = 4;
-/// Share of the limit that one response may take, as a divisor.
+/// Share of the memory that others leave which one response may take, as a divisor.
 const RESPONSE_DIVISOR: usize = 8;
 /// The largest response, however much memory there is.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -49,6 +58,19 @@
     /// The connection broke before the end of the response.
     #[display("response broken off")]
     Broken,
+    /// A stream has an event without end.
+    #[display("{_0}")]
+    Event(EventTooLong),
+}
+
+impl ReadError {
+    /// Returns what the error says about the runner.
+    pub fn health_signal(self) -> HealthSignal {
+        match self {
+            ReadError::NoMemory => HealthSignal::Neutral,
+            ReadError::TooLarge | ReadError::Broken | ReadError::Event(_) => HealthSignal::Failed,
+        }
+    }
 }
 
 /// A number of bytes that is taken from a budget until it is dropped.
@@ -58,6 +80,36 @@
     bytes: usize,
 }
 
+/// Complete events, counted in their budget until they are dropped.
+struct ReservedEvents {
+    events: Bytes,
+    _reservation: Reservation,
+}
+
+/// The events of one response stream. The incomplete event is counted in the budget, and so are the
+/// complete ones until the caller has them.
+#[derive(Debug, Deref)]
+pub struct StreamEvents {
+    #[deref]
+    splitter: EventSplitter,
+    partial: Reservation,
+}
+
+/// The bytes that a connection to a runner has read and that may still be in its buffers, counted in
+/// the budget. Clones share the count.
+#[derive(Clone, Debug)]
+pub struct ReadReserve(Arc<Mutex<BufferedReads>>);
+
+#[derive(Debug)]
+struct BufferedReads {
+    reservation: Reservation,
+    /// The bytes of the last read.
+    last: usize,
+    in_body: bool,
+    is_refused: bool,
+    is_closed: bool,
+}
+
 /// A complete response body, counted in its budget until it is dropped.
 #[derive(Debug)]
 pub struct BufferedBody {
@@ -86,10 +138,7 @@
     /// Fails if the body breaks off or exceeds a limit; what was read of it is dropped.
     pub async fn read(self: &Arc<Self>, mut body: Incoming) -> Result<BufferedBody, ReadError> {
         let largest = MAX_RESPONSE_BYTES.min(self.limit / RESPONSE_DIVISOR);
-        let mut reservation = Reservation {
-            budget: self.clone(),
-            bytes: 0,
-        };
+        let mut reservation = self.reserve_none();
         let mut bytes = BytesMut::new();
         let mut parts = 0;
         while let Some(frame) = body.frame().await {
@@ -101,7 +150,7 @@
             if parts > MAX_PARTS || bytes.len() + data.len() > largest {
                 return Err(ReadError::TooLarge);
             }
-            reservation.grow(data.len())?;
+            reservation.resize(bytes.len() + data.len())?;
             bytes.extend_from_slice(&data);
         }
         Ok(BufferedBody {
@@ -109,22 +158,161 @@
             _reservation: reservation,
         })
     }
+
+    /// Starts to split a stream into events.
+    pub fn split_events(self: &Arc<Self>) -> StreamEvents {
+        StreamEvents {
+            splitter: EventSplitter::default(),
+            partial: self.reserve_none(),
+        }
+    }
+
+    /// Starts to count the reads of a connection.
+    pub fn count_reads(self: &Arc<Self>) -> ReadReserve {
+        ReadReserve(Arc::new(Mutex::new(BufferedReads {
+            reservation: self.reserve_none(),
+            last: 0,
+            in_body: false,
+            is_refused: false,
+            is_closed: false,
+        })))
+    }
+
+    fn reserve_none(self: &Arc<Self>) -> Reservation {
+        Reservation {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+}
+
+impl StreamEvents {
+    /// Adds bytes and returns all events that are now complete; empty if there are none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is too long or does not fit in the budget; the stream cannot be continued
+    /// then.
+    pub fn push(&mut self, data: &[u8]) -> Result<Bytes, ReadError> {
+        self.partial
+            .resize(self.splitter.capacity_with(data.len()))?;
+        let events = self.splitter.push(data).map_err(ReadError::Event)?;
+        if events.is_empty() {
+            return Ok(events);
+        }
+        let passed_on = self
+            .partial
+            .bytes
+            .saturating_sub(self.splitter.capacity_with(0));
+        Ok(Bytes::from_owner(ReservedEvents {
+            events,
+            _reservation: self.partial.split_off(passed_on),
+        }))
+    }
+}
+
+impl DerefMut for StreamEvents {
+    fn deref_mut(&mut self) -> &mut EventSplitter {
+        &mut self.splitter
+    }
+}
+
+impl ReadReserve {
+    /// Records that the head of a response is complete. From now on the connection reads only once its
+    /// buffer is empty, so that no more than two reads are in memory: one that waits to be taken and one
+    /// in the buffer.
+    pub fn begin_body(&self) {
+        let mut reads = lock(&self.0);
+        reads.last = reads.reservation.bytes;
+        reads.in_body = true;
+    }
+
+    /// Records that the connection carries no response any more.
+    pub fn clear(&self) {
+        let mut reads = lock(&self.0);
+        reads.reservation.release();
+        reads.last = 0;
+        reads.in_body = false;
+    }
+
+    /// Ends the count of a connection that is being closed; its buffers are dropped unread.
+    pub fn close(&self) {
+        self.clear();
+        lock(&self.0).is_closed = true;
+    }
+
+    /// Returns whether a read did not fit in the budget.
+    pub fn is_refused(&self) -> bool {
+        lock(&self.0).is_refused
+    }
+
+    /// Counts a read. The buffers hold at most `most` bytes, whatever was read before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not fit in the budget; the connection is to be closed then.
+    pub fn record(&self, read: usize, most: usize) -> Result<(), ReadError> {
+        let mut reads = lock(&self.0);
+        if reads.is_closed {
+            return Err(ReadError::Broken);
+        }
+        let before = if reads.in_body {
+            reads.last
+        } else {
+            reads.reservation.bytes
+        };
+        reads.last = read;
+        let resized = reads.reservation.resize((before + read).min(most));
+        reads.is_refused |= resized.is_err();
+        resized
+    }
 }
 
 impl Reservation {
-    fn grow(&mut self, bytes: usize) -> Result<(), ReadError> {
-        let used = self.budget.used.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.bytes += bytes;
-        if used > self.budget.limit {
+    /// Changes the number of bytes, unless the rest of the budget is too small for more.
+    fn resize(&mut self, bytes: usize) -> Result<(), ReadError> {
+        let Some(more) = bytes.checked_sub(self.bytes) else {
+            self.budget
+                .used
+                .fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+            self.bytes = bytes;
+            return Ok(());
+        };
+        let used = self.budget.used.fetch_add(more, Ordering::Relaxed) + more;
+        let left = (self.budget.limit + bytes).saturating_sub(used);
+        if bytes > left / RESPONSE_DIVISOR {
+            self.budget.used.fetch_sub(more, Ordering::Relaxed);
             return Err(ReadError::NoMemory);
         }
+        self.bytes = bytes;
         Ok(())
     }
+
+    fn release(&mut self) {
+        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.bytes = 0;
+    }
+
+    /// Moves a part of the bytes to a reservation of its own.
+    fn split_off(&mut self, bytes: usize) -> Reservation {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Reservation {
+            budget: self.budget.clone(),
+            bytes,
+        }
+    }
+}
+
+impl AsRef<[u8]> for ReservedEvents {
+    fn as_ref(&self) -> &[u8] {
+        &self.events
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.release();
     }
 }
 
--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -6,6 +6,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::buffer::BufferBudget;
+use crate::buffer::ReadReserve;
 use crate::recover::lock;
 use crate::send_check::RunnerStream;
 use crate::send_check::SendCheck;
@@ -36,7 +39,7 @@
 /// How long before the runner's idle timeout an idle connection is closed here, at most half of it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// The limit of one connection's read buffer.
-const READ_BUFFER_BYTES: usize = 16 << 10;
+pub(crate) const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Why no connection could be opened.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -62,11 +65,14 @@
     pub rejected: bool,
     /// Keeps requests whose callers have left from being written.
     pub check: SendCheck,
+    /// Counts what was read and is still in its buffers.
+    pub reads: ReadReserve,
     task: AbortHandle,
 }
 
 impl Drop for RunnerConn {
     fn drop(&mut self) {
+        self.reads.close();
         self.task.abort();
     }
 }
@@ -106,14 +112,25 @@
 }
 
 /// The idle connections by runner, and the tasks that drive all connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnPool {
+    buffers: Arc<BufferBudget>,
     pools: Mutex<Map<Name, RunnerPool>>,
     tasks: TaskTracker,
     abort: CancellationToken,
 }
 
 impl ConnPool {
+    /// Creates an empty pool, whose connections count their reads in `buffers`.
+    pub fn new(buffers: Arc<BufferBudget>) -> ConnPool {
+        ConnPool {
+            buffers,
+            pools: Mutex::default(),
+            tasks: TaskTracker::new(),
+            abort: CancellationToken::new(),
+        }
+    }
+
     /// Takes an idle connection to the incarnation that started at `born`, preferably the one used last.
     pub fn take_idle(
         &self,
@@ -159,7 +176,8 @@
         };
         stream.set_nodelay(true).map_err(|e| error(e.to_string()))?;
         let check = SendCheck::default();
-        let stream = RunnerStream::new(stream, check.clone());
+        let reads = self.buffers.count_reads();
+        let stream = RunnerStream::new(stream, check.clone(), reads.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -174,6 +192,7 @@
             reused: false,
             rejected: false,
             check,
+            reads,
             task: task.abort_handle(),
         })
     }
@@ -189,6 +208,7 @@
         timeout: Option<Duration>,
     ) {
         conn.check.set_idle();
+        conn.reads.clear();
         let timeout = timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let margin = IDLE_MARGIN.min(timeout / 2);
         let entry = IdleConn {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -175,13 +175,14 @@
             members_known: false,
         };
         let clock = RuntimeClock::start();
+        let buffers = BufferBudget::new(settings.memory_mb);
         let metrics = EntryMetrics::new().change_context(ProcessError::Setup)?;
         Ok(Arc::new(Entry {
             clock,
             store: Store::new(settings.store, clock, metrics.store_restores.clone()),
             metrics,
-            buffers: BufferBudget::new(settings.memory_mb),
-            conns: ConnPool::default(),
+            conns: ConnPool::new(buffers.clone()),
+            buffers,
             links: AgentLinks::default(),
             state: Mutex::new(state),
             store_lost: Notify::new(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,9 @@
     pub admission_wait_s: Histogram,
     /// The longest gap between two events of a complete stream, in seconds.
     pub longest_gap_s: Histogram,
+    /// Responses that were not read to their end, by
+    /// [`ReadError`](crate::buffer::ReadError).
+    pub unreadable: IntCounterVec,
     /// Streams that were resumed at another runner.
     pub resumed_streams: IntCounter,
     /// New connections to runners, including failed ones.
@@ -75,6 +78,12 @@
         let attempts =
             register_counters(&registry, "attempts_total", "Attempts by result", "result")?;
         let sends = register_counters(&registry, "sends_total", "Sends to runners", "caller")?;
+        let unreadable = register_counters(
+            &registry,
+            "unreadable_responses_total",
+            "Responses that were not read to their end",
+            "error",
+        )?;
         let store_calls =
             register_counters(&registry, "store_calls_total", "Store calls", "result")?;
         let first_response_s =
@@ -124,6 +133,7 @@
             adapter_wait_s,
             admission_wait_s,
             longest_gap_s,
+            unreadable,
             resumed_streams,
             runner_connects,
             store_calls,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,6 @@
 use hyper::body::Incoming;
 use serving::attempt::NextStep;
 use serving::attempt::Outcome;
-use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
 use spdlog::info;
 use tokio::time::timeout_at;
@@ -26,6 +25,7 @@
 use crate::attempt::AttemptResponse;
 use crate::attempt::OpenStream;
 use crate::attempt::RunningAttempt;
+use crate::buffer::StreamEvents;
 use crate::dispatch;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
@@ -48,7 +48,7 @@
     body: Incoming,
     /// Events that are not relayed yet, from the start of the stream or of its resumption.
     first_events: Bytes,
-    splitter: EventSplitter,
+    splitter: StreamEvents,
     last_event_at: Time,
     /// Whether the runner closes the connection after the stream.
     closes_connection: bool,
@@ -103,8 +103,13 @@
         loop {
             match self.read().await {
                 ReadResult::Data(data) => {
-                    let Ok(events) = self.splitter.push(&data) else {
-                        return Some((Err(self.abort(FailureCause::ResponseLost)), self));
+                    let events = match self.splitter.push(&data) {
+                        Ok(events) => events,
+                        Err(error) => {
+                            let runner = self.attempt.as_ref().map_or("", RunningAttempt::runner);
+                            self.request.log_unreadable(runner, &error.to_string());
+                            return Some((Err(self.abort(FailureCause::ResponseLost)), self));
+                        }
                     };
                     if self.splitter.is_out_of_order() {
                         return Some((Err(self.abort(FailureCause::ResponseLost)), self));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -16,7 +16,6 @@
 use serving::Name;
 use serving::attempt::Outcome;
 use serving::config::RouteKind;
-use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
 use serving::placement::Access;
 use serving::placement::Placement;
@@ -142,6 +141,12 @@
             _ if withheld => return Err(Outcome::NotSent.into()),
             Ok(Err(mut error)) => {
                 let not_sent = error.take_message().is_some();
+                if conn.reads.is_refused() {
+                    let runner = attempt.runner();
+                    self.log_unreadable(runner, &ReadError::NoMemory.to_string());
+                    attempt.finish(HealthSignal::Neutral, false);
+                    return Err(Outcome::Unknown.into());
+                }
                 attempt.finish(
                     if not_sent {
                         HealthSignal::Neutral
@@ -160,6 +165,7 @@
                 return Err(AnswerProgress::Waiting.into());
             }
         };
+        conn.reads.begin_body();
         self.step = Step::ResponseBody;
         let (parts, body) = response.into_parts();
         let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
@@ -266,11 +272,7 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.log_unreadable(attempt.runner(), &error.to_string());
-                let signal = match error {
-                    ReadError::NoMemory => HealthSignal::Neutral,
-                    ReadError::TooLarge | ReadError::Broken => HealthSignal::Failed,
-                };
-                attempt.finish(signal, false);
+                attempt.finish(error.health_signal(), false);
                 return Err(AnswerProgress::Begun.into());
             }
             Err(_) => {
@@ -299,7 +301,9 @@
         Ok(AttemptResponse::Complete(response_head, body))
     }
 
-    fn log_unreadable(&self, runner: &str, error: &str) {
+    pub(crate) fn log_unreadable(&self, runner: &str, error: &str) {
+        let unreadable = &self.entry.metrics.unreadable;
+        unreadable.with_label_values(&[error]).inc();
         warn!("response cannot be read", kv: { id = &*self.head.request.id, runner, error });
     }
 
@@ -312,7 +316,7 @@
         deadline: Time,
     ) -> Result<AttemptResponse, FailedAttempt> {
         let deadline = self.entry.clock.instant(deadline);
-        let mut splitter = EventSplitter::default();
+        let mut splitter = self.entry.buffers.split_events();
         loop {
             let frame = match timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -328,7 +332,7 @@
                 Ok(events) => events,
                 Err(error) => {
                     self.log_unreadable(attempt.runner(), &error.to_string());
-                    attempt.finish(HealthSignal::Failed, false);
+                    attempt.finish(error.health_signal(), false);
                     return Err(Outcome::Unknown.into());
                 }
             };
--- a/crates/gateway/src/send_check.rs
+++ b/crates/gateway/src/send_check.rs
@@ -13,6 +13,7 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use ::process::caller::CallerConn;
 use ::process::caller::Presence;
@@ -22,8 +23,14 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::buffer::ReadReserve;
+use crate::conns::READ_BUFFER_BYTES;
 use crate::recover::lock;
 
+/// The most that a connection has read and not passed on: a part of a body that waits to be taken, and
+/// a full read buffer.
+const MAX_BUFFERED_BYTES: usize = 2 * READ_BUFFER_BYTES;
+
 /// A request that is about to be written.
 #[derive(Debug)]
 pub struct PendingSend {
@@ -91,12 +98,17 @@
 pub struct RunnerStream {
     stream: TcpStream,
     check: SendCheck,
+    reads: ReadReserve,
 }
 
 impl RunnerStream {
     /// Wraps an open connection.
-    pub fn new(stream: TcpStream, check: SendCheck) -> RunnerStream {
-        RunnerStream { stream, check }
+    pub fn new(stream: TcpStream, check: SendCheck, reads: ReadReserve) -> RunnerStream {
+        RunnerStream {
+            stream,
+            check,
+            reads,
+        }
     }
 }
 
@@ -115,7 +127,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
+        let recorded = self.reads.record(read, MAX_BUFFERED_BYTES);
+        Poll::Ready(recorded.map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error)))
     }
 }
 
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -46,7 +46,11 @@
         let Some(end) = self.find_event_end() else {
             return self.check_length().map(|()| Bytes::new());
         };
-        let complete = self.buffer.split_to(end).freeze();
+        // The rest moves to a buffer of its own, so that it does not keep the memory of the events.
+        let rest = BytesMut::from(&self.buffer[end..]);
+        let mut complete = std::mem::replace(&mut self.buffer, rest);
+        complete.truncate(end);
+        let complete = complete.freeze();
         self.scanned -= end;
         self.line_start -= end;
         self.check_length()?;
@@ -106,6 +110,15 @@
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
+
+    /// Returns the memory that the buffer takes once `more` bytes have been added.
+    pub fn capacity_with(&self, more: usize) -> usize {
+        let (len, capacity) = (self.buffer.len(), self.buffer.capacity());
+        if len + more <= capacity {
+            return capacity;
+        }
+        (len + more).max(2 * capacity)
+    }
 }
 
 /// Returns whether the first event, comments aside, has no numeric id.
