--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -24,6 +24,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use serving::events;
 use serving::events::EventSplitter;
 use serving::events::EventTooLong;
 use serving::fleet::HealthSignal;
@@ -95,6 +96,13 @@
     partial: Reservation,
 }
 
+/// Complete events that are held back, counted in the budget.
+#[derive(Debug)]
+pub struct KeptEvents {
+    bytes: BytesMut,
+    reservation: Reservation,
+}
+
 /// The bytes that a connection to a runner has read and that may still be in its buffers, counted in
 /// the budget. Clones share the count.
 #[derive(Clone, Debug)]
@@ -187,6 +195,14 @@
 }
 
 impl StreamEvents {
+    /// Starts to hold back events of this stream.
+    pub fn keep_events(&self) -> KeptEvents {
+        KeptEvents {
+            bytes: BytesMut::new(),
+            reservation: self.partial.budget.reserve_none(),
+        }
+    }
+
     /// Adds bytes and returns all events that are now complete; empty if there are none.
     ///
     /// # Errors
@@ -211,6 +227,39 @@
     }
 }
 
+impl KeptEvents {
+    /// Adds events.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they do not fit in the budget.
+    pub fn push(&mut self, events: &[u8]) -> Result<(), ReadError> {
+        self.reservation
+            .resize(events::grown_capacity(&self.bytes, events.len()))?;
+        self.bytes.extend_from_slice(events);
+        Ok(())
+    }
+
+    /// Returns all events and forgets them.
+    pub fn take(&mut self) -> Bytes {
+        let reserved = self.reservation.bytes;
+        Bytes::from_owner(ReservedEvents {
+            events: std::mem::take(&mut self.bytes).freeze(),
+            _reservation: self.reservation.split_off(reserved),
+        })
+    }
+
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+}
+
 impl DerefMut for StreamEvents {
     fn deref_mut(&mut self) -> &mut EventSplitter {
         &mut self.splitter
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -113,12 +113,17 @@
 
     /// Returns the memory that the buffer takes once `more` bytes have been added.
     pub fn capacity_with(&self, more: usize) -> usize {
-        let (len, capacity) = (self.buffer.len(), self.buffer.capacity());
-        if len + more <= capacity {
-            return capacity;
-        }
-        (len + more).max(2 * capacity)
+        grown_capacity(&self.buffer, more)
+    }
+}
+
+/// Returns the memory that a buffer takes once `more` bytes have been added.
+pub fn grown_capacity(buffer: &BytesMut, more: usize) -> usize {
+    let (len, capacity) = (buffer.len(), buffer.capacity());
+    if len + more <= capacity {
+        return capacity;
     }
+    (len + more).max(2 * capacity)
 }
 
 /// Returns whether the first event, comments aside, has no numeric id.
