--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use decision::time::Time;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -21,7 +20,6 @@
 use serving::Name;
 use serving::attempt::Outcome;
 use serving::config::RouteKind;
-use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
 use spdlog::info;
 use spdlog::warn;
@@ -34,6 +32,7 @@
 use crate::attempt::OpenStream;
 use crate::attempt::RunningAttempt;
 use crate::buffer::ReadError;
+use crate::buffer::StreamEvents;
 use crate::entry::Entry;
 
 /// The assumed time until a runner that rejects requests for an adapter has it loaded again.
@@ -103,11 +102,17 @@
                     attempt.finish(HealthSignal::Neutral, false);
                     return Err(Outcome::NotSent.into());
                 }
+                if conn.reads.is_refused() {
+                    self.log_unreadable(&ReadError::NoMemory.to_string());
+                    attempt.finish(HealthSignal::Neutral, false);
+                    return Err(Outcome::Unknown.into());
+                }
                 attempt.finish(HealthSignal::Failed, false);
                 return Err(AnswerProgress::Waiting.into());
             }
             Err(_) => return Err(self.time_out(attempt)),
         };
+        conn.reads.begin_body();
         let (parts, body) = response.into_parts();
         let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
         let head = runner::decode_response_head(&parts, &self.id, &self.runner, reused);
@@ -221,11 +226,7 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.log_unreadable(&error.to_string());
-                let signal = match error {
-                    ReadError::NoMemory => HealthSignal::Neutral,
-                    ReadError::TooLarge | ReadError::Broken => HealthSignal::Failed,
-                };
-                attempt.finish(signal, false);
+                attempt.finish(error.health_signal(), false);
                 return Err(AnswerProgress::Begun.into());
             }
             Err(_) => return Err(self.time_out(attempt)),
@@ -259,8 +260,8 @@
         mut body: Incoming,
     ) -> AnswerResult {
         let deadline = self.entry.clock.instant(self.deadline);
-        let mut splitter = EventSplitter::default();
-        let mut first_events = BytesMut::new();
+        let mut splitter = self.entry.buffers.split_events();
+        let mut first_events = splitter.keep_events();
         loop {
             let frame = match timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -273,13 +274,12 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            match splitter.push(&data) {
-                Ok(events) => first_events.extend_from_slice(&events),
-                Err(error) => {
-                    self.log_unreadable(&error.to_string());
-                    attempt.finish(HealthSignal::Failed, false);
-                    return Err(Outcome::Unknown.into());
-                }
+            let events = splitter.push(&data);
+            let kept = events.and_then(|events| first_events.push(&events));
+            if let Err(error) = kept {
+                self.log_unreadable(&error.to_string());
+                attempt.finish(error.health_signal(), false);
+                return Err(Outcome::Unknown.into());
             }
             // A comment is no answer.
             if !splitter.has_new_data && first_events.len() <= MAX_COMMENT_BYTES {
@@ -303,14 +303,14 @@
                 response_head: head,
                 attempt,
                 body,
-                first_events: first_events.freeze(),
+                first_events: first_events.take(),
                 splitter,
             })));
         }
     }
 
     /// Returns whether a stream that is resumed goes on after the last event that the caller has.
-    fn continues(&self, splitter: &EventSplitter) -> bool {
+    fn continues(&self, splitter: &StreamEvents) -> bool {
         let first_id = splitter.first_id();
         self.resume
             .is_none_or(|last_id| first_id.is_some_and(|first| first > last_id))
@@ -328,7 +328,14 @@
     }
 
     fn log_unreadable(&self, error: &str) {
-        let (id, runner) = (&*self.id, &*self.runner);
+        self.entry.log_unreadable(&self.id, &self.runner, error);
+    }
+}
+
+impl Entry {
+    /// Logs and counts a response that was not read to its end.
+    pub(crate) fn log_unreadable(&self, id: &str, runner: &str, error: &str) {
+        self.metrics.unreadable.with_label_values(&[error]).inc();
         warn!("response cannot be read", kv: { id, runner, error });
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,6 @@
 //! truncated response ends with an error, so that it never looks complete.
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use decision::time::Time;
 use derive_more::Display;
 use derive_more::Error;
@@ -18,7 +17,6 @@
 use serving::Name;
 use serving::attempt::NextStep;
 use serving::attempt::Outcome;
-use serving::events::EventSplitter;
 use serving::fleet::HealthSignal;
 use serving::silence;
 use serving::silence::Choice;
@@ -31,6 +29,9 @@
 use crate::attempt::OpenStream;
 use crate::attempt::RunningAttempt;
 use crate::attempt::SentAttempt;
+use crate::buffer::KeptEvents;
+use crate::buffer::ReadError;
+use crate::buffer::StreamEvents;
 use crate::dispatch;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::DispatchError;
@@ -65,9 +66,9 @@
 /// The stream as it comes from one runner.
 struct Source {
     body: Incoming,
-    splitter: EventSplitter,
+    splitter: StreamEvents,
     /// Complete events without data, such as comments, that came while the stream was being replaced.
-    kept: BytesMut,
+    kept: KeptEvents,
 }
 
 /// Result of one read from the runner.
@@ -76,6 +77,8 @@
     Events(Bytes),
     /// Bytes that are no event in ascending order.
     Invalid,
+    /// Bytes that cannot be kept.
+    Unreadable(ReadError),
     End,
     Truncated,
     /// Another runner has resumed the stream.
@@ -106,19 +109,20 @@
 }
 
 impl Source {
-    fn new(body: Incoming, mut splitter: EventSplitter) -> Source {
+    fn new(body: Incoming, mut splitter: StreamEvents) -> Source {
         splitter.has_new_data = false;
+        let kept = splitter.keep_events();
         Source {
             body,
             splitter,
-            kept: BytesMut::new(),
+            kept,
         }
     }
 
     /// Reads the next bytes.
     async fn read(&mut self) -> ReadResult {
         if !self.kept.is_empty() {
-            return ReadResult::Events(self.kept.split().freeze());
+            return ReadResult::Events(self.kept.take());
         }
         self.read_body().await
     }
@@ -131,7 +135,8 @@
         };
         match self.splitter.push(&data) {
             Ok(events) if !self.splitter.is_out_of_order() => ReadResult::Events(events),
-            Ok(_) | Err(_) => ReadResult::Invalid,
+            Ok(_) => ReadResult::Invalid,
+            Err(error) => ReadResult::Unreadable(error),
         }
     }
 
@@ -140,9 +145,11 @@
         loop {
             match self.read_body().await {
                 ReadResult::Events(events) => {
-                    self.kept.extend_from_slice(&events);
+                    if let Err(error) = self.kept.push(&events) {
+                        return ReadResult::Unreadable(error);
+                    }
                     if self.splitter.has_new_data || self.kept.len() > MAX_KEPT_BYTES {
-                        return ReadResult::Events(self.kept.split().freeze());
+                        return ReadResult::Events(self.kept.take());
                     }
                 }
                 result => return result,
@@ -179,6 +186,10 @@
                     return Some((Err(self.abort(FailureCause::ResponseLost)), self));
                 }
                 ReadResult::Lost(cause) => return Some((Err(self.abort(cause)), self)),
+                ReadResult::Unreadable(error) => {
+                    self.log_unreadable(error);
+                    return Some((Err(self.abort(FailureCause::ResponseLost)), self));
+                }
                 ReadResult::DeadlineExceeded => {
                     return Some((Err(self.abort(FailureCause::DeadlineExceeded)), self));
                 }
@@ -303,7 +314,9 @@
             let answer = tokio::select! {
                 biased;
                 result = self.source.wait_for_data() => match result {
-                    ReadResult::Truncated | ReadResult::Invalid => {
+                    ReadResult::Truncated
+                    | ReadResult::Invalid
+                    | ReadResult::Unreadable(_) => {
                         self.give_up_silent(silent.runner, HealthSignal::Failed);
                         return Ok(self.wait_for_second(second, last_id).await);
                     }
@@ -421,6 +434,14 @@
         self.request.record_completion("served");
     }
 
+    fn log_unreadable(&self, error: ReadError) {
+        let request = &self.request;
+        let runner = self.attempt.as_ref().map_or("", RunningAttempt::runner);
+        request
+            .entry
+            .log_unreadable(&request.head.request.id, runner, &error.to_string());
+    }
+
     fn abort(&mut self, cause: FailureCause) -> StreamTruncated {
         self.is_aborted = true;
         if let Some(attempt) = self.attempt.take() {
