Blame no request for a crash after its own time limit

The test failed before: the entry shared a crash that named it,

An attempt that the entry itself gives up at the request's deadline has only met a silence and is reported no longer. A request that still waits when the runner crashes is a suspect as before, also after a silence, which the second test holds on to; it passed before.

--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -18,12 +18,16 @@
 
 impl ActiveRequest {
     /// Records an attempt that broke before its answer, in case the runner has crashed: with the
-    /// runner's agent, or else with the entry's own watch.
+    /// runner's agent, or else with the entry's own watch. One that was given up at the request's
+    /// deadline has only met a silence.
     pub(crate) fn report_broken(&self, placement: &Placement, progress: AnswerProgress) {
+        let now = self.entry.now();
+        if now >= self.deadline {
+            return;
+        }
         let (runner, born) = (&placement.runner, placement.born);
         let whole = self.fingerprint();
         let parts = &self.head.request.parts;
-        let now = self.entry.now();
         let mut state = self.entry.state();
         let state = &mut *state;
         let Some(view) = state.fleet.get(runner) else {
