Await an agent whose connection is opened again

An entry gives up the connection to an agent after 2.4 s of silence and opens it again. Until the agent answered there, requests for adapters that no runner held were refused at once with "no runner is left to try", although they had time left and the agent went on.

An agent is now awaited for 4 s after its last message, if no connected one can load the adapter; the request for it waits in the queue of the connection. The wait of a request is bounded as before.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -34,6 +34,9 @@
 /// Number of runners that hold the adapter and are compared, if there are many more entries than
 /// such runners.
 const MIN_SAMPLE: usize = 2;
+/// How long after its last message an agent is awaited whose connection was lost: a silent one is given
+/// up after [`SILENCE_TIMEOUT`](crate::link::SILENCE_TIMEOUT), and the connection is then opened again.
+const AGENT_RETURN_TIME: Duration = Duration::from_secs(4);
 /// Difference between the error rates of two runners up to which both are compared.
 const ERROR_RATE_MARGIN: f32 = 0.1;
 
@@ -111,7 +114,7 @@
     #[display("the runners have asked for a pause")]
     Paused(Time),
     /// The remaining runners are excluded or have ended, or they lack the adapter and there is no
-    /// connection to their agents.
+    /// connection to their agents and none is expected.
     #[display("no runner is left to try")]
     Exhausted,
     /// The remaining runners are still loading the model; holds the time at which the first of them
@@ -272,6 +275,7 @@
         Ok(Candidate {
             runner,
             last_resort: !runner.up
+                || (access == Access::Absent && !runner.linked)
                 || runner.health.breaker_decision(now) == BreakerDecision::LastResort,
             access,
             opens_at,
@@ -320,8 +324,8 @@
 /// A runner that can serve a request, with the values by which it is compared with others.
 struct Candidate<'a> {
     runner: &'a Runner,
-    /// Whether its circuit breaker is open or it does not answer its agent, so that it is chosen only if
-    /// there is no other.
+    /// Whether its circuit breaker is open, it does not answer its agent, or the agent is to load the
+    /// adapter and is not connected, so that it is chosen only if there is no other.
     last_resort: bool,
     access: Access,
     /// When a request may be sent there.
@@ -408,11 +412,16 @@
     };
     match runner.adapters.get(adapter) {
         Some(view) if view.version >= requirements.min_version => Some(view_access(now, view)),
-        _ if runner.linked => Some(Access::Absent),
+        _ if runner.linked || is_agent_awaited(now, runner) => Some(Access::Absent),
         _ => None,
     }
 }
 
+/// Returns whether the agent of a runner is expected to be connected again.
+fn is_agent_awaited(now: Time, runner: &Runner) -> bool {
+    runner.reported_at > Time::default() && now < runner.reported_at.after(AGENT_RETURN_TIME)
+}
+
 /// Returns why a runner that accepts requests cannot serve this one.
 fn unavailable_cause(requirements: &Requirements<'_>, runner: &Runner) -> NoRunner {
     let ended = !runner.up && runner.member.models.is_empty();
--- a/crates/serving/tests/silent_runners.rs
+++ b/crates/serving/tests/silent_runners.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::artifact;
 use common::fleet;
 use common::requirements;
@@ -95,3 +97,32 @@
     assert!(!placement.silent);
     assert_eq!(placement.access.to_string(), "ready");
 }
+
+/// Guards against requests that are refused while a lost connection to the only agent is opened again, and
+/// against waits for an agent that is gone.
+#[test]
+fn agent_without_a_connection_is_awaited_for_a_while() {
+    // How long ago the agent was heard, and whether it is awaited.
+    for (silence_ms, awaited) in [(0, true), (3_900, true), (4_000, false)] {
+        let mut fleet = fleet(1, NOW);
+        fleet.set_linked("r0", false);
+        let mut rng = fastrand::Rng::with_seed(1);
+        let now = NOW.after(Duration::from_millis(silence_ms));
+        let placement = fleet.place(now, &mut rng, &requirements(&artifact(1), 0));
+        assert_eq!(placement.is_ok(), awaited, "after {silence_ms} ms");
+    }
+}
+
+/// Guards against adapters that are awaited at an agent without a connection while another one has one.
+#[test]
+fn connected_agent_is_asked_first() {
+    let mut fleet = fleet(3, NOW);
+    fleet.set_linked("r0", false);
+    fleet.set_linked("r1", false);
+    let mut rng = fastrand::Rng::with_seed(1);
+    for index in 0..50 {
+        let placement = fleet.place(NOW, &mut rng, &requirements(&artifact(index), 0));
+        let placement = placement.expect("an agent is connected");
+        assert_eq!(&*placement.runner, "r2");
+    }
+}
