--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -32,6 +32,7 @@
         let (runner, born) = (&placement.runner, placement.born);
         let whole = self.fingerprint();
         let parts = &self.head.request.parts;
+        let now = self.entry.now();
         let mut state = self.entry.state();
         let state = &mut *state;
         let Some(view) = state.fleet.get(runner) else {
