Review: a lost answer on the operator's rows leaves an entry on an old manifest for 17 s

Shown by review/1/run.sh: the store loses one answer to each entry, the one that tells of a new manifest; all else goes on. Cause: the read of the operator's rows is held for 20 s and given up early only if a read of the membership fails (crates/gateway/src/watch.rs).

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,27 @@
+//! The stand-ins and the scripts of the review. Usage: `review CASE FOLDER`, in the root of the repository; the record
+//! of the run is written to FOLDER. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod config;
+mod http;
+mod json;
+mod runner;
+mod site;
+mod store;
+
+use std::path::Path;
+
+fn main() {
+    let mut words = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
+        eprintln!("usage: review CASE FOLDER");
+        std::process::exit(2);
+    };
+    let record = site::Record::new(&Path::new(&folder).join("record.txt"));
+    match case.as_str() {
+        "config" => config::run(record),
+        _ => {
+            eprintln!("no such case");
+            std::process::exit(2);
+        }
+    }
+}
