--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,9 +1,11 @@
 //! The stand-ins and the scripts of the review. Usage: `review CASE FOLDER`, in the root of the repository; the record
 //! of the run is written to FOLDER. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod bodies;
 mod config;
 mod http;
 mod json;
+mod poison;
 mod runner;
 mod site;
 mod store;
@@ -18,7 +20,9 @@
     };
     let record = site::Record::new(&Path::new(&folder).join("record.txt"));
     match case.as_str() {
+        "bodies" => bodies::run(record),
         "config" => config::run(record),
+        "poison" => poison::run(record),
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
