--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -22,7 +22,7 @@
     r#"{"version":3,"routes":[{"name":"chat","host":"desk.example","prefix":"/chat/","kind":"stream","timeout_ms":4000,"goal_ms":500,"priority":1,"service":"advisor","max_attempts":2,"sticky":true,"resumable":true,"gap_goal_ms":400}],"services":[{"name":"advisor","health_path":"/healthz","max_conns":370,"engine":{"slots":64,"kv_capacity":265730,"models":[{"name":"m0","weights_mb":65100,"load_s":0.6,"adapters":3000,"adapter_mb":12}],"weights_mb":66600,"adapter_slots":17,"loads_per_s":6.1}}],"limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#.into()
 }
 
-/// A number from 0 to 99, from a counter.
+/// Draws a number from 0 to 99.
 fn draw(state: &AtomicU64) -> u64 {
     let mut number = state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::SeqCst);
     number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
