--- a/review/standins/bodies.rs
+++ b/review/standins/bodies.rs
@@ -19,9 +19,6 @@
 /// The pause between two parts: a body takes 2.6 s, and all 27 at an entry together 44 MB/s, which
 /// is a third of `link_mbps`.
 const PART_PAUSE: Duration = Duration::from_millis(40);
-/// When the bodies of a round begin, and how far apart those of two requesters do.
-const STEADY: Duration = Duration::from_millis(1_000);
-const SPREAD: Duration = Duration::from_millis(12);
 const ROUND: Duration = Duration::from_millis(6_000);
 const ROUNDS: usize = 5;
 const WORK: Duration = Duration::from_millis(150);
--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -1,7 +1,7 @@
 //! A part of a prompt crashes the runners that begin to write an answer on it, while runners fail part of their requests.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::http;
@@ -13,7 +13,7 @@
 const ENTRIES: u8 = 2;
 /// The dose of `srv_grey` in the site file: all runners fail 0.45 of their requests.
 const GREY_SHARE: u64 = 45;
-const GREY_MS: u64 = 6_500;
+const GREY_MS: u64 = 4_000;
 /// The deadly part, and the first part of all requests of the route.
 const DEADLY: &str = "d1d1d1d1";
 const FIRST: &str = "a0a0a0a0";
@@ -75,11 +75,15 @@
     record.add("the entries are ready");
     std::thread::sleep(Duration::from_millis(3_500));
 
-    let sent = Arc::new(Mutex::new(Vec::<(u64, String)>::new()));
+    let broken = Arc::new(AtomicU64::new(0));
     let stop = Arc::new(AtomicBool::new(false));
     let send = |deadly: bool, name: &'static str, pause: u64| {
-        let (record, sent, stop, entries) =
-            (record.clone(), sent.clone(), stop.clone(), entries.clone());
+        let (record, broken, stop, entries) = (
+            record.clone(),
+            broken.clone(),
+            stop.clone(),
+            entries.clone(),
+        );
         std::thread::spawn(move || {
             for number in 0_usize.. {
                 if stop.load(Ordering::SeqCst) {
@@ -100,12 +104,15 @@
                     "POST /chat/{number} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Model: m0\r\nX-Token-Count: 455,40\r\nX-Prompt-Prefix: {prefix}\r\nX-Deadline-Ms: 4000\r\nContent-Length: {}\r\nConnection: close\r\n\r\nprompt {id}",
                     7 + id.len()
                 );
-                sent.lock().unwrap().push((record.ms(), id.clone()));
                 record.add(&format!("{id} sent to {entry}, parts {prefix}"));
-                let record = record.clone();
+                let (record, broken) = (record.clone(), broken.clone());
                 std::thread::spawn(move || {
                     let answer =
                         http::call(entry, request.as_bytes(), Duration::from_millis(4_500));
+                    let status = answer.as_ref().map_or(0, |a| a.head.status());
+                    if !deadly && ![200, 500].contains(&status) {
+                        broken.fetch_add(1, Ordering::SeqCst);
+                    }
                     let shown = answer.map(|a| format!("{} {} B", a.head.status(), a.body.len()));
                     record.add(&format!("{id} answered: {shown:?}"));
                 });
@@ -116,8 +123,8 @@
     let sound = send(false, "s", 40);
     std::thread::sleep(Duration::from_millis(1_500));
     let poisoned = send(true, "d", 500);
-    // The runners fail part of their requests three times, with a pause between.
-    for _ in 0..3 {
+    // The runners fail part of their requests five times, with a pause between.
+    for _ in 0..5 {
         if trouble() {
             record.add("all runners fail 0.45 of their requests");
             grey.store(true, Ordering::SeqCst);
@@ -146,6 +153,10 @@
         "{} runs of requests with the deadly part crashed runners",
         crashes.len()
     ));
+    record.say(&format!(
+        "{} sound requests got neither a 200 nor their runner's 500",
+        broken.load(Ordering::SeqCst)
+    ));
     let Some(fifth) = crashes.get(4) else {
         record.say("there was no fifth crash");
         site.end(0);
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -27,7 +27,6 @@
 pub struct Run {
     pub ms: u64,
     pub id: String,
-    pub runner: String,
     pub service: String,
     pub path: String,
     pub prefix: String,
@@ -257,7 +256,6 @@
         let run = Run {
             ms: self.record.ms(),
             id: id.clone(),
-            runner: self.id.clone(),
             service: self.service.clone(),
             path: head.target().to_owned(),
             prefix: head.get("x-prompt-prefix").unwrap_or("").to_owned(),
@@ -336,8 +334,6 @@
             Deed::Crash(work, pause) => {
                 std::thread::sleep(work);
                 if !ended() {
-                    let _ = conn.send(head.as_bytes());
-                    std::thread::sleep(Duration::from_millis(10));
                     self.crash(pause);
                 }
                 false
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -130,11 +130,6 @@
         }
     }
 
-    /// Registers a runner, whose entry is written again with each heartbeat.
-    pub fn register(&self, id: &str, entry: String) {
-        register(&self.members, &self.store, id, entry);
-    }
-
     pub fn members(&self) -> Arc<Mutex<BTreeMap<String, String>>> {
         self.members.clone()
     }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -50,10 +50,6 @@
         self.write(table, key, Some(base64(value.as_bytes())));
     }
 
-    pub fn remove(&self, table: &str, key: &str) {
-        self.write(table, key, None);
-    }
-
     fn write(&self, table: &str, key: &str, value: Option<String>) {
         let mut rows = self.rows.lock().unwrap();
         rows.ver += 1;
