Review: two deadly requests at once are held too late

Shown by review/5/run.sh: two requests that crash runners, each five times a second at each of four entries, crash the three runners of their service in waves. One of them reaches runners in 15, 7, 13, 22 and 16 retries later than 3 s after its third crash (three are allowed). Failed in 5 of 5 runs, made at the same time, passed with TROUBLE=0. Cause: a request is held after three crashes only if it can be told apart from others in them, else after six (crates/serving/src/quarantine/evidence.rs).

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod poison;
+mod repeats;
 mod runner;
 mod site;
 mod store;
@@ -23,6 +24,7 @@
         "bodies" => bodies::run(record),
         "config" => config::run(record),
         "poison" => poison::run(record),
+        "repeats" => repeats::run(record),
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -27,6 +27,8 @@
 pub struct Run {
     pub ms: u64,
     pub id: String,
+    pub runner: String,
+    pub born: u64,
     pub service: String,
     pub path: String,
     pub prefix: String,
@@ -256,6 +258,8 @@
         let run = Run {
             ms: self.record.ms(),
             id: id.clone(),
+            runner: self.id.clone(),
+            born,
             service: self.service.clone(),
             path: head.target().to_owned(),
             prefix: head.get("x-prompt-prefix").unwrap_or("").to_owned(),
