--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,5 +1,5 @@
-//! The stand-ins and the scripts of the review. Usage: `review CASE FOLDER`, in the root of the repository; the record
-//! of the run is written to FOLDER. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+//! The stand-ins and the scripts of the review. Usage: `standins CASE RECORD`, in the root of the repository; the record
+//! of the run is written to the file RECORD. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod bodies;
 mod config;
@@ -15,11 +15,11 @@
 
 fn main() {
     let mut words = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
-        eprintln!("usage: review CASE FOLDER");
+    let (Some(case), Some(file)) = (words.next(), words.next()) else {
+        eprintln!("usage: standins CASE RECORD");
         std::process::exit(2);
     };
-    let record = site::Record::new(&Path::new(&folder).join("record.txt"));
+    let record = site::Record::new(&Path::new(&file));
     match case.as_str() {
         "bodies" => bodies::run(record),
         "config" => config::run(record),
