Hold reads of the store no longer than a lost answer may go unnoticed

Cause: the store might hold a read of the operator's table, and of that of held parts, for 20 s, and the call ended 0.9 s later. The one thing that ended it sooner was a failed read of the membership. A channel that goes silent alone fails no other read, so that the entry took the answers on another channel for a sign that this one was in order.

Change: serving::table_reads adds up all that passes from a change to its effect (pause, hold, response, retry, read of all rows); the hold is what the bound for restored contact leaves. A bound that leaves too little is logged at the start. A failed read is logged with how long it was held and how long the table had not been heard of; a metric has the age of each table.

Price: 0.65 reads a second and table of an entry with a bound of 3 s, in place of one in 20 s.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -10,6 +10,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use decision::collections::Map;
 use decision::time::Time;
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -80,6 +81,8 @@
     pub(crate) members: Members,
     /// Whether the membership has been read once.
     pub(crate) members_known: bool,
+    /// When the store last answered a read of each table.
+    pub(crate) tables_read: Map<Table, Time>,
 }
 
 /// An entry: its state, its connections and its metrics, shared by all tasks.
@@ -173,6 +176,7 @@
             rng,
             members: Members::new(Duration::from_millis(bounds.contact_ms)),
             members_known: false,
+            tables_read: Map::default(),
         };
         let clock = RuntimeClock::start();
         let buffers = BufferBudget::new(settings.memory_mb);
@@ -300,6 +304,11 @@
         }
     }
 
+    /// Records that the store has answered a read of a table.
+    pub(crate) fn record_table_read(&self, now: Time, table: Table) {
+        self.state().tables_read.insert(table, now);
+    }
+
     /// Records that a read of a table, which began at `started_at`, failed.
     pub fn mark_store_lost(&self, table: Table, started_at: Time) {
         if table == Table::Members {
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -128,6 +128,10 @@
         let paused = state.fleet.backpressure.paused_count(now);
         self.metrics.paused_runners.set(paused as i64);
         self.metrics.isolated_parts.set(isolated as i64);
+        for (table, read_at) in &state.tables_read {
+            let age = self.metrics.table_age_s.with_label_values(&[table.name()]);
+            age.set(now.since(*read_at).as_secs_f64());
+        }
         let unlinked = state
             .members
             .iter()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of the entry and the agent.
 
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
@@ -45,6 +46,8 @@
     pub runner_connects: IntCounter,
     /// Reads of the store by result: `ok`, `expired` or `failed`.
     pub store_calls: IntCounterVec,
+    /// Time since the store last answered a read of each table, in seconds, as of the last maintenance.
+    pub table_age_s: GaugeVec,
     /// Restores of the store from a copy that were seen in its answers.
     pub store_restores: IntCounter,
     /// Choices of a runner that does not answer its agent, because no other was left.
@@ -108,6 +111,12 @@
         let resumed_streams =
             IntCounter::new("streams_resumed_total", "Streams that were resumed")?;
         let runner_connects = IntCounter::new("runner_connects_total", "Connections to runners")?;
+        let age = Opts::new(
+            "store_table_age_seconds",
+            "Time since a table was last read",
+        );
+        let table_age_s = GaugeVec::new(age, &["table"])?;
+        registry.register(Box::new(table_age_s.clone()))?;
         let store_restores =
             IntCounter::new("store_restores_total", "Restores of the store from a copy")?;
         registry.register(Box::new(store_restores.clone()))?;
@@ -154,6 +163,7 @@
             resumed_streams,
             runner_connects,
             store_calls,
+            table_age_s,
             store_restores,
             silent_choices,
             part_holds,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,13 +5,16 @@
 
 use decision::time::Time;
 use edges::EdgeError;
+use platform::settings::Bounds;
 use platform::store::FeedReply;
+use platform::store::RESPONSE_TIMEOUT;
 use platform::store::Row;
 use platform::store::RowBatch;
 use platform::store::Table;
 use serving::members::Extent;
 use serving::members::MemberRow;
 use serving::store_era::RestoreCount;
+use serving::table_reads::ReadTimes;
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::watch;
@@ -20,13 +23,8 @@
 use crate::store::Fresh;
 use crate::store::StoreError;
 
-/// How long the store may hold a read of the membership's changes, as a share of the bound for
-/// restored contact. A dead connection is noticed only after that time; the rest of the bound
-/// covers the response timeout and the read of all rows.
-const CONTACT_SHARE: f64 = 0.6;
-/// How long the store may hold a read of tables that change rarely. A dead connection is noticed
-/// earlier by the reads of the membership, which are more frequent.
-const RARE_POLL_TIMEOUT: Duration = Duration::from_secs(20);
+/// The time for connecting to the store, reading all rows of a table and applying them.
+const READ_TIME: Duration = Duration::from_millis(500);
 /// The pause between two reads of the membership's changes, as a share of the drain bound. Each
 /// heartbeat of a runner is a change and each call has a price, so one read collects many of them.
 const MEMBERS_PAUSE_SHARE: f64 = 0.45;
@@ -60,9 +58,13 @@
 /// a failure, or when the store has come back from a copy, it starts again with a full read.
 pub async fn follow_table(entry: Arc<Entry>, table: Table) {
     let restored = entry.store.subscribe();
+    let bounds = &entry.settings.bounds;
+    let times = read_times(table, bounds);
+    log_read_times(table, &times, bounds.contact_ms);
     let mut follower = Follower {
         entry,
         table,
+        hold: times.hold,
         restored,
         position: None,
         restores: RestoreCount::default(),
@@ -79,6 +81,8 @@
 struct Follower {
     entry: Arc<Entry>,
     table: Table,
+    /// How long the store may hold a read of changes.
+    hold: Duration,
     /// Changes when the store turns out to be restored.
     restored: watch::Receiver<RestoreCount>,
     /// `None` if all rows are to be read.
@@ -119,7 +123,7 @@
                 restores: read.restores,
             }));
         };
-        let mut wait = poll_timeout(table, entry.settings.bounds.contact_ms);
+        let mut wait = self.hold;
         if self.lower_answers > 0 {
             wait = wait.min(LOWER_POLL_TIMEOUT);
         }
@@ -171,6 +175,7 @@
             },
         };
         self.answered_at = Some(now);
+        self.entry.record_table_read(now, self.table);
         apply_rows(&self.entry, self.table, batch, origin);
         if self.table == Table::Members {
             self.pause_members_reads().await;
@@ -180,8 +185,7 @@
     /// Waits before the next read of the membership's changes; less long if the known membership turns
     /// out to be outdated, or the store to be restored.
     async fn pause_members_reads(&mut self) {
-        let drain = Duration::from_millis(self.entry.settings.bounds.drain_ms);
-        let pause = drain.mul_f64(MEMBERS_PAUSE_SHARE);
+        let pause = members_pause(&self.entry.settings.bounds);
         tokio::time::sleep(MIN_MEMBERS_PAUSE.min(pause)).await;
         tokio::select! {
             () = tokio::time::sleep(pause.saturating_sub(MIN_MEMBERS_PAUSE)) => {}
@@ -191,10 +195,17 @@
         }
     }
 
+    /// Returns how long ago the store last answered a read of the table.
+    fn table_age(&self) -> Duration {
+        let answered_at = self.answered_at.unwrap_or_default();
+        self.entry.now().since(answered_at)
+    }
+
     fn record_success(&mut self) {
         if self.failures > 0 {
             let (table, failures) = (self.table.name(), self.failures);
-            info!("store reachable again", kv: { table, failures });
+            let unknown_ms = self.table_age().as_millis() as u64;
+            info!("store reachable again", kv: { table, failures, unknown_ms });
         }
         self.failures = 0;
     }
@@ -219,7 +230,9 @@
         self.count("failed");
         if self.failures == 0 {
             let (table, error) = (self.table.name(), error.to_string());
-            warn!("store read failed", kv: { table, error = error.as_str() });
+            let waited_ms = self.entry.now().since(started_at).as_millis() as u64;
+            let unknown_ms = self.table_age().as_millis() as u64;
+            warn!("store read failed", kv: { table, waited_ms, unknown_ms, error = error.as_str() });
         }
         self.entry.mark_store_lost(self.table, started_at);
         // A restarted history or a missed removal shows only in a full read.
@@ -235,11 +248,35 @@
     }
 }
 
-/// Returns how long the store may hold a read of a table's changes.
-fn poll_timeout(table: Table, contact_ms: u64) -> Duration {
-    match table {
-        Table::Operator | Table::Quarantine => RARE_POLL_TIMEOUT,
-        Table::Members => Duration::from_millis(contact_ms).mul_f64(CONTACT_SHARE),
+/// Returns the times of a table's reads, which add up to the bound for being up to date with a store
+/// that can be reached.
+fn read_times(table: Table, bounds: &Bounds) -> ReadTimes {
+    let pause = match table {
+        Table::Members => members_pause(bounds),
+        Table::Operator | Table::Quarantine => Duration::ZERO,
+    };
+    let times = ReadTimes {
+        pause,
+        hold: Duration::ZERO,
+        response: RESPONSE_TIMEOUT,
+        retry: RETRY_PAUSES[0],
+        read: READ_TIME,
+    };
+    times.within(Duration::from_millis(bounds.contact_ms))
+}
+
+fn members_pause(bounds: &Bounds) -> Duration {
+    Duration::from_millis(bounds.drain_ms).mul_f64(MEMBERS_PAUSE_SHARE)
+}
+
+/// Logs the longest time for which a table may be out of date, and warns if that is beyond the bound.
+fn log_read_times(table: Table, times: &ReadTimes, contact_ms: u64) {
+    let (table, hold_ms) = (table.name(), times.hold.as_millis() as u64);
+    let total_ms = times.total().as_millis() as u64;
+    if total_ms > contact_ms {
+        warn!("a lost answer of the store is noticed too late", kv: { table, hold_ms, total_ms, bound_ms = contact_ms });
+    } else {
+        info!("following table", kv: { table, hold_ms, total_ms });
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod silence;
 pub mod stop;
 pub mod store_era;
+pub mod table_reads;
 pub mod usage;
 pub mod versions;
 
