Repeat a call to the store over a new connection when it had no answer

Callers saw: when all open channels to the store go silent at once, an entry knows a change only after 3.6 s, where 3 s are the bound.

Cause: the read after a lost one took an idle connection of the pool, which had gone silent with the others, and was lost as well.

Evidence: change_is_known_in_time_though_all_connections_go_silent failed with 3.63 s before, with two failed reads of each table in the log.

Change: a call without an answer makes later ones go over new connections; open ones go on.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,7 +1,7 @@
 //! The entry's access to the platform's store, and the one place that knows the store's era.
 //!
 //! Invariants: the era of each answer is recorded before the answer is used; an answer of before the
-//! last restore is never used.
+//! last restore is never used; after a call without an answer, the next one goes over a new connection.
 //!
 //! API boundary: all tasks of an entry call the store through [`Store`].
 
@@ -13,6 +13,7 @@
 use derive_more::From;
 use edges::EdgeError;
 use edges::EdgeResult;
+use edges::ErrorKind;
 use platform::evidence::Evidence;
 use platform::evidence::EvidenceKey;
 use platform::holds::HoldRow;
@@ -56,7 +57,9 @@
 /// The platform's store, as all tasks of an entry use it.
 #[derive(Debug)]
 pub struct Store {
-    client: StoreClient,
+    addr: SocketAddr,
+    /// Replaced when a call has no answer, so that the next one goes over a new connection.
+    client: Mutex<StoreClient>,
     clock: RuntimeClock,
     era: Mutex<EraTracker>,
     restores: watch::Sender<RestoreCount>,
@@ -67,7 +70,8 @@
     /// Creates a client for the store at this address, which counts the restores that it sees.
     pub(crate) fn new(addr: SocketAddr, clock: RuntimeClock, restores_total: IntCounter) -> Store {
         Store {
-            client: StoreClient::new(addr),
+            addr,
+            client: Mutex::new(StoreClient::new(addr)),
             clock,
             era: Mutex::default(),
             restores: watch::Sender::default(),
@@ -87,7 +91,8 @@
 
     /// Reads all rows of a table.
     pub(crate) async fn read_all(&self, table: Table) -> Result<Fresh<RowBatch>, StoreError> {
-        self.observe(self.client.read_all(table)).await
+        let client = self.client();
+        self.observe(client.read_all(table)).await
     }
 
     /// Waits up to `wait` until rows of a table change after version `after`.
@@ -97,18 +102,21 @@
         after: u64,
         wait: Duration,
     ) -> Result<Fresh<FeedReply>, StoreError> {
-        self.observe(self.client.wait_for_changes(table, after, wait))
+        let client = self.client();
+        self.observe(client.wait_for_changes(table, after, wait))
             .await
     }
 
     /// Reads all held parts.
     pub(crate) async fn read_holds(&self) -> Result<Fresh<Vec<StoredHold>>, StoreError> {
-        self.observe(self.client.read_holds()).await
+        let client = self.client();
+        self.observe(client.read_holds()).await
     }
 
     /// Reads the row of one held part.
     pub(crate) async fn read_hold(&self, part: PartId) -> Result<Fresh<HoldRow>, StoreError> {
-        self.observe(self.client.read_hold(part)).await
+        let client = self.client();
+        self.observe(client.read_hold(part)).await
     }
 
     /// Writes a hold unless its row has changed since it was read; returns whether it was written.
@@ -118,13 +126,14 @@
         length: Duration,
         level: u32,
     ) -> Result<Fresh<bool>, StoreError> {
-        self.observe(self.client.write_hold(row, length, level))
-            .await
+        let client = self.client();
+        self.observe(client.write_hold(row, length, level)).await
     }
 
     /// Removes the rows of these parts.
     pub(crate) async fn remove_holds(&self, parts: &[PartId]) -> Result<(), StoreError> {
-        self.observe(self.client.remove_holds(parts)).await?;
+        let client = self.client();
+        self.observe(client.remove_holds(parts)).await?;
         Ok(())
     }
 
@@ -133,23 +142,41 @@
         &self,
         rows: &[(EvidenceKey, Evidence)],
     ) -> Result<(), StoreError> {
-        self.observe(self.client.write_evidence(rows)).await?;
+        let client = self.client();
+        self.observe(client.write_evidence(rows)).await?;
         Ok(())
     }
 
     /// Removes rows of evidence.
     pub(crate) async fn remove_evidence(&self, keys: &[EvidenceKey]) -> Result<(), StoreError> {
-        self.observe(self.client.remove_evidence(keys)).await?;
+        let client = self.client();
+        self.observe(client.remove_evidence(keys)).await?;
         Ok(())
     }
 
+    fn client(&self) -> StoreClient {
+        lock(&self.client).clone()
+    }
+
+    /// Makes later calls go over new connections: those that are idle may have gone silent with the one
+    /// that did not answer. Calls that are open go on.
+    fn drop_connections(&self) {
+        *lock(&self.client) = StoreClient::new(self.addr);
+    }
+
     /// Records the era of a call's answer, and drops an outdated one.
     async fn observe<T>(
         &self,
         call: impl Future<Output = EdgeResult<Answer<T>>>,
     ) -> Result<Fresh<T>, StoreError> {
         let started_at = self.clock.now();
-        let Answer { value, era } = call.await?;
+        let answer = call.await;
+        if let Err(error) = &answer
+            && error.kind == ErrorKind::NoResponse
+        {
+            self.drop_connections();
+        }
+        let Answer { value, era } = answer?;
         let (change, restores) = {
             let mut tracker = lock(&self.era);
             let change = tracker.record(started_at, self.clock.now(), era);
