Clear a suspicion only by an attempt that has shown the request to be sound

Cause: an attempt counted as answered if its runner had responded with a failure. record_answer then cleared the parts of the request, and the whole request, of all suspicion here and at all entries, and listed them as served, which raises the number of crashes until they are held. A runner that fails a request may not have begun the work that it would crash on.

Change: serving::quarantine::Finding says what each end of an attempt shows: nothing while unanswered or not run, life of the runner by its fault, the whole request by a 4xx, the parts only by an answer. A trial goes on after an attempt that has shown nothing, so that a probe that its runner fails is sent once more and no hold ends by it. Stand-in runners fail a request before they could crash on it, and may lose the head of the answer that they crash in; the soak plays both.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use serving::fleet::HealthSignal;
 use serving::fleet::InflightRequest;
 use serving::placement::Placement;
+use serving::quarantine::Finding;
 
 use crate::admit::AnnouncedPrompt;
 use crate::buffer::BufferedBody;
@@ -70,6 +71,17 @@
     Begun,
 }
 
+/// Returns what the end of an attempt shows of its request.
+pub fn finding(result: &AnswerResult) -> Finding {
+    match result {
+        Ok(AttemptResponse::Complete(..) | AttemptResponse::Stream(_)) => Finding::Answered,
+        Err(failed) => {
+            let head = failed.failure.as_ref().map(|(head, _)| head);
+            Finding::of_failure(failed.outcome, head.map(|head| head.status.as_u16()))
+        }
+    }
+}
+
 impl From<Outcome> for FailedAttempt {
     fn from(outcome: Outcome) -> Self {
         FailedAttempt {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -33,6 +33,7 @@
 use spdlog::info;
 use spdlog::warn;
 
+use crate::attempt;
 use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
 use crate::attempt::SentAttempt;
@@ -359,13 +360,7 @@
                 Some(sent) => self.wait_for_answer(sent, resume).await,
                 None => self.make_attempt(resume).await?,
             };
-            let is_answered = match &result {
-                Ok(_) => true,
-                Err(failed) => failed.failure.is_some(),
-            };
-            if is_answered {
-                self.record_answer(&placement);
-            }
+            self.record_finding(&placement, attempt::finding(&result));
             let failed = match result {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,8 +1,8 @@
 //! The entry's part in the quarantine of requests, and prompt parts, on which runners crash: it holds
 //! requests back, and records crashes and answers.
 //!
-//! Invariants: a request that tries suspected parts ends its trial when it is answered or dropped; a
-//! request with a held part is sent only as a probe that the store has granted.
+//! Invariants: a request that tries suspected parts ends its trial when an attempt is conclusive, or when
+//! it is dropped; a request with a held part is sent only as a probe that the store has granted.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use serving::quarantine::Admission;
 use serving::quarantine::Crash;
 use serving::quarantine::CrashEffect;
+use serving::quarantine::Finding;
 use serving::quarantine::Refusal;
 use serving::quarantine::RefusalCause;
 use serving::request::PartId;
@@ -52,6 +53,9 @@
 impl ActiveRequest {
     /// Checks whether the request may be sent; one that may only try suspected parts keeps the trial.
     pub(crate) async fn pass_quarantine(&mut self) -> Result<(), DispatchError> {
+        if self.is_probe() && !self.is_held() {
+            return Ok(());
+        }
         self.trial = None;
         let whole = self.suspect_fingerprint();
         let now = self.entry.now();
@@ -91,6 +95,12 @@
         }
     }
 
+    /// Returns whether the request probes a held part.
+    fn is_probe(&self) -> bool {
+        let kind = self.trial.as_ref().map(|trial| &trial.kind);
+        matches!(kind, Some(TrialKind::Probe(_)))
+    }
+
     /// Returns whether the request has a held part that it does not probe.
     pub(crate) fn is_held(&self) -> bool {
         let mut parts = self.head.request.parts.clone();
@@ -136,16 +146,42 @@
         }
     }
 
-    /// Records that a runner has begun to answer the request.
-    pub(crate) fn record_answer(&mut self, placement: &Placement) {
-        self.answered_by = Some(placement.runner.clone());
-        let runner = &*placement.runner;
-        let mut state = self.entry.state();
-        state.crash_watch.record_answer(runner, placement.born);
-        drop(state);
+    /// Records what an attempt has shown of the request and of its runner.
+    pub(crate) fn record_finding(&mut self, placement: &Placement, finding: Finding) {
+        if finding.shows_life() {
+            self.answered_by = Some(placement.runner.clone());
+            let mut state = self.entry.state();
+            let watch = &mut state.crash_watch;
+            watch.record_answer(&placement.runner, placement.born);
+        }
+        if finding.is_inconclusive() {
+            self.log_inconclusive(placement, finding);
+        } else {
+            self.trial = None;
+        }
+        if finding.clears_whole() {
+            self.clear_suspicion(placement, finding);
+        }
+    }
+
+    /// Logs that a request which tries what is under suspicion has shown nothing.
+    fn log_inconclusive(&self, placement: &Placement, finding: Finding) {
+        if self.trial.is_none() {
+            return;
+        }
+        let (id, runner) = (&*self.head.request.id, &*placement.runner);
+        info!("trial inconclusive", kv: { id, runner, finding = finding.to_string().as_str() });
+    }
+
+    /// Ends the suspicion of what an attempt has shown to be sound, here and at other entries.
+    fn clear_suspicion(&self, placement: &Placement, finding: Finding) {
         let whole = self.entry.state().quarantine.has_suspects();
         let whole = whole.then(|| self.fingerprint());
-        let parts = &self.head.request.parts;
+        let parts: &[PartId] = if finding.clears_parts() {
+            &self.head.request.parts
+        } else {
+            &[]
+        };
         if parts.is_empty() && whole.is_none() {
             return;
         }
@@ -160,7 +196,6 @@
             state.hold_changes.release(*part);
         }
         drop(state);
-        self.trial = None;
         if let Some(whole) = shared {
             self.entry.share_served(whole);
         }
@@ -175,6 +210,7 @@
         }
         self.entry.log_released(&cleared.held, "answered");
         self.entry.holds_changed.notify_one();
+        let runner = &placement.runner;
         self.entry.links.tell(runner, ToAgent::Served(parts));
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,7 @@
 use serving::silence::SilenceWatch;
 use spdlog::info;
 
+use crate::attempt;
 use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
 use crate::attempt::OpenStream;
@@ -341,9 +342,10 @@
         last_id: u64,
     ) -> Result<ReadResult, KeepCause> {
         let placement = &second.placement;
+        let finding = attempt::finding(&answer);
         match answer {
             Ok(AttemptResponse::Stream(stream)) => {
-                self.request.record_answer(placement);
+                self.request.record_finding(placement, finding);
                 self.give_up_silent(silent, HealthSignal::Neutral);
                 self.switch_to(*stream, last_id);
                 Ok(ReadResult::Resumed)
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -11,11 +11,12 @@
 //! part explains is no evidence against others; crashes, held parts and the memory of answered parts
 //! are bounded.
 //!
-//! API boundary: entries record every answer, and the crashes that agents tell of; agents find these
+//! API boundary: entries record what every attempt has shown, a [`Finding`], and the crashes that agents tell of; agents find these
 //! with [`crate::crash_reports`].
 
 mod admission;
 mod evidence;
+mod finding;
 mod recent_parts;
 
 use std::collections::VecDeque;
@@ -30,6 +31,7 @@
 pub use self::admission::RefusalCause;
 pub use self::evidence::Crash;
 pub use self::evidence::MAX_CRASH_REQUESTS;
+pub use self::finding::Finding;
 
 use self::evidence::KnownCrash;
 use self::evidence::Suspicion;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -181,6 +181,7 @@
                 deadly: self.deadly.clone(),
                 crashed: Some(self.crashed.clone()),
                 deadly_paths: self.deadly_paths.clone(),
+                loses_head: start_number.is_multiple_of(2),
             },
             faults: self.runner_hosts[index].faults.clone(),
             ..RunnerSpec::plain(&id)
