Let versions in quick succession become mandatory

Cause: eight announcements of an adapter are kept and the oldest was dropped, so that with the eighth within the grace of 3.5 s none ever became mandatory; and the update of a replica was due a while after the newest announcement, which the next one put off.

Change: a version that follows within 250 ms takes the place of the one before and becomes mandatory with it, so that a list of 32 covers more than the grace; a replica is due for the newest version whose own delay is over.

--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -7,9 +7,12 @@
 
 use crate::Name;
 
-/// Number of announcements kept per adapter. The oldest one is expected to be mandatory by the time
-/// the list is full.
-const MAX_ANNOUNCEMENTS: usize = 8;
+/// Number of announcements kept per adapter. With [`MIN_SPACING`] between two of them, the oldest one is
+/// mandatory by the time the list is full.
+const MAX_ANNOUNCEMENTS: usize = 32;
+/// The shortest time between two announcements of an adapter that count apart. A version that follows
+/// sooner takes the place of the one before, and becomes mandatory with it.
+const MIN_SPACING: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
@@ -19,6 +22,13 @@
     announced_at: Option<Time>,
 }
 
+impl Announcement {
+    fn is_soon_followed(&self, next: Option<Time>) -> bool {
+        let times = self.announced_at.zip(next);
+        times.is_some_and(|(at, next)| next.since(at) < MIN_SPACING)
+    }
+}
+
 /// The announced versions of all adapters.
 #[derive(Debug, Default)]
 pub struct Versions {
@@ -34,6 +44,12 @@
             return false;
         }
         let list = self.announcements.entry(adapter.clone()).or_default();
+        if let Some(last) = list.last_mut()
+            && last.is_soon_followed(announced_at)
+        {
+            last.version = version;
+            return true;
+        }
         if list.len() >= MAX_ANNOUNCEMENTS {
             list.remove(0);
         }
@@ -69,25 +85,22 @@
         self.announcements.get(adapter)?.last()
     }
 
-    /// Returns the adapters whose newest version should be loaded at a runner by now, with that
-    /// version. The replicas of an adapter are updated one after another within `spread` from the
-    /// announcement; `position` returns the runner's relative position among the replicas, from 0
-    /// to 1, or `None` if it is not one of them.
+    /// Returns the adapters of which a runner should have another version by now, with that version. The
+    /// replicas of an adapter are updated one after another within `spread` from each announcement;
+    /// `position` returns the runner's relative position among the replicas, from 0 to 1, or `None` if it
+    /// is not one of them.
     pub fn outdated(
         &self,
         now: Time,
         spread: Duration,
         position: impl Fn(&str) -> Option<f64>,
     ) -> Vec<(Name, u64)> {
-        let newest = self
-            .announcements
-            .iter()
-            .filter_map(|(adapter, list)| Some((adapter, list.last()?)));
-        let due = newest.filter(|(adapter, last)| {
-            let announced_at = last.announced_at.unwrap_or_default();
-            let due_at =
-                position(adapter).map(|position| announced_at.after(spread.mul_f64(position)));
-            due_at.is_some_and(|due_at| now >= due_at)
+        let due = self.announcements.iter().filter_map(|(adapter, list)| {
+            let delay = spread.mul_f64(position(adapter)?);
+            let is_due = |announced: &&Announcement| {
+                now >= announced.announced_at.unwrap_or_default().after(delay)
+            };
+            Some((adapter, list.iter().rev().find(is_due)?))
         });
         due.map(|(adapter, last)| (adapter.clone(), last.version))
             .collect()
--- a/crates/serving/tests/version_bounds.rs
+++ b/crates/serving/tests/version_bounds.rs
@@ -77,3 +77,37 @@
     assert!(versions.announce(None, &adapter, 4));
     assert_eq!(versions.min_version(Time::from_ms(1), &adapter, GRACE), 4);
 }
+
+/// Guards against versions that follow each other so fast that none of them ever becomes mandatory.
+#[test]
+fn versions_in_quick_succession_become_mandatory() {
+    for interval in [10, 100, 250, 400, 1_000] {
+        let adapter = Name::from("m/a1");
+        let mut versions = Versions::default();
+        for number in 0..200 {
+            let now = Time::from_ms(number * interval);
+            versions.announce(Some(now), &adapter, number + 1);
+            let old = now.since(Time::default()).saturating_sub(GRACE);
+            let expected = old.as_millis() as u64 / interval;
+            let oldest = versions.min_version(now, &adapter, GRACE);
+            assert!(oldest >= expected, "{interval} {number}: {oldest}");
+        }
+    }
+}
+
+/// Guards against replicas that are never updated because each version puts off the update to the one
+/// before.
+#[test]
+fn replicas_are_updated_in_a_quick_succession() {
+    let adapter = Name::from("m/a1");
+    let mut versions = Versions::default();
+    let spread = Duration::from_millis(2_000);
+    let mut behind = 0;
+    for number in 1..=40 {
+        let now = Time::from_ms(number * 400);
+        versions.announce(Some(now), &adapter, number);
+        let due = versions.outdated(now, spread, |_| Some(1.0));
+        behind = due.first().map_or(number, |(_, version)| number - version);
+    }
+    assert!(behind <= 5, "{behind} versions behind");
+}
