Bound the memory of request bodies, and keep each body once

Cause: a body was collected from the parts in which it was read, which keep the read buffers alive, and then copied into one; nothing bounded all bodies together, as the overload limit counts 64 KB for each request.

--- a/crates/cli/tests/endless_bytes.rs
+++ b/crates/cli/tests/endless_bytes.rs
@@ -1,22 +1,18 @@
 //! An entry as a process with its memory limit, and runners that send bytes without end.
 
+mod program;
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::time::Duration;
 
-use platform::settings::Bounds;
-use rig::deploy::EntryParams;
-use rig::deploy::entry_settings;
+use program::Program;
 use rig::deploy::manifest;
 use rig::runner::Phase;
 use rig::runner::Runner;
 use rig::runner::RunnerSpec;
 use rig::runner::success_head;
 use rig::store::Store;
-use tempfile::TempDir;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -32,80 +28,15 @@
     ("/once/body", 60),
 ];
 const SOUND_PATH: &str = "/safe/a";
-const CALLER_PORT: u16 = 8_080;
-const READY_PORT: u16 = 8_081;
 /// The bytes that come at once, below the limits for a head and for an event.
 const HEAD_BYTES: usize = 12 << 10;
 const EVENT_BYTES: usize = 252 << 10;
 const BODY_PART: [u8; 16 << 10] = [b'x'; 16 << 10];
 /// The pause between two of the parts that follow without end.
 const PART_PAUSE: Duration = Duration::from_millis(500);
-const START_POLL: Duration = Duration::from_millis(20);
 /// The status of a request that the entry refuses at once, since its machine is busy.
 const BUSY: &str = "HTTP/1.1 503 ";
 
-/// A program that is killed at the end of the test.
-struct Program {
-    child: Child,
-    _settings: TempDir,
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        // It may have exited already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Program {
-    /// Returns the most memory that has been resident, in KiB.
-    fn peak_kb(&self) -> usize {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).expect("the program lives");
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let value = line.and_then(|line| line.split_whitespace().nth(1));
-        value
-            .and_then(|value| value.parse().ok())
-            .expect("the peak of the resident memory")
-    }
-}
-
-fn start_entry(ip: Ipv4Addr, store: SocketAddr) -> Program {
-    let settings = entry_settings(&EntryParams {
-        name: "e1",
-        ip,
-        caller_port: CALLER_PORT,
-        ready_port: READY_PORT,
-        store,
-        agent_port: 9,
-        bounds: Bounds {
-            stop_s: 8.0,
-            drain_ms: 500,
-            contact_ms: 3_000,
-            version_ms: 5_000,
-            retry_ratio: 0.2,
-            retry_slack: 56.0,
-            retry_window_s: 10.0,
-        },
-    });
-    let settings = settings.replace("memory_mb = 256", &format!("memory_mb = {MEMORY_MB}"));
-    assert!(settings.contains(&format!("memory_mb = {MEMORY_MB}")));
-    let directory = tempfile::tempdir().expect("a directory");
-    let path = directory.path().join("settings.toml");
-    std::fs::write(&path, settings).expect("the settings");
-    let child = Command::new(env!("CARGO_BIN_EXE_dotterelwheel"))
-        .args(["gateway", "--config"])
-        .arg(path)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn();
-    Program {
-        child: child.expect("the program starts"),
-        _settings: directory,
-    }
-}
-
 /// Answers one connection with bytes without end, as its path says.
 async fn serve_endless(mut stream: TcpStream) -> std::io::Result<()> {
     let mut request = Vec::new();
@@ -182,17 +113,7 @@
     // The first route is the one of the sound requests.
     let routes = manifest(1, "t").replacen(r#""service":"t""#, r#""service":"s""#, 1);
     store.put_manifest(&routes);
-    let id = std::process::id();
-    let ip = Ipv4Addr::new(127, 200 + (id % 50) as u8, (id / 50 % 256) as u8, 1);
-    let mut program = start_entry(ip, store.addr);
-    let entry = SocketAddr::from((ip, CALLER_PORT));
-    while !call(entry, SOUND_PATH)
-        .await
-        .is_ok_and(|answer| answer.starts_with("HTTP/1.1 200 "))
-    {
-        assert_eq!(program.child.try_wait().expect("its state"), None);
-        tokio::time::sleep(START_POLL).await;
-    }
+    let (mut program, entry) = Program::start(store.addr, MEMORY_MB).await;
 
     let mut calls = JoinSet::new();
     for (path, count) in FAULTY {
@@ -220,6 +141,6 @@
     let peak_kb = program.peak_kb();
     assert!(served > 0, "no sound request was served");
     assert!(peak_kb < MEMORY_MB << 10, "{peak_kb} KiB");
-    assert_eq!(program.child.try_wait().expect("its state"), None);
+    assert!(program.is_running());
     endless_task.abort();
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,15 +5,10 @@
 use std::time::Duration;
 
 use ::process::caller::RequestGuard;
-use bytes::Bytes;
 use decision::time::Time;
 use derive_more::Display;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
 use platform::ingress;
 use platform::ingress::LocalResponse;
@@ -23,7 +18,6 @@
 use serving::attempt::Attempts;
 use serving::attempt::NextStep;
 use serving::attempt::Outcome;
-use serving::config::Limits;
 use serving::config::Route;
 use serving::placement::NoRunner;
 use serving::placement::Placement;
@@ -41,6 +35,8 @@
 use crate::entry::Entry;
 use crate::quarantine::Trial;
 use crate::relay;
+use crate::request_body::BodyError;
+use crate::request_body::RequestBody;
 use crate::server::Body;
 use crate::server::buffered_body;
 use crate::server::full_body;
@@ -49,7 +45,7 @@
 /// `Retry-After` of a request that is refused because the entry has no usable configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// `Retry-After` of a request that is refused because the entry is overloaded.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Why a request ended without a runner's response.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FailureCause {
@@ -135,7 +131,7 @@
     pub route: Route,
     /// Runners tried so far and whether one of them may have run the request.
     pub attempts: Attempts,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     /// What the request is recognized by when it comes again; computed when it is first needed.
     fingerprint: OnceLock<PartId>,
     pub(crate) service: Name,
@@ -223,7 +219,7 @@
         attempts: Attempts::new(route.kind, route.max_attempts),
         arrival,
         deadline: arrival.after(timeout),
-        body: Bytes::new(),
+        body: RequestBody::default(),
         fingerprint: OnceLock::new(),
         service,
         excluded: Vec::new(),
@@ -245,9 +241,9 @@
         entry,
         caller,
     };
-    match read_body(incoming, &config.limits).await {
+    match request.entry.bodies.read(incoming, &config.limits).await {
         Ok(body) => request.body = body,
-        Err(response) => return request.reject(response),
+        Err(error) => return request.reject(error),
     }
     request.serve().await
 }
@@ -267,22 +263,6 @@
     response.response(id).map(full_body)
 }
 
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, LocalResponse> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limits.body_bytes as u64 {
-        return Err(LocalResponse::BodyTooLarge);
-    }
-    let collect = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.read_timeout, collect).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalResponse::BodyTooLarge),
-        Ok(Err(_)) => Err(LocalResponse::BadRequest),
-        Err(_) => Err(LocalResponse::BodyTimeout),
-    }
-}
-
 impl ActiveRequest {
     async fn serve(mut self) -> Response<Body> {
         let now = self.entry.now();
@@ -316,9 +296,11 @@
     }
 
     /// Ends a request whose body cannot be read.
-    fn reject(mut self, response: LocalResponse) -> Response<Body> {
+    fn reject(mut self, error: BodyError) -> Response<Body> {
         let id = &*self.head.request.id;
-        warn!("request body cannot be read", kv: { id, answer = response.to_string().as_str() });
+        let response = LocalResponse::from(error);
+        let (error, answer) = (error.to_string(), response.to_string());
+        warn!("request body cannot be read", kv: { id, error = error.as_str(), answer = answer.as_str() });
         self.ended = true;
         entry_response(&self.entry, response, Some(&self.head.request.id))
     }
@@ -453,7 +435,7 @@
     pub(crate) fn fingerprint(&self) -> PartId {
         *self
             .fingerprint
-            .get_or_init(|| self.head.fingerprint(&self.body))
+            .get_or_init(|| self.head.fingerprint(&self.body.bytes))
     }
 
     /// Returns the adapter that the request needs, if any.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -45,6 +45,7 @@
 use crate::metrics::EntryMetrics;
 use crate::process::ProcessError;
 use crate::recover::lock;
+use crate::request_body::BodyBudget;
 use crate::store::Store;
 
 /// How long before the bound for using an announced version older ones are no longer allowed.
@@ -97,6 +98,8 @@
     pub store: Store,
     /// The memory for responses that are not passed on yet.
     pub buffers: Arc<BufferBudget>,
+    /// The memory for the bodies of requests.
+    pub bodies: BodyBudget,
     /// Idle connections to runners.
     pub conns: ConnPool,
     /// One connection to the agent of each runner that has an engine.
@@ -180,6 +183,7 @@
         };
         let clock = RuntimeClock::start();
         let buffers = BufferBudget::new(settings.memory_mb);
+        let bodies = BodyBudget::new(settings.memory_mb);
         let metrics = EntryMetrics::new().change_context(ProcessError::Setup)?;
         Ok(Arc::new(Entry {
             clock,
@@ -187,6 +191,7 @@
             metrics,
             conns: ConnPool::new(buffers.clone()),
             buffers,
+            bodies,
             links: AgentLinks::default(),
             state: Mutex::new(state),
             store_lost: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod refusal;
 pub mod relay;
 mod replace;
+pub mod request_body;
 mod request_log;
 mod send;
 pub mod send_check;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -128,7 +128,7 @@
             priority: self.engine_priority(),
             resume_after: resume,
         };
-        let request = runner::encode_request(&self.head, self.body.clone(), &params);
+        let request = runner::encode_request(&self.head, self.body.bytes.clone(), &params);
         self.attempts.record_sent(&placement.runner);
         self.sends += 1;
         self.sent_at = now;
