--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -91,6 +91,10 @@
                 self.fail_link(FaultTarget::Entry(entry), link, fault, length)
                     .await;
             }
+            Fault::StoreConnectionMuted(entry, draw) => {
+                let mute = async { self.store_links[entry].mute_one(draw) };
+                self.record(FaultTarget::Entry(entry), false, mute).await;
+            }
             Fault::RunnerLink(index, fault, length) => {
                 let link = &self.runner_hosts[index].proxy;
                 self.fail_link(FaultTarget::Runner(index), link, fault, length)
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -87,6 +87,10 @@
     /// The link from an entry to the store is faulty.
     #[display("store link of entry {_0} {_1} for {_2} ms")]
     StoreLink(usize, LinkFault, Ms),
+    /// One of the connections from an entry to the store delivers nothing further, without being closed; the
+    /// number selects it.
+    #[display("store connection {_1} of entry {_0} muted")]
+    StoreConnectionMuted(usize, u64),
     /// The link from entries to a runner is faulty.
     #[display("link to runner {_0} {_1} for {_2} ms")]
     RunnerLink(usize, LinkFault, Ms),
@@ -177,6 +181,11 @@
 const SILENT_ANSWERS_MS: std::ops::Range<Ms> = 2_000..6_000;
 /// Separates the random numbers of the silences from those of other faults.
 const SILENCE_SEED: u64 = 0x51eb;
+/// The range of intervals between two mutes of connections to the store. An entry must be up to date again
+/// before the next one.
+const MUTE_INTERVAL_MS: std::ops::Range<Ms> = 6_000..12_000;
+/// Separates the random numbers of the mutes from those of other faults.
+const MUTE_SEED: u64 = 0x3107;
 /// The range of intervals between two restores of the store, of the ages of its copies, and of the times
 /// for which it is down before. Half of the restores show in the store's answers only.
 const RESTORE_INTERVAL_MS: std::ops::Range<Ms> = 4_000..12_000;
@@ -231,6 +240,7 @@
     faults.extend(notices(seed, length, size));
     faults.extend(restores(seed, length));
     faults.extend(silences(seed, length, size));
+    faults.extend(mutes(seed, length, size));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -286,6 +296,25 @@
     faults
 }
 
+/// Returns connections to the store that are muted: one of one entry, or one of each at the same moment.
+fn mutes(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ MUTE_SEED);
+    let mut faults = Vec::new();
+    let mut at = FIRST_FAULT_MS + rng.u64(MUTE_INTERVAL_MS) / 2;
+    while at < length {
+        let one = rng.usize(..size.entries);
+        let entries = if rng.bool() {
+            one..one + 1
+        } else {
+            0..size.entries
+        };
+        let muted = entries.map(|entry| (at, Fault::StoreConnectionMuted(entry, rng.u64(..))));
+        faults.extend(muted);
+        at += rng.u64(MUTE_INTERVAL_MS);
+    }
+    faults
+}
+
 /// Returns silences of one, some or all runners of a service at the same moment.
 fn silences(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
     let mut rng = fastrand::Rng::with_seed(seed ^ SILENCE_SEED);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -16,15 +16,28 @@
 
 use crate::plan::LinkFault;
 
-/// The current fault of a link, whether it holds all data, and the number of resets so far.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// The current fault of a link, whether it holds all data, the number of resets so far, and its
+/// connections.
+#[derive(Debug, Default)]
 struct LinkState {
     fault: Option<LinkFault>,
     held: bool,
     resets: u32,
+    /// The numbers of the open connections that are not muted, in the order of their starts.
+    open: Vec<u64>,
+    /// The number of the next connection.
+    next: u64,
 }
 
 impl LinkState {
+    /// Counts a new connection, and returns its number.
+    fn begin_connection(&mut self) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        self.open.push(number);
+        number
+    }
+
     fn is_blocked(&self) -> bool {
         self.held || matches!(self.fault, Some(LinkFault::Partition | LinkFault::OneWay))
     }
@@ -56,7 +69,7 @@
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(forward(stream, target, shared.subscribe()));
+                connections.spawn(forward_counted(stream, target, shared.clone()));
                 while connections.try_join_next().is_some() {}
             }
         });
@@ -78,6 +91,18 @@
         self.link.send_modify(|link| link.held = held);
     }
 
+    /// Makes one of the open connections deliver nothing further, without closing it; the others and new ones
+    /// work. `draw` selects it. Returns whether there was one.
+    pub fn mute_one(&self, draw: u64) -> bool {
+        self.link.send_if_modified(|link| {
+            let Some(index) = draw.checked_rem(link.open.len() as u64) else {
+                return false;
+            };
+            link.open.remove(index as usize);
+            true
+        })
+    }
+
     /// Stops the proxy and closes all its connections.
     pub async fn stop(self) {
         self.task.abort();
@@ -86,7 +111,23 @@
     }
 }
 
-async fn forward(client: TcpStream, target: SocketAddr, mut link: watch::Receiver<LinkState>) {
+async fn forward_counted(
+    client: TcpStream,
+    target: SocketAddr,
+    link: Arc<watch::Sender<LinkState>>,
+) {
+    let mut number = 0;
+    link.send_modify(|link| number = link.begin_connection());
+    forward(client, target, link.subscribe(), number).await;
+    link.send_modify(|link| link.open.retain(|open| *open != number));
+}
+
+async fn forward(
+    client: TcpStream,
+    target: SocketAddr,
+    mut link: watch::Receiver<LinkState>,
+    number: u64,
+) {
     let resets = link.borrow().resets;
     // A new connection stays open meanwhile without a connection to the target.
     let is_closed = |link: &LinkState| link.held || link.fault == Some(LinkFault::Partition);
@@ -112,8 +153,8 @@
         let (client_read, client_write) = client.split();
         let (server_read, server_write) = server.split();
         tokio::select! {
-            () = copy_data(client_read, server_write, link.clone(), Direction::ToTarget) => false,
-            () = copy_data(server_read, client_write, link.clone(), Direction::FromTarget) => false,
+            () = copy_data(client_read, server_write, link.clone(), Direction::ToTarget, number) => false,
+            () = copy_data(server_read, client_write, link.clone(), Direction::FromTarget, number) => false,
             () = reset_requested => true,
         }
     };
@@ -129,6 +170,7 @@
     mut to: impl AsyncWrite + Unpin,
     mut link: watch::Receiver<LinkState>,
     direction: Direction,
+    number: u64,
 ) {
     let mut buffer = vec![0; 16 << 10];
     loop {
@@ -147,6 +189,10 @@
             }
             Some(LinkFault::OneWay | LinkFault::Reset) | None => {}
         }
+        if !link.borrow().open.contains(&number) {
+            // A muted connection takes bytes and delivers none.
+            continue;
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -33,7 +33,7 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 23);
+    assert_eq!(kinds.len(), 24);
 }
 
 #[test]
@@ -42,7 +42,9 @@
     for seed in 0..50 {
         for (_, fault) in fault_schedule(seed, 20_000, size) {
             let (index, count) = match fault {
-                Fault::StoreLink(entry, ..) | Fault::Reload(entry) => (entry, size.entries),
+                Fault::StoreLink(entry, ..)
+                | Fault::StoreConnectionMuted(entry, _)
+                | Fault::Reload(entry) => (entry, size.entries),
                 Fault::AgentLink(agent, ..) => (agent, size.engines),
                 Fault::RunnerLink(runner, ..)
                 | Fault::RunnerCrash(runner, _)
--- a/crates/soak/tests/proxy_faults.rs
+++ b/crates/soak/tests/proxy_faults.rs
@@ -91,3 +91,18 @@
     }
     proxy.stop().await;
 }
+
+#[tokio::test]
+async fn muted_connection_stays_open_and_others_work() {
+    let at: SocketAddr = ([127, 0, 9, 1], 41_875).into();
+    let (proxy, mut first) = connect_echo(at).await;
+    let mut second = TcpStream::connect(at).await.expect("a connection");
+    assert_eq!(echoes(&mut first).await, Some(true));
+    assert_eq!(echoes(&mut second).await, Some(true));
+    assert!(proxy.mute_one(2));
+    assert_eq!(echoes(&mut first).await, Some(false));
+    assert_eq!(echoes(&mut second).await, Some(true));
+    let mut third = TcpStream::connect(at).await.expect("a connection");
+    assert_eq!(echoes(&mut third).await, Some(true));
+    proxy.stop().await;
+}
