Log and count why connections of callers end

Change: each end has a cause and a counter; an end of the entry's own gets a line with the idle time, the connection's idle timeout and the one in force, and whether bytes were unread.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     /// Requests that were to be written to runners, by the caller's
     /// [`Presence`](::process::caller::Presence) right before; those of callers that left are withheld.
     pub sends: IntCounterVec,
+    /// Ended connections of callers, by [`ConnEnd`](crate::conn_end::ConnEnd).
+    pub caller_ends: IntCounterVec,
     /// Time from a request's arrival to its complete response or first event, in seconds.
     pub first_response_s: Histogram,
     /// Time that a request waited for a runner or an adapter, in seconds.
@@ -92,6 +94,12 @@
             "decision",
         )?;
         let sends = register_counters(&registry, "sends_total", "Sends to runners", "caller")?;
+        let caller_ends = register_counters(
+            &registry,
+            "caller_connections_ended_total",
+            "Ended connections of callers",
+            "cause",
+        )?;
         let unreadable = register_counters(
             &registry,
             "unreadable_responses_total",
@@ -155,6 +163,7 @@
             attempts,
             silent_attempts,
             sends,
+            caller_ends,
             first_response_s,
             adapter_wait_s,
             admission_wait_s,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ::process::caller::CallerConn;
@@ -16,10 +18,12 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
+use hyper::service::HttpService;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -32,6 +36,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::buffer::BufferedBody;
+use crate::conn_end;
+use crate::conn_end::ConnEnd;
 use crate::dispatch;
 use crate::entry::Entry;
 use crate::relay::StreamTruncated;
@@ -143,6 +149,7 @@
     }
 }
 
+/// Serves a connection to its end.
 async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, stop: CancellationToken) {
     if let Err(error) = stream.set_nodelay(true) {
         let error = error.to_string();
@@ -153,7 +160,9 @@
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let caller = CallerConn::new(stream);
-    let service = service_fn(|request| respond(entry.clone(), caller.begin_request(), request));
+    let agreed = AtomicBool::new(false);
+    let service =
+        service_fn(|request| respond(entry.clone(), caller.begin_request(), &agreed, request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer also runs while a connection is idle, so the shorter timeout for a head that
@@ -161,28 +170,48 @@
         .header_read_timeout(idle_timeout)
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
+    let result = drive_until_stop(&caller, connection, stop).await;
+    let end = ConnEnd::new(
+        &caller.usage(),
+        agreed.into_inner(),
+        entry.is_stopping(),
+        result,
+    );
+    entry.record_conn_end(end, &caller, idle_timeout);
+}
+
+/// Drives a connection to its end, or through one more request after the stop; `None` if the caller left
+/// during a request.
+async fn drive_until_stop<S>(
+    caller: &CallerConn,
+    connection: http1::Connection<TokioIo<CallerStream>, S>,
+    stop: CancellationToken,
+) -> Option<hyper::Result<()>>
+where
+    S: HttpService<Incoming, ResBody = Body, Error = Infallible>,
+{
     let mut connection = std::pin::pin!(connection);
-    // An error of the connection, or its close by the caller, is not logged here: the request that it
-    // ends is.
     tokio::select! {
-        _ = caller.drive(connection.as_mut()) => return,
+        result = caller.drive(connection.as_mut()) => return result,
         () = stop.cancelled() => {}
     }
     // Responses close the connection from now on, so it is read for one more request at most.
     let last_request =
         tokio::time::timeout(LAST_REQUEST_PERIOD, caller.drive(connection.as_mut())).await;
-    if last_request.is_ok() {
-        return;
+    if let Ok(result) = last_request {
+        return result;
     }
     connection.as_mut().graceful_shutdown();
-    let _ = caller.drive(connection.as_mut()).await;
+    caller.drive(connection.as_mut()).await
 }
 
 async fn respond(
     entry: Arc<Entry>,
     caller: RequestGuard,
+    agreed: &AtomicBool,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    let is_last = conn_end::says_close(request.version(), request.headers());
     let inflight = entry.metrics.inflight.clone();
     inflight.inc();
     let guard = InflightGuard(inflight);
@@ -194,6 +223,9 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
+    if is_last || conn_end::says_close(Version::HTTP_11, response.headers()) {
+        agreed.store(true, Ordering::Relaxed);
+    }
     drop(guard);
     Ok(response)
 }
--- a/crates/process/src/caller.rs
+++ b/crates/process/src/caller.rs
@@ -13,6 +13,7 @@
 
 use std::io;
 use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -35,6 +36,7 @@
 use tokio::io::Interest;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 
 /// The most bytes that are held ahead of the HTTP server.
@@ -55,6 +57,21 @@
     Left,
 }
 
+/// What a connection has carried.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// When it was opened.
+    pub opened_at: Instant,
+    /// Since when no request has been in progress.
+    pub idle_since: Instant,
+    /// The number of requests whose heads were read.
+    pub requests: u64,
+    /// Whether bytes were read that follow the last request.
+    pub has_begun: bool,
+    /// Whether the HTTP server has read the end of the connection.
+    pub has_ended: bool,
+}
+
 /// The connection of one caller, shared by the HTTP server and the request in progress.
 #[derive(Debug)]
 pub struct CallerConn {
@@ -63,9 +80,10 @@
 }
 
 /// What is known of a connection beyond what the HTTP server has read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ReadAhead {
     bytes: BytesMut,
+    usage: Usage,
     /// Whether a request is in progress.
     busy: bool,
     /// Whether the caller has closed or reset the connection.
@@ -85,22 +103,56 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.conn.ahead().busy = false;
+        let mut ahead = self.conn.ahead();
+        ahead.busy = false;
+        ahead.usage.idle_since = Instant::now();
     }
 }
 
 impl CallerConn {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Arc<CallerConn> {
+        let now = Instant::now();
+        let usage = Usage {
+            opened_at: now,
+            idle_since: now,
+            requests: 0,
+            has_begun: false,
+            has_ended: false,
+        };
+        let ahead = ReadAhead {
+            bytes: BytesMut::new(),
+            usage,
+            busy: false,
+            closed: false,
+            server: None,
+            full_check: None,
+        };
         Arc::new(CallerConn {
             stream,
-            ahead: Mutex::default(),
+            ahead: Mutex::new(ahead),
         })
     }
 
+    /// Returns what the connection has carried.
+    pub fn usage(&self) -> Usage {
+        self.ahead().usage
+    }
+
+    /// Returns whether the caller has sent bytes that the HTTP server has not read. Closing the connection
+    /// resets it then, and what was written last may be lost on its way.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        !self.ahead().bytes.is_empty() || peeked.is_ok_and(|count| count > 0)
+    }
+
     /// Marks a request as in progress. The connection carries one at a time.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
-        self.ahead().busy = true;
+        let mut ahead = self.ahead();
+        ahead.busy = true;
+        ahead.usage.requests += 1;
+        ahead.usage.has_begun = false;
         RequestGuard { conn: self.clone() }
     }
 
@@ -230,6 +282,12 @@
         }
     }
 
+    /// Records that the HTTP server has read so many bytes; 0 at the end of the connection.
+    fn record_read(&mut self, count: usize) {
+        self.usage.has_begun |= count > 0 && !self.busy;
+        self.usage.has_ended |= count == 0;
+    }
+
     fn record(&mut self, received: io::Result<&[u8]>) {
         match received {
             Ok(bytes) if !bytes.is_empty() => self.bytes.extend_from_slice(bytes),
@@ -254,12 +312,17 @@
             let count = ahead.bytes.len().min(buffer.remaining());
             buffer.put_slice(&ahead.bytes[..count]);
             ahead.bytes.advance(count);
+            ahead.record_read(count);
             return Poll::Ready(Ok(()));
         }
         if ahead.closed {
+            ahead.record_read(0);
             return Poll::Ready(Ok(()));
         }
-        self.0.poll_receive(context, buffer)
+        let filled = buffer.filled().len();
+        ready!(self.0.poll_receive(context, buffer))?;
+        ahead.record_read(buffer.filled().len() - filled);
+        Poll::Ready(Ok(()))
     }
 }
 
