Keep idle connections by the limits in force, and longer while there is room

What callers saw: a request on a kept connection got neither an answer nor a refusal, and no log had a line of it. Cause: the HTTP server's timer closed an idle connection when the idle limit of its opening had passed, to the millisecond. A request crosses that close if a later configuration has raised the limit, if it comes with the limit itself, or if its head has begun. Class: a limit that was read when something was opened is used at its end; an end of ours that the other side cannot see coming. Change: serving::idle decides, with now: the limit is the longest one in force since the connection became idle; an idle connection is kept for twice as long while less than half of the connections that may be open are; a head has the time limit for heads, from its first byte. gateway::idle drives connections and has the timers.

--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -3,8 +3,6 @@
 //! Invariants: each connection that was served is counted once; the ends that a caller expects, by its own
 //! close or one that both sides announced, get no line.
 
-use std::time::Duration;
-
 use ::process::caller::CallerConn;
 use ::process::caller::Usage;
 use derive_more::Display;
@@ -15,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Entry;
+use crate::idle::Driven;
 
 /// Why a caller's connection ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -49,24 +48,19 @@
 }
 
 impl ConnEnd {
-    /// Derives the cause from the result of the HTTP server, which is `None` if the caller left during a
-    /// request. `agreed` tells whether either side said that the last request closes the connection.
-    pub(crate) fn new(
-        usage: &Usage,
-        agreed: bool,
-        stopping: bool,
-        result: Option<hyper::Result<()>>,
-    ) -> ConnEnd {
-        match result {
-            None => ConnEnd::CallerLeft,
-            Some(Err(error)) if error.is_timeout() && usage.has_begun => ConnEnd::HeadTimeout,
-            Some(Err(error)) if error.is_timeout() => ConnEnd::IdleTimeout,
-            Some(Err(error)) if error.is_parse() => ConnEnd::Malformed,
-            Some(Err(_)) => ConnEnd::Broken,
-            Some(Ok(())) if agreed => ConnEnd::Agreed,
-            Some(Ok(())) if usage.has_ended => ConnEnd::Caller,
-            Some(Ok(())) if stopping => ConnEnd::Stopping,
-            Some(Ok(())) => ConnEnd::BodyUnread,
+    /// Derives the cause. `agreed` tells whether either side said that the last request closes the
+    /// connection.
+    pub(crate) fn new(driven: Driven, usage: &Usage, agreed: bool, stopping: bool) -> ConnEnd {
+        match driven {
+            Driven::Idle => ConnEnd::IdleTimeout,
+            Driven::SlowHead => ConnEnd::HeadTimeout,
+            Driven::Ended(None) => ConnEnd::CallerLeft,
+            Driven::Ended(Some(Err(error))) if error.is_parse() => ConnEnd::Malformed,
+            Driven::Ended(Some(Err(_))) => ConnEnd::Broken,
+            Driven::Ended(Some(Ok(()))) if agreed => ConnEnd::Agreed,
+            Driven::Ended(Some(Ok(()))) if usage.has_ended => ConnEnd::Caller,
+            Driven::Ended(Some(Ok(()))) if stopping => ConnEnd::Stopping,
+            Driven::Ended(Some(Ok(()))) => ConnEnd::BodyUnread,
         }
     }
 }
@@ -85,8 +79,8 @@
 }
 
 impl Entry {
-    /// Logs and counts the end of a caller's connection with this idle timeout, in milliseconds in the log.
-    pub(crate) fn record_conn_end(&self, end: ConnEnd, caller: &CallerConn, limit: Duration) {
+    /// Logs and counts the end of a caller's connection.
+    pub(crate) fn record_conn_end(&self, end: ConnEnd, caller: &CallerConn) {
         let cause = end.to_string();
         let ends = &self.metrics.caller_ends;
         ends.with_label_values(&[cause.as_str()]).inc();
@@ -95,17 +89,12 @@
         }
         let now = Instant::now();
         let usage = caller.usage();
-        let in_force = self
-            .state()
-            .config
-            .as_ref()
-            .map(|config| config.limits.idle_timeout);
-        let in_force = in_force.unwrap_or(limit);
+        let idle_since = self.clock.time(usage.idle_since);
+        let limit = self.state().conn_limits.idle_limit(idle_since);
         info!("caller connection ended", kv: {
             cause = cause.as_str(), unread = caller.has_unread(), requests = usage.requests,
             age_ms = (now - usage.opened_at).as_millis() as u64,
-            idle_ms = (now - usage.idle_since).as_millis() as u64,
-            limit_ms = limit.as_millis() as u64, in_force_ms = in_force.as_millis() as u64
+            idle_ms = (now - usage.idle_since).as_millis() as u64, limit_ms = limit.as_millis() as u64
         });
     }
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,6 +21,7 @@
 use serving::config::Precedence;
 use serving::crash_watch::CrashWatch;
 use serving::fleet::Fleet;
+use serving::idle::ConnLimits;
 use serving::members::Members;
 use serving::overload::OverloadDetector;
 use serving::quarantine::Quarantine;
@@ -51,6 +52,9 @@
 /// How long before the bound for using an announced version older ones are no longer allowed.
 const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// The largest request head before a configuration is known, in bytes.
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+
 /// The configuration, the runners and the other changing state of an entry. Guarded by one lock,
 /// which is never held across an await.
 #[derive(Debug)]
@@ -59,6 +63,8 @@
     pub config: Option<Arc<Config>>,
     /// The number of restores of the store before the configuration was last read.
     config_restores: RestoreCount,
+    /// The limits on the times between the requests of a connection.
+    pub(crate) conn_limits: ConnLimits,
     /// The known runners of all services, with their load and health.
     pub fleet: Fleet,
     /// The announced versions of adapters, from which the oldest allowed ones follow.
@@ -167,6 +173,7 @@
         let state = EntryState {
             config: None,
             config_restores: RestoreCount::default(),
+            conn_limits: ConnLimits::default(),
             fleet,
             versions: Versions::default(),
             retry_budget: RetryBudget::new(allowance, entries),
@@ -228,6 +235,13 @@
         self.cut.cancel();
     }
 
+    /// Returns the largest request head that is read, in bytes.
+    pub(crate) fn header_bytes(&self) -> usize {
+        let state = self.state();
+        let config = state.config.as_ref();
+        config.map_or(DEFAULT_HEADER_BYTES, |config| config.limits.header_bytes)
+    }
+
     /// Waits until [`Entry::cut_requests`] is called.
     pub(crate) async fn requests_cut(&self) {
         self.cut.cancelled().await;
@@ -291,6 +305,7 @@
         if precedence == Precedence::Same {
             return;
         }
+        state.conn_limits.record(self.now(), &config.limits);
         state.config = Some(Arc::new(config));
         drop(state);
         let restores = restores.0;
--- /dev/null
+++ b/crates/gateway/src/idle.rs
@@ -0,0 +1,138 @@
+//! Drives the connection of a caller until it ends, or has been idle or read a head for too long.
+//!
+//! Invariants: the limits are those of the configurations in force while the connection is idle, not the one at its
+//! opening; a connection with bytes that nobody has read is not closed as idle.
+//!
+//! API boundary: `server` creates one [`IdleWatch`] for each connection and drives the HTTP server through it.
+
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use ::process::caller::CallerConn;
+use decision::time::Time;
+use serving::idle::Activity;
+use serving::idle::Room;
+use serving::idle::Verdict;
+use tokio::time::Sleep;
+use tokio_util::task::TaskTracker;
+
+use crate::entry::Entry;
+
+/// How a connection has ended.
+#[derive(Debug)]
+pub(crate) enum Driven {
+    /// The HTTP server has ended it; `None` if the caller left during a request.
+    Ended(Option<hyper::Result<()>>),
+    /// It was idle for too long.
+    Idle,
+    /// The head of a request took too long.
+    SlowHead,
+}
+
+/// All open connections of callers, and how many may be open.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenConns {
+    pub(crate) tasks: TaskTracker,
+    pub(crate) limit: usize,
+}
+
+impl OpenConns {
+    fn room(&self) -> Room {
+        Room::of(self.tasks.len(), self.limit)
+    }
+}
+
+/// Watches what one connection does.
+pub(crate) struct IdleWatch {
+    entry: Arc<Entry>,
+    caller: Arc<CallerConn>,
+    conns: OpenConns,
+    /// What the timer was set for.
+    activity: Activity,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl IdleWatch {
+    pub(crate) fn new(entry: Arc<Entry>, caller: Arc<CallerConn>, conns: OpenConns) -> IdleWatch {
+        IdleWatch {
+            entry,
+            caller,
+            conns,
+            activity: Activity::Busy,
+            timer: Box::pin(tokio::time::sleep(std::time::Duration::ZERO)),
+        }
+    }
+
+    /// Drives the HTTP server of the connection. Dropping the future keeps both usable.
+    pub(crate) async fn drive<S>(&mut self, server: Pin<&mut S>) -> Driven
+    where
+        S: Future<Output = hyper::Result<()>>,
+    {
+        let caller = self.caller.clone();
+        let mut driven = pin!(caller.drive(server));
+        poll_fn(|context| {
+            if let Poll::Ready(result) = driven.as_mut().poll(context) {
+                return Poll::Ready(Driven::Ended(result));
+            }
+            self.poll_expired(context)
+        })
+        .await
+    }
+
+    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<Driven> {
+        let activity = self.current_activity();
+        if activity != self.activity {
+            self.activity = activity;
+            self.set_timer(self.entry.now());
+        }
+        loop {
+            if self.activity == Activity::Busy {
+                return Poll::Pending;
+            }
+            ready!(self.timer.as_mut().poll(context));
+            let now = self.entry.now();
+            // Bytes that have arrived in the meantime are read first.
+            if self.set_timer(now) == Verdict::Close && !self.caller.has_unread() {
+                return Poll::Ready(self.expired());
+            }
+        }
+    }
+
+    fn current_activity(&self) -> Activity {
+        let usage = self.caller.usage();
+        let clock = &self.entry.clock;
+        match usage.begun_at {
+            _ if usage.busy => Activity::Busy,
+            Some(begun_at) => Activity::Head {
+                since: clock.time(begun_at),
+            },
+            None => Activity::Idle {
+                since: clock.time(usage.idle_since),
+            },
+        }
+    }
+
+    /// Sets the timer for the next check.
+    fn set_timer(&mut self, now: Time) -> Verdict {
+        let room = self.conns.room();
+        let limits = &self.entry.state().conn_limits;
+        let verdict = limits.check(now, self.activity, room);
+        if let Verdict::Keep(Some(next)) = verdict {
+            self.timer.as_mut().reset(self.entry.clock.instant(next));
+        }
+        verdict
+    }
+
+    fn expired(&self) -> Driven {
+        match self.activity {
+            Activity::Head { .. } => Driven::SlowHead,
+            Activity::Idle { .. } | Activity::Busy => Driven::Idle,
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod entry;
 mod evidence;
 mod holds;
+mod idle;
 pub mod lines;
 pub mod links;
 mod locate;
@@ -68,6 +69,12 @@
         self.clock.now()
     }
 
+    /// Converts an instant of the runtime to a time of this clock; the start for one before it.
+    pub fn time(&self, instant: Instant) -> Time {
+        let age = instant.saturating_duration_since(self.start);
+        Time(age.as_micros() as u64)
+    }
+
     /// Converts a time of this clock to an instant for the runtime's timers.
     pub fn instant(&self, time: Time) -> Instant {
         self.start + std::time::Duration::from_micros(time.0)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -40,6 +40,9 @@
 use crate::conn_end::ConnEnd;
 use crate::dispatch;
 use crate::entry::Entry;
+use crate::idle::Driven;
+use crate::idle::IdleWatch;
+use crate::idle::OpenConns;
 use crate::relay::StreamTruncated;
 
 /// The body of a response to a caller.
@@ -55,11 +58,8 @@
 /// The wait for a connection in the listener's queue after the stop, at which the queue counts as
 /// empty.
 const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
-/// The idle timeout of callers' connections before a configuration is known, and of readiness
-/// probes.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// The largest request head before a configuration is known.
-const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+/// The idle timeout of readiness probes.
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer beyond the largest head, since the buffer also holds the start of the body.
 const BUFFER_MARGIN_BYTES: usize = 8 << 10;
 /// File descriptors that are not available to callers: those for files, the store, agents and
@@ -132,7 +132,11 @@
     async fn serve(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
             Ok((stream, _)) if self.tasks.len() < self.limit => {
-                let caller = serve_caller(self.entry.clone(), stream, self.stop.clone());
+                let conns = OpenConns {
+                    tasks: self.tasks.clone(),
+                    limit: self.limit,
+                };
+                let caller = serve_caller(self.entry.clone(), stream, conns, self.stop.clone());
                 self.tasks
                     .spawn(self.abort.clone().run_until_cancelled_owned(caller));
             }
@@ -150,59 +154,56 @@
 }
 
 /// Serves a connection to its end.
-async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, stop: CancellationToken) {
+async fn serve_caller(
+    entry: Arc<Entry>,
+    stream: TcpStream,
+    conns: OpenConns,
+    stop: CancellationToken,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         let error = error.to_string();
         warn!("connection cannot be set up", kv: { error = error.as_str() });
         return;
     }
-    let limits = entry.state().config.as_ref().map(|config| config.limits);
-    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let header_bytes = entry.header_bytes();
     let caller = CallerConn::new(stream);
     let agreed = AtomicBool::new(false);
     let service =
         service_fn(|request| respond(entry.clone(), caller.begin_request(), &agreed, request));
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This timer also runs while a connection is idle, so the shorter timeout for a head that
-        // has begun cannot be used.
-        .header_read_timeout(idle_timeout)
+        // `IdleWatch` has the timers.
+        .header_read_timeout(None)
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
-    let result = drive_until_stop(&caller, connection, stop).await;
-    let end = ConnEnd::new(
-        &caller.usage(),
-        agreed.into_inner(),
-        entry.is_stopping(),
-        result,
-    );
-    entry.record_conn_end(end, &caller, idle_timeout);
+    let watch = IdleWatch::new(entry.clone(), caller.clone(), conns);
+    let driven = drive_until_stop(watch, connection, stop).await;
+    let agreed = agreed.into_inner();
+    let end = ConnEnd::new(driven, &caller.usage(), agreed, entry.is_stopping());
+    entry.record_conn_end(end, &caller);
 }
 
-/// Drives a connection to its end, or through one more request after the stop; `None` if the caller left
-/// during a request.
+/// Drives a connection to its end, or through one more request after the stop.
 async fn drive_until_stop<S>(
-    caller: &CallerConn,
+    mut watch: IdleWatch,
     connection: http1::Connection<TokioIo<CallerStream>, S>,
     stop: CancellationToken,
-) -> Option<hyper::Result<()>>
+) -> Driven
 where
     S: HttpService<Incoming, ResBody = Body, Error = Infallible>,
 {
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        result = caller.drive(connection.as_mut()) => return result,
+        driven = watch.drive(connection.as_mut()) => return driven,
         () = stop.cancelled() => {}
     }
     // Responses close the connection from now on, so it is read for one more request at most.
     let last_request =
-        tokio::time::timeout(LAST_REQUEST_PERIOD, caller.drive(connection.as_mut())).await;
-    if let Ok(result) = last_request {
-        return result;
+        tokio::time::timeout(LAST_REQUEST_PERIOD, watch.drive(connection.as_mut())).await;
+    if let Ok(driven) = last_request {
+        return driven;
     }
     connection.as_mut().graceful_shutdown();
-    caller.drive(connection.as_mut()).await
+    watch.drive(connection.as_mut()).await
 }
 
 async fn respond(
@@ -255,7 +256,7 @@
             // The platform repeats the probe, so an error of this connection does not matter.
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .header_read_timeout(PROBE_IDLE_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/crates/process/src/caller.rs
+++ b/crates/process/src/caller.rs
@@ -62,12 +62,14 @@
 pub struct Usage {
     /// When it was opened.
     pub opened_at: Instant,
-    /// Since when no request has been in progress.
+    /// When the last request ended, or the last bytes of its response were written.
     pub idle_since: Instant,
+    /// Whether a request is in progress.
+    pub busy: bool,
     /// The number of requests whose heads were read.
     pub requests: u64,
-    /// Whether bytes were read that follow the last request.
-    pub has_begun: bool,
+    /// When the first bytes of the next request were read, whose head is not complete.
+    pub begun_at: Option<Instant>,
     /// Whether the HTTP server has read the end of the connection.
     pub has_ended: bool,
 }
@@ -84,8 +86,6 @@
 struct ReadAhead {
     bytes: BytesMut,
     usage: Usage,
-    /// Whether a request is in progress.
-    busy: bool,
     /// Whether the caller has closed or reset the connection.
     closed: bool,
     /// Wakes the task that serves the connection.
@@ -104,7 +104,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let mut ahead = self.conn.ahead();
-        ahead.busy = false;
+        ahead.usage.busy = false;
         ahead.usage.idle_since = Instant::now();
     }
 }
@@ -116,14 +116,14 @@
         let usage = Usage {
             opened_at: now,
             idle_since: now,
+            busy: false,
             requests: 0,
-            has_begun: false,
+            begun_at: None,
             has_ended: false,
         };
         let ahead = ReadAhead {
             bytes: BytesMut::new(),
             usage,
-            busy: false,
             closed: false,
             server: None,
             full_check: None,
@@ -150,9 +150,9 @@
     /// Marks a request as in progress. The connection carries one at a time.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         let mut ahead = self.ahead();
-        ahead.busy = true;
+        ahead.usage.busy = true;
         ahead.usage.requests += 1;
-        ahead.usage.has_begun = false;
+        ahead.usage.begun_at = None;
         RequestGuard { conn: self.clone() }
     }
 
@@ -160,7 +160,7 @@
     /// runtime, which learns of a close only between its tasks.
     pub fn presence(&self) -> Presence {
         let mut ahead = self.ahead();
-        if ahead.busy && !ahead.closed {
+        if ahead.usage.busy && !ahead.closed {
             self.read_unread(&mut ahead);
         }
         if !ahead.closed {
@@ -201,11 +201,11 @@
     fn poll_ahead(&self, context: &mut Context<'_>) -> (usize, Presence) {
         let mut ahead = self.ahead();
         let held = ahead.bytes.len();
-        if ahead.busy && !ahead.closed {
+        if ahead.usage.busy && !ahead.closed {
             ahead.register(context.waker());
             while self.poll_chunk(context, &mut ahead).is_ready() && !ahead.closed {}
         }
-        let presence = match ahead.busy && ahead.closed {
+        let presence = match ahead.usage.busy && ahead.closed {
             true => Presence::Left,
             false => Presence::Waiting,
         };
@@ -284,7 +284,9 @@
 
     /// Records that the HTTP server has read so many bytes; 0 at the end of the connection.
     fn record_read(&mut self, count: usize) {
-        self.usage.has_begun |= count > 0 && !self.busy;
+        if count > 0 && !self.usage.busy {
+            self.usage.begun_at.get_or_insert_with(Instant::now);
+        }
         self.usage.has_ended |= count == 0;
     }
 
@@ -333,7 +335,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let stream = &self.0.stream;
-        poll_io(context, stream, |stream| stream.try_write(bytes))
+        let written = ready!(poll_io(context, stream, |stream| stream.try_write(bytes)));
+        self.0.ahead().usage.idle_since = Instant::now();
+        Poll::Ready(written)
     }
 
     fn poll_write_vectored(
@@ -342,7 +346,11 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let stream = &self.0.stream;
-        poll_io(context, stream, |stream| stream.try_write_vectored(slices))
+        let written = ready!(poll_io(context, stream, |stream| {
+            stream.try_write_vectored(slices)
+        }));
+        self.0.ahead().usage.idle_since = Instant::now();
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod entry_count;
 pub mod events;
 pub mod fleet;
+pub mod idle;
 pub mod link;
 pub mod load_profile;
 pub mod load_scheduler;
