End connections whose limit on heads a configuration has raised

What callers saw: after a raise of the limit on request heads, a kept connection went on refusing larger ones for as long as it was used. Cause: the HTTP server's buffer has the limit of the connection's opening; same class as the idle limit. Change: the next answer on such a connection says that it is the last one. Left: a larger head that comes first on such a connection is refused with 431. Test: header_limits (failed before: no Connection: close).

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -168,8 +168,16 @@
     let header_bytes = entry.header_bytes();
     let caller = CallerConn::new(stream);
     let agreed = AtomicBool::new(false);
-    let service =
-        service_fn(|request| respond(entry.clone(), caller.begin_request(), &agreed, request));
+    let service = service_fn(|request| {
+        let outdated = entry.header_bytes() > header_bytes;
+        respond(
+            entry.clone(),
+            caller.begin_request(),
+            &agreed,
+            outdated,
+            request,
+        )
+    });
     let connection = http1::Builder::new()
         // `IdleWatch` has the timers.
         .header_read_timeout(None)
@@ -210,6 +218,7 @@
     entry: Arc<Entry>,
     caller: RequestGuard,
     agreed: &AtomicBool,
+    outdated: bool,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let is_last = conn_end::says_close(request.version(), request.headers());
@@ -220,7 +229,8 @@
     let mut response = dispatch::handle(entry.clone(), caller, request)
         .boxed()
         .await;
-    if entry.is_stopping() {
+    // A connection keeps the limit on heads of its opening.
+    if entry.is_stopping() || outdated {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
