Close idle connections that can neither be read nor written

The HTTP server reads nothing while its caller reads nothing, so that the task took up the processor for good. Change: there is one more look, 50 ms later, then the connection is closed.

--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -1,7 +1,7 @@
 //! Drives the connection of a caller until it ends, or has been idle or read a head for too long.
 //!
 //! Invariants: the limits are those of the configurations in force while the connection is idle, not the one at its
-//! opening; a connection with bytes that nobody has read is not closed as idle.
+//! opening; bytes that have arrived before the close are read, if the HTTP server reads at all.
 //!
 //! API boundary: `server` creates one [`IdleWatch`] for each connection and drives the HTTP server through it.
 
@@ -13,17 +13,22 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use ::process::caller::CallerConn;
 use decision::time::Time;
 use serving::idle::Activity;
 use serving::idle::Room;
 use serving::idle::Verdict;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio_util::task::TaskTracker;
 
 use crate::entry::Entry;
 
+/// How long the HTTP server has for bytes that are unread when a connection is to be closed.
+const SECOND_LOOK_DELAY: Duration = Duration::from_millis(50);
+
 /// How a connection has ended.
 #[derive(Debug)]
 pub(crate) enum Driven {
@@ -56,6 +61,8 @@
     /// What the timer was set for.
     activity: Activity,
     timer: Pin<Box<Sleep>>,
+    /// Whether it was about to be closed, but for bytes that were unread.
+    looked_again: bool,
 }
 
 impl IdleWatch {
@@ -65,7 +72,8 @@
             caller,
             conns,
             activity: Activity::Busy,
-            timer: Box::pin(tokio::time::sleep(std::time::Duration::ZERO)),
+            timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
+            looked_again: false,
         }
     }
 
@@ -89,6 +97,7 @@
         let activity = self.current_activity();
         if activity != self.activity {
             self.activity = activity;
+            self.looked_again = false;
             self.set_timer(self.entry.now());
         }
         loop {
@@ -96,11 +105,16 @@
                 return Poll::Pending;
             }
             ready!(self.timer.as_mut().poll(context));
-            let now = self.entry.now();
-            // Bytes that have arrived in the meantime are read first.
-            if self.set_timer(now) == Verdict::Close && !self.caller.has_unread() {
+            if self.set_timer(self.entry.now()) != Verdict::Close {
+                continue;
+            }
+            if self.looked_again || !self.caller.has_unread() {
                 return Poll::Ready(self.expired());
             }
+            // Bytes that have arrived in the meantime are read, unless the caller reads nothing itself.
+            self.looked_again = true;
+            let next = Instant::now() + SECOND_LOOK_DELAY;
+            self.timer.as_mut().reset(next);
         }
     }
 
