Close callers' connections in stages

Cause: a connection that is closed with unread bytes, or gets bytes after its close, is reset, and the last answer is lost on its way. A line tells of dropped bytes. The answer to a head over its limit was lost before.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use spdlog::info;
 use spdlog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -55,6 +56,8 @@
 /// The wait for a connection in the listener's queue after the stop, at which the queue counts as
 /// empty.
 const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
+/// How long after the stop a caller may go on sending on a connection that is being closed.
+const LAST_CLOSE_PERIOD: Duration = Duration::from_millis(500);
 /// The idle timeout of callers' connections before a configuration is known, and of readiness
 /// probes.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -170,7 +173,7 @@
         .header_read_timeout(idle_timeout)
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
-    let result = drive_until_stop(&caller, connection, stop).await;
+    let result = drive_until_stop(&caller, connection, stop.clone()).await;
     let end = ConnEnd::new(
         &caller.usage(),
         agreed.into_inner(),
@@ -178,6 +181,7 @@
         result,
     );
     entry.record_conn_end(end, &caller, idle_timeout);
+    close_caller(&caller, end, stop).await;
 }
 
 /// Drives a connection to its end, or through one more request after the stop; `None` if the caller left
@@ -205,6 +209,23 @@
     caller.drive(connection.as_mut()).await
 }
 
+/// Closes a connection so that its caller can read the last answer.
+async fn close_caller(caller: &CallerConn, end: ConnEnd, stop: CancellationToken) {
+    let stopped = async {
+        stop.cancelled().await;
+        tokio::time::sleep(LAST_CLOSE_PERIOD).await;
+    };
+    let closed = tokio::select! {
+        closed = caller.close() => closed,
+        () = stopped => None,
+    };
+    let Some(closed) = closed.filter(|closed| closed.bytes > 0) else {
+        return;
+    };
+    let (cause, close, bytes) = (end.to_string(), closed.end.to_string(), closed.bytes);
+    info!("bytes dropped at a close", kv: { cause = cause.as_str(), bytes, close = close.as_str() });
+}
+
 async fn respond(
     entry: Arc<Entry>,
     caller: RequestGuard,
--- a/crates/process/src/caller.rs
+++ b/crates/process/src/caller.rs
@@ -9,7 +9,7 @@
 //!
 //! API boundary: a server wraps the stream it accepts in a [`CallerConn`], gives the HTTP server a
 //! [`CallerStream`] of it, calls [`CallerConn::begin_request`] for each request, and serves the
-//! connection with [`CallerConn::drive`].
+//! connection with [`CallerConn::drive`] and ends it with [`CallerConn::close`].
 
 use std::io;
 use std::io::IoSlice;
@@ -39,6 +39,9 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::linger;
+use crate::linger::Closed;
+
 /// The most bytes that are held ahead of the HTTP server.
 const MAX_READ_AHEAD: usize = 4 << 10;
 /// The most bytes of one read.
@@ -139,7 +142,7 @@
         self.ahead().usage
     }
 
-    /// Returns whether the caller has sent bytes that the HTTP server has not read. Closing the connection
+    /// Returns whether the caller has sent bytes that the HTTP server has not read. Dropping the connection
     /// resets it then, and what was written last may be lost on its way.
     pub fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
@@ -147,6 +150,18 @@
         !self.ahead().bytes.is_empty() || peeked.is_ok_and(|count| count > 0)
     }
 
+    /// Closes the connection in stages after its last request; `None` if the caller has closed it before.
+    pub async fn close(&self) -> Option<Closed> {
+        let has_ended = {
+            let ahead = self.ahead();
+            ahead.closed || ahead.usage.has_ended
+        };
+        if has_ended {
+            return None;
+        }
+        Some(linger::close(&self.stream).await)
+    }
+
     /// Marks a request as in progress. The connection carries one at a time.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         let mut ahead = self.ahead();
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -5,12 +5,13 @@
 //!
 //! API boundary: a daemon loads its settings with [`settings::load`], starts a [`Node`], and
 //! delegates the `exchange_heads` and `blob` calls of its peers to [`Node::adopter`]; servers of callers wrap
-//! their connections with [`caller`].
+//! their connections with [`caller`] and close connections with [`linger`].
 
 pub mod adopter;
 pub mod caller;
 pub mod clock;
 pub mod config;
+pub mod linger;
 pub mod logs;
 pub mod node;
 pub mod ops;
