--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod signals;
 mod slot;
 pub mod store;
+mod unread;
 pub mod watch;
 
 use ::process::Clock;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use spdlog::info;
 use spdlog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -44,6 +45,7 @@
 use crate::idle::IdleWatch;
 use crate::idle::OpenConns;
 use crate::relay::StreamTruncated;
+use crate::unread::BodyUnread;
 
 /// The body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, StreamTruncated>;
@@ -58,6 +60,8 @@
 /// The wait for a connection in the listener's queue after the stop, at which the queue counts as
 /// empty.
 const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
+/// How long after the stop a caller may go on sending on a connection that is being closed.
+const LAST_CLOSE_PERIOD: Duration = Duration::from_millis(500);
 /// The idle timeout of readiness probes.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer beyond the largest head, since the buffer also holds the start of the body.
@@ -184,10 +188,11 @@
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
     let watch = IdleWatch::new(entry.clone(), caller.clone(), conns);
-    let driven = drive_until_stop(watch, connection, stop).await;
+    let driven = drive_until_stop(watch, connection, stop.clone()).await;
     let agreed = agreed.into_inner();
     let end = ConnEnd::new(driven, &caller.usage(), agreed, entry.is_stopping());
     entry.record_conn_end(end, &caller);
+    close_caller(&caller, end, stop).await;
 }
 
 /// Drives a connection to its end, or through one more request after the stop.
@@ -214,6 +219,23 @@
     watch.drive(connection.as_mut()).await
 }
 
+/// Closes a connection so that its caller can read the last answer.
+async fn close_caller(caller: &CallerConn, end: ConnEnd, stop: CancellationToken) {
+    let stopped = async {
+        stop.cancelled().await;
+        tokio::time::sleep(LAST_CLOSE_PERIOD).await;
+    };
+    let closed = tokio::select! {
+        closed = caller.close() => closed,
+        () = stopped => None,
+    };
+    let Some(closed) = closed.filter(|closed| closed.bytes > 0) else {
+        return;
+    };
+    let (cause, close, bytes) = (end.to_string(), closed.end.to_string(), closed.bytes);
+    info!("bytes dropped at a close", kv: { cause = cause.as_str(), bytes, close = close.as_str() });
+}
+
 async fn respond(
     entry: Arc<Entry>,
     caller: RequestGuard,
@@ -234,7 +256,9 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    if is_last || conn_end::says_close(Version::HTTP_11, response.headers()) {
+    let is_unread = response.extensions().get::<BodyUnread>().is_some();
+    let closes = is_last || conn_end::says_close(Version::HTTP_11, response.headers());
+    if closes && !is_unread {
         agreed.store(true, Ordering::Relaxed);
     }
     drop(guard);
