Count closing connections of callers as closed, for the room of the others

Cause: with closes in stages, a connection that is being closed still counted as open, so that a crowd of idle connections was closed at the limit down to the last one. Change: caller_connections counts those that are served; it is a metric too.

--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -22,7 +22,6 @@
 use serving::idle::Verdict;
 use tokio::time::Instant;
 use tokio::time::Sleep;
-use tokio_util::task::TaskTracker;
 
 use crate::entry::Entry;
 
@@ -40,24 +39,12 @@
     SlowHead,
 }
 
-/// All open connections of callers, and how many may be open.
-#[derive(Clone, Debug)]
-pub(crate) struct OpenConns {
-    pub(crate) tasks: TaskTracker,
-    pub(crate) limit: usize,
-}
-
-impl OpenConns {
-    fn room(&self) -> Room {
-        Room::of(self.tasks.len(), self.limit)
-    }
-}
-
 /// Watches what one connection does.
 pub(crate) struct IdleWatch {
     entry: Arc<Entry>,
     caller: Arc<CallerConn>,
-    conns: OpenConns,
+    /// The most connections that may be open.
+    max_conns: usize,
     /// What the timer was set for.
     activity: Activity,
     timer: Pin<Box<Sleep>>,
@@ -66,11 +53,11 @@
 }
 
 impl IdleWatch {
-    pub(crate) fn new(entry: Arc<Entry>, caller: Arc<CallerConn>, conns: OpenConns) -> IdleWatch {
+    pub(crate) fn new(entry: Arc<Entry>, caller: Arc<CallerConn>, max_conns: usize) -> IdleWatch {
         IdleWatch {
             entry,
             caller,
-            conns,
+            max_conns,
             activity: Activity::Busy,
             timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
             looked_again: false,
@@ -134,7 +121,8 @@
 
     /// Sets the timer for the next check.
     fn set_timer(&mut self, now: Time) -> Verdict {
-        let room = self.conns.room();
+        let open = self.entry.metrics.caller_conns.get();
+        let room = Room::of(open.try_into().unwrap_or(0), self.max_conns);
         let limits = &self.entry.state().conn_limits;
         let verdict = limits.check(now, self.activity, room);
         if let Verdict::Keep(Some(next)) = verdict {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub sends: IntCounterVec,
     /// Ended connections of callers, by [`ConnEnd`](crate::conn_end::ConnEnd).
     pub caller_ends: IntCounterVec,
+    /// Connections of callers that are not being closed.
+    pub caller_conns: IntGauge,
     /// Bodies that were not read when their requests were answered, by what became of the rest.
     pub unread_bodies: IntCounterVec,
     /// Time from a request's arrival to its complete response or first event, in seconds.
@@ -102,6 +104,8 @@
             "Ended connections of callers",
             "cause",
         )?;
+        let caller_conns = IntGauge::new("caller_connections", "Open connections of callers")?;
+        registry.register(Box::new(caller_conns.clone()))?;
         let unread_bodies = register_counters(
             &registry,
             "unread_bodies_total",
@@ -172,6 +176,7 @@
             silent_attempts,
             sends,
             caller_ends,
+            caller_conns,
             unread_bodies,
             first_response_s,
             adapter_wait_s,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -43,7 +43,6 @@
 use crate::entry::Entry;
 use crate::idle::Driven;
 use crate::idle::IdleWatch;
-use crate::idle::OpenConns;
 use crate::relay::StreamTruncated;
 use crate::unread::BodyUnread;
 
@@ -136,11 +135,8 @@
     async fn serve(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
             Ok((stream, _)) if self.tasks.len() < self.limit => {
-                let conns = OpenConns {
-                    tasks: self.tasks.clone(),
-                    limit: self.limit,
-                };
-                let caller = serve_caller(self.entry.clone(), stream, conns, self.stop.clone());
+                let caller =
+                    serve_caller(self.entry.clone(), stream, self.limit, self.stop.clone());
                 self.tasks
                     .spawn(self.abort.clone().run_until_cancelled_owned(caller));
             }
@@ -161,7 +157,7 @@
 async fn serve_caller(
     entry: Arc<Entry>,
     stream: TcpStream,
-    conns: OpenConns,
+    max_conns: usize,
     stop: CancellationToken,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -187,11 +183,13 @@
         .header_read_timeout(None)
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
-    let watch = IdleWatch::new(entry.clone(), caller.clone(), conns);
+    let open = GaugeGuard::new(&entry.metrics.caller_conns);
+    let watch = IdleWatch::new(entry.clone(), caller.clone(), max_conns);
     let driven = drive_until_stop(watch, connection, stop.clone()).await;
     let agreed = agreed.into_inner();
     let end = ConnEnd::new(driven, &caller.usage(), agreed, entry.is_stopping());
     entry.record_conn_end(end, &caller);
+    drop(open);
     close_caller(&caller, end, stop).await;
 }
 
@@ -244,9 +242,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let is_last = conn_end::says_close(request.version(), request.headers());
-    let inflight = entry.metrics.inflight.clone();
-    inflight.inc();
-    let guard = InflightGuard(inflight);
+    let guard = GaugeGuard::new(&entry.metrics.inflight);
     // The future is large; boxing it keeps idle connections small.
     let mut response = dispatch::handle(entry.clone(), caller, request)
         .boxed()
@@ -265,9 +261,17 @@
     Ok(response)
 }
 
-struct InflightGuard(prometheus::IntGauge);
+/// Counts in a gauge until it is dropped.
+struct GaugeGuard(prometheus::IntGauge);
 
-impl Drop for InflightGuard {
+impl GaugeGuard {
+    fn new(gauge: &prometheus::IntGauge) -> GaugeGuard {
+        gauge.inc();
+        GaugeGuard(gauge.clone())
+    }
+}
+
+impl Drop for GaugeGuard {
     fn drop(&mut self) {
         self.0.dec();
     }
