No limit on idle connections or heads cuts an answer that is being written

What callers saw: an answer of several megabytes ended in its middle if its caller paused for twice the idle limit, or read slowly with the next request already sent. Cause: a fault of the fix for idle limits, found by the reviewer: a request is over for the entry when its answer is handed to the HTTP server, not when the kernel has taken it, and bytes that are read ahead meanwhile counted as the head of a request. Change: a connection with an answer that waits to be written is neither idle nor reading a head; it ends when the caller takes no byte for a minute. A head's time begins at the end of the answer before it.

--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -33,6 +33,9 @@
     /// A request began and its head did not come in time.
     #[display("head timeout")]
     HeadTimeout,
+    /// The caller took no part of a response for too long.
+    #[display("write stalled")]
+    Stalled,
     /// The entry stops, and no request came in its last moments.
     #[display("stopping")]
     Stopping,
@@ -54,6 +57,7 @@
         match driven {
             Driven::Idle => ConnEnd::IdleTimeout,
             Driven::SlowHead => ConnEnd::HeadTimeout,
+            Driven::Stalled => ConnEnd::Stalled,
             Driven::Ended(None) => ConnEnd::CallerLeft,
             Driven::Ended(Some(Err(error))) if error.is_parse() => ConnEnd::Malformed,
             Driven::Ended(Some(Err(_))) => ConnEnd::Broken,
--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -37,6 +37,8 @@
     Idle,
     /// The head of a request took too long.
     SlowHead,
+    /// The caller takes no part of a response.
+    Stalled,
 }
 
 /// Watches what one connection does.
@@ -108,14 +110,15 @@
     fn current_activity(&self) -> Activity {
         let usage = self.caller.usage();
         let clock = &self.entry.clock;
+        let idle_since = clock.time(usage.idle_since);
         match usage.begun_at {
             _ if usage.busy => Activity::Busy,
+            _ if usage.writing => Activity::Writing { since: idle_since },
+            // It may have begun before the end of the last response.
             Some(begun_at) => Activity::Head {
-                since: clock.time(begun_at),
-            },
-            None => Activity::Idle {
-                since: clock.time(usage.idle_since),
+                since: clock.time(begun_at).max(idle_since),
             },
+            None => Activity::Idle { since: idle_since },
         }
     }
 
@@ -134,6 +137,7 @@
     fn expired(&self) -> Driven {
         match self.activity {
             Activity::Head { .. } => Driven::SlowHead,
+            Activity::Writing { .. } => Driven::Stalled,
             Activity::Idle { .. } | Activity::Busy => Driven::Idle,
         }
     }
--- a/crates/process/src/caller.rs
+++ b/crates/process/src/caller.rs
@@ -26,7 +26,6 @@
 use std::task::ready;
 use std::time::Duration;
 
-use bytes::Buf;
 use bytes::BytesMut;
 use derive_more::Display;
 use futures::FutureExt;
@@ -65,10 +64,12 @@
 pub struct Usage {
     /// When it was opened.
     pub opened_at: Instant,
-    /// When the last request ended, or the last bytes of its response were written.
+    /// When the last request ended, or bytes of its response were last taken by the kernel.
     pub idle_since: Instant,
     /// Whether a request is in progress.
     pub busy: bool,
+    /// Whether a part of a response waits to be written.
+    pub writing: bool,
     /// The number of requests whose heads were read.
     pub requests: u64,
     /// When the first bytes of the next request were read, whose head is not complete.
@@ -120,6 +121,7 @@
             opened_at: now,
             idle_since: now,
             busy: false,
+            writing: false,
             requests: 0,
             begun_at: None,
             has_ended: false,
@@ -297,12 +299,14 @@
         }
     }
 
-    /// Records that the HTTP server has read so many bytes; 0 at the end of the connection.
-    fn record_read(&mut self, count: usize) {
-        if count > 0 && !self.usage.busy {
+    /// Records what the HTTP server has read; nothing at the end of the connection.
+    fn record_read(&mut self, bytes: &[u8]) {
+        // Line ends may precede a request.
+        let begins = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if begins && !self.usage.busy {
             self.usage.begun_at.get_or_insert_with(Instant::now);
         }
-        self.usage.has_ended |= count == 0;
+        self.usage.has_ended |= bytes.is_empty();
     }
 
     fn record(&mut self, received: io::Result<&[u8]>) {
@@ -327,18 +331,18 @@
         let mut ahead = self.0.ahead();
         if !ahead.bytes.is_empty() {
             let count = ahead.bytes.len().min(buffer.remaining());
-            buffer.put_slice(&ahead.bytes[..count]);
-            ahead.bytes.advance(count);
-            ahead.record_read(count);
+            let bytes = ahead.bytes.split_to(count);
+            buffer.put_slice(&bytes);
+            ahead.record_read(&bytes);
             return Poll::Ready(Ok(()));
         }
         if ahead.closed {
-            ahead.record_read(0);
+            ahead.record_read(&[]);
             return Poll::Ready(Ok(()));
         }
         let filled = buffer.filled().len();
         ready!(self.0.poll_receive(context, buffer))?;
-        ahead.record_read(buffer.filled().len() - filled);
+        ahead.record_read(&buffer.filled()[filled..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -349,6 +353,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.0.ahead().usage.writing = true;
         let stream = &self.0.stream;
         let written = ready!(poll_io(context, stream, |stream| stream.try_write(bytes)));
         self.0.ahead().usage.idle_since = Instant::now();
@@ -360,6 +365,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.0.ahead().usage.writing = true;
         let stream = &self.0.stream;
         let written = ready!(poll_io(context, stream, |stream| {
             stream.try_write_vectored(slices)
@@ -372,7 +378,9 @@
         true
     }
 
+    /// The HTTP server flushes when the kernel has taken all that it has to write.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.ahead().usage.writing = false;
         Poll::Ready(Ok(()))
     }
 
--- a/crates/serving/src/idle.rs
+++ b/crates/serving/src/idle.rs
@@ -5,7 +5,8 @@
 //! get no answer. A caller relies on a limit that it has read; what it has read may have been replaced since.
 //!
 //! Invariants: a connection is kept for the longest limit that was in force since it became idle, and longer
-//! while there is room; each idle connection is closed in the end.
+//! while there is room; each idle connection is closed in the end; no limit on idle connections or heads cuts a
+//! response.
 //!
 //! API boundary: an entry records the limits of each configuration, and asks [`ConnLimits::check`] when a
 //! connection may have to be closed.
@@ -20,6 +21,8 @@
 const ROOMY_FACTOR: u32 = 2;
 /// The number of checks within one limit after it has passed, since room may become scarce.
 const CHECKS_PER_LIMIT: u32 = 4;
+/// How long a caller may take no part of a response. Its own time limit passes long before.
+const MAX_WRITE_STALL: Duration = Duration::from_secs(60);
 /// The limits of an entry without a configuration.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 const DEFAULT_HEAD: Duration = Duration::from_secs(15);
@@ -31,6 +34,11 @@
 pub enum Activity {
     /// A request is in progress.
     Busy,
+    /// A response is being written, and its caller takes none of it.
+    Writing {
+        /// When it last took a part.
+        since: Time,
+    },
     /// Nothing has been read or written since this time.
     Idle {
         /// The end of the last request and its response, or the opening.
@@ -104,6 +112,7 @@
     pub fn check(&self, now: Time, activity: Activity, room: Room) -> Verdict {
         match activity {
             Activity::Busy => Verdict::Keep(None),
+            Activity::Writing { since } => keep_until(now, since.after(MAX_WRITE_STALL)),
             Activity::Head { since } => keep_until(now, since.after(self.head.since(since))),
             Activity::Idle { since } => {
                 let limit = self.idle.since(since);
--- a/crates/serving/tests/idle_limits.rs
+++ b/crates/serving/tests/idle_limits.rs
@@ -102,6 +102,18 @@
     assert_eq!(busy, Verdict::Keep(None));
 }
 
+#[test]
+fn response_that_is_not_taken_ends_long_after_the_limits_only() {
+    let limits = limits(&[(0, 100)]);
+    let writing = Activity::Writing {
+        since: Time::from_ms(1_000),
+    };
+    let end = Time::from_ms(61_000);
+    let kept = limits.check(Time::from_ms(60_999), writing, Room::Scarce);
+    assert_eq!(kept, Verdict::Keep(Some(end)));
+    assert_eq!(limits.check(end, writing, Room::Ample), Verdict::Close);
+}
+
 #[test]
 fn many_lowered_limits_take_bounded_memory_and_close_late_rather_than_early() {
     let changes: Vec<_> = (0..1_000).map(|step| (step, 10_000 - step)).collect();
