Log requests that are refused for want of a configuration or a service

Cause: a request that came before the first configuration, or on a route without a service, was refused without a line that has its id.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -243,7 +243,10 @@
 fn admit(entry: &Entry, head: &RequestHead, path: &str) -> Result<Admitted, LocalResponse> {
     let id = &*head.request.id;
     let config = entry.state().config.clone();
-    let config = config.ok_or(LocalResponse::Refused(UNCONFIGURED_RETRY_AFTER))?;
+    let Some(config) = config else {
+        info!("request refused, no configuration", kv: { id, path });
+        return Err(LocalResponse::Refused(UNCONFIGURED_RETRY_AFTER));
+    };
     let Some(route) = config.route(&head.request.host, path).cloned() else {
         info!("no route", kv: { id, host = &*head.request.host, path, config = config.version });
         return Err(LocalResponse::NoRoute);
@@ -254,9 +257,13 @@
         return Err(LocalResponse::Refused(OVERLOAD_RETRY_AFTER));
     }
     let draw = entry.state().rng.u64(..);
-    let service = route.pick_service(draw).cloned();
+    let Some(service) = route.pick_service(draw).cloned() else {
+        let config = config.version;
+        info!("request refused, the route has no service", kv: { id, route = &*route.name, config });
+        return Err(LocalResponse::Refused(UNCONFIGURED_RETRY_AFTER));
+    };
     Ok(Admitted {
-        service: service.ok_or(LocalResponse::Refused(UNCONFIGURED_RETRY_AFTER))?,
+        service,
         route,
         limits: config.limits,
     })
