Let new connections take the places of closing ones

Cause: a connection that is being closed counts against the limit of open connections, for up to 2 s if its caller does not close it. Change: at the limit all closes are ended at once, and the new connection is served; a module of its own has the closes.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,7 +27,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use spdlog::info;
 use spdlog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -37,6 +36,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::buffer::BufferedBody;
+use crate::closing::Closings;
 use crate::conn_end;
 use crate::conn_end::ConnEnd;
 use crate::dispatch;
@@ -59,8 +59,6 @@
 /// The wait for a connection in the listener's queue after the stop, at which the queue counts as
 /// empty.
 const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
-/// How long after the stop a caller may go on sending on a connection that is being closed.
-const LAST_CLOSE_PERIOD: Duration = Duration::from_millis(500);
 /// The idle timeout of readiness probes.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer beyond the largest head, since the buffer also holds the start of the body.
@@ -113,7 +111,7 @@
 /// The connections of callers.
 struct Callers {
     entry: Arc<Entry>,
-    stop: CancellationToken,
+    closings: Closings,
     abort: CancellationToken,
     tasks: TaskTracker,
     limit: usize,
@@ -125,7 +123,7 @@
         let limit = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
         Callers {
             entry,
-            stop,
+            closings: Closings::new(stop),
             abort,
             tasks: TaskTracker::new(),
             limit: limit as usize,
@@ -134,9 +132,9 @@
 
     async fn serve(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok((stream, _)) if self.tasks.len() < self.limit => {
-                let caller =
-                    serve_caller(self.entry.clone(), stream, self.limit, self.stop.clone());
+            Ok((stream, _)) if self.closings.make_room(self.tasks.len(), self.limit) => {
+                let closings = self.closings.clone();
+                let caller = serve_caller(self.entry.clone(), stream, self.limit, closings);
                 self.tasks
                     .spawn(self.abort.clone().run_until_cancelled_owned(caller));
             }
@@ -154,12 +152,7 @@
 }
 
 /// Serves a connection to its end.
-async fn serve_caller(
-    entry: Arc<Entry>,
-    stream: TcpStream,
-    max_conns: usize,
-    stop: CancellationToken,
-) {
+async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, max_conns: usize, closings: Closings) {
     if let Err(error) = stream.set_nodelay(true) {
         let error = error.to_string();
         warn!("connection cannot be set up", kv: { error = error.as_str() });
@@ -185,12 +178,12 @@
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
     let open = GaugeGuard::new(&entry.metrics.caller_conns);
     let watch = IdleWatch::new(entry.clone(), caller.clone(), max_conns);
-    let driven = drive_until_stop(watch, connection, stop.clone()).await;
+    let driven = drive_until_stop(watch, connection, closings.stop.clone()).await;
     let agreed = agreed.into_inner();
     let end = ConnEnd::new(driven, &caller.usage(), agreed, entry.is_stopping());
     entry.record_conn_end(end, &caller);
     drop(open);
-    close_caller(&caller, end, stop).await;
+    closings.close(&caller, end).await;
 }
 
 /// Drives a connection to its end, or through one more request after the stop.
@@ -217,23 +210,6 @@
     watch.drive(connection.as_mut()).await
 }
 
-/// Closes a connection so that its caller can read the last answer.
-async fn close_caller(caller: &CallerConn, end: ConnEnd, stop: CancellationToken) {
-    let stopped = async {
-        stop.cancelled().await;
-        tokio::time::sleep(LAST_CLOSE_PERIOD).await;
-    };
-    let closed = tokio::select! {
-        closed = caller.close() => closed,
-        () = stopped => None,
-    };
-    let Some(closed) = closed.filter(|closed| closed.bytes > 0) else {
-        return;
-    };
-    let (cause, close, bytes) = (end.to_string(), closed.end.to_string(), closed.bytes);
-    info!("bytes dropped at a close", kv: { cause = cause.as_str(), bytes, close = close.as_str() });
-}
-
 async fn respond(
     entry: Arc<Entry>,
     caller: RequestGuard,
