End the waits before an attempt at the deadline

Cause: the store's permission to probe, a connection and an admission knew no deadline; a request that waited longer was sent without time, or refused late. Change: one bound around all that an attempt waits for before it is sent; a request whose time is over is refused, not sent. A connect goes on in a task of the pool, so that requests with little time still find out a runner that takes no connections.

--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -22,6 +22,7 @@
 use serving::Name;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -183,10 +184,7 @@
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| error(e.to_string()))?;
         // The task ends with the connection; its error is reported to the request on it.
-        let abort = self.abort.clone();
-        let task = self.tasks.spawn(async move {
-            let _ = abort.run_until_cancelled(connection).await;
-        });
+        let task = self.spawn(connection);
         Ok(RunnerConn {
             sender,
             reused: false,
@@ -197,6 +195,15 @@
         })
     }
 
+    /// Runs a task of a connection; [`ConnPool::stop`] ends it, with `None`.
+    pub(crate) fn spawn<T: Send + 'static>(
+        &self,
+        task: impl Future<Output = T> + Send + 'static,
+    ) -> JoinHandle<Option<T>> {
+        let abort = self.abort.clone();
+        self.tasks.spawn(abort.run_until_cancelled_owned(task))
+    }
+
     /// Returns a connection to the pool after a complete response; `timeout` is the runner's idle
     /// timeout, if it stated one. A connection to an earlier incarnation is closed.
     pub fn put_idle(
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::attempt;
 use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
+use crate::attempt::FailedAttempt;
 use crate::attempt::SentAttempt;
 use crate::buffer::BufferedBody;
 use crate::entry::Entry;
@@ -378,16 +379,32 @@
         if !self.entry.can_finish(&self.route.name, self.deadline) {
             return Err(self.stopping());
         }
+        if self.entry.now() >= self.deadline {
+            return Err(self.deadline_exceeded());
+        }
+        let deadline = self.entry.clock.instant(self.deadline);
+        let sent = tokio::time::timeout_at(deadline, self.send_attempt(resume)).await;
+        match sent {
+            Ok(Ok((_, Ok(sent)))) => Ok(self.wait_for_answer(sent, resume).await),
+            Ok(Ok((placement, Err(failed)))) => Ok((placement, Err(failed))),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(self.deadline_exceeded()),
+        }
+    }
+
+    /// Waits for all that an attempt needs, and sends it. The caller bounds these waits.
+    async fn send_attempt(
+        &mut self,
+        resume: Option<u64>,
+    ) -> Result<(Placement, Result<SentAttempt, FailedAttempt>), DispatchError> {
         self.step = Step::Probe;
         self.pass_quarantine().await?;
         self.step = Step::Adapter;
         let placement = self.locate().await?;
         self.step = Step::Admission;
         let prompt = self.admit_prompt(&placement).await;
-        match self.send(placement.clone(), prompt, resume).await {
-            Ok(sent) => Ok(self.wait_for_answer(sent, resume).await),
-            Err(failed) => Ok((placement, Err(failed))),
-        }
+        let sent = self.send(placement.clone(), prompt, resume).await;
+        Ok((placement, sent))
     }
 
     /// Decides what follows an attempt.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -3,6 +3,7 @@
 //! Invariants: a runner is recorded as tried before the first byte is written; a request that takes a
 //! retry from the budget is sent at once.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use crate::conns::RunnerConn;
 use crate::dispatch::ActiveRequest;
 use crate::dispatch::Step;
+use crate::entry::Entry;
 use crate::send_check::PendingSend;
 use crate::slot::HeldSlot;
 
@@ -188,23 +190,34 @@
             (member.born == born).then_some(member.addr)?
         };
         self.entry.metrics.runner_connects.inc();
-        match self.entry.conns.open(addr).await {
-            Ok(conn) => Some(conn),
-            Err(error) => {
-                self.record_unreachable(runner);
-                if error.refused {
-                    self.entry.record_runner_ended(runner, born);
-                }
-                let error = error.to_string();
-                warn!("runner unreachable", kv: { runner = &**runner, error = error.as_str() });
-                None
-            }
-        }
+        let entry = self.entry.clone();
+        let opening = open(entry, addr, runner.clone(), born);
+        // It goes on if the request's time is over, so that a runner which takes no connections is found out.
+        let opened = self.entry.conns.spawn(opening).await;
+        // A task that has panicked, or that the stopping entry has ended, has no connection.
+        opened.ok().flatten().flatten()
+    }
+}
+
+/// Opens a connection to an incarnation of a runner, and records what a failure shows.
+async fn open(entry: Arc<Entry>, addr: SocketAddr, runner: Name, born: u64) -> Option<RunnerConn> {
+    let error = match entry.conns.open(addr).await {
+        Ok(conn) => return Some(conn),
+        Err(error) => error,
+    };
+    entry.record_unreachable(&runner);
+    if error.refused {
+        entry.record_runner_ended(&runner, born);
     }
+    let error = error.to_string();
+    warn!("runner unreachable", kv: { runner = &*runner, error = error.as_str() });
+    None
+}
 
+impl Entry {
     fn record_unreachable(&self, runner: &Name) {
-        let now = self.entry.now();
-        let mut state = self.entry.state();
+        let now = self.now();
+        let mut state = self.state();
         let state = &mut *state;
         state
             .fleet
