Leave a prompt time for its work beside a silent agent

Cause: the wait for an admission was a share of the latency objective alone; where the deadline is shorter, a silent agent stopped the request although its runner is sound. Change: the wait is also bounded by a share of the time to the deadline; the decision moves to the admission's module.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -1,13 +1,14 @@
 //! Waits for the admission of a request's prompt by the agent of the chosen runner.
 //!
-//! Invariants: the wait is bounded by a share of the route's latency objective, so that an agent that
-//! does not answer delays a request but never stops it; each prompt that was announced to an agent is
-//! reported as read exactly once.
+//! Invariants: the wait is bounded by shares of the route's latency objective and of the time to the
+//! request's deadline, so that an agent that does not answer delays a request but never stops it; each
+//! prompt that was announced to an agent is reported as read exactly once.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use serving::Name;
+use serving::admission;
 use serving::admission::Prompt;
 use serving::placement::Placement;
 use spdlog::warn;
@@ -15,10 +16,6 @@
 use crate::dispatch::ActiveRequest;
 use crate::entry::Entry;
 
-/// The longest wait, as a share of what is left of the latency objective.
-const MAX_WAIT_SHARE: f64 = 0.9;
-/// The longest wait of a request whose latency objective has passed.
-const MIN_WAIT_LIMIT: Duration = Duration::from_millis(40);
 /// How long after the limit the agent's answer is still awaited; the agent admits a prompt at the
 /// limit.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
@@ -54,11 +51,9 @@
         if !admits {
             return None;
         }
-        let left = self
-            .route
-            .goal
-            .saturating_sub(started_at.since(self.arrival));
-        let limit = left.mul_f64(MAX_WAIT_SHARE).max(MIN_WAIT_LIMIT);
+        let age = started_at.since(self.arrival);
+        let goal_left = self.route.goal.saturating_sub(age);
+        let limit = admission::wait_limit(goal_left, self.deadline.since(started_at));
         let id = self.entry.links.next_prompt();
         let prompt = Prompt {
             id,
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -35,6 +35,21 @@
 /// Maximum number of prompts that wait; further ones are admitted at once.
 const MAX_WAITING: usize = 256;
 
+/// The longest wait for an admission, as a share of what is left of the latency objective.
+const GOAL_SHARE: f64 = 0.9;
+/// The longest wait of a request whose latency objective has passed.
+const MIN_WAIT_LIMIT: Duration = Duration::from_millis(40);
+/// The longest wait as a share of the time to the deadline. The rest is for the work: a prompt is sent also if
+/// its agent does not answer.
+const DEADLINE_SHARE: f64 = 0.6;
+
+/// Returns the longest wait for an admission. `goal_left` is what is left of the latency objective, `time_left` the
+/// time to the deadline.
+pub fn wait_limit(goal_left: Duration, time_left: Duration) -> Duration {
+    let limit = goal_left.mul_f64(GOAL_SHARE).max(MIN_WAIT_LIMIT);
+    limit.min(time_left.mul_f64(DEADLINE_SHARE))
+}
+
 /// A prompt that an entry is about to send to the runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
