End the wait for a body at the deadline and at the end of a stop

Cause: the rest of a body was awaited for the timeout of reads alone, beyond the deadline of its request, and at the cut of a stopping entry its connection was closed without an answer. Change: the read ends at the deadline, with 408, and at the cut, with the refusal of a stop.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -18,6 +18,7 @@
 use serving::attempt::Attempts;
 use serving::attempt::NextStep;
 use serving::attempt::Outcome;
+use serving::config::Limits;
 use serving::config::Route;
 use serving::placement::NoRunner;
 use serving::placement::Placement;
@@ -242,9 +243,10 @@
         entry,
         caller,
     };
-    match request.entry.bodies.read(incoming, &config.limits).await {
+    match request.read_body(incoming, &config.limits).await {
         Ok(body) => request.body = body,
-        Err(error) => return request.reject(error),
+        Err(BodyEnd::Unusable(error)) => return request.reject(error),
+        Err(BodyEnd::Stopping) => return request.refuse(FailureCause::Stopping),
     }
     request.serve().await
 }
@@ -264,7 +266,25 @@
     response.response(id).map(full_body)
 }
 
+/// Why the body of a request is not read to its end.
+enum BodyEnd {
+    Unusable(BodyError),
+    /// The stopping entry ends the requests in progress.
+    Stopping,
+}
+
 impl ActiveRequest {
+    /// Reads the request's body, no longer than to its deadline.
+    async fn read_body(&self, body: Incoming, limits: &Limits) -> Result<RequestBody, BodyEnd> {
+        let deadline = self.entry.clock.instant(self.deadline);
+        tokio::select! {
+            biased;
+            read = self.entry.bodies.read(body, limits) => read.map_err(BodyEnd::Unusable),
+            () = self.entry.requests_cut() => Err(BodyEnd::Stopping),
+            () = tokio::time::sleep_until(deadline) => Err(BodyEnd::Unusable(BodyError::Timeout)),
+        }
+    }
+
     async fn serve(mut self) -> Response<Body> {
         let now = self.entry.now();
         self.entry
