Open a connection in its request's task up to the deadline

Cause: a task for each connect made the time from the choice of a runner to the count of its request longer; of ten streams sent at once more went to one runner, and the budget was short of one replacement. Change: only what is left of a connect at the deadline goes on in a task.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -190,12 +190,15 @@
             (member.born == born).then_some(member.addr)?
         };
         self.entry.metrics.runner_connects.inc();
-        let entry = self.entry.clone();
-        let opening = open(entry, addr, runner.clone(), born);
-        // It goes on if the request's time is over, so that a runner which takes no connections is found out.
-        let opened = self.entry.conns.spawn(opening).await;
-        // A task that has panicked, or that the stopping entry has ended, has no connection.
-        opened.ok().flatten().flatten()
+        let opening = open(self.entry.clone(), addr, runner.clone(), born);
+        let mut opening = Box::pin(opening);
+        let deadline = self.entry.clock.instant(self.deadline);
+        if let Ok(conn) = tokio::time::timeout_at(deadline, &mut opening).await {
+            return conn;
+        }
+        // It goes on, so that requests with little time find out a runner that takes no connections.
+        self.entry.conns.spawn(opening);
+        None
     }
 }
 
