Leave a request that crosses the close of an idle connection unread

Cause: the close in stages of the branch bodies reads and drops what comes on a connection that was idle, so that a request which crosses the close counts as read, and its caller may not repeat it. Change: the stages are only for ends at which the last answer may still be on its way.

--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -16,6 +16,9 @@
 
 use crate::entry::Entry;
 
+/// How long an answer may be on its way to its caller.
+const ANSWER_PERIOD: Duration = Duration::from_millis(200);
+
 /// Why a caller's connection ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum ConnEnd {
@@ -69,6 +72,17 @@
             Some(Ok(())) => ConnEnd::BodyUnread,
         }
     }
+
+    /// Returns whether the entry's last answer may still be on its way, with no request in progress for so long.
+    /// Nothing is on its way after a while, and a request that crosses the close then has to stay unread: its
+    /// caller may repeat it.
+    pub(crate) fn follows_answer(self, idle: Duration) -> bool {
+        match self {
+            ConnEnd::Agreed | ConnEnd::BodyUnread | ConnEnd::Malformed => true,
+            ConnEnd::IdleTimeout | ConnEnd::HeadTimeout | ConnEnd::Stopping => idle < ANSWER_PERIOD,
+            ConnEnd::Caller | ConnEnd::CallerLeft | ConnEnd::Broken => false,
+        }
+    }
 }
 
 /// Returns whether a message says that it is the last one on its connection.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -211,6 +211,9 @@
 
 /// Closes a connection so that its caller can read the last answer.
 async fn close_caller(caller: &CallerConn, end: ConnEnd, stop: CancellationToken) {
+    if !end.follows_answer(caller.usage().idle_since.elapsed()) {
+        return;
+    }
     let stopped = async {
         stop.cancelled().await;
         tokio::time::sleep(LAST_CLOSE_PERIOD).await;
