--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -49,8 +49,11 @@
         open - self.tokens.len().min(open) < limit
     }
 
-    /// Closes a connection so that its caller can read the last answer.
+    /// Closes a connection so that its caller can read the last answer, if that may still be on its way.
     pub(crate) async fn close(&self, caller: &CallerConn, end: ConnEnd) {
+        if !end.follows_answer(caller.usage().idle_since.elapsed()) {
+            return;
+        }
         let _token = self.tokens.token();
         let stopped = async {
             self.stop.cancelled().await;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -31,6 +31,7 @@
 use crate::attempt;
 use crate::attempt::AnswerResult;
 use crate::attempt::AttemptResponse;
+use crate::attempt::FailedAttempt;
 use crate::attempt::SentAttempt;
 use crate::buffer::BufferedBody;
 use crate::entry::Entry;
@@ -224,7 +225,7 @@
         entry,
         caller,
     };
-    match request.entry.bodies.read(&mut body, &limits).await {
+    match request.read_body(&mut body, &limits).await {
         Ok(body) => request.body = body,
         Err(error) => return request.reject(error, body).await,
     }
@@ -285,6 +286,23 @@
 }
 
 impl ActiveRequest {
+    /// Reads the request's body, no longer than to its deadline.
+    async fn read_body(
+        &self,
+        body: &mut UnreadBody,
+        limits: &Limits,
+    ) -> Result<RequestBody, BodyError> {
+        let deadline = self.entry.clock.instant(self.deadline);
+        let error = tokio::select! {
+            biased;
+            read = self.entry.bodies.read(body, limits) => return read,
+            () = self.entry.requests_cut() => BodyError::Stopping,
+            () = tokio::time::sleep_until(deadline) => BodyError::Timeout,
+        };
+        body.set_late();
+        Err(error)
+    }
+
     async fn serve(mut self) -> Response<Body> {
         let now = self.entry.now();
         self.entry
@@ -399,16 +417,32 @@
         if !self.entry.can_finish(&self.route.name, self.deadline) {
             return Err(self.stopping());
         }
+        if self.entry.now() >= self.deadline {
+            return Err(self.deadline_exceeded());
+        }
+        let deadline = self.entry.clock.instant(self.deadline);
+        let sent = tokio::time::timeout_at(deadline, self.send_attempt(resume)).await;
+        match sent {
+            Ok(Ok((_, Ok(sent)))) => Ok(self.wait_for_answer(sent, resume).await),
+            Ok(Ok((placement, Err(failed)))) => Ok((placement, Err(failed))),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(self.deadline_exceeded()),
+        }
+    }
+
+    /// Waits for all that an attempt needs, and sends it. The caller bounds these waits.
+    async fn send_attempt(
+        &mut self,
+        resume: Option<u64>,
+    ) -> Result<(Placement, Result<SentAttempt, FailedAttempt>), DispatchError> {
         self.step = Step::Probe;
         self.pass_quarantine().await?;
         self.step = Step::Adapter;
         let placement = self.locate().await?;
         self.step = Step::Admission;
         let prompt = self.admit_prompt(&placement).await;
-        match self.send(placement.clone(), prompt, resume).await {
-            Ok(sent) => Ok(self.wait_for_answer(sent, resume).await),
-            Err(failed) => Ok((placement, Err(failed))),
-        }
+        let sent = self.send(placement.clone(), prompt, resume).await;
+        Ok((placement, sent))
     }
 
     /// Decides what follows an attempt.
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -5,6 +5,7 @@
 //! gets the refusal.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -52,6 +53,9 @@
     /// The connection broke before its end.
     #[display("body broken off")]
     Broken,
+    /// The stopping entry ends the requests in progress.
+    #[display("entry stopping")]
+    Stopping,
 }
 
 impl From<BodyError> for LocalResponse {
@@ -61,6 +65,8 @@
             BodyError::NoMemory => LocalResponse::Refused(OVERLOAD_RETRY_AFTER),
             BodyError::Timeout => LocalResponse::BodyTimeout,
             BodyError::Broken => LocalResponse::BadRequest,
+            // Another entry can take it at once.
+            BodyError::Stopping => LocalResponse::Refused(Duration::ZERO),
         }
     }
 }
