LOST: a request of which nothing can be written is sent elsewhere

Cause: whether the runner had closed a connection was what the runtime knew of it, which is older than the write; and a send counted as written before its first write, so that an error of that write, or an end before it, was an unknown outcome.

Change: right before its first byte the kernel is asked whether the runner has closed the connection or sent bytes on it. A send counts as written when the kernel has taken a byte, and one that ends before that writes nothing later. Such a request has not run: it is sent elsewhere, or on another connection, without a retry of the budget. A new connection that ends so counts against the runner as one that could not be opened. What breaks after a byte was taken stays unknown: the runner may have read it.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -34,6 +34,7 @@
 use crate::buffer::ReadError;
 use crate::buffer::StreamEvents;
 use crate::entry::Entry;
+use crate::send_check::Withhold;
 
 /// The assumed time until a runner that rejects requests for an adapter has it loaded again.
 const REJECTED_ADAPTER_DELAY: Duration = Duration::from_millis(150);
@@ -93,14 +94,18 @@
             return Err(Outcome::NotSent.into());
         };
         let sent = timeout_at(deadline, conn.sender.try_send_request(request)).await;
-        let withheld = conn.check.is_withheld();
         let response = match sent {
             Ok(Ok(response)) => response,
-            _ if withheld => return Err(Outcome::NotSent.into()),
+            Err(_) => match conn.check.end() {
+                Some(cause) => return Err(self.withhold(attempt, cause)),
+                None => return Err(self.time_out(attempt)),
+            },
             Ok(Err(mut error)) => {
-                if error.take_message().is_some() {
-                    attempt.finish(HealthSignal::Neutral, false);
-                    return Err(Outcome::NotSent.into());
+                let returned = error.take_message().is_some();
+                if let Some(cause) = conn.check.end() {
+                    // The connection has ended before it took the request.
+                    let cause = if returned { Withhold::Closed } else { cause };
+                    return Err(self.withhold(attempt, cause));
                 }
                 if conn.reads.is_refused() {
                     self.log_unreadable(&ReadError::NoMemory.to_string());
@@ -110,7 +115,6 @@
                 attempt.finish(HealthSignal::Failed, false);
                 return Err(AnswerProgress::Waiting.into());
             }
-            Err(_) => return Err(self.time_out(attempt)),
         };
         conn.reads.begin_body();
         let (parts, body) = response.into_parts();
@@ -126,6 +130,21 @@
         })
     }
 
+    /// Ends an attempt of which nothing was written.
+    fn withhold(&self, attempt: RunningAttempt, cause: Withhold) -> FailedAttempt {
+        let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
+        let text = cause.to_string();
+        info!("request not written", kv: {
+            id = &*self.id, runner = &*self.runner, cause = text.as_str(), reused
+        });
+        let signal = match cause {
+            Withhold::Closed if !reused => HealthSignal::Unreachable,
+            Withhold::Closed | Withhold::CallerLeft | Withhold::GivenUp => HealthSignal::Neutral,
+        };
+        attempt.finish(signal, false);
+        Outcome::NotSent.into()
+    }
+
     fn record_head(&self, head: &ResponseHead) {
         let now = self.entry.now();
         // A second head of one attempt does not exist.
--- a/crates/gateway/src/send_check.rs
+++ b/crates/gateway/src/send_check.rs
@@ -1,13 +1,16 @@
-//! A byte stream to a runner that writes a request only while its caller waits.
+//! A byte stream to a runner that writes a request only while its caller waits and the runner has not
+//! closed the connection.
 //!
-//! Invariants: between the look at the caller's connection and the first byte of a request no other task
-//! runs; a connection that is given up after a request was written is reset, so that bytes which the
-//! runner has not received yet are not delivered later.
+//! Invariants: between the look at both connections and the first byte of a request no other task
+//! runs; a send that has ended without a byte writes none later, so that its request has not run; a
+//! connection that is given up after a request was written is reset, so that bytes which the runner has
+//! not received yet are not delivered later.
 //!
 //! Lock order: the state of a send, then the caller's connection.
 
 use std::io;
 use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,7 +20,9 @@
 
 use ::process::caller::CallerConn;
 use ::process::caller::Presence;
+use derive_more::Display;
 use prometheus::IntCounterVec;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -50,8 +55,22 @@
     Pending(PendingSend),
     /// The request was passed to the socket, and the connection is not back in the pool.
     Written,
-    /// The request was not written, since its caller had left. Nothing is written any more.
-    Withheld,
+    /// The request was not written. Nothing is written any more.
+    Withheld(Withhold),
+}
+
+/// Why a request was not written.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Withhold {
+    /// Its caller had left.
+    #[display("caller left")]
+    CallerLeft,
+    /// The runner had closed the connection, or sent bytes that answer no request.
+    #[display("connection closed")]
+    Closed,
+    /// The attempt was given up before.
+    #[display("given up")]
+    GivenUp,
 }
 
 /// The state of a connection's request, shared by the connection and the attempt on it.
@@ -69,28 +88,66 @@
         *lock(&self.0) = SendState::Idle;
     }
 
-    /// Returns whether the last announced request was kept from its runner.
-    pub fn is_withheld(&self) -> bool {
-        matches!(*lock(&self.0), SendState::Withheld)
-    }
-
-    /// Decides right before a write whether it may be made.
-    fn check(&self) -> io::Result<()> {
+    /// Ends the send of the last announced request; returns why it was not written, and never will be, or
+    /// `None` if a part of it was.
+    pub fn end(&self) -> Option<Withhold> {
         let mut state = lock(&self.0);
-        if let SendState::Pending(send) = &*state {
-            let presence = send.caller.presence();
-            let text = presence.to_string();
-            send.sends.with_label_values(&[text.as_str()]).inc();
-            *state = match presence {
-                Presence::Waiting => SendState::Written,
-                Presence::Left => SendState::Withheld,
-            };
+        if let SendState::Pending(_) = *state {
+            *state = SendState::Withheld(Withhold::GivenUp);
         }
         match *state {
-            SendState::Withheld => Err(io::ErrorKind::ConnectionAborted.into()),
-            SendState::Idle | SendState::Pending(_) | SendState::Written => Ok(()),
+            SendState::Withheld(cause) => Some(cause),
+            SendState::Idle | SendState::Pending(_) | SendState::Written => None,
         }
     }
+
+    /// Writes to the stream, unless a request that is not begun must not be written.
+    fn write(
+        &self,
+        stream: &mut TcpStream,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let mut state = lock(&self.0);
+        let send = match &*state {
+            SendState::Idle | SendState::Written => {
+                drop(state);
+                return write(Pin::new(stream));
+            }
+            SendState::Withheld(_) => {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+            SendState::Pending(send) => send,
+        };
+        let presence = send.caller.presence();
+        let written = match presence {
+            Presence::Left => Err(Withhold::CallerLeft),
+            Presence::Waiting if has_ended(stream) => Err(Withhold::Closed),
+            // The kernel has taken nothing if it reports an error.
+            Presence::Waiting => match ready!(write(Pin::new(stream))) {
+                Ok(count) if count > 0 => Ok(count),
+                Ok(_) | Err(_) => Err(Withhold::Closed),
+            },
+        };
+        let text = presence.to_string();
+        send.sends.with_label_values(&[text.as_str()]).inc();
+        Poll::Ready(match written {
+            Ok(count) => {
+                *state = SendState::Written;
+                Ok(count)
+            }
+            Err(cause) => {
+                *state = SendState::Withheld(cause);
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+        })
+    }
+}
+
+/// Returns whether the peer has closed a connection that carries no request, or sent bytes on it. This
+/// asks the kernel, not the runtime, which learns of it only between its tasks.
+fn has_ended(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// The byte stream of a connection to a runner.
@@ -141,8 +198,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check.check()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let this = &mut *self;
+        let write = |stream: Pin<&mut TcpStream>| stream.poll_write(context, bytes);
+        this.check.write(&mut this.stream, write)
     }
 
     fn poll_write_vectored(
@@ -150,8 +208,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check.check()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let this = &mut *self;
+        let write = |stream: Pin<&mut TcpStream>| stream.poll_write_vectored(context, slices);
+        this.check.write(&mut this.stream, write)
     }
 
     fn is_write_vectored(&self) -> bool {
