BUDGET: a test of retries at the edge of the sliding window

A bucket of retries is dropped as a whole when its first moment leaves the window, up to a twentieth of the window before its last one does. Seen: 44 retries at 10,000 ms after 44 at 250 ms, with a window of 10 s. The test is red.

--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -65,3 +65,18 @@
     assert!(take_retries(&mut budget, now, &Name::from("chat"), 1_000) > 0);
     assert!(budget.try_take(now, &Name::from("desk"), RetryCause::Ended));
 }
+
+/// Guards against retries that are forgotten while they still lie in a window of the rules, which may begin
+/// at any time.
+#[test]
+fn retries_count_for_a_whole_window() {
+    let service = Name::from("chat");
+    for at in [0, 250, 499] {
+        let mut budget = RetryBudget::new(ALLOWANCE, 1);
+        assert!(take_retries(&mut budget, Time::from_ms(at), &service, 1_000) > 0);
+        for ms in (at..at + 10_000).step_by(50) {
+            let more = take_retries(&mut budget, Time::from_ms(ms), &service, 1_000);
+            assert_eq!(more, 0, "{more} retries at {ms} ms, after those at {at} ms");
+        }
+    }
+}
