BUDGET: retries count until they have left the sliding window

Cause: of 20 buckets the oldest was dropped as a whole when its first moment left the window. Change: one more bucket is kept, so that the last moment of a dropped one lies outside of the window. Result: retries_count_for_a_whole_window passes (44 retries too many before); retry_budget and silent_attempts pass.

--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -10,7 +10,8 @@
 
 use crate::Name;
 
-/// Number of buckets in the sliding window; the oldest bucket is dropped as a whole.
+/// Number of buckets in the sliding window. One more is kept, as the oldest bucket is dropped as a whole and
+/// its end is to lie outside of the window then.
 const BUCKETS: u32 = 20;
 /// Share of the allowance that entries use. The rest allows for differences between the clocks and
 /// counts of the entries.
@@ -125,7 +126,7 @@
 impl Window {
     /// Makes the bucket with this index the last one and drops those that left the window.
     fn advance(&mut self, index: u64) {
-        let first = index.saturating_sub(u64::from(BUCKETS) - 1);
+        let first = index.saturating_sub(u64::from(BUCKETS));
         self.buckets.retain(|bucket| bucket.index >= first);
         if self
             .buckets
