LOST: a request that cannot be refused waits for a retry or a runner

Cause: a request that may have run, and may be repeated, ended with 502 when no runner could be chosen, its adapter was not due within two goals, or the retry budget was empty, also with most of its time left.

Change: while no attempt is in progress, such a request waits for a runner until its deadline; for a retry it waits if the budget foresees one before the deadline, by the retries that leave the window. The budget, the number of runners, and the checks for suspicion and a stop hold as before each send. A request that must not run twice, one that can be refused, one that max_attempts runners had and one with a runner's failure at hand wait for nothing.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -46,6 +46,9 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// `Retry-After` of a request that is refused because the entry is overloaded.
 pub(crate) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The interval at which a request that waits for a retry looks for one.
+const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Why a request ended without a runner's response.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FailureCause {
@@ -81,6 +84,12 @@
     /// The store's permission to probe a held prompt part.
     #[display("probe")]
     Probe,
+    /// A retry of the budget.
+    #[display("retry")]
+    Retry,
+    /// A runner, after one that may have run the request.
+    #[display("runner")]
+    Runner,
     /// A runner that holds the adapter.
     #[display("adapter")]
     Adapter,
@@ -353,8 +362,7 @@
                 self.attempts.record_outcome(failed.outcome, || false);
                 return Err(self.deadline_exceeded());
             }
-            let step = self.next_step(failed.outcome);
-            match step {
+            match self.next_step(failed.outcome).await {
                 NextStep::TryOther => self.exclude_tried(),
                 NextStep::TryAny => self.excluded = vec![placement.runner],
                 NextStep::TrySame => self.excluded.clear(),
@@ -375,7 +383,7 @@
         &mut self,
         resume: Option<u64>,
     ) -> Result<(Placement, AnswerResult), DispatchError> {
-        if !self.entry.can_finish(&self.route.name, self.deadline) {
+        if !self.can_finish() {
             return Err(self.stopping());
         }
         self.step = Step::Probe;
@@ -390,8 +398,11 @@
         }
     }
 
-    /// Decides what follows an attempt.
-    pub fn next_step(&mut self, outcome: Outcome) -> NextStep {
+    /// Decides what follows an attempt. A request that can only go on with a retry waits for one.
+    pub async fn next_step(&mut self, outcome: Outcome) -> NextStep {
+        if self.attempts.awaits_retry(outcome) {
+            self.wait_for_retry().await;
+        }
         let now = self.entry.now();
         let (entry, service) = (&self.entry, &self.service);
         self.attempts.record_outcome(outcome, || {
@@ -400,6 +411,39 @@
         })
     }
 
+    /// Waits until the budget has a retry, if one is foreseen before the deadline.
+    async fn wait_for_retry(&mut self) {
+        let mut is_logged = false;
+        loop {
+            let now = self.entry.now();
+            let next_at = {
+                let mut state = self.entry.state();
+                let budget = &mut state.retry_budget;
+                budget.next_retry(now, &self.service, RetryCause::Ended)
+            };
+            let next_at = next_at.filter(|next_at| *next_at < self.deadline);
+            let Some(next_at) = next_at.filter(|next_at| *next_at > now) else {
+                return;
+            };
+            if !self.can_finish() {
+                return;
+            }
+            if !is_logged {
+                let wait_ms = next_at.since(now).as_millis() as u64;
+                info!("retry awaited", kv: { id = &*self.head.request.id, wait_ms });
+                is_logged = true;
+            }
+            self.step = Step::Retry;
+            let wake = now.after(RETRY_CHECK_INTERVAL).min(next_at);
+            tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
+        }
+    }
+
+    /// Returns whether the request can be answered before the entry ends.
+    pub(crate) fn can_finish(&self) -> bool {
+        self.entry.can_finish(&self.route.name, self.deadline)
+    }
+
     /// Excludes all runners that the request was sent to from the next attempt.
     pub fn exclude_tried(&mut self) {
         self.excluded = self.attempts.tried().to_vec();
@@ -415,7 +459,7 @@
     }
 
     /// Returns what is known of a request that the stopping entry ends.
-    fn stopping(&self) -> DispatchError {
+    pub(crate) fn stopping(&self) -> DispatchError {
         if self.attempts.may_have_run() {
             DispatchError::Unknown(FailureCause::Stopping)
         } else {
@@ -423,7 +467,7 @@
         }
     }
 
-    fn deadline_exceeded(&self) -> DispatchError {
+    pub(crate) fn deadline_exceeded(&self) -> DispatchError {
         if self.attempts.may_have_run() {
             DispatchError::Unknown(FailureCause::DeadlineExceeded)
         } else {
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -36,6 +36,9 @@
 /// The longest wait for a state change of the chosen runner before a runner is chosen again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The interval at which a request for which no runner can be chosen looks for one.
+const RUNNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What becomes of the slot that a request holds when a runner is chosen.
 enum SlotChoice {
     /// It is kept, if there is one.
@@ -46,22 +49,22 @@
 
 impl ActiveRequest {
     /// Chooses a runner and waits until it has the request's adapter. Fails if no runner can be
-    /// chosen, or if the adapter is not expected before the longest wait ends.
+    /// chosen, or if the adapter is not expected before the longest wait ends. A request that cannot be
+    /// refused any more waits for both until its deadline.
     pub(crate) async fn locate(&mut self) -> Result<Placement, DispatchError> {
         let started_at = self.entry.now();
-        let deadline_share = self.deadline.since(started_at).mul_f64(MAX_WAIT_SHARE);
-        let max_wait = self
-            .route
-            .goal
-            .mul_f64(MAX_WAIT_PER_GOAL)
-            .min(deadline_share);
-        let wait_deadline = started_at.after(max_wait);
+        let wait_deadline = self.wait_deadline(started_at);
+        let mut awaited = None;
         let slot_limit = self.slot_wait_limit(started_at, wait_deadline);
         let mut requested_at = started_at;
         loop {
             let now = self.entry.now();
             let placement = match self.place(now, slot_limit) {
                 Ok(placement) => placement,
+                Err(cause) if self.attempts.awaits_runner() => {
+                    self.wait_for_runner(cause, &mut awaited).await?;
+                    continue;
+                }
                 Err(cause) if self.attempts.may_have_run() => {
                     return Err(DispatchError::Unknown(FailureCause::NoRunner(cause)));
                 }
@@ -117,6 +120,40 @@
         }
     }
 
+    /// Returns until when the request may wait for a runner and its adapter.
+    fn wait_deadline(&self, started_at: Time) -> Time {
+        if self.attempts.awaits_runner() {
+            return self.deadline;
+        }
+        let left = self.deadline.since(started_at);
+        let max_wait = self.route.goal.mul_f64(MAX_WAIT_PER_GOAL);
+        started_at.after(max_wait.min(left.mul_f64(MAX_WAIT_SHARE)))
+    }
+
+    /// Waits a moment since no runner can be chosen. `awaited` is the cause that was logged last.
+    async fn wait_for_runner(
+        &mut self,
+        cause: NoRunner,
+        awaited: &mut Option<NoRunner>,
+    ) -> Result<(), DispatchError> {
+        let now = self.entry.now();
+        if now >= self.deadline {
+            return Err(self.deadline_exceeded());
+        }
+        if !self.can_finish() {
+            return Err(self.stopping());
+        }
+        if awaited.replace(cause) != Some(cause) {
+            let (id, text) = (&*self.head.request.id, cause.to_string());
+            info!("runner awaited", kv: { id, cause = text.as_str() });
+        }
+        self.step = Step::Runner;
+        let wake = now.after(RUNNER_CHECK_INTERVAL).min(self.deadline);
+        tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
+        self.wait_time += self.entry.now().since(now);
+        Ok(())
+    }
+
     /// Logs and counts the choice of a runner that does not answer its agent.
     fn record_silent_choice(&self, placement: &Placement) {
         if !placement.silent {
@@ -128,6 +165,9 @@
     }
 
     fn wait_timeout(&self) -> DispatchError {
+        if self.entry.now() >= self.deadline {
+            return self.deadline_exceeded();
+        }
         let cause = FailureCause::AdapterTimeout;
         if self.attempts.may_have_run() {
             DispatchError::Unknown(cause)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -387,7 +387,7 @@
         if self.request.entry.now() >= self.request.deadline {
             return Err(FailureCause::DeadlineExceeded);
         }
-        match self.request.next_step(Outcome::Unknown) {
+        match self.request.next_step(Outcome::Unknown).await {
             NextStep::TryOther => self.request.exclude_tried(),
             NextStep::TrySame => self.request.excluded.clear(),
             _ => return Err(FailureCause::ResponseLost),
--- a/crates/gateway/src/replace.rs
+++ b/crates/gateway/src/replace.rs
@@ -200,7 +200,7 @@
         if self.deadline.since(self.entry.now()) < silence::MAX_OVERLAP {
             return Err(KeepCause::NoTime);
         }
-        if !self.entry.can_finish(&self.route.name, self.deadline) {
+        if !self.can_finish() {
             return Err(KeepCause::Stopping);
         }
         if !self.is_unsuspected() {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -109,11 +109,32 @@
         self.may_have_run || self.in_progress > 0
     }
 
+    /// Returns whether the request may have run at a runner, is at none now, and may be sent again. It can
+    /// only wait for another runner: it cannot be refused any more.
+    pub fn awaits_runner(&self) -> bool {
+        self.may_have_run && self.in_progress == 0
+    }
+
+    /// Returns whether the request may be sent again after its only attempt has ended so, cannot be refused,
+    /// and needs a retry of the budget.
+    pub fn awaits_retry(&self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Unknown => self.kind.is_repeatable() && self.has_runner(),
+            Outcome::NotRun => self.may_have_run && self.rejected < MAX_REJECTED_ATTEMPTS,
+            // The runner's failure is an answer, and what was not sent needs no retry.
+            Outcome::Failed | Outcome::NotSent => false,
+        }
+    }
+
+    /// Returns whether a runner may still be tried after one that may have run the request.
+    fn has_runner(&self) -> bool {
+        self.only_runner().is_none() || self.reusable.is_some()
+    }
+
     /// Returns whether a second attempt may be made beside one that is silent.
     pub fn may_replace(&self) -> bool {
         let may_repeat = self.kind.is_repeatable() && self.in_progress <= 1;
-        let has_runner = self.only_runner().is_none() || self.reusable.is_some();
-        may_repeat && has_runner && self.is_within_limits()
+        may_repeat && self.has_runner() && self.is_within_limits()
     }
 
     /// Returns whether the next attempt beside a silent one is the last that may be given up.
@@ -194,8 +215,7 @@
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
         self.may_have_run = true;
-        let has_runner = self.only_runner().is_none() || self.reusable.is_some();
-        if !self.kind.is_repeatable() || !has_runner || !take_retry() {
+        if !self.kind.is_repeatable() || !self.has_runner() || !take_retry() {
             return without_retry;
         }
         match self.only_runner() {
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -56,6 +56,35 @@
     silent: u32,
 }
 
+/// What lies in a window.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    requests: u32,
+    retries: u32,
+    silent: u32,
+}
+
+/// The part of the allowance that one entry may use.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    ratio: f64,
+    slack: f64,
+}
+
+impl Share {
+    /// Returns whether one more retry for this cause is allowed.
+    fn allows(self, counts: Counts, cause: RetryCause) -> bool {
+        let allowed = (self.ratio * f64::from(counts.requests) + self.slack) * USED_SHARE;
+        if f64::from(counts.retries + 1) > allowed {
+            return false;
+        }
+        match cause {
+            RetryCause::Ended => true,
+            RetryCause::Silent => f64::from(counts.silent + 1) <= allowed * SILENT_SHARE,
+        }
+    }
+}
+
 /// The retry budget of one entry, counted per service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -98,25 +127,45 @@
 
     /// Returns whether a retry for this cause is left.
     pub fn has_left(&mut self, now: Time, service: &Name, cause: RetryCause) -> bool {
-        let allowance = self.allowance;
-        let slack = allowance.slack / f64::from(self.entry_count);
+        let share = self.share();
+        share.allows(self.window(now, service).counts(), cause)
+    }
+
+    /// Returns when a retry for this cause will be left if as many requests come as lately; `None` if that
+    /// is not foreseen.
+    pub fn next_retry(&mut self, now: Time, service: &Name, cause: RetryCause) -> Option<Time> {
+        let share = self.share();
+        let length = self.bucket_length();
         let window = self.window(now, service);
-        let requests = window.sum(|bucket| bucket.requests);
-        let retries = window.sum(|bucket| bucket.retries);
-        let silent = window.sum(|bucket| bucket.silent);
-        let allowed = (allowance.ratio * f64::from(requests) + slack) * USED_SHARE;
-        if f64::from(retries + 1) > allowed {
-            return false;
+        let mut counts = window.counts();
+        if share.allows(counts, cause) {
+            return Some(now);
         }
-        match cause {
-            RetryCause::Ended => true,
-            RetryCause::Silent => f64::from(silent + 1) <= allowed * SILENT_SHARE,
+        window.buckets.iter().find_map(|bucket| {
+            counts.retries -= bucket.retries;
+            counts.silent -= bucket.silent;
+            let left_at = (bucket.index + u64::from(BUCKETS) + 1) * length;
+            share
+                .allows(counts, cause)
+                .then_some(Time::from_ms(left_at))
+        })
+    }
+
+    fn share(&self) -> Share {
+        Share {
+            ratio: self.allowance.ratio,
+            slack: self.allowance.slack / f64::from(self.entry_count),
         }
     }
 
+    /// Returns the length of a bucket, in milliseconds.
+    fn bucket_length(&self) -> u64 {
+        (self.allowance.window / BUCKETS).as_millis().max(1) as u64
+    }
+
     /// Returns the window of a service, advanced to the current time.
     fn window(&mut self, now: Time, service: &Name) -> &mut Window {
-        let index = now.as_ms() / (self.allowance.window / BUCKETS).as_millis().max(1) as u64;
+        let index = now.as_ms() / self.bucket_length();
         let window = self.services.entry(service.clone()).or_default();
         window.advance(index);
         window
@@ -140,6 +189,14 @@
         }
     }
 
+    fn counts(&self) -> Counts {
+        Counts {
+            requests: self.sum(|bucket| bucket.requests),
+            retries: self.sum(|bucket| bucket.retries),
+            silent: self.sum(|bucket| bucket.silent),
+        }
+    }
+
     fn sum(&self, count: impl Fn(&Bucket) -> u32) -> u32 {
         self.buckets.iter().map(count).sum()
     }
--- a/crates/serving/tests/attempt_rules.rs
+++ b/crates/serving/tests/attempt_rules.rs
@@ -181,3 +181,34 @@
     attempts.record_outcome(Outcome::NotRun, || true);
     assert!(!attempts.may_have_run());
 }
+
+/// Guards against a request that waits for a retry although it can be refused, may not be repeated, or has
+/// an answer, and against one that fails at once although only a retry is missing.
+#[test]
+fn only_a_request_that_cannot_be_refused_awaits_a_retry() {
+    let repeatable = sent_to(RouteKind::Idempotent, 2, &["a"]);
+    assert!(repeatable.awaits_retry(Outcome::Unknown));
+    assert!(!repeatable.awaits_retry(Outcome::NotRun));
+    assert!(!repeatable.awaits_retry(Outcome::Failed));
+    assert!(!repeatable.awaits_retry(Outcome::NotSent));
+    for kind in [RouteKind::NonIdempotent, STREAM] {
+        let attempts = sent_to(kind, 2, &["a"]);
+        assert!(!attempts.awaits_retry(Outcome::Unknown));
+        assert!(!attempts.awaits_retry(Outcome::NotRun));
+    }
+    let last = sent_to(RouteKind::Idempotent, 1, &["a"]);
+    assert!(!last.awaits_retry(Outcome::Unknown));
+}
+
+/// Guards against a request that two silent runners had, of which one was let go and the other one
+/// rejects it, and that is given up although it may go on.
+#[test]
+fn rejection_after_a_given_up_attempt_awaits_a_retry() {
+    let mut attempts = sent_to(RESUMABLE_STREAM, 2, &["a", "b"]);
+    attempts.record_ended_beside(&Name::from("b"), Outcome::Unknown);
+    assert!(!attempts.awaits_runner());
+    assert!(attempts.awaits_retry(Outcome::NotRun));
+    let step = attempts.record_outcome(Outcome::NotRun, || true);
+    assert_eq!(step, NextStep::TrySame);
+    assert!(attempts.awaits_runner());
+}
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -80,3 +80,26 @@
         }
     }
 }
+
+/// Guards against a request that waits for a retry beyond its deadline, and against one that gives up
+/// although a retry comes in time.
+#[test]
+fn next_retry_is_known() {
+    let service = Name::from("chat");
+    let mut budget = RetryBudget::new(ALLOWANCE, 1);
+    let cause = RetryCause::Ended;
+    let at = Time::from_ms(250);
+    assert_eq!(budget.next_retry(at, &service, cause), Some(at));
+    take_retries(&mut budget, at, &service, 1_000);
+    let next = budget.next_retry(at, &service, cause);
+    assert_eq!(next, Some(Time::from_ms(10_500)));
+    assert!(!budget.has_left(Time::from_ms(10_499), &service, cause));
+    assert!(budget.has_left(Time::from_ms(10_500), &service, cause));
+    let none = Allowance {
+        ratio: 0.0,
+        slack: 0.0,
+        ..ALLOWANCE
+    };
+    let mut budget = RetryBudget::new(none, 1);
+    assert_eq!(budget.next_retry(at, &service, cause), None);
+}
