LOST: an answer of a known length waits for memory, and others leave room for it

Cause: an answer that found no room beside others was ended as unknown, whatever the others were: the end hit whoever read next, mostly sound answers that are read at once, and not the streams that had taken the room.

Change: a whole answer of a known length that finds no room is not read on until there is some for all of it; meanwhile answers without a known end may use only what it leaves. Of these, one that finds no room is ended if it holds more than others do on average, and waits otherwise. All waits end at the deadline of the request. A read into the buffer of a connection that finds no room still ends it.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -293,8 +293,15 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let events = splitter.push(&data);
-            let kept = events.and_then(|events| first_events.push(&events));
+            let kept = async {
+                splitter.reserve(data.len()).await?;
+                let events = splitter.push(&data)?;
+                first_events.reserve(events.len()).await?;
+                first_events.push(&events)
+            };
+            let Ok(kept) = timeout_at(deadline, kept).await else {
+                return Err(self.time_out(attempt));
+            };
             if let Err(error) = kept {
                 self.log_unreadable(&error.to_string());
                 attempt.finish(error.health_signal(), false);
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: the reserved bytes of all responses together stay below the limit; a reservation is
 //! released when the response has been passed on or dropped; the less memory is free, the less one
-//! response may hold, so that many large ones leave room for small ones.
+//! response may hold, so that many large ones leave room for small ones; a response that finds no room
+//! waits for it, and is not read meanwhile, unless it has no known end and holds more than others do.
 
 use std::ops::DerefMut;
 use std::pin::Pin;
@@ -12,6 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -40,10 +42,19 @@
 /// The most parts of one response; a part of a few bytes costs as much processor time as a long one.
 const MAX_PARTS: u32 = 32_768;
 
+/// The interval at which a response that waits for room looks for it.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Share of the memory that responses of a known length may claim, as a divisor.
+const CLAIM_DIVISOR: usize = 2;
+
 /// The memory for the responses of an entry.
 #[derive(Debug)]
 pub struct BufferBudget {
     used: AtomicUsize,
+    /// The number of reservations that are not empty.
+    holders: AtomicUsize,
+    /// The memory that responses of a known length wait for.
+    claimed: AtomicUsize,
     limit: usize,
 }
 
@@ -81,6 +92,12 @@
     bytes: usize,
 }
 
+/// Memory that others leave to a response that waits for it, until this is dropped.
+struct Claim<'a> {
+    budget: &'a BufferBudget,
+    bytes: usize,
+}
+
 /// Complete events, counted in their budget until they are dropped.
 struct ReservedEvents {
     events: Bytes,
@@ -130,6 +147,8 @@
     pub fn new(memory_mb: u32) -> Arc<BufferBudget> {
         Arc::new(BufferBudget {
             used: AtomicUsize::new(0),
+            holders: AtomicUsize::new(0),
+            claimed: AtomicUsize::new(0),
             limit: ((memory_mb as usize) << 20) / MEMORY_DIVISOR,
         })
     }
@@ -148,6 +167,8 @@
         let largest = MAX_RESPONSE_BYTES.min(self.limit / RESPONSE_DIVISOR);
         let mut reservation = self.reserve_none();
         let mut bytes = BytesMut::new();
+        let length = body.size_hint().exact();
+        let length = length.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
         let mut parts = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ReadError::Broken)?;
@@ -158,7 +179,11 @@
             if parts > MAX_PARTS || bytes.len() + data.len() > largest {
                 return Err(ReadError::TooLarge);
             }
-            reservation.resize(bytes.len() + data.len())?;
+            let more = bytes.len() + data.len();
+            match length {
+                Some(length) if length <= largest => reservation.claim(more, length).await,
+                _ => reservation.grow(more).await?,
+            }
             bytes.extend_from_slice(&data);
         }
         Ok(BufferedBody {
@@ -186,6 +211,27 @@
         })))
     }
 
+    /// Makes others leave room.
+    fn claim(&self, bytes: usize) -> Claim<'_> {
+        self.claimed.fetch_add(bytes, Ordering::Relaxed);
+        Claim {
+            budget: self,
+            bytes,
+        }
+    }
+
+    /// Returns whether so many bytes are more than the others hold on average.
+    fn is_large(&self, bytes: usize) -> bool {
+        let holders = self.holders.load(Ordering::Relaxed).max(1);
+        bytes.saturating_mul(holders) > self.used()
+    }
+
+    /// Returns the limit for responses that claim nothing.
+    fn unclaimed(&self) -> usize {
+        let claimed = self.claimed.load(Ordering::Relaxed);
+        self.limit - claimed.min(self.limit / CLAIM_DIVISOR)
+    }
+
     fn reserve_none(self: &Arc<Self>) -> Reservation {
         Reservation {
             budget: self.clone(),
@@ -203,6 +249,16 @@
         }
     }
 
+    /// Waits until there is room for so many bytes more; [`push`](Self::push) finds it then.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none, and the incomplete event takes more than others do.
+    pub async fn reserve(&mut self, more: usize) -> Result<(), ReadError> {
+        let bytes = self.splitter.capacity_with(more);
+        self.partial.grow(bytes).await
+    }
+
     /// Adds bytes and returns all events that are now complete; empty if there are none.
     ///
     /// # Errors
@@ -228,6 +284,16 @@
 }
 
 impl KeptEvents {
+    /// Waits until there is room for so many bytes more; [`push`](Self::push) finds it then.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none, and the events take more than others do.
+    pub async fn reserve(&mut self, more: usize) -> Result<(), ReadError> {
+        let bytes = events::grown_capacity(&self.bytes, more);
+        self.reservation.grow(bytes).await
+    }
+
     /// Adds events.
     ///
     /// # Errors
@@ -320,36 +386,78 @@
 impl Reservation {
     /// Changes the number of bytes, unless the rest of the budget is too small for more.
     fn resize(&mut self, bytes: usize) -> Result<(), ReadError> {
+        let limit = self.budget.limit;
+        self.resize_within(bytes, limit)
+    }
+
+    /// Changes the number of bytes as soon as there is room.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none, and these are more bytes than others hold.
+    async fn grow(&mut self, bytes: usize) -> Result<(), ReadError> {
+        loop {
+            let limit = self.budget.unclaimed();
+            match self.resize_within(bytes, limit) {
+                Err(error) if self.budget.is_large(bytes) => return Err(error),
+                Err(_) => tokio::time::sleep(ROOM_CHECK_INTERVAL).await,
+                Ok(()) => return Ok(()),
+            }
+        }
+    }
+
+    /// Does the same for a part of a response of a known length, which is not ended for another one. If it
+    /// finds no room, it waits for that of the whole response, so that it need not wait again.
+    async fn claim(&mut self, bytes: usize, length: usize) {
+        if bytes <= self.bytes || self.resize(bytes).is_ok() {
+            return;
+        }
+        let budget = self.budget.clone();
+        let _claim = budget.claim(length.saturating_mul(RESPONSE_DIVISOR));
+        while self.resize(length.max(bytes)).is_err() {
+            tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn resize_within(&mut self, bytes: usize, limit: usize) -> Result<(), ReadError> {
         let Some(more) = bytes.checked_sub(self.bytes) else {
-            self.budget
-                .used
-                .fetch_sub(self.bytes - bytes, Ordering::Relaxed);
-            self.bytes = bytes;
+            let less = self.bytes - bytes;
+            self.budget.used.fetch_sub(less, Ordering::Relaxed);
+            self.set_bytes(bytes);
             return Ok(());
         };
         let used = self.budget.used.fetch_add(more, Ordering::Relaxed) + more;
-        let left = (self.budget.limit + bytes).saturating_sub(used);
-        if bytes > left / RESPONSE_DIVISOR {
+        let left = (limit + bytes).saturating_sub(used);
+        if more > 0 && bytes > left / RESPONSE_DIVISOR {
             self.budget.used.fetch_sub(more, Ordering::Relaxed);
             return Err(ReadError::NoMemory);
         }
-        self.bytes = bytes;
+        self.set_bytes(bytes);
         Ok(())
     }
 
     fn release(&mut self) {
         self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
-        self.bytes = 0;
+        self.set_bytes(0);
+    }
+
+    /// Sets the number of bytes, and counts those who hold some.
+    fn set_bytes(&mut self, bytes: usize) {
+        match (self.bytes, bytes) {
+            (0, 1..) => self.budget.holders.fetch_add(1, Ordering::Relaxed),
+            (1.., 0) => self.budget.holders.fetch_sub(1, Ordering::Relaxed),
+            (0, 0) | (1.., 1..) => 0,
+        };
+        self.bytes = bytes;
     }
 
     /// Moves a part of the bytes to a reservation of its own.
     fn split_off(&mut self, bytes: usize) -> Reservation {
         let bytes = bytes.min(self.bytes);
-        self.bytes -= bytes;
-        Reservation {
-            budget: self.budget.clone(),
-            bytes,
-        }
+        self.set_bytes(self.bytes - bytes);
+        let mut other = self.budget.reserve_none();
+        other.set_bytes(bytes);
+        other
     }
 }
 
@@ -359,6 +467,12 @@
     }
 }
 
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        self.budget.claimed.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.release();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -68,6 +68,8 @@
 struct Source {
     body: Incoming,
     splitter: StreamEvents,
+    /// A part of the body for which there is no room yet.
+    waiting: Option<Bytes>,
     /// Complete events without data, such as comments, that came while the stream was being replaced.
     kept: KeptEvents,
 }
@@ -116,6 +118,7 @@
         Source {
             body,
             splitter,
+            waiting: None,
             kept,
         }
     }
@@ -128,12 +131,21 @@
         self.read_body().await
     }
 
+    /// Reads the next part of the body; what was read is kept if this is dropped meanwhile.
     async fn read_body(&mut self) -> ReadResult {
-        let data = match self.body.frame().await {
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            None if !self.splitter.has_partial_event() => return ReadResult::End,
-            None | Some(Err(_)) => return ReadResult::Truncated,
-        };
+        if self.waiting.is_none() {
+            let data = match self.body.frame().await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                None if !self.splitter.has_partial_event() => return ReadResult::End,
+                None | Some(Err(_)) => return ReadResult::Truncated,
+            };
+            self.waiting = Some(data);
+        }
+        let length = self.waiting.as_ref().map_or(0, Bytes::len);
+        if let Err(error) = self.splitter.reserve(length).await {
+            return ReadResult::Unreadable(error);
+        }
+        let data = self.waiting.take().unwrap_or_default();
         match self.splitter.push(&data) {
             Ok(events) if !self.splitter.is_out_of_order() => ReadResult::Events(events),
             Ok(_) => ReadResult::Invalid,
