--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,6 +14,7 @@
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
 use platform::runner::ResponseHead;
+use platform::runner::ResponseKind;
 use serving::Name;
 use serving::attempt::Attempts;
 use serving::attempt::NextStep;
@@ -144,6 +145,9 @@
     /// What the request is recognized by when it comes again; computed when it is first needed.
     fingerprint: OnceLock<PartId>,
     pub(crate) service: Name,
+    /// Whether the runner of the last attempt answered with what cannot be its answer. It goes on, so that no
+    /// other one is to be expected in its place.
+    pub(crate) is_garbled: bool,
     /// Runners to avoid in the next attempt.
     pub(crate) excluded: Vec<Name>,
     /// Time spent waiting for a runner or an adapter, over all attempts.
@@ -231,6 +235,7 @@
         body: RequestBody::default(),
         fingerprint: OnceLock::new(),
         service,
+        is_garbled: false,
         excluded: Vec::new(),
         wait_time: Duration::ZERO,
         admission_time: Duration::ZERO,
@@ -358,6 +363,7 @@
             };
             self.log_attempt(&placement, &failed);
             self.report_failed(&placement, &failed);
+            self.is_garbled = failed.kind == Some(ResponseKind::Unverified);
             if self.entry.now() >= self.deadline && failed.failure.is_none() {
                 self.attempts.record_outcome(failed.outcome, || false);
                 return Err(self.deadline_exceeded());
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -61,7 +61,7 @@
             let now = self.entry.now();
             let placement = match self.place(now, slot_limit) {
                 Ok(placement) => placement,
-                Err(cause) if self.attempts.awaits_runner() => {
+                Err(cause) if self.attempts.awaits_runner() && !self.is_garbled => {
                     self.wait_for_runner(cause, &mut awaited).await?;
                     continue;
                 }
