LOST: a test of requests that are bound to a runner they never reached

A runner to which no byte of a request was written counts as tried: with max_attempts 1 the request is only sent there again, and refused after five such ends, though another runner is sound. The test is red.

--- a/crates/serving/tests/attempt_rules.rs
+++ b/crates/serving/tests/attempt_rules.rs
@@ -212,3 +212,26 @@
     assert_eq!(step, NextStep::TrySame);
     assert!(attempts.awaits_runner());
 }
+
+/// Guards against a request that stays bound to a runner to which none of it could be written, and is
+/// refused there although another one would run it.
+#[test]
+fn runner_without_a_byte_of_the_request_was_not_tried() {
+    for kind in [RouteKind::NonIdempotent, RouteKind::Idempotent] {
+        let mut attempts = sent_to(kind, 1, &["a"]);
+        let step = attempts.record_outcome(Outcome::NotSent, || true);
+        assert_eq!(step, NextStep::TryAny);
+        assert!(attempts.only_runner().is_none());
+    }
+    // What was sent there before counts.
+    let mut attempts = sent_to(RouteKind::Idempotent, 1, &["a"]);
+    attempts.record_outcome(Outcome::NotRun, || true);
+    attempts.record_sent(&Name::from("a"));
+    attempts.record_outcome(Outcome::NotSent, || true);
+    assert_eq!(attempts.only_runner().map(|name| &**name), Some("a"));
+    // An attempt that ends before it names a runner takes none away.
+    let mut attempts = sent_to(RouteKind::Idempotent, 2, &["a"]);
+    attempts.record_outcome(Outcome::Unknown, || true);
+    attempts.record_outcome(Outcome::NotSent, || true);
+    assert_eq!(attempts.tried().len(), 1);
+}
