LOST: a runner that got no byte of a request was not tried

Cause: a runner counted as tried before the first byte was written, also if none followed. A request with few max_attempts was bound to a runner that closes its connections. Change: a first attempt that ends unwritten takes its runner out of those tried again. The bound on unsent attempts stays.

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -52,6 +52,8 @@
     kind: RouteKind,
     max_runners: u32,
     tried: Vec<Name>,
+    /// The runner whose first attempt is the last that was begun. It was not tried if nothing is written.
+    newly_tried: Option<Name>,
     unsent: u32,
     rejected: u32,
     may_have_run: bool,
@@ -72,6 +74,7 @@
             kind,
             max_runners: max_runners.max(1),
             tried: Vec::new(),
+            newly_tried: None,
             unsent: 0,
             rejected: 0,
             may_have_run: false,
@@ -157,7 +160,9 @@
     pub fn record_sent(&mut self, runner: &Name) {
         self.in_progress += 1;
         self.reusable.take_if(|reusable| reusable == runner);
-        if !self.tried.contains(runner) {
+        let is_new = !self.tried.contains(runner);
+        self.newly_tried = is_new.then(|| runner.clone());
+        if is_new {
             self.tried.push(runner.clone());
         }
     }
@@ -170,8 +175,13 @@
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
         self.in_progress = self.in_progress.saturating_sub(1);
+        let newly_tried = self.newly_tried.take();
         match outcome {
-            Outcome::NotSent => self.after_not_sent(),
+            Outcome::NotSent => {
+                self.tried
+                    .retain(|tried| newly_tried.as_ref() != Some(tried));
+                self.after_not_sent()
+            }
             Outcome::NotRun => self.after_not_run(take_retry),
             Outcome::Unknown => self.after_possible_run(NextStep::Fail, take_retry),
             Outcome::Failed => self.after_possible_run(NextStep::Relay, take_retry),
@@ -181,7 +191,14 @@
     /// Records the end of the attempt at `runner`, while another one goes on.
     pub fn record_ended_beside(&mut self, runner: &Name, outcome: Outcome) {
         self.in_progress = self.in_progress.saturating_sub(1);
-        self.reusable = Some(runner.clone());
+        let newly_tried = self
+            .newly_tried
+            .take_if(|newly_tried| newly_tried == runner);
+        if outcome == Outcome::NotSent && newly_tried.is_some() {
+            self.tried.retain(|tried| tried != runner);
+        } else {
+            self.reusable = Some(runner.clone());
+        }
         match outcome {
             Outcome::NotSent => self.unsent += 1,
             Outcome::NotRun => self.rejected += 1,
