--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,6 +14,7 @@
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
 use platform::runner::ResponseHead;
+use platform::runner::ResponseKind;
 use serving::Name;
 use serving::attempt::Attempts;
 use serving::attempt::NextStep;
@@ -49,6 +50,9 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// `Retry-After` of a request that is refused because the entry is overloaded.
 pub(crate) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The interval at which a request that waits for a retry looks for one.
+const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Why a request ended without a runner's response.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FailureCause {
@@ -84,6 +88,12 @@
     /// The store's permission to probe a held prompt part.
     #[display("probe")]
     Probe,
+    /// A retry of the budget.
+    #[display("retry")]
+    Retry,
+    /// A runner, after one that may have run the request.
+    #[display("runner")]
+    Runner,
     /// A runner that holds the adapter.
     #[display("adapter")]
     Adapter,
@@ -138,6 +148,9 @@
     /// What the request is recognized by when it comes again; computed when it is first needed.
     fingerprint: OnceLock<PartId>,
     pub(crate) service: Name,
+    /// Whether the runner of the last attempt answered with what cannot be its answer. It goes on, so that no
+    /// other one is to be expected in its place.
+    pub(crate) is_garbled: bool,
     /// Runners to avoid in the next attempt.
     pub(crate) excluded: Vec<Name>,
     /// Time spent waiting for a runner or an adapter, over all attempts.
@@ -206,6 +219,7 @@
         body: RequestBody::default(),
         fingerprint: OnceLock::new(),
         service,
+        is_garbled: false,
         excluded: Vec::new(),
         wait_time: Duration::ZERO,
         admission_time: Duration::ZERO,
@@ -388,12 +402,12 @@
             };
             self.log_attempt(&placement, &failed);
             self.report_failed(&placement, &failed);
+            self.is_garbled = failed.kind == Some(ResponseKind::Unverified);
             if self.entry.now() >= self.deadline && failed.failure.is_none() {
                 self.attempts.record_outcome(failed.outcome, || false);
                 return Err(self.deadline_exceeded());
             }
-            let step = self.next_step(failed.outcome);
-            match step {
+            match self.next_step(failed.outcome).await {
                 NextStep::TryOther => self.exclude_tried(),
                 NextStep::TryAny => self.excluded = vec![placement.runner],
                 NextStep::TrySame => self.excluded.clear(),
@@ -414,7 +428,7 @@
         &mut self,
         resume: Option<u64>,
     ) -> Result<(Placement, AnswerResult), DispatchError> {
-        if !self.entry.can_finish(&self.route.name, self.deadline) {
+        if !self.can_finish() {
             return Err(self.stopping());
         }
         if self.entry.now() >= self.deadline {
@@ -445,8 +459,11 @@
         Ok((placement, sent))
     }
 
-    /// Decides what follows an attempt.
-    pub fn next_step(&mut self, outcome: Outcome) -> NextStep {
+    /// Decides what follows an attempt. A request that can only go on with a retry waits for one.
+    pub async fn next_step(&mut self, outcome: Outcome) -> NextStep {
+        if self.attempts.awaits_retry(outcome) {
+            self.wait_for_retry().await;
+        }
         let now = self.entry.now();
         let (entry, service) = (&self.entry, &self.service);
         self.attempts.record_outcome(outcome, || {
@@ -455,6 +472,39 @@
         })
     }
 
+    /// Waits until the budget has a retry, if one is foreseen before the deadline.
+    async fn wait_for_retry(&mut self) {
+        let mut is_logged = false;
+        loop {
+            let now = self.entry.now();
+            let next_at = {
+                let mut state = self.entry.state();
+                let budget = &mut state.retry_budget;
+                budget.next_retry(now, &self.service, RetryCause::Ended)
+            };
+            let next_at = next_at.filter(|next_at| *next_at < self.deadline);
+            let Some(next_at) = next_at.filter(|next_at| *next_at > now) else {
+                return;
+            };
+            if !self.can_finish() {
+                return;
+            }
+            if !is_logged {
+                let wait_ms = next_at.since(now).as_millis() as u64;
+                info!("retry awaited", kv: { id = &*self.head.request.id, wait_ms });
+                is_logged = true;
+            }
+            self.step = Step::Retry;
+            let wake = now.after(RETRY_CHECK_INTERVAL).min(next_at);
+            tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
+        }
+    }
+
+    /// Returns whether the request can be answered before the entry ends.
+    pub(crate) fn can_finish(&self) -> bool {
+        self.entry.can_finish(&self.route.name, self.deadline)
+    }
+
     /// Excludes all runners that the request was sent to from the next attempt.
     pub fn exclude_tried(&mut self) {
         self.excluded = self.attempts.tried().to_vec();
@@ -470,7 +520,7 @@
     }
 
     /// Returns what is known of a request that the stopping entry ends.
-    fn stopping(&self) -> DispatchError {
+    pub(crate) fn stopping(&self) -> DispatchError {
         if self.attempts.may_have_run() {
             DispatchError::Unknown(FailureCause::Stopping)
         } else {
@@ -478,7 +528,7 @@
         }
     }
 
-    fn deadline_exceeded(&self) -> DispatchError {
+    pub(crate) fn deadline_exceeded(&self) -> DispatchError {
         if self.attempts.may_have_run() {
             DispatchError::Unknown(FailureCause::DeadlineExceeded)
         } else {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -52,6 +52,8 @@
     kind: RouteKind,
     max_runners: u32,
     tried: Vec<Name>,
+    /// The runner whose first attempt is the last that was begun. It was not tried if nothing is written.
+    newly_tried: Option<Name>,
     unsent: u32,
     rejected: u32,
     may_have_run: bool,
@@ -72,6 +74,7 @@
             kind,
             max_runners: max_runners.max(1),
             tried: Vec::new(),
+            newly_tried: None,
             unsent: 0,
             rejected: 0,
             may_have_run: false,
@@ -109,11 +112,32 @@
         self.may_have_run || self.in_progress > 0
     }
 
+    /// Returns whether the request may have run at a runner, is at none now, and may be sent again. It can
+    /// only wait for another runner: it cannot be refused any more.
+    pub fn awaits_runner(&self) -> bool {
+        self.may_have_run && self.in_progress == 0
+    }
+
+    /// Returns whether the request may be sent again after its only attempt has ended so, cannot be refused,
+    /// and needs a retry of the budget.
+    pub fn awaits_retry(&self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Unknown => self.kind.is_repeatable() && self.has_runner(),
+            Outcome::NotRun => self.may_have_run && self.rejected < MAX_REJECTED_ATTEMPTS,
+            // The runner's failure is an answer, and what was not sent needs no retry.
+            Outcome::Failed | Outcome::NotSent => false,
+        }
+    }
+
+    /// Returns whether a runner may still be tried after one that may have run the request.
+    fn has_runner(&self) -> bool {
+        self.only_runner().is_none() || self.reusable.is_some()
+    }
+
     /// Returns whether a second attempt may be made beside one that is silent.
     pub fn may_replace(&self) -> bool {
         let may_repeat = self.kind.is_repeatable() && self.in_progress <= 1;
-        let has_runner = self.only_runner().is_none() || self.reusable.is_some();
-        may_repeat && has_runner && self.is_within_limits()
+        may_repeat && self.has_runner() && self.is_within_limits()
     }
 
     /// Returns whether the next attempt beside a silent one is the last that may be given up.
@@ -136,7 +160,9 @@
     pub fn record_sent(&mut self, runner: &Name) {
         self.in_progress += 1;
         self.reusable.take_if(|reusable| reusable == runner);
-        if !self.tried.contains(runner) {
+        let is_new = !self.tried.contains(runner);
+        self.newly_tried = is_new.then(|| runner.clone());
+        if is_new {
             self.tried.push(runner.clone());
         }
     }
@@ -149,8 +175,13 @@
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
         self.in_progress = self.in_progress.saturating_sub(1);
+        let newly_tried = self.newly_tried.take();
         match outcome {
-            Outcome::NotSent => self.after_not_sent(),
+            Outcome::NotSent => {
+                self.tried
+                    .retain(|tried| newly_tried.as_ref() != Some(tried));
+                self.after_not_sent()
+            }
             Outcome::NotRun => self.after_not_run(take_retry),
             Outcome::Unknown => self.after_possible_run(NextStep::Fail, take_retry),
             Outcome::Failed => self.after_possible_run(NextStep::Relay, take_retry),
@@ -160,7 +191,14 @@
     /// Records the end of the attempt at `runner`, while another one goes on.
     pub fn record_ended_beside(&mut self, runner: &Name, outcome: Outcome) {
         self.in_progress = self.in_progress.saturating_sub(1);
-        self.reusable = Some(runner.clone());
+        let newly_tried = self
+            .newly_tried
+            .take_if(|newly_tried| newly_tried == runner);
+        if outcome == Outcome::NotSent && newly_tried.is_some() {
+            self.tried.retain(|tried| tried != runner);
+        } else {
+            self.reusable = Some(runner.clone());
+        }
         match outcome {
             Outcome::NotSent => self.unsent += 1,
             Outcome::NotRun => self.rejected += 1,
@@ -194,8 +232,7 @@
         take_retry: impl FnOnce() -> bool,
     ) -> NextStep {
         self.may_have_run = true;
-        let has_runner = self.only_runner().is_none() || self.reusable.is_some();
-        if !self.kind.is_repeatable() || !has_runner || !take_retry() {
+        if !self.kind.is_repeatable() || !self.has_runner() || !take_retry() {
             return without_retry;
         }
         match self.only_runner() {
