Bound the wait for the rest of a refused request's body by its deadline and by a stop

What callers saw, with the dropping of bodies: a refusal came 1 s after the request although its time limit was 0.3 s, and not at all at the end of a stop; refused requests whose bodies were being dropped counted as load, so that others could be refused. Change: a quarter of the request's time limit at most, ended by the cut of a stop, and not counted as in progress. Test: dropped_bodies, three tests, which all failed before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -36,6 +36,7 @@
 use crate::attempt::SentAttempt;
 use crate::buffer::BufferedBody;
 use crate::entry::Entry;
+use crate::metrics::GaugeGuard;
 use crate::quarantine::Trial;
 use crate::relay;
 use crate::request_body::BodyError;
@@ -186,6 +187,7 @@
     caller: RequestGuard,
     request: Request<Incoming>,
 ) -> Response<Body> {
+    let inflight = GaugeGuard::new(&entry.metrics.inflight);
     let arrival = entry.now();
     let (parts, incoming) = request.into_parts();
     let mut body = UnreadBody::new(&parts, incoming);
@@ -194,9 +196,11 @@
         Err(error) => {
             let error = error.to_string();
             warn!("request rejected", kv: { error = error.as_str() });
+            drop(inflight);
             return body.answer(&entry, LocalResponse::BadRequest, None).await;
         }
     };
+    body.bound_by(head.request.timeout);
     let Admitted {
         route,
         service,
@@ -205,6 +209,7 @@
         Ok(admitted) => admitted,
         Err(response) => {
             let id = &*head.request.id;
+            drop(inflight);
             return body.answer(&entry, response, Some(id)).await;
         }
     };
@@ -241,7 +246,10 @@
     };
     match request.read_body(&mut body, &limits).await {
         Ok(body) => request.body = body,
-        Err(error) => return request.reject(error, body).await,
+        Err(error) => {
+            drop(inflight);
+            return request.reject(error, body).await;
+        }
     }
     drop(body);
     request.serve().await
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,7 +71,7 @@
     pub held_parts: IntGauge,
     /// Prompt parts that one request at a time may try, as of the last maintenance.
     pub isolated_parts: IntGauge,
-    /// Requests whose response has not started, refused ones included.
+    /// Requests whose response has not started, but for refused ones whose bodies are being dropped.
     pub inflight: IntGauge,
 }
 
@@ -200,6 +200,23 @@
     }
 }
 
+/// Counts in a gauge until it is dropped.
+#[derive(Debug)]
+pub(crate) struct GaugeGuard(IntGauge);
+
+impl GaugeGuard {
+    pub(crate) fn new(gauge: &IntGauge) -> GaugeGuard {
+        gauge.inc();
+        GaugeGuard(gauge.clone())
+    }
+}
+
+impl Drop for GaugeGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 /// Metrics of an agent, registered once per process.
 #[derive(Debug)]
 pub struct AgentMetrics {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -43,6 +43,7 @@
 use crate::entry::Entry;
 use crate::idle::Driven;
 use crate::idle::IdleWatch;
+use crate::metrics::GaugeGuard;
 use crate::relay::StreamTruncated;
 use crate::unread::BodyUnread;
 
@@ -218,7 +219,6 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let is_last = conn_end::says_close(request.version(), request.headers());
-    let guard = GaugeGuard::new(&entry.metrics.inflight);
     // The future is large; boxing it keeps idle connections small.
     let mut response = dispatch::handle(entry.clone(), caller, request)
         .boxed()
@@ -233,26 +233,9 @@
     if closes && !is_unread {
         agreed.store(true, Ordering::Relaxed);
     }
-    drop(guard);
     Ok(response)
 }
 
-/// Counts in a gauge until it is dropped.
-struct GaugeGuard(prometheus::IntGauge);
-
-impl GaugeGuard {
-    fn new(gauge: &prometheus::IntGauge) -> GaugeGuard {
-        gauge.inc();
-        GaugeGuard(gauge.clone())
-    }
-}
-
-impl Drop for GaugeGuard {
-    fn drop(&mut self) {
-        self.0.dec();
-    }
-}
-
 /// Serves the platform's readiness probe: 200 if the entry is ready, otherwise 503.
 pub async fn serve_ready(entry: Arc<Entry>, listener: TcpListener) {
     let tasks = TaskTracker::new();
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -36,6 +36,9 @@
 /// The longest time for which an answer waits for the rest of a body.
 const MAX_TIME: Duration = Duration::from_secs(1);
 
+/// The part of a request's time limit that an answer waits, as a divisor.
+const TIMEOUT_DIVISOR: u32 = 4;
+
 /// Marks an answer that leaves the body of its request unread.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyUnread;
@@ -45,6 +48,8 @@
 pub(crate) struct UnreadBody {
     incoming: Incoming,
     progress: Progress,
+    /// The longest time for which an answer waits for the rest.
+    patience: Duration,
 }
 
 /// How far a body is read.
@@ -86,7 +91,17 @@
             true => Progress::Unasked,
             false => Progress::Reading,
         };
-        UnreadBody { incoming, progress }
+        UnreadBody {
+            incoming,
+            progress,
+            patience: MAX_TIME,
+        }
+    }
+
+    /// Leaves a part of the caller's time limit, if it has one, for the way of the answer.
+    pub(crate) fn bound_by(&mut self, timeout: Option<Duration>) {
+        let share = timeout.map(|timeout| timeout / TIMEOUT_DIVISOR);
+        self.patience = share.unwrap_or(MAX_TIME).min(MAX_TIME);
     }
 
     /// Returns whether nothing is left.
@@ -132,7 +147,7 @@
             return answer;
         }
         let (started_at, mut bytes) = (entry.now(), 0);
-        let rest = self.drop_rest(&mut bytes).await;
+        let rest = self.drop_rest(entry, &mut bytes).await;
         let took_ms = entry.now().since(started_at).as_millis() as u64;
         let (id, rest_text) = (id.unwrap_or_default(), rest.to_string());
         let rests = &entry.metrics.unread_bodies;
@@ -146,15 +161,20 @@
         answer
     }
 
-    async fn drop_rest(&mut self, bytes: &mut u64) -> Rest {
+    async fn drop_rest(&mut self, entry: &Entry, bytes: &mut u64) -> Rest {
         match self.progress {
             Progress::Unasked => return Rest::Unasked,
             Progress::Late => return Rest::Late,
             Progress::Broken => return Rest::Broken,
             Progress::Reading | Progress::Ended => {}
         }
-        let dropped = tokio::time::timeout(MAX_TIME, self.drop_data(bytes)).await;
-        dropped.unwrap_or(Rest::Late)
+        let patience = self.patience;
+        tokio::select! {
+            biased;
+            rest = self.drop_data(bytes) => rest,
+            () = entry.requests_cut() => Rest::Late,
+            () = tokio::time::sleep(patience) => Rest::Late,
+        }
     }
 
     async fn drop_data(&mut self, bytes: &mut u64) -> Rest {
