--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -41,6 +41,8 @@
 use crate::conn_end::ConnEnd;
 use crate::dispatch;
 use crate::entry::Entry;
+use crate::idle::Driven;
+use crate::idle::IdleWatch;
 use crate::relay::StreamTruncated;
 use crate::unread::BodyUnread;
 
@@ -59,11 +61,8 @@
 const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
 /// How long after the stop a caller may go on sending on a connection that is being closed.
 const LAST_CLOSE_PERIOD: Duration = Duration::from_millis(500);
-/// The idle timeout of callers' connections before a configuration is known, and of readiness
-/// probes.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// The largest request head before a configuration is known.
-const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+/// The idle timeout of readiness probes.
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer beyond the largest head, since the buffer also holds the start of the body.
 const BUFFER_MARGIN_BYTES: usize = 8 << 10;
 /// File descriptors that are not available to callers: those for files, the store, agents and
@@ -136,7 +135,8 @@
     async fn serve(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
             Ok((stream, _)) if self.tasks.len() < self.limit => {
-                let caller = serve_caller(self.entry.clone(), stream, self.stop.clone());
+                let caller =
+                    serve_caller(self.entry.clone(), stream, self.limit, self.stop.clone());
                 self.tasks
                     .spawn(self.abort.clone().run_until_cancelled_owned(caller));
             }
@@ -154,60 +154,67 @@
 }
 
 /// Serves a connection to its end.
-async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, stop: CancellationToken) {
+async fn serve_caller(
+    entry: Arc<Entry>,
+    stream: TcpStream,
+    max_conns: usize,
+    stop: CancellationToken,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         let error = error.to_string();
         warn!("connection cannot be set up", kv: { error = error.as_str() });
         return;
     }
-    let limits = entry.state().config.as_ref().map(|config| config.limits);
-    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let header_bytes = entry.header_bytes();
     let caller = CallerConn::new(stream);
     let agreed = AtomicBool::new(false);
-    let service =
-        service_fn(|request| respond(entry.clone(), caller.begin_request(), &agreed, request));
+    let service = service_fn(|request| {
+        let outdated = entry.header_bytes() > header_bytes;
+        respond(
+            entry.clone(),
+            caller.begin_request(),
+            &agreed,
+            outdated,
+            request,
+        )
+    });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This timer also runs while a connection is idle, so the shorter timeout for a head that
-        // has begun cannot be used.
-        .header_read_timeout(idle_timeout)
+        // `IdleWatch` has the timers.
+        .header_read_timeout(None)
         .max_buf_size(header_bytes + BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(CallerStream(caller.clone())), service);
-    let result = drive_until_stop(&caller, connection, stop.clone()).await;
-    let end = ConnEnd::new(
-        &caller.usage(),
-        agreed.into_inner(),
-        entry.is_stopping(),
-        result,
-    );
-    entry.record_conn_end(end, &caller, idle_timeout);
+    let open = GaugeGuard::new(&entry.metrics.caller_conns);
+    let watch = IdleWatch::new(entry.clone(), caller.clone(), max_conns);
+    let driven = drive_until_stop(watch, connection, stop.clone()).await;
+    let agreed = agreed.into_inner();
+    let end = ConnEnd::new(driven, &caller.usage(), agreed, entry.is_stopping());
+    entry.record_conn_end(end, &caller);
+    drop(open);
     close_caller(&caller, end, stop).await;
 }
 
-/// Drives a connection to its end, or through one more request after the stop; `None` if the caller left
-/// during a request.
+/// Drives a connection to its end, or through one more request after the stop.
 async fn drive_until_stop<S>(
-    caller: &CallerConn,
+    mut watch: IdleWatch,
     connection: http1::Connection<TokioIo<CallerStream>, S>,
     stop: CancellationToken,
-) -> Option<hyper::Result<()>>
+) -> Driven
 where
     S: HttpService<Incoming, ResBody = Body, Error = Infallible>,
 {
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        result = caller.drive(connection.as_mut()) => return result,
+        driven = watch.drive(connection.as_mut()) => return driven,
         () = stop.cancelled() => {}
     }
     // Responses close the connection from now on, so it is read for one more request at most.
     let last_request =
-        tokio::time::timeout(LAST_REQUEST_PERIOD, caller.drive(connection.as_mut())).await;
-    if let Ok(result) = last_request {
-        return result;
+        tokio::time::timeout(LAST_REQUEST_PERIOD, watch.drive(connection.as_mut())).await;
+    if let Ok(driven) = last_request {
+        return driven;
     }
     connection.as_mut().graceful_shutdown();
-    caller.drive(connection.as_mut()).await
+    watch.drive(connection.as_mut()).await
 }
 
 /// Closes a connection so that its caller can read the last answer.
@@ -234,17 +241,17 @@
     entry: Arc<Entry>,
     caller: RequestGuard,
     agreed: &AtomicBool,
+    outdated: bool,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let is_last = conn_end::says_close(request.version(), request.headers());
-    let inflight = entry.metrics.inflight.clone();
-    inflight.inc();
-    let guard = InflightGuard(inflight);
+    let guard = GaugeGuard::new(&entry.metrics.inflight);
     // The future is large; boxing it keeps idle connections small.
     let mut response = dispatch::handle(entry.clone(), caller, request)
         .boxed()
         .await;
-    if entry.is_stopping() {
+    // A connection keeps the limit on heads of its opening.
+    if entry.is_stopping() || outdated {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -257,9 +264,17 @@
     Ok(response)
 }
 
-struct InflightGuard(prometheus::IntGauge);
+/// Counts in a gauge until it is dropped.
+struct GaugeGuard(prometheus::IntGauge);
+
+impl GaugeGuard {
+    fn new(gauge: &prometheus::IntGauge) -> GaugeGuard {
+        gauge.inc();
+        GaugeGuard(gauge.clone())
+    }
+}
 
-impl Drop for InflightGuard {
+impl Drop for GaugeGuard {
     fn drop(&mut self) {
         self.0.dec();
     }
@@ -282,7 +297,7 @@
             // The platform repeats the probe, so an error of this connection does not matter.
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .header_read_timeout(PROBE_IDLE_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/crates/process/src/caller.rs
+++ b/crates/process/src/caller.rs
@@ -26,7 +26,6 @@
 use std::task::ready;
 use std::time::Duration;
 
-use bytes::Buf;
 use bytes::BytesMut;
 use derive_more::Display;
 use futures::FutureExt;
@@ -65,12 +64,16 @@
 pub struct Usage {
     /// When it was opened.
     pub opened_at: Instant,
-    /// Since when no request has been in progress.
+    /// When the last request ended, or bytes of its response were last taken by the kernel.
     pub idle_since: Instant,
+    /// Whether a request is in progress.
+    pub busy: bool,
+    /// Whether a part of a response waits to be written.
+    pub writing: bool,
     /// The number of requests whose heads were read.
     pub requests: u64,
-    /// Whether bytes were read that follow the last request.
-    pub has_begun: bool,
+    /// When the first bytes of the next request were read, whose head is not complete.
+    pub begun_at: Option<Instant>,
     /// Whether the HTTP server has read the end of the connection.
     pub has_ended: bool,
 }
@@ -87,8 +90,6 @@
 struct ReadAhead {
     bytes: BytesMut,
     usage: Usage,
-    /// Whether a request is in progress.
-    busy: bool,
     /// Whether the caller has closed or reset the connection.
     closed: bool,
     /// Wakes the task that serves the connection.
@@ -107,7 +108,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let mut ahead = self.conn.ahead();
-        ahead.busy = false;
+        ahead.usage.busy = false;
         ahead.usage.idle_since = Instant::now();
     }
 }
@@ -119,14 +120,15 @@
         let usage = Usage {
             opened_at: now,
             idle_since: now,
+            busy: false,
+            writing: false,
             requests: 0,
-            has_begun: false,
+            begun_at: None,
             has_ended: false,
         };
         let ahead = ReadAhead {
             bytes: BytesMut::new(),
             usage,
-            busy: false,
             closed: false,
             server: None,
             full_check: None,
@@ -165,9 +167,9 @@
     /// Marks a request as in progress. The connection carries one at a time.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         let mut ahead = self.ahead();
-        ahead.busy = true;
+        ahead.usage.busy = true;
         ahead.usage.requests += 1;
-        ahead.usage.has_begun = false;
+        ahead.usage.begun_at = None;
         RequestGuard { conn: self.clone() }
     }
 
@@ -175,7 +177,7 @@
     /// runtime, which learns of a close only between its tasks.
     pub fn presence(&self) -> Presence {
         let mut ahead = self.ahead();
-        if ahead.busy && !ahead.closed {
+        if ahead.usage.busy && !ahead.closed {
             self.read_unread(&mut ahead);
         }
         if !ahead.closed {
@@ -216,11 +218,11 @@
     fn poll_ahead(&self, context: &mut Context<'_>) -> (usize, Presence) {
         let mut ahead = self.ahead();
         let held = ahead.bytes.len();
-        if ahead.busy && !ahead.closed {
+        if ahead.usage.busy && !ahead.closed {
             ahead.register(context.waker());
             while self.poll_chunk(context, &mut ahead).is_ready() && !ahead.closed {}
         }
-        let presence = match ahead.busy && ahead.closed {
+        let presence = match ahead.usage.busy && ahead.closed {
             true => Presence::Left,
             false => Presence::Waiting,
         };
@@ -297,10 +299,14 @@
         }
     }
 
-    /// Records that the HTTP server has read so many bytes; 0 at the end of the connection.
-    fn record_read(&mut self, count: usize) {
-        self.usage.has_begun |= count > 0 && !self.busy;
-        self.usage.has_ended |= count == 0;
+    /// Records what the HTTP server has read; nothing at the end of the connection.
+    fn record_read(&mut self, bytes: &[u8]) {
+        // Line ends may precede a request.
+        let begins = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if begins && !self.usage.busy {
+            self.usage.begun_at.get_or_insert_with(Instant::now);
+        }
+        self.usage.has_ended |= bytes.is_empty();
     }
 
     fn record(&mut self, received: io::Result<&[u8]>) {
@@ -325,18 +331,18 @@
         let mut ahead = self.0.ahead();
         if !ahead.bytes.is_empty() {
             let count = ahead.bytes.len().min(buffer.remaining());
-            buffer.put_slice(&ahead.bytes[..count]);
-            ahead.bytes.advance(count);
-            ahead.record_read(count);
+            let bytes = ahead.bytes.split_to(count);
+            buffer.put_slice(&bytes);
+            ahead.record_read(&bytes);
             return Poll::Ready(Ok(()));
         }
         if ahead.closed {
-            ahead.record_read(0);
+            ahead.record_read(&[]);
             return Poll::Ready(Ok(()));
         }
         let filled = buffer.filled().len();
         ready!(self.0.poll_receive(context, buffer))?;
-        ahead.record_read(buffer.filled().len() - filled);
+        ahead.record_read(&buffer.filled()[filled..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -347,8 +353,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.0.ahead().usage.writing = true;
         let stream = &self.0.stream;
-        poll_io(context, stream, |stream| stream.try_write(bytes))
+        let written = ready!(poll_io(context, stream, |stream| stream.try_write(bytes)));
+        self.0.ahead().usage.idle_since = Instant::now();
+        Poll::Ready(written)
     }
 
     fn poll_write_vectored(
@@ -356,15 +365,22 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.0.ahead().usage.writing = true;
         let stream = &self.0.stream;
-        poll_io(context, stream, |stream| stream.try_write_vectored(slices))
+        let written = ready!(poll_io(context, stream, |stream| {
+            stream.try_write_vectored(slices)
+        }));
+        self.0.ahead().usage.idle_since = Instant::now();
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
         true
     }
 
+    /// The HTTP server flushes when the kernel has taken all that it has to write.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.ahead().usage.writing = false;
         Poll::Ready(Ok(()))
     }
 
