Renew what is known of crashes after a wait for a runner, and bound that of begun streams

Cause, found by the reviewer in the new wait for a runner: a request that tries what is under suspicion kept its turn while it waited, and one that was free of suspicion before was sent although crashes had been found since; a stream that had begun was silent to its deadline, so that its caller could not go on with it elsewhere. Change: the turn is given up for the wait, the quarantine is asked again after it, and a begun stream waits for two seconds at most.

--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -39,6 +39,9 @@
 /// The interval at which a request for which no runner can be chosen looks for one.
 const RUNNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a stream that has begun waits for a runner. Its caller can ask for the rest elsewhere.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(2);
+
 /// What becomes of the slot that a request holds when a runner is chosen.
 enum SlotChoice {
     /// It is kept, if there is one.
@@ -50,7 +53,7 @@
 impl ActiveRequest {
     /// Chooses a runner and waits until it has the request's adapter. Fails if no runner can be
     /// chosen, or if the adapter is not expected before the longest wait ends. A request that cannot be
-    /// refused any more waits for both until its deadline.
+    /// refused any more waits for both until its deadline, or a moment if its stream has begun.
     pub(crate) async fn locate(&mut self) -> Result<Placement, DispatchError> {
         let started_at = self.entry.now();
         let wait_deadline = self.wait_deadline(started_at);
@@ -61,7 +64,9 @@
             let now = self.entry.now();
             let placement = match self.place(now, slot_limit) {
                 Ok(placement) => placement,
-                Err(cause) if self.attempts.awaits_runner() && !self.is_garbled => {
+                Err(cause)
+                    if self.attempts.awaits_runner() && !self.is_garbled && now < wait_deadline =>
+                {
                     self.wait_for_runner(cause, &mut awaited).await?;
                     continue;
                 }
@@ -70,6 +75,11 @@
                 }
                 Err(cause) => return Err(DispatchError::Refused(FailureCause::NoRunner(cause))),
             };
+            if awaited.take().is_some() {
+                // What is known of crashes has changed meanwhile.
+                self.pass_quarantine().await?;
+                continue;
+            }
             if placement.wait > wait_deadline.since(now)
                 && !matches!(placement.access, Access::Ready { .. })
             {
@@ -123,7 +133,13 @@
     /// Returns until when the request may wait for a runner and its adapter.
     fn wait_deadline(&self, started_at: Time) -> Time {
         if self.attempts.awaits_runner() {
-            return self.deadline;
+            let has_begun = self.route.kind.is_stream() && !self.first_response.is_zero();
+            let end = started_at.after(MAX_RESUME_WAIT);
+            return if has_begun {
+                self.deadline.min(end)
+            } else {
+                self.deadline
+            };
         }
         let left = self.deadline.since(started_at);
         let max_wait = self.route.goal.mul_f64(MAX_WAIT_PER_GOAL);
@@ -147,10 +163,11 @@
             let (id, text) = (&*self.head.request.id, cause.to_string());
             info!("runner awaited", kv: { id, cause = text.as_str() });
         }
+        // Others may try meanwhile what this request was to try.
+        self.trial = None;
         self.step = Step::Runner;
         let wake = now.after(RUNNER_CHECK_INTERVAL).min(self.deadline);
         tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
-        self.wait_time += self.entry.now().since(now);
         Ok(())
     }
 
