Change the idle limit in the soak, and check answers on kept connections

Cause: the soak could not find the fault of the cut connection, as its callers never left a connection idle for long and its manifests all had an idle limit of 15 s. Change: each manifest raises or lowers the limit in turns (0.6 to 1.2 s, 1.8 to 3 s, from the seed); in 4 % of their pauses callers ask for the newest route, stay idle for 40 to 80 % of the limit in force (the longer one of then and now) and send without reading first, so that a close shows only to the request. New guarantee "answer on a kept connection": closed without an answer, entry in touch, idle within four fifths of the longest limit that the entry must have applied by then: shown by its own answer to a newer route, or due by the bound for manifests. It does not ask whether a runner read the request.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -28,8 +28,12 @@
 
 use crate::harness::BOUNDS;
 use crate::harness::Harness;
+use crate::held::HeldStream;
+use crate::held::ReadHold;
 use crate::history::Call;
 use crate::history::CallOutcome;
+use crate::history::Ms;
+use crate::history::RELIED_PERCENT;
 use crate::history::RouteKind;
 use crate::plan;
 use crate::plan::ADAPTERS;
@@ -41,6 +45,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The range of pauses between two requests of a caller.
 const REQUEST_PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// The probability that a caller leaves its connection idle before a request, and the range of times for
+/// which it does, in percent of the idle limit.
+const IDLE_PROBABILITY: f64 = 0.04;
+const IDLE_PERCENT: std::ops::RangeInclusive<u32> = 40..=RELIED_PERCENT;
 /// The probability that a caller disconnects before the end of the response.
 const DISCONNECT_PROBABILITY: f64 = 0.08;
 /// The range of times after the request at which such a caller disconnects.
@@ -53,6 +61,9 @@
 struct Conn {
     sender: SendRequest<Empty<Bytes>>,
     entry_starts: u32,
+    /// When it became idle, and the limit in force then; `None` before the first response.
+    idle: Option<(Instant, Duration)>,
+    hold: ReadHold,
     /// Another handle to the socket.
     socket: std::net::TcpStream,
     task: AbortHandle,
@@ -93,15 +104,44 @@
             tokio::time::sleep(Duration::from_millis(pause)).await;
             while self.tasks.try_join_next().is_some() {}
             let entry = self.rng.usize(..self.harness.entry_addrs().len());
+            if self.rng.f64() < IDLE_PROBABILITY {
+                self.stay_idle(entry).await;
+            }
             let Some(conn) = self.connect(entry).await else {
                 continue;
             };
-            if let Some(wait) = self.send_request(entry, conn).await {
+            let kind = self.pick_kind();
+            if let Some(wait) = self.send_request(entry, conn, kind).await {
                 tokio::time::sleep(wait.min(MAX_RETRY_WAIT)).await;
             }
         }
     }
 
+    /// Leaves a connection idle for a part of the limit that its caller relies on, after a request whose answer
+    /// shows which manifest the entry applies.
+    async fn stay_idle(&mut self, entry: usize) {
+        let percent = self.rng.u32(IDLE_PERCENT);
+        let newest = RouteKind::Versioned(self.harness.manifest());
+        if let Some(conn) = self.connect(entry).await {
+            self.send_request(entry, conn, newest).await;
+        }
+        let Some(conn) = self.conns.get(&entry) else {
+            return;
+        };
+        let Some((since, limit)) = conn.idle else {
+            return;
+        };
+        conn.hold.set();
+        loop {
+            let limit = limit.max(self.harness.idle_limit());
+            let end = since + limit * percent / 100;
+            if Instant::now() >= end || self.harness.is_stopping() {
+                return;
+            }
+            tokio::time::sleep_until(end).await;
+        }
+    }
+
     async fn connect(&mut self, entry: usize) -> Option<Conn> {
         if let Some(conn) = self.conns.remove(&entry)
             && conn.sender.is_ready()
@@ -114,6 +154,8 @@
         let stream = stream.into_std().ok()?;
         let socket = stream.try_clone().ok()?;
         let stream = TcpStream::from_std(stream).ok()?;
+        let hold = ReadHold::default();
+        let stream = HeldStream::new(stream, hold.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let task = self.tasks.spawn(async move {
             // The request on the connection reports how it ended.
@@ -122,16 +164,22 @@
         Some(Conn {
             sender,
             entry_starts,
+            idle: None,
+            hold,
             socket,
             task,
         })
     }
 
     /// Sends one request and records it; returns the time after which a refused caller may retry.
-    async fn send_request(&mut self, entry: usize, mut conn: Conn) -> Option<Duration> {
+    async fn send_request(
+        &mut self,
+        entry: usize,
+        mut conn: Conn,
+        kind: RouteKind,
+    ) -> Option<Duration> {
         self.request_count += 1;
         let id = format!("{}.{}", self.name, self.request_count);
-        let kind = self.pick_kind();
         let disconnects = self.rng.f64() < DISCONNECT_PROBABILITY;
         let path = self.pick_deadly_path(kind);
         let deadly = match &path {
@@ -139,6 +187,9 @@
             None => self.pick_deadly_part(kind),
         };
         let request = self.build_request(&id, kind, path, disconnects, deadly)?;
+        let idle = conn
+            .idle
+            .map(|(since, _)| since.elapsed().as_millis() as Ms);
         let sent_at = self.harness.now();
         let wait_limit = if disconnects {
             Duration::from_millis(self.rng.u64(DISCONNECT_AFTER_MS))
@@ -175,12 +226,14 @@
             entry_starts: conn.entry_starts,
             deadly,
             shares_parts: kind.is_stream(),
+            idle,
             sent_at,
             ended_at: self.harness.now(),
             outcome,
         };
         self.harness.record_call(call);
         if reusable {
+            conn.idle = Some((Instant::now(), self.harness.idle_limit()));
             self.conns.insert(entry, conn);
         }
         wait
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,6 +5,7 @@
 
 mod deadly;
 mod disconnects;
+mod kept;
 mod manifests;
 mod notices;
 mod silences;
@@ -74,6 +75,9 @@
     /// No response is lost at a planned stop or reload.
     #[display("nothing lost at a stop")]
     GracefulStop,
+    /// A request on a connection that was idle within its limit gets an answer or a refusal.
+    #[display("answer on a kept connection")]
+    KeptAnswered,
     /// Programs exit only when they are told to, and then within the bound.
     #[display("stop on request only")]
     NoUnexpectedExit,
@@ -120,6 +124,7 @@
         all.extend(manifests::check_permanent_routes(call));
         all.extend(check_graceful_stop(history, &index, call));
         all.extend(silences::check_answer(history, &index, call));
+        all.extend(kept::check_answered(history, call));
     }
     for attempt in &history.attempts {
         all.extend(check_known_request(&index, attempt));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -138,9 +138,10 @@
                 tokio::time::sleep(ms(length)).await;
                 self.set_full(index, false).await;
             }
-            Fault::NewManifest => {
+            Fault::NewManifest(idle_ms) => {
                 let version = self.manifest.fetch_add(1, Ordering::SeqCst) + 1;
-                let text = deploy::versioned_manifest(version, SLOTS);
+                let text = deploy::versioned_manifest(version, SLOTS, idle_ms);
+                self.record_idle_limit(version, idle_ms);
                 self.store.put_manifest(&text);
                 let at = self.now();
                 self.history().manifests.push((version, at));
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -43,11 +43,13 @@
 use crate::history::Bounds;
 use crate::history::Call;
 use crate::history::History;
+use crate::history::IdleLimit;
 use crate::history::Ms;
 use crate::plan::DeploymentSize;
 use crate::plan::Fault;
 use crate::plan::Program;
 use crate::plan::fault_schedule;
+use crate::plan::first_idle_limit;
 use crate::program::Process;
 use crate::proxy::Proxy;
 
@@ -163,7 +165,7 @@
     paths: &Paths,
 ) -> Result<History, Report<RunError>> {
     let (crashed, crashes) = mpsc::unbounded_channel();
-    let harness = Arc::new(Harness::start(size, paths, crashed).await?);
+    let harness = Arc::new(Harness::start(size, paths, first_idle_limit(seed), crashed).await?);
     let (stop_watcher, stopped) = oneshot::channel();
     let watcher = faults::stop_crashed_runners(harness.clone(), crashes, stopped);
     let watcher = tokio::spawn(watcher);
@@ -250,13 +252,14 @@
     async fn start(
         size: DeploymentSize,
         paths: &Paths,
+        idle_ms: Ms,
         crashed: mpsc::UnboundedSender<String>,
     ) -> Result<Harness, Report<RunError>> {
         std::fs::create_dir_all(&paths.logs).change_context(RunError::Files)?;
         let net = LoopbackNet::for_this_process();
         let store = Store::start(net.addr(1, STORE_PORT)).await;
         let store = store.change_context(RunError::StandIn)?;
-        store.put_manifest(&deploy::versioned_manifest(1, SLOTS));
+        store.put_manifest(&deploy::versioned_manifest(1, SLOTS, idle_ms));
         let mut harness = Harness {
             start: Instant::now(),
             net,
@@ -277,6 +280,7 @@
             history: Mutex::new(History::new(BOUNDS, DEFAULT_LAST_EVENT)),
         };
         harness.history().manifests.push((1, 0));
+        harness.record_idle_limit(1, idle_ms);
         for index in 0..size.runners() {
             harness.add_runner(index, paths).await?;
         }
@@ -301,6 +305,16 @@
         Ok(runner)
     }
 
+    /// Records the idle limit of a manifest that is about to be stored.
+    pub(crate) fn record_idle_limit(&self, version: u64, limit: Ms) {
+        let stored_at = self.now();
+        self.history().idle_limits.push(IdleLimit {
+            version,
+            limit,
+            stored_at,
+        });
+    }
+
     pub(crate) fn history(&self) -> MutexGuard<'_, History> {
         self.history.lock().expect("no panics under the lock")
     }
@@ -390,6 +404,13 @@
         self.manifest.load(Ordering::SeqCst)
     }
 
+    /// Returns the idle limit of the newest manifest.
+    pub(crate) fn idle_limit(&self) -> Duration {
+        let history = self.history();
+        let newest = history.idle_limits.last();
+        Duration::from_millis(newest.map_or(0, |newest| newest.limit))
+    }
+
     /// Returns the prompt parts on which runners crash at present.
     pub(crate) fn deadly_parts(&self) -> Vec<u64> {
         let deadly = self.deadly.lock().expect("no panics under the lock");
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -8,6 +8,9 @@
 /// A time since the start of the run, or a duration, in milliseconds.
 pub type Ms = u64;
 
+/// The share of the idle limit within which callers rely on a kept connection, in percent.
+pub const RELIED_PERCENT: u32 = 80;
+
 /// The kind of the route that a request takes; its text is the first part of the request's path.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RouteKind {
@@ -87,6 +90,8 @@
     pub deadly: Option<u64>,
     /// Whether its prompt has parts that other requests share.
     pub shares_parts: bool,
+    /// For how long its connection was idle before; `None` for a new connection.
+    pub idle: Option<Ms>,
     /// When the caller sent the request.
     pub sent_at: Ms,
     /// When the caller had the whole response or stopped waiting for it.
@@ -206,6 +211,17 @@
     pub over_capacity: bool,
 }
 
+/// The limit on the idle time of connections of callers in a version of the manifest.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleLimit {
+    /// The version of the manifest.
+    pub version: u64,
+    /// The limit.
+    pub limit: Ms,
+    /// When that version was about to be stored.
+    pub stored_at: Ms,
+}
+
 /// The part of the deployment that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultTarget {
@@ -283,6 +299,8 @@
     pub stops: Vec<(String, Ms)>,
     /// The versions of the manifest, and when the store had acknowledged them.
     pub manifests: Vec<(u64, Ms)>,
+    /// The idle limits of the versions of the manifest, in their order.
+    pub idle_limits: Vec<IdleLimit>,
     /// The announced adapter versions, and when the store had acknowledged them.
     pub versions: Vec<(String, u64, Ms)>,
     /// The periods of the faults that can excuse what would otherwise be a violation.
@@ -306,6 +324,7 @@
             departures: Vec::new(),
             stops: Vec::new(),
             manifests: Vec::new(),
+            idle_limits: Vec::new(),
             versions: Vec::new(),
             fault_periods: Vec::new(),
             unexpected_exits: Vec::new(),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -121,9 +121,9 @@
     /// A runner rejects all requests.
     #[display("runner {_0} full for {_1} ms")]
     RunnerFull(usize, Ms),
-    /// The next version of the manifest is stored.
-    #[display("new manifest")]
-    NewManifest,
+    /// The next version of the manifest is stored, with this idle limit for connections of callers.
+    #[display("new manifest, idle limit {_0} ms")]
+    NewManifest(Ms),
     /// The next version of an adapter is announced.
     #[display("new version of adapter {_0}")]
     NewAdapterVersion(usize),
@@ -193,6 +193,11 @@
 const RESTORE_DOWN_MS: std::ops::Range<Ms> = 200..2_500;
 /// Separates the random numbers of the restores from those of other faults.
 const RESTORE_SEED: u64 = 0xc0b1;
+/// The ranges of idle limits of connections of callers, which manifests raise and lower in turns.
+const SHORT_IDLE_MS: std::ops::Range<Ms> = 600..1_200;
+const LONG_IDLE_MS: std::ops::Range<Ms> = 1_800..3_000;
+/// Separates the random numbers of the idle limits from those of faults.
+const IDLE_SEED: u64 = 0x1d1e;
 /// Separates the random numbers of the notices from those of other faults.
 const NOTICE_SEED: u64 = 0x5a1d;
 /// Separates the random numbers of the deadly parts from those of other faults.
@@ -214,14 +219,32 @@
     u64::from_str_radix(number, 16).ok()
 }
 
+/// Returns the idle limit of the first manifest.
+pub fn first_idle_limit(seed: u64) -> Ms {
+    idle_limits(seed)()
+}
+
+fn idle_limits(seed: u64) -> impl FnMut() -> Ms {
+    let mut rng = fastrand::Rng::with_seed(seed ^ IDLE_SEED);
+    let mut ranges = [SHORT_IDLE_MS, LONG_IDLE_MS];
+    move || {
+        let limit = rng.u64(ranges[0].clone());
+        ranges.swap(0, 1);
+        limit
+    }
+}
+
 /// Returns the faults that start before `length`, in the order of their start times. A longer run
 /// with the same seed begins with the same faults.
 pub fn fault_schedule(seed: u64, length: Ms, size: DeploymentSize) -> Vec<(Ms, Fault)> {
     let mut rng = fastrand::Rng::with_seed(seed);
+    let mut next_limit = idle_limits(seed);
+    // That of the first manifest.
+    next_limit();
     let mut at = FIRST_FAULT_MS;
     let mut faults = Vec::new();
     while at < length {
-        faults.push((at, random_fault(&mut rng, size)));
+        faults.push((at, random_fault(&mut rng, &mut next_limit, size)));
         at += rng.u64(FAULT_INTERVAL_MS);
     }
     faults.extend(deadly(
@@ -348,7 +371,11 @@
     faults
 }
 
-fn random_fault(rng: &mut fastrand::Rng, size: DeploymentSize) -> Fault {
+fn random_fault(
+    rng: &mut fastrand::Rng,
+    next_limit: &mut impl FnMut() -> Ms,
+    size: DeploymentSize,
+) -> Fault {
     let short = rng.u64(SHORT_FAULT_MS);
     let long = rng.u64(LONG_FAULT_MS);
     let entry = rng.usize(..size.entries);
@@ -373,7 +400,7 @@
         17 | 18 => Fault::RunnerCrash(runner, short),
         19..=21 => Fault::AddressReuse(runner),
         22 | 23 => Fault::RunnerDrain(runner),
-        24..=26 => Fault::NewManifest,
+        24..=26 => Fault::NewManifest(next_limit()),
         27 | 28 => Fault::RunnerFull(runner, long),
         _ => Fault::NewAdapterVersion(rng.usize(..ADAPTERS)),
     }
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -1,11 +1,13 @@
 //! Guards against fault schedules that differ between runs of one seed, refer to programs or
 //! runners that do not exist, or omit kinds of faults.
 
+use std::cmp::Ordering;
 use std::mem::discriminant;
 
 use soak::plan::DeploymentSize;
 use soak::plan::Fault;
 use soak::plan::fault_schedule;
+use soak::plan::first_idle_limit;
 
 #[test]
 fn schedule_depends_on_the_seed() {
@@ -86,3 +88,22 @@
         assert!(counts.contains(&count), "{count} of {counts:?}");
     }
 }
+
+#[test]
+fn manifests_raise_and_lower_the_idle_limit() {
+    let mut changes = Vec::new();
+    for seed in 0..20 {
+        let faults = fault_schedule(seed, 20_000, DeploymentSize::DEFAULT);
+        let limits = faults.iter().filter_map(|(_, fault)| match fault {
+            Fault::NewManifest(limit) => Some(*limit),
+            _ => None,
+        });
+        let mut limits: Vec<_> = limits.collect();
+        limits.insert(0, first_idle_limit(seed));
+        assert!(limits.iter().all(|limit| (600..3_000).contains(limit)));
+        changes.extend(limits.windows(2).map(|pair| pair[1].cmp(&pair[0])));
+    }
+    for change in [Ordering::Less, Ordering::Greater] {
+        assert!(changes.contains(&change), "{change:?}");
+    }
+}
--- a/crates/soak/tests/notice_violations.rs
+++ b/crates/soak/tests/notice_violations.rs
@@ -41,6 +41,7 @@
         entry_starts: 1,
         deadly: None,
         shares_parts: false,
+        idle: None,
         sent_at: at,
         ended_at: at + 30,
         outcome: CallOutcome::Response {
--- a/crates/soak/tests/silence_violations.rs
+++ b/crates/soak/tests/silence_violations.rs
@@ -50,6 +50,7 @@
         entry_starts: 1,
         deadly: None,
         shares_parts: false,
+        idle: None,
         sent_at: SENT,
         ended_at: LOST,
         outcome,
--- a/crates/soak/tests/violations.rs
+++ b/crates/soak/tests/violations.rs
@@ -28,6 +28,7 @@
         entry_starts: 1,
         deadly: None,
         shares_parts: false,
+        idle: None,
         sent_at,
         ended_at: sent_at + 50,
         outcome,
