--- a/crates/soak/src/held.rs
+++ b/crates/soak/src/held.rs
@@ -16,7 +16,7 @@
 
 /// Holds back what a connection receives until the next write.
 #[derive(Clone, Default)]
-pub(crate) struct ReadHold(Arc<Mutex<State>>);
+pub struct ReadHold(Arc<Mutex<State>>);
 
 #[derive(Default)]
 struct State {
@@ -25,7 +25,8 @@
 }
 
 impl ReadHold {
-    pub(crate) fn set(&self) {
+    /// Holds reads until the next write.
+    pub fn set(&self) {
         self.state().held = true;
     }
 
@@ -42,13 +43,15 @@
     }
 }
 
-pub(crate) struct HeldStream {
+/// A stream whose reads can be held.
+pub struct HeldStream {
     stream: TcpStream,
     hold: ReadHold,
 }
 
 impl HeldStream {
-    pub(crate) fn new(stream: TcpStream, hold: ReadHold) -> HeldStream {
+    /// Creates a stream with the hold that its caller uses.
+    pub fn new(stream: TcpStream, hold: ReadHold) -> HeldStream {
         HeldStream { stream, hold }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,7 +15,7 @@
 mod deployment;
 mod faults;
 pub mod harness;
-mod held;
+pub mod held;
 pub mod history;
 pub mod plan;
 pub mod program;
