Tell callers for how long they may use an idle connection

Change: answers say four fifths of the limit in force, in whole seconds; a fifth is left for the way of the next request.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -21,6 +21,7 @@
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
+use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
@@ -62,6 +63,8 @@
 const QUEUE_EMPTY_PERIOD: Duration = Duration::from_millis(20);
 /// The idle timeout of readiness probes.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Tells a caller for how long its idle connection may be used.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Read buffer beyond the largest head, since the buffer also holds the start of the body.
 const BUFFER_MARGIN_BYTES: usize = 8 << 10;
 /// File descriptors that are not available to callers: those for files, the store, agents and
@@ -228,6 +231,12 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
+    if let Some(time) = entry.state().conn_limits.reuse_time() {
+        let time = format!("timeout={}", time.as_secs());
+        if let Ok(value) = HeaderValue::from_str(&time) {
+            response.headers_mut().insert(KEEP_ALIVE, value);
+        }
+    }
     let is_unread = response.extensions().get::<BodyUnread>().is_some();
     let closes = is_last || conn_end::says_close(Version::HTTP_11, response.headers());
     if closes && !is_unread {
--- a/crates/serving/src/idle.rs
+++ b/crates/serving/src/idle.rs
@@ -103,6 +103,13 @@
         self.head.replace(now, limits.read_timeout);
     }
 
+    /// Returns for how many whole seconds a caller may use a connection that becomes idle now; `None` if there
+    /// are none. A fifth of the limit is left for the way of its next request.
+    pub fn reuse_time(&self) -> Option<Duration> {
+        let seconds = (self.idle.current * 4 / 5).as_secs();
+        (seconds > 0).then(|| Duration::from_secs(seconds))
+    }
+
     /// Returns the idle time that a caller may rely on, for a connection that is idle since `since`.
     pub fn idle_limit(&self, since: Time) -> Duration {
         self.idle.since(since)
