--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -3,6 +3,8 @@
 //! Invariants: each connection that was served is counted once; the ends that a caller expects, by its own
 //! close or one that both sides announced, get no line.
 
+use std::time::Duration;
+
 use ::process::caller::CallerConn;
 use ::process::caller::Usage;
 use derive_more::Display;
@@ -76,7 +78,7 @@
     /// caller may repeat it.
     pub(crate) fn follows_answer(self, idle: Duration) -> bool {
         match self {
-            ConnEnd::Agreed | ConnEnd::BodyUnread | ConnEnd::Malformed => true,
+            ConnEnd::Agreed | ConnEnd::BodyUnread | ConnEnd::Malformed | ConnEnd::Stalled => true,
             ConnEnd::IdleTimeout | ConnEnd::HeadTimeout | ConnEnd::Stopping => idle < ANSWER_PERIOD,
             ConnEnd::Caller | ConnEnd::CallerLeft | ConnEnd::Broken => false,
         }
