--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -78,7 +78,7 @@
     /// caller may repeat it.
     pub(crate) fn follows_answer(self, idle: Duration) -> bool {
         match self {
-            ConnEnd::Agreed | ConnEnd::BodyUnread | ConnEnd::Malformed => true,
+            ConnEnd::Agreed | ConnEnd::BodyUnread | ConnEnd::Malformed | ConnEnd::Stalled => true,
             ConnEnd::IdleTimeout | ConnEnd::HeadTimeout | ConnEnd::Stopping => idle < ANSWER_PERIOD,
             ConnEnd::Caller | ConnEnd::CallerLeft | ConnEnd::Stalled | ConnEnd::Broken => false,
         }
