LOST: a connection with an answer that ends by itself waits for memory

Cause: a read of up to 16 KiB that found no room ended its connection, whatever it carried. Change: a connection that reads a head, or a body of a known length, is not read while there is no room for a read.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use platform::runner;
 use platform::runner::ResponseHead;
@@ -116,8 +117,8 @@
                 return Err(AnswerProgress::Waiting.into());
             }
         };
-        conn.reads.begin_body();
         let (parts, body) = response.into_parts();
+        conn.reads.begin_body(body.size_hint().exact().is_some());
         let reused = attempt.conn.as_ref().is_some_and(|conn| conn.reused);
         let head = runner::decode_response_head(&parts, &self.id, &self.runner, reused);
         attempt.idle_timeout = head.idle_timeout;
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -43,7 +43,7 @@
 const MAX_PARTS: u32 = 32_768;
 
 /// The interval at which a response that waits for room looks for it.
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+pub(crate) const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Share of the memory that responses of a known length may claim, as a divisor.
 const CLAIM_DIVISOR: usize = 2;
 
@@ -131,6 +131,8 @@
     /// The bytes of the last read.
     last: usize,
     in_body: bool,
+    /// Whether the body has a known length.
+    has_end: bool,
     is_refused: bool,
     is_closed: bool,
 }
@@ -206,6 +208,7 @@
             reservation: self.reserve_none(),
             last: 0,
             in_body: false,
+            has_end: false,
             is_refused: false,
             is_closed: false,
         })))
@@ -336,8 +339,9 @@
     /// Records that the head of a response is complete. From now on the connection reads only once its
     /// buffer is empty, so that no more than two reads are in memory: one that waits to be taken and one
     /// in the buffer.
-    pub fn begin_body(&self) {
+    pub fn begin_body(&self, has_end: bool) {
         let mut reads = lock(&self.0);
+        reads.has_end = has_end;
         reads.last = reads.reservation.bytes;
         reads.in_body = true;
     }
@@ -361,6 +365,27 @@
         lock(&self.0).is_refused
     }
 
+    /// Returns whether the next read is to wait for room: there is none for `more` bytes, and a head or a body
+    /// of a known length is being read, which ends by itself.
+    pub fn awaits_room(&self, more: usize, most: usize) -> bool {
+        let mut reads = lock(&self.0);
+        if reads.is_closed || (reads.in_body && !reads.has_end) {
+            return false;
+        }
+        let before = if reads.in_body {
+            reads.last
+        } else {
+            reads.reservation.bytes
+        };
+        let held = reads.reservation.bytes;
+        let has_room = reads
+            .reservation
+            .resize((before + more).min(most).max(held));
+        // Its own bytes fit again.
+        let _ = reads.reservation.resize(held);
+        has_room.is_err()
+    }
+
     /// Counts a read. The buffers hold at most `most` bytes, whatever was read before.
     ///
     /// # Errors
--- a/crates/gateway/src/send_check.rs
+++ b/crates/gateway/src/send_check.rs
@@ -27,7 +27,9 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
+use crate::buffer::ROOM_CHECK_INTERVAL;
 use crate::buffer::ReadReserve;
 use crate::conns::READ_BUFFER_BYTES;
 use crate::recover::lock;
@@ -88,6 +90,11 @@
         *lock(&self.0) = SendState::Idle;
     }
 
+    /// Returns whether the connection carries no request.
+    fn is_idle(&self) -> bool {
+        matches!(*lock(&self.0), SendState::Idle)
+    }
+
     /// Ends the send of the last announced request; returns why it was not written, and never will be, or
     /// `None` if a part of it was.
     pub fn end(&self) -> Option<Withhold> {
@@ -156,6 +163,8 @@
     stream: TcpStream,
     check: SendCheck,
     reads: ReadReserve,
+    /// Set while a read waits for room.
+    room_check: Option<Pin<Box<Sleep>>>,
 }
 
 impl RunnerStream {
@@ -165,6 +174,7 @@
             stream,
             check,
             reads,
+            room_check: None,
         }
     }
 }
@@ -184,6 +194,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let more = buffer.remaining().min(READ_BUFFER_BYTES);
+        while !self.check.is_idle() && self.reads.awaits_room(more, MAX_BUFFERED_BYTES) {
+            let check = self
+                .room_check
+                .get_or_insert_with(|| Box::pin(tokio::time::sleep(ROOM_CHECK_INTERVAL)));
+            ready!(check.as_mut().poll(context));
+            self.room_check = None;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read = buffer.filled().len() - before;
