--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -80,7 +80,7 @@
         match self {
             ConnEnd::Agreed | ConnEnd::BodyUnread | ConnEnd::Malformed | ConnEnd::Stalled => true,
             ConnEnd::IdleTimeout | ConnEnd::HeadTimeout | ConnEnd::Stopping => idle < ANSWER_PERIOD,
-            ConnEnd::Caller | ConnEnd::CallerLeft | ConnEnd::Stalled | ConnEnd::Broken => false,
+            ConnEnd::Caller | ConnEnd::CallerLeft | ConnEnd::Broken => false,
         }
     }
 }
