Answer at once a request that lacks a runner, although it may have run

Cause: nothing foresees that a runner comes, so that each request of a service whose runners all broke was held to its deadline; a request that the entry has given up on gets its final answer at once, and its caller may repeat it elsewhere. Seen: cut_head, whose requests have one runner, had not ended after 9 minutes (3 s each). The wait for a retry stays: the budget foresees it.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,7 +14,6 @@
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
 use platform::runner::ResponseHead;
-use platform::runner::ResponseKind;
 use serving::Name;
 use serving::attempt::Attempts;
 use serving::attempt::NextStep;
@@ -92,9 +91,6 @@
     /// A retry of the budget.
     #[display("retry")]
     Retry,
-    /// A runner, after one that may have run the request.
-    #[display("runner")]
-    Runner,
     /// A runner that holds the adapter.
     #[display("adapter")]
     Adapter,
@@ -149,9 +145,6 @@
     /// What the request is recognized by when it comes again; computed when it is first needed.
     fingerprint: OnceLock<PartId>,
     pub(crate) service: Name,
-    /// Whether the runner of the last attempt answered with what cannot be its answer. It goes on, so that no
-    /// other one is to be expected in its place.
-    pub(crate) is_garbled: bool,
     /// Runners to avoid in the next attempt.
     pub(crate) excluded: Vec<Name>,
     /// Time spent waiting for a runner or an adapter, over all attempts.
@@ -224,7 +217,6 @@
         body: RequestBody::default(),
         fingerprint: OnceLock::new(),
         service,
-        is_garbled: false,
         excluded: Vec::new(),
         wait_time: Duration::ZERO,
         admission_time: Duration::ZERO,
@@ -410,7 +402,6 @@
             };
             self.log_attempt(&placement, &failed);
             self.report_failed(&placement, &failed);
-            self.is_garbled = failed.kind == Some(ResponseKind::Unverified);
             if self.entry.now() >= self.deadline && failed.failure.is_none() {
                 self.attempts.record_outcome(failed.outcome, || false);
                 return Err(self.deadline_exceeded());
--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -36,12 +36,6 @@
 /// The longest wait for a state change of the chosen runner before a runner is chosen again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The interval at which a request for which no runner can be chosen looks for one.
-const RUNNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// How long a stream that has begun waits for a runner. Its caller can ask for the rest elsewhere.
-const MAX_RESUME_WAIT: Duration = Duration::from_secs(2);
-
 /// What becomes of the slot that a request holds when a runner is chosen.
 enum SlotChoice {
     /// It is kept, if there is one.
@@ -52,34 +46,27 @@
 
 impl ActiveRequest {
     /// Chooses a runner and waits until it has the request's adapter. Fails if no runner can be
-    /// chosen, or if the adapter is not expected before the longest wait ends. A request that cannot be
-    /// refused any more waits for both until its deadline, or a moment if its stream has begun.
+    /// chosen, or if the adapter is not expected before the longest wait ends.
     pub(crate) async fn locate(&mut self) -> Result<Placement, DispatchError> {
         let started_at = self.entry.now();
-        let wait_deadline = self.wait_deadline(started_at);
-        let mut awaited = None;
+        let deadline_share = self.deadline.since(started_at).mul_f64(MAX_WAIT_SHARE);
+        let max_wait = self
+            .route
+            .goal
+            .mul_f64(MAX_WAIT_PER_GOAL)
+            .min(deadline_share);
+        let wait_deadline = started_at.after(max_wait);
         let slot_limit = self.slot_wait_limit(started_at, wait_deadline);
         let mut requested_at = started_at;
         loop {
             let now = self.entry.now();
             let placement = match self.place(now, slot_limit) {
                 Ok(placement) => placement,
-                Err(cause)
-                    if self.attempts.awaits_runner() && !self.is_garbled && now < wait_deadline =>
-                {
-                    self.wait_for_runner(cause, &mut awaited).await?;
-                    continue;
-                }
                 Err(cause) if self.attempts.may_have_run() => {
                     return Err(DispatchError::Unknown(FailureCause::NoRunner(cause)));
                 }
                 Err(cause) => return Err(DispatchError::Refused(FailureCause::NoRunner(cause))),
             };
-            if awaited.take().is_some() {
-                // What is known of crashes has changed meanwhile.
-                self.pass_quarantine().await?;
-                continue;
-            }
             if placement.wait > wait_deadline.since(now)
                 && !matches!(placement.access, Access::Ready { .. })
             {
@@ -130,47 +117,6 @@
         }
     }
 
-    /// Returns until when the request may wait for a runner and its adapter.
-    fn wait_deadline(&self, started_at: Time) -> Time {
-        if self.attempts.awaits_runner() {
-            let has_begun = self.route.kind.is_stream() && !self.first_response.is_zero();
-            let end = started_at.after(MAX_RESUME_WAIT);
-            return if has_begun {
-                self.deadline.min(end)
-            } else {
-                self.deadline
-            };
-        }
-        let left = self.deadline.since(started_at);
-        let max_wait = self.route.goal.mul_f64(MAX_WAIT_PER_GOAL);
-        started_at.after(max_wait.min(left.mul_f64(MAX_WAIT_SHARE)))
-    }
-
-    /// Waits a moment since no runner can be chosen. `awaited` is the cause that was logged last.
-    async fn wait_for_runner(
-        &mut self,
-        cause: NoRunner,
-        awaited: &mut Option<NoRunner>,
-    ) -> Result<(), DispatchError> {
-        let now = self.entry.now();
-        if now >= self.deadline {
-            return Err(self.deadline_exceeded());
-        }
-        if !self.can_finish() {
-            return Err(self.stopping());
-        }
-        if awaited.replace(cause) != Some(cause) {
-            let (id, text) = (&*self.head.request.id, cause.to_string());
-            info!("runner awaited", kv: { id, cause = text.as_str() });
-        }
-        // Others may try meanwhile what this request was to try.
-        self.trial = None;
-        self.step = Step::Runner;
-        let wake = now.after(RUNNER_CHECK_INTERVAL).min(self.deadline);
-        tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
-        Ok(())
-    }
-
     /// Logs and counts the choice of a runner that does not answer its agent.
     fn record_silent_choice(&self, placement: &Placement) {
         if !placement.silent {
@@ -182,9 +128,6 @@
     }
 
     fn wait_timeout(&self) -> DispatchError {
-        if self.entry.now() >= self.deadline {
-            return self.deadline_exceeded();
-        }
         let cause = FailureCause::AdapterTimeout;
         if self.attempts.may_have_run() {
             DispatchError::Unknown(cause)
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -112,12 +112,6 @@
         self.may_have_run || self.in_progress > 0
     }
 
-    /// Returns whether the request may have run at a runner, is at none now, and may be sent again. It can
-    /// only wait for another runner: it cannot be refused any more.
-    pub fn awaits_runner(&self) -> bool {
-        self.may_have_run && self.in_progress == 0
-    }
-
     /// Returns whether the request may be sent again after its only attempt has ended so, cannot be refused,
     /// and needs a retry of the budget.
     pub fn awaits_retry(&self, outcome: Outcome) -> bool {
