--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -25,7 +25,6 @@
 use serving::quarantine::Refusal;
 use serving::request::PartId;
 use serving::retry_budget::RetryCause;
-use spdlog::info;
 use spdlog::warn;
 
 use crate::attempt;
@@ -40,19 +39,16 @@
 use crate::relay;
 use crate::request_body::BodyError;
 use crate::request_body::RequestBody;
+use crate::routing;
+use crate::routing::Routed;
 use crate::server::Body;
 use crate::server::buffered_body;
 use crate::server::full_body;
 use crate::slot::HeldSlot;
 use crate::unread::UnreadBody;
 
-/// `Retry-After` of a request that is refused because the entry has no usable configuration.
-const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// `Retry-After` of a request that is refused because the entry is overloaded.
 pub(crate) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The interval at which a request that waits for a retry looks for one.
-const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Why a request ended without a runner's response.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FailureCause {
@@ -194,12 +190,12 @@
         }
     };
     body.bound_by(head.request.timeout);
-    let Admitted {
+    let Routed {
         route,
         service,
         limits,
-    } = match admit(&entry, &head, parts.uri.path()) {
-        Ok(admitted) => admitted,
+    } = match routing::find_route(&entry, &head, parts.uri.path()) {
+        Ok(routed) => routed,
         Err(response) => {
             let id = &*head.request.id;
             drop(inflight);
@@ -247,43 +243,6 @@
     request.serve().await
 }
 
-/// What the configuration in force has for a request.
-struct Admitted {
-    route: Route,
-    service: Name,
-    limits: Limits,
-}
-
-/// Returns what the configuration in force has for a request to this path, or the answer to one that is not to run.
-fn admit(entry: &Entry, head: &RequestHead, path: &str) -> Result<Admitted, LocalResponse> {
-    let id = &*head.request.id;
-    let config = entry.state().config.clone();
-    let Some(config) = config else {
-        info!("request refused, no configuration", kv: { id, path });
-        return Err(LocalResponse::Refused(UNCONFIGURED_RETRY_AFTER));
-    };
-    let Some(route) = config.route(&head.request.host, path).cloned() else {
-        info!("no route", kv: { id, host = &*head.request.host, path, config = config.version });
-        return Err(LocalResponse::NoRoute);
-    };
-    let inflight = entry.metrics.inflight.get().try_into().unwrap_or(0);
-    if !entry.state().overload.admits(inflight, route.priority) {
-        warn!("request refused, the entry is overloaded", kv: { id, inflight });
-        return Err(LocalResponse::Refused(OVERLOAD_RETRY_AFTER));
-    }
-    let draw = entry.state().rng.u64(..);
-    let Some(service) = route.pick_service(draw).cloned() else {
-        let config = config.version;
-        info!("request refused, the route has no service", kv: { id, route = &*route.name, config });
-        return Err(LocalResponse::Refused(UNCONFIGURED_RETRY_AFTER));
-    };
-    Ok(Admitted {
-        service,
-        route,
-        limits: config.limits,
-    })
-}
-
 /// Returns a response of the entry itself, and counts it.
 pub(crate) fn entry_response(
     entry: &Entry,
@@ -471,34 +430,6 @@
         })
     }
 
-    /// Waits until the budget has a retry, if one is foreseen before the deadline.
-    async fn wait_for_retry(&mut self) {
-        let mut is_logged = false;
-        loop {
-            let now = self.entry.now();
-            let next_at = {
-                let mut state = self.entry.state();
-                let budget = &mut state.retry_budget;
-                budget.next_retry(now, &self.service, RetryCause::Ended)
-            };
-            let next_at = next_at.filter(|next_at| *next_at < self.deadline);
-            let Some(next_at) = next_at.filter(|next_at| *next_at > now) else {
-                return;
-            };
-            if !self.can_finish() {
-                return;
-            }
-            if !is_logged {
-                let wait_ms = next_at.since(now).as_millis() as u64;
-                info!("retry awaited", kv: { id = &*self.head.request.id, wait_ms });
-                is_logged = true;
-            }
-            self.step = Step::Retry;
-            let wake = now.after(RETRY_CHECK_INTERVAL).min(next_at);
-            tokio::time::sleep_until(self.entry.clock.instant(wake)).await;
-        }
-    }
-
     /// Returns whether the request can be answered before the entry ends.
     pub(crate) fn can_finish(&self) -> bool {
         self.entry.can_finish(&self.route.name, self.deadline)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,8 @@
 mod replace;
 pub mod request_body;
 mod request_log;
+mod retry_wait;
+mod routing;
 mod send;
 pub mod send_check;
 pub mod server;
--- a/crates/serving/src/idle.rs
+++ b/crates/serving/src/idle.rs
@@ -76,7 +76,7 @@
 pub enum Verdict {
     /// It is kept, and checked again at this time; `None` if only after its activity has changed.
     Keep(Option<Time>),
-    /// It is closed.
+    /// It is past its limit.
     Close,
 }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -216,7 +216,7 @@
 pub struct IdleLimit {
     /// The version of the manifest.
     pub version: u64,
-    /// The limit.
+    /// The longest time between two requests.
     pub limit: Ms,
     /// When that version was about to be stored.
     pub stored_at: Ms,
