--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -87,7 +87,9 @@
         if activity != self.activity {
             self.activity = activity;
             self.looked_again = false;
-            self.set_timer(self.entry.now());
+            if activity != Activity::Busy {
+                self.set_timer(self.entry.now());
+            }
         }
         loop {
             if self.activity == Activity::Busy {
