Take no hold over whose removal is on its way to the store

What callers saw: after a probe had been answered, requests with the released part were held back again for a moment. Cause: the probe writes a longer hold to the store, and its row comes back with the next read of changes; if the answer came before that read, the entry took its own row over again until its removal had come back too. Change: a hold whose removal is pending is not taken over.

--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -120,7 +120,8 @@
 
     /// Takes over a hold that another entry has written, if it is longer than the known one. One that
     /// has expired is taken over as well, since its part is to be probed first. After a restore of the
-    /// store, one of a part that has been answered lately may have been released.
+    /// store, one of a part that has been answered lately may have been released; so has one whose removal is on
+    /// its way to the store.
     pub(crate) fn adopt_stored_hold(&self, stored: &StoredHold, extent: Extent) {
         let now = self.now();
         let part = stored.part;
@@ -128,7 +129,8 @@
         let known = state.quarantine.find_held(&[part]);
         let is_longer =
             known.is_none_or(|(_, hold)| stored.remaining > hold.until.since(now) + HOLD_TOLERANCE);
-        let is_released = extent == Extent::Copy && state.quarantine.has_served(now, part);
+        let is_released = state.hold_changes.released.contains(&part)
+            || (extent == Extent::Copy && state.quarantine.has_served(now, part));
         drop(state);
         if !is_longer || is_released || stored.expired > STORED_HOLD_MEMORY {
             return;
