Say which connections are not counted

Found in the last read: a connection that the end of a stop aborts gets neither a cause nor a count, against the invariant as it stood. Change: the invariant says so.

--- a/crates/gateway/src/conn_end.rs
+++ b/crates/gateway/src/conn_end.rs
@@ -1,6 +1,6 @@
 //! Why the connections of callers end: the cause, its log line and its counter.
 //!
-//! Invariants: each connection that was served is counted once; the ends that a caller expects, by its own
+//! Invariants: each connection that was served is counted once, unless the end of a stop aborts it; the ends that a caller expects, by its own
 //! close or one that both sides announced, get no line.
 
 use std::time::Duration;
