--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -A dead_code -o target/review-2/standins review/standins-2/main.rs
+rustc --edition 2021 -O -o target/review-2/standins review/standins-2/main.rs
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,9 +1,9 @@
 //! The cases.
 
-mod kept_connections;
+mod foreign_row;
+mod many_heads;
 mod model_names;
 mod moved_store;
-mod sealed_refusal;
 
 use std::net::Ipv4Addr;
 
@@ -21,10 +21,10 @@
 /// Plays a case.
 pub fn play(case: &str, trouble: bool, record: &Record) -> Result<Verdict, String> {
     match case {
-        "kept-connections" => kept_connections::play(trouble, record),
+        "foreign-row" => foreign_row::play(trouble, record),
+        "many-heads" => many_heads::play(trouble, record),
         "model-names" => model_names::play(trouble, record),
         "moved-store" => moved_store::play(trouble, record),
-        "sealed-refusal" => sealed_refusal::play(trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -90,11 +90,14 @@
             kind == "stream"
         )
     };
-    let routes = [
+    let mut routes = vec![
         route("chat", "stream", "llm", 4_000, 500, true),
         route("book", "non_idempotent", desk, 1_000, 150, false),
         route("look", "idempotent", desk, 1_000, 150, false),
     ];
+    if version > 1 {
+        routes.push(route("new-chat", "stream", "llm", 4_000, 500, true));
+    }
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"llm","health_path":"/healthz","max_conns":370,"engine":{{"slots":64,"models":[{{"name":"{MODEL}","weights_mb":65100.0,"load_s":0.6,"adapters":{ADAPTERS},"adapter_mb":12.0}}],"weights_mb":67000.0,"adapter_slots":17,"loads_per_s":6.1}}}},{{"name":"desk","health_path":"/healthz","max_conns":110}},{{"name":"desk-2","health_path":"/healthz","max_conns":110}}],"limits":{{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
         routes.join(",")
