--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-2/standins ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2/standins moved-store "$folder/record.txt"
+exec target/review-2/standins foreign-row "$folder/record.txt"
--- a/review/standins-2/cases/many_heads.rs
+++ b/review/standins-2/cases/many_heads.rs
@@ -79,6 +79,8 @@
             record.line(&format!("{name}: an ordinary booking gets {status}"));
         }
     }
+    let most: Vec<usize> = site.engines.iter().map(|runner| runner.most_present()).collect();
+    record.line(&format!("most requests at once at each model runner: {most:?}"));
     record.line(&format!("ends of processes by entry: {ends:?}; ordinary bookings answered 200: {} of {}", ordinary.1, ordinary.0));
     if ordinary.1 == 0 {
         return Err("no ordinary booking was served".into());
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,11 +7,14 @@
 
 mod cases;
 mod http;
+mod late_runner;
 mod platform;
 mod programs;
 mod record;
 mod runner;
 
+use std::sync::Arc;
+
 use record::Verdict;
 
 fn main() {
@@ -21,7 +24,7 @@
         std::process::exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = record::Record::create(path);
+    let record = Arc::new(record::Record::create(path));
     let verdict = match cases::play(case, trouble, &record) {
         Ok(verdict) => verdict,
         Err(error) => {
