Let a record of another writer take no sound runner out of use

Cause: Fleet::join compared the addresses of all records, whatever service they named, and set a flag on the runner that had started earlier. Nothing but an answer at the address looked at it again, and none came for a service without routes. The members list kept a record under a known identifier with a later start for good, too.

Change: records of services that the configuration does not name are set aside until they are named, within a bound. Which runner holds an address is worked out again from all records that hold, from answers and from the services (serving::fleet::address). An older incarnation that writes on for two seconds counts again. Records that are not used are counted, with bounded log lines.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -232,10 +232,9 @@
     fn record_replaced(&self, head: &ResponseHead) {
         let (runner, by) = (&*self.runner, head.instance.as_deref().unwrap_or_default());
         info!("runner replaced", kv: { runner, by });
-        let mut state = self.entry.state();
-        state.fleet.mark_replaced(runner);
-        state.fleet.mark_answering(runner, by);
-        drop(state);
+        let now = self.entry.now();
+        self.entry.state().fleet.displace(now, runner, by);
+        self.entry.report_address_changes();
         self.entry.record_runner_ended(runner, self.born);
         self.entry.mark_members_outdated();
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -151,6 +151,11 @@
         config.is_some_and(|config| config.engine(service).is_some())
     }
 
+    /// Returns whether a runner is known and no other one holds its address.
+    pub(crate) fn is_used(&self, runner: &str) -> bool {
+        self.fleet.get(runner).is_some_and(|known| !known.replaced)
+    }
+
     /// Returns how long loading the model that a request needs takes; 0 if it needs none or the
     /// configuration does not have it.
     pub(crate) fn model_load_time(&self, service: &str, artifact: Option<&Artifact>) -> Duration {
@@ -309,7 +314,7 @@
 
     /// Puts a configuration, read after so many restores of the store, in force unless it is the current one or
     /// an older one.
-    pub fn apply_config(&self, config: Config, restores: RestoreCount) {
+    pub fn apply_config(self: &Arc<Self>, config: Config, restores: RestoreCount) {
         let mut state = self.state();
         let known = state.config.clone();
         let known_restores = state.config_restores;
@@ -331,6 +336,7 @@
         state.config = Some(config.clone());
         drop(state);
         self.quotas.set_limits(version, config.tenants());
+        self.apply_services(&config);
         let restores = restores.0;
         info!("configuration in force", kv: { version, before, restores });
     }
--- a/crates/gateway/src/line_limits.rs
+++ b/crates/gateway/src/line_limits.rs
@@ -1,4 +1,4 @@
-//! Limits the log lines that callers cause.
+//! Limits the log lines that callers and other writers of the membership cause.
 //!
 //! Invariants: each cause has a limit of its own, so that many lines of one cause hide no other; counters
 //! count what is left out.
@@ -10,6 +10,7 @@
 use serving::line_limit::LineLimit;
 
 use crate::conn_end::ConnEnd;
+use crate::membership::UnusedCause;
 use crate::recover::lock;
 use crate::request_body::BodyError;
 use crate::unread::Rest;
@@ -31,6 +32,10 @@
     Head,
     /// A request had no key of a tenant.
     UnknownKey,
+    /// A record of the membership is not used.
+    Record(UnusedCause),
+    /// A runner has gained or lost its address to another one.
+    Address,
 }
 
 /// The lines of all causes.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,13 +3,32 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
+use serving::config::Config;
 use serving::members::Change;
 use serving::members::Extent;
 use serving::members::MemberRow;
+use serving::members::UnusedRecord;
 use serving::runner::Member;
 use spdlog::info;
+use spdlog::warn;
 
 use crate::entry::Entry;
+use crate::line_limits::LineCause;
+
+/// How many characters of a record's key or service are logged.
+const MAX_SHOWN_CHARS: usize = 200;
+
+/// Why a record of the membership names no runner to use.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub(crate) enum UnusedCause {
+    /// It cannot be decoded.
+    #[display("unreadable")]
+    Unreadable,
+    /// The configuration does not name its service.
+    #[display("unknown service")]
+    UnnamedService,
+}
 
 /// Returns the records among the rows of a whole table.
 fn written(rows: Vec<MemberRow>) -> Vec<Member> {
@@ -56,23 +75,81 @@
     }
 
     fn apply_changes(self: &Arc<Self>, changes: Vec<Change>) {
+        let now = self.now();
         for change in changes {
             match change {
                 Change::Present(member) => self.apply_member(member),
-                Change::Gone(id) => {
-                    info!("runner gone", kv: { runner = &*id });
-                    let mut state = self.state();
-                    state.fleet.leave(&id);
-                    state.reconnects.remove(&id);
-                    state.concurrency.remove(&id);
-                    drop(state);
-                    self.conns.remove(&id);
-                    self.links.close(&id);
-                }
+                Change::Renewed(id) => self.state().fleet.renew(now, &id),
+                Change::Gone(id) => self.remove_runner(&id),
+                Change::Unused(record) => self.pass_over(&record),
+            }
+        }
+        self.report_address_changes();
+    }
+
+    /// Logs which runners have gained or lost their address to others.
+    pub(crate) fn report_address_changes(&self) {
+        let now = self.now();
+        let changes = self.state().fleet.take_address_changes();
+        for change in changes {
+            if let Some(omitted) = self.lines.admit(now, LineCause::Address) {
+                let (runner, used) = (&*change.runner, change.used);
+                info!("address claimed by several runners", kv: { runner, used, omitted });
             }
         }
     }
 
+    fn remove_runner(&self, id: &str) {
+        info!("runner gone", kv: { runner = id });
+        let mut state = self.state();
+        state.fleet.leave(id);
+        state.reconnects.remove(id);
+        state.concurrency.remove(id);
+        drop(state);
+        self.conns.remove(id);
+        self.links.close(id);
+    }
+
+    /// Handles a record that names no runner to use.
+    fn pass_over(&self, record: &UnusedRecord) {
+        let cause = UnusedCause::UnnamedService;
+        let shown: String = record.service.chars().take(MAX_SHOWN_CHARS).collect();
+        self.report_unused(cause, &record.id, &shown);
+        let is_known = self.state().fleet.get(&record.id).is_some();
+        if is_known {
+            self.remove_runner(&record.id);
+        }
+    }
+
+    /// Logs and counts a record that is not used.
+    pub(crate) fn report_unused(&self, cause: UnusedCause, key: &str, detail: &str) {
+        let text = cause.to_string();
+        let counter = &self.metrics.unused_records;
+        counter.with_label_values(&[text.as_str()]).inc();
+        let line = self.lines.admit(self.now(), LineCause::Record(cause));
+        let Some(omitted) = line else {
+            return;
+        };
+        let key: String = key.chars().take(MAX_SHOWN_CHARS).collect();
+        warn!("record not used", kv: { cause = text.as_str(), key = key.as_str(), detail, omitted });
+    }
+
+    /// Applies the services of a configuration that takes effect.
+    pub(crate) fn apply_services(self: &Arc<Self>, config: &Config) {
+        let now = self.now();
+        let services = config.service_names();
+        let mut state = self.state();
+        let changes = state.members.set_services(&services);
+        state.fleet.set_services(now, services);
+        let needs_reread = state.members.needs_reread();
+        drop(state);
+        self.apply_changes(changes);
+        if needs_reread {
+            info!("membership is read again, a service is new");
+            self.mark_members_outdated();
+        }
+    }
+
     fn apply_member(self: &Arc<Self>, member: Member) {
         let now = self.now();
         let mut state = self.state();
@@ -81,6 +158,7 @@
         let changed = known.is_none_or(|known| restarted || known.phase != member.phase);
         let has_engine = state.has_engine(&member.service);
         state.fleet.join(now, member.clone());
+        let is_used = state.is_used(&member.id);
         state
             .crash_watch
             .record_start(now, &member.id, member.addr, member.born);
@@ -98,7 +176,8 @@
             self.conns.remove(&member.id);
             self.links.close(&member.id);
         }
-        if has_engine {
+        // The link of a runner that turns out to hold its address is opened by the maintenance.
+        if has_engine && is_used {
             self.links.open(self, &member);
         }
     }
@@ -133,6 +212,9 @@
         self.metrics.paused_runners.set(paused as i64);
         self.metrics.isolated_parts.set(isolated as i64);
         self.record_limits(&state);
+        self.metrics
+            .unnamed_records
+            .set(state.members.unnamed_count() as i64);
         for (table, read_at) in &state.tables_read {
             let age = self.metrics.table_age_s.with_label_values(&[table.name()]);
             age.set(now.since(*read_at).as_secs_f64());
@@ -140,7 +222,8 @@
         let unlinked = state
             .members
             .iter()
-            .filter(|member| state.has_engine(&member.service) && !self.links.contains(&member.id));
+            .filter(|member| state.has_engine(&member.service) && !self.links.contains(&member.id))
+            .filter(|member| state.is_used(&member.id));
         let unlinked: Vec<Member> = unlinked.cloned().collect();
         drop(state);
         for member in &unlinked {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,10 @@
     pub table_age_s: GaugeVec,
     /// Restores of the store from a copy that were seen in its answers.
     pub store_restores: IntCounter,
+    /// Records of the membership that were read and name no runner to use, by cause.
+    pub unused_records: IntCounterVec,
+    /// Kept records of services that the configuration does not name, as of the last maintenance.
+    pub unnamed_records: IntGauge,
     /// Choices of a runner that does not answer its agent, because no other was left.
     pub silent_choices: IntCounter,
     /// Changes of held prompt parts: `held` or `released`.
@@ -196,6 +200,15 @@
         let store_restores =
             IntCounter::new("store_restores_total", "Restores of the store from a copy")?;
         registry.register(Box::new(store_restores.clone()))?;
+        let unused_records = register_counters(
+            &registry,
+            "unused_records_total",
+            "Membership records that name no runner to use",
+            "cause",
+        )?;
+        let unnamed_records =
+            IntGauge::new("unnamed_records", "Kept records of services without a name")?;
+        registry.register(Box::new(unnamed_records.clone()))?;
         let silent_choices = IntCounter::new(
             "silent_choices_total",
             "Choices of a runner that does not answer its agent",
@@ -258,6 +271,8 @@
             store_calls,
             table_age_s,
             store_restores,
+            unused_records,
+            unnamed_records,
             silent_choices,
             unknown_keys,
             quota_tokens,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::entry::Entry;
+use crate::membership::UnusedCause;
 use crate::store::Fresh;
 use crate::store::StoreError;
 
@@ -44,9 +45,6 @@
 /// How long the store may hold the reads in between.
 const LOWER_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How many characters of the key of an unusable row are logged.
-const MAX_SHOWN_CHARS: usize = 200;
-
 /// Up to where a table is known.
 #[derive(Clone, Copy, Debug)]
 struct Position {
@@ -116,6 +114,9 @@
     async fn read(&mut self) -> Option<Result<Fresh<FeedReply>, StoreError>> {
         let (entry, table) = (&self.entry, self.table);
         let restores = *self.restored.borrow_and_update();
+        if table == Table::Members && entry.state().members.needs_reread() {
+            self.position = None;
+        }
         let Some(position) = self.position.filter(|known| known.restores == restores) else {
             let read = entry.store.read_all(table).await;
             return Some(read.map(|read| Fresh {
@@ -305,9 +306,7 @@
             Row::Removed(key) if table == Table::Quarantine => entry.apply_removed_hold(&key),
             Row::Removed(key) => members.push(MemberRow::Removed(key)),
             Row::Invalid(key, error) => {
-                let error = error.to_string();
-                let shown: String = key.chars().take(MAX_SHOWN_CHARS).collect();
-                warn!("row cannot be read", kv: { key = shown.as_str(), error = error.as_str() });
+                report_unreadable(entry, table, &key, &error.to_string());
                 members.push(MemberRow::Removed(key));
             }
             Row::Unknown => {}
@@ -317,3 +316,12 @@
         entry.apply_members(members, origin.extent);
     }
 }
+
+/// Logs a row that cannot be decoded. Any writer may fill the membership with them.
+fn report_unreadable(entry: &Entry, table: Table, key: &str, error: &str) {
+    if table == Table::Members {
+        entry.report_unused(UnusedCause::Unreadable, key, error);
+    } else {
+        warn!("row cannot be read", kv: { key, error });
+    }
+}
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use decision::collections::Map;
+use decision::collections::Set;
 
 use crate::Name;
 use crate::store_era::RestoreCount;
@@ -173,6 +174,13 @@
         }
     }
 
+    /// Returns the names of the services, and of those that routes lead to.
+    pub fn service_names(&self) -> Set<Name> {
+        let routes = self.hosts.values().flatten();
+        let targets = routes.flat_map(|route| route.targets.iter().map(|(service, _)| service));
+        self.services.keys().chain(targets).cloned().collect()
+    }
+
     /// Makes requests need the key of a tenant, but for those of public routes.
     #[must_use]
     pub fn with_tenants(self, tenants: Tenants) -> Self {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -2,19 +2,26 @@
 //!
 //! Invariants: a view belongs to one incarnation of a runner; a restart with the same identifier
 //! resets it. Every request counted by [`Fleet::begin_request`] is released once by
-//! [`Fleet::end_request`].
+//! [`Fleet::end_request`]. A runner of a service that the configuration does not name affects no other.
 
+mod address;
 mod view;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use decision::collections::Map;
+use decision::collections::Set;
 use decision::time::Time;
 
 pub use view::AdapterView;
 pub use view::HealthSignal;
 pub use view::Runner;
 
+use self::address::Addresses;
+use self::address::Claim;
+use self::address::EventNumber;
+use self::address::Rivals;
 use crate::Name;
 use crate::backpressure::Backpressure;
 use crate::backpressure::NoticeChange;
@@ -35,6 +42,18 @@
 /// closed after [`SILENCE_TIMEOUT`](crate::link::SILENCE_TIMEOUT).
 const UNANSWERED_PERIOD: Duration = Duration::from_secs(1);
 
+/// The most changes of addresses that are kept until they are taken.
+const MAX_ADDRESS_CHANGES: usize = 64;
+
+/// A runner that several records' claims to its address took out of use, or brought back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AddressChange {
+    /// The identifier of the runner.
+    pub runner: Name,
+    /// Whether it is used now.
+    pub used: bool,
+}
+
 /// A request counted at a runner, to be passed to [`Fleet::end_request`].
 #[derive(Clone, Debug)]
 pub struct InflightRequest {
@@ -65,6 +84,13 @@
     /// Buffer for rendezvous hashes, kept to avoid an allocation per request.
     pub(crate) rank_buffer: Vec<u64>,
     runners: Map<Name, Runner>,
+    /// The services of the configuration; `None` until it is known, when each service counts.
+    services: Option<Set<Name>>,
+    /// The runners of these services by address.
+    addresses: Addresses,
+    /// The number of the last event.
+    last_event: EventNumber,
+    address_changes: Vec<AddressChange>,
 }
 
 impl Fleet {
@@ -79,6 +105,10 @@
             last_replicated: Map::default(),
             rank_buffer: Vec::new(),
             runners: Map::default(),
+            services: None,
+            addresses: Addresses::default(),
+            last_event: 0,
+            address_changes: Vec::new(),
         }
     }
 
@@ -92,58 +122,158 @@
         self.runners.values()
     }
 
+    /// Sets the services of the configuration in force. Runners of others stay known, but affect no other.
+    pub fn set_services(&mut self, now: Time, services: Set<Name>) {
+        self.services = Some(services);
+        self.addresses.clear();
+        for runner in self.runners.values_mut() {
+            let member = &runner.member;
+            if is_named(self.services.as_ref(), &member.service) {
+                self.addresses.add(member.addr, &member.id);
+            }
+            runner.replaced = runner.claim.is_displaced();
+        }
+        for addr in self.addresses.contested() {
+            self.resolve(addr);
+        }
+        self.count_addresses(now);
+    }
+
     /// Applies a membership record.
     pub fn join(&mut self, now: Time, member: Member) {
-        let known = self.runners.get_mut(&member.id);
-        if let Some(runner) = known
-            && runner.member.born == member.born
-        {
-            runner.update(member);
+        let id = member.id.clone();
+        let before = self.runners.get(&id).map(|runner| &runner.member);
+        let (before_addr, born) = (
+            before.map(|known| known.addr),
+            before.map(|known| known.born),
+        );
+        if born == Some(member.born) {
+            if let Some(runner) = self.runners.get_mut(&id) {
+                runner.update(member);
+            }
+            self.index(&id, before_addr);
+            self.renew(now, &id);
             return;
         }
-        // The membership list keeps the record of a crashed runner for some heartbeats, so two
-        // records may name the same address.
-        let mut replaced = false;
-        for other in self.runners.values_mut() {
-            let same_addr = other.member.addr == member.addr;
-            other.replaced |= same_addr && other.member.born < member.born;
-            replaced |= same_addr && other.member.born > member.born;
+        let mut claim = Claim::new(self.next_event());
+        if let Some(earlier) = self.outlived_claim(&id, member.addr) {
+            claim.follow(&earlier);
         }
         let mut runner = Runner::new(now, member);
-        runner.replaced = replaced;
+        runner.claim = claim;
         // The record may return after an outage of the store, and still say that the runner is ready.
         let member = &mut runner.member;
         if self.backpressure.is_leaving(&member.id, member.born) {
             member.phase = Phase::Draining;
         }
-        self.runners.insert(runner.member.id.clone(), runner);
-        self.entries.record_runners(self.runners.len());
-        self.backpressure.set_entries(now, self.entries.get());
+        self.runners.insert(id.clone(), runner);
+        self.index(&id, before_addr);
+        self.count_addresses(now);
     }
 
-    /// Records that another runner answers at a runner's address.
-    pub fn mark_replaced(&mut self, id: &str) {
+    /// Records that a runner has written its record again.
+    pub fn renew(&mut self, now: Time, id: &str) {
+        let event = self.next_event();
         if let Some(runner) = self.runners.get_mut(id) {
-            runner.replaced = true;
+            runner.claim.renew(now, event);
+            let addr = runner.member.addr;
+            self.resolve(addr);
         }
     }
 
-    /// Records that the runner `by` has answered in place of another one, which `id` names. It has the
-    /// address, although a record of the other one says so.
-    pub fn mark_answering(&mut self, id: &str, by: &str) {
-        let Some(addr) = self.runners.get(id).map(|runner| runner.member.addr) else {
+    /// Records that the runner `by` has answered in place of the runner `id`.
+    pub fn displace(&mut self, now: Time, id: &str, by: &str) {
+        let event = self.next_event();
+        let Some(runner) = self.runners.get_mut(id) else {
             return;
         };
-        if let Some(runner) = self.runners.get_mut(by)
-            && runner.member.addr == addr
+        runner.claim.displace(now);
+        runner.replaced = true;
+        let addr = runner.member.addr;
+        if let Some(holder) = self.runners.get_mut(by)
+            && holder.member.addr == addr
         {
-            runner.replaced = false;
+            holder.claim.confirm(event);
+        }
+        self.resolve(addr);
+    }
+
+    fn next_event(&mut self) -> EventNumber {
+        self.last_event += 1;
+        self.last_event
+    }
+
+    /// Returns the claim of the known incarnation of a runner if it was to the same address and another runner has
+    /// outlived it.
+    fn outlived_claim(&self, id: &str, addr: SocketAddr) -> Option<Claim> {
+        let known = self.runners.get(id)?;
+        if known.member.addr != addr {
+            return None;
         }
+        let others = self.addresses.claimants(addr).iter();
+        let mut others = others.filter(|other| &***other != id);
+        let is_outlived = others.any(|other| {
+            let other = self.runners.get(other);
+            other.is_some_and(|other| other.claim.outlives(&known.claim))
+        });
+        is_outlived.then_some(known.claim)
+    }
+
+    /// Enters a runner under the address of its record, in place of the one before.
+    fn index(&mut self, id: &Name, before: Option<SocketAddr>) {
+        let Some(runner) = self.runners.get(id) else {
+            return;
+        };
+        let addr = runner.member.addr;
+        let is_named = is_named(self.services.as_ref(), &runner.member.service);
+        if let Some(before) = before {
+            self.addresses.remove(before, id);
+            self.resolve(before);
+        }
+        if is_named {
+            self.addresses.add(addr, id);
+        }
+        self.resolve(addr);
+    }
+
+    /// Decides again which of the runners of an address is used.
+    fn resolve(&mut self, addr: SocketAddr) {
+        let claimants = self.addresses.claimants(addr);
+        let mut claims: Vec<(u64, Claim)> = claimants
+            .iter()
+            .filter_map(|id| self.runners.get(id))
+            .map(|runner| (runner.member.born, runner.claim))
+            .collect();
+        let rivals = Rivals::new(&mut claims);
+        for id in claimants {
+            let Some(runner) = self.runners.get_mut(id) else {
+                continue;
+            };
+            let used = rivals.allow(runner.member.born, &runner.claim);
+            let is_changed = used == std::mem::replace(&mut runner.replaced, !used);
+            if is_changed && self.address_changes.len() < MAX_ADDRESS_CHANGES {
+                let runner = id.clone();
+                self.address_changes.push(AddressChange { runner, used });
+            }
+        }
+    }
+
+    /// Returns the runners that have gained or lost their address to others since the last call.
+    pub fn take_address_changes(&mut self) -> Vec<AddressChange> {
+        std::mem::take(&mut self.address_changes)
+    }
+
+    fn count_addresses(&mut self, now: Time) {
+        self.entries.record_runners(self.addresses.len());
+        self.backpressure.set_entries(now, self.entries.get());
     }
 
     /// Removes a runner that left the membership list.
     pub fn leave(&mut self, id: &str) {
-        self.runners.remove(id);
+        if let Some(runner) = self.runners.remove(id) {
+            self.addresses.remove(runner.member.addr, id);
+            self.resolve(runner.member.addr);
+        }
     }
 
     /// Applies an update of a runner's agent; returns whether requests that wait for an adapter
@@ -302,10 +432,16 @@
 
     /// Records that a part of an answer has come from an incarnation of a runner.
     pub fn record_heard(&mut self, now: Time, id: &str, born: u64) {
+        let event = self.next_event();
         if let Some(runner) = self.runners.get_mut(id)
             && runner.member.born == born
         {
             runner.heard_at = Some(now);
+            runner.claim.confirm(event);
+            if runner.replaced {
+                let addr = runner.member.addr;
+                self.resolve(addr);
+            }
         }
     }
 
@@ -348,3 +484,8 @@
         (runner.member.born == request.born).then_some(runner)
     }
 }
+
+/// Returns whether runners of a service are used; `services` is `None` while that is not known.
+fn is_named(services: Option<&Set<Name>>, service: &Name) -> bool {
+    services.is_none_or(|services| services.contains(service))
+}
--- a/crates/serving/src/fleet/view.rs
+++ b/crates/serving/src/fleet/view.rs
@@ -8,6 +8,7 @@
 use decision::health::Health;
 use decision::time::Time;
 
+use super::address::Claim;
 use crate::Name;
 use crate::demand::RateLevel;
 use crate::link::RunnerUpdate;
@@ -83,8 +84,9 @@
     /// Number of adapters that can be loaded now, counting idle ones that can be evicted, as
     /// reported by its agent.
     pub room: u32,
-    /// Whether a newer runner uses its address.
+    /// Whether another runner holds its address.
     pub replaced: bool,
+    pub(super) claim: Claim,
     /// Whether this entry is connected to its agent.
     pub linked: bool,
     /// Whether its agent admits prompts, according to its last full update.
@@ -138,6 +140,7 @@
             health: Health::with_breaker_settings(BREAKER_SETTINGS),
             room: 0,
             replaced: false,
+            claim: Claim::default(),
             linked: false,
             admits: false,
             crashes: false,
--- a/crates/serving/src/members.rs
+++ b/crates/serving/src/members.rs
@@ -35,6 +35,11 @@
 pub const RETURNED_RECORD_PERIOD: Duration = Duration::from_millis(6_000);
 /// The most removed records that are remembered; the oldest is forgotten first.
 const MAX_REMOVED: usize = 1_024;
+/// For how long an older incarnation must write its record before it counts in place of a newer one, which does
+/// not write. A write that was delayed comes once.
+const OLDER_PERIOD: Duration = Duration::from_millis(2_000);
+/// The most names in the records of unnamed services that are kept.
+const MAX_UNNAMED_NAMES: usize = 50_000;
 
 /// How much of the membership table has been read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,8 +57,23 @@
 pub enum Change {
     /// A runner joined, restarted or changed its record.
     Present(Member),
+    /// The runner has written its record again, without a change.
+    Renewed(Name),
     /// The runner with this identifier was removed.
     Gone(Name),
+    /// The record names no runner to use, so that one which had its identifier is gone.
+    Unused(UnusedRecord),
+}
+
+/// A record of a service that the configuration does not name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnusedRecord {
+    /// The identifier of the runner.
+    pub id: Name,
+    /// The service.
+    pub service: Name,
+    /// Whether it is kept until its service is named; if not, all records are to be read again then.
+    pub kept: bool,
 }
 
 /// A changed row of the membership table.
@@ -94,6 +114,18 @@
     removed: VecDeque<Removed>,
     /// Removed records that a copy of the store has brought back, and from when they count.
     returned: Map<Name, (Member, Time)>,
+    /// The services of the configuration; `None` until it is known, when each service counts.
+    services: Option<Set<Name>>,
+    /// The records of other services.
+    unnamed: Map<Name, Member>,
+    /// The number of names in them.
+    unnamed_names: usize,
+    /// Whether records were left out of them.
+    is_incomplete: bool,
+    /// Whether one that was left out may be of a service that was named since.
+    rereads: bool,
+    /// The older incarnations that write their records though a newer one is known, and since when.
+    older: Map<Name, (u64, Time)>,
 }
 
 impl Members {
@@ -110,9 +142,37 @@
             kept_until: Time::default(),
             removed: VecDeque::new(),
             returned: Map::default(),
+            services: None,
+            unnamed: Map::default(),
+            unnamed_names: 0,
+            is_incomplete: false,
+            rereads: false,
+            older: Map::default(),
         }
     }
 
+    /// Sets the services of the configuration in force; returns the runners of those that are new.
+    pub fn set_services(&mut self, services: &Set<Name>) -> Vec<Change> {
+        let known = self.services.replace(services.clone());
+        let is_new = |service| known.as_ref().is_some_and(|known| !known.contains(service));
+        self.rereads |= self.is_incomplete && services.iter().any(is_new);
+        let named = self.unnamed.values().filter(|m| self.is_named(&m.service));
+        let named: Vec<Member> = named.cloned().collect();
+        let changes = named.into_iter().filter_map(|m| self.apply_write(m));
+        changes.collect()
+    }
+
+    /// Returns whether all records are to be read again: a service is new, and records were left out that may name
+    /// it.
+    pub fn needs_reread(&self) -> bool {
+        self.rereads
+    }
+
+    fn is_named(&self, service: &Name) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
     /// Records that the store did not answer a call that began at `started_at`.
     pub fn store_lost(&mut self, started_at: Time) {
         self.lost_at = Some(started_at);
@@ -134,7 +194,13 @@
     pub fn apply_write(&mut self, mut member: Member) -> Option<Change> {
         self.missing.remove(&member.id);
         self.returned.remove(&member.id);
+        let was_unnamed = self.remove_unnamed(&member.id);
         let known = self.members.get(&member.id);
+        // A runner whose service is dropped stays known, as the service may come back.
+        let is_used = known.is_some_and(|known| known.service == member.service);
+        if !is_used && !self.is_named(&member.service) {
+            return self.set_aside(member, was_unnamed.as_ref());
+        }
         // A copy of the store may have the record of before the drain.
         let same = known.filter(|known| known.born == member.born);
         let removed = self.removal(&member).map(|removed| removed.phase);
@@ -148,10 +214,55 @@
         Some(Change::Present(member))
     }
 
+    /// Keeps a record of an unnamed service, if there is room, in place of that of the runner with this identifier.
+    fn set_aside(&mut self, member: Member, before: Option<&Member>) -> Option<Change> {
+        let is_new = before != Some(&member);
+        let unused = UnusedRecord {
+            id: member.id.clone(),
+            service: member.service.clone(),
+            kept: self.unnamed_names + name_count(&member) <= MAX_UNNAMED_NAMES,
+        };
+        if unused.kept {
+            self.unnamed_names += name_count(&member);
+            self.unnamed.insert(member.id.clone(), member);
+        }
+        self.is_incomplete |= !unused.kept;
+        let was_used = self.members.remove(&unused.id).is_some();
+        (was_used || is_new).then_some(Change::Unused(unused))
+    }
+
+    fn remove_unnamed(&mut self, id: &Name) -> Option<Member> {
+        let member = self.unnamed.remove(id)?;
+        self.unnamed_names -= name_count(&member);
+        Some(member)
+    }
+
+    /// Applies a changed row in the order in which it was written: the runner lives that has written it.
+    fn apply_written_row(&mut self, now: Time, member: Member) -> Option<Change> {
+        let (id, born) = (member.id.clone(), member.born);
+        let known = self.members.get(&id);
+        let is_older = known.is_some_and(|known| known.born > born);
+        let is_renewal = known.is_some_and(|known| known.born == born);
+        if is_older && self.is_named(&member.service) {
+            let (older, since) = self.older.get(&id).copied().unwrap_or((born, now));
+            if older != born || now < since.after(OLDER_PERIOD) {
+                let since = if older == born { since } else { now };
+                self.older.insert(id, (born, since));
+                return None;
+            }
+            // Nothing of the newer one remains, such as its drain.
+            self.members.remove(&id);
+        }
+        self.older.remove(&id);
+        let change = self.apply_write(member);
+        change.or(is_renewal.then_some(Change::Renewed(id)))
+    }
+
     /// Applies the removal of a record, or a record that cannot be decoded. Returns `None` if the
     /// runner is unknown or is kept for [`RETURN_GRACE`].
     pub fn apply_removal(&mut self, now: Time, id: &Name) -> Option<Change> {
         self.returned.remove(id);
+        self.remove_unnamed(id);
         if !self.members.contains_key(id) {
             return None;
         }
@@ -165,7 +276,7 @@
     /// Applies changed rows in their order.
     pub fn apply_rows(&mut self, now: Time, rows: Vec<MemberRow>) -> Vec<Change> {
         let changes = rows.into_iter().filter_map(|row| match row {
-            MemberRow::Written(member) => self.apply_write(member),
+            MemberRow::Written(member) => self.apply_written_row(now, member),
             MemberRow::Removed(id) => self.apply_removal(now, &id),
         });
         changes.collect()
@@ -173,6 +284,7 @@
 
     /// Applies the complete list of records.
     pub fn apply_snapshot(&mut self, now: Time, records: Vec<Member>) -> Vec<Change> {
+        self.forget_unnamed(&records);
         let absent = self.absent(&records);
         if !self.has_dropped(absent.len()) {
             self.kept_until = now;
@@ -197,10 +309,20 @@
                 self.returned.insert(member.id.clone(), returned);
             }
         }
+        self.forget_unnamed(&records);
         let absent = self.absent(&records);
         self.replace_records(now, records, &absent)
     }
 
+    /// Drops the records of unnamed services that are not in the complete list.
+    fn forget_unnamed(&mut self, records: &[Member]) {
+        let present: Set<&Name> = records.iter().map(|member| &member.id).collect();
+        self.unnamed.retain(|id, _| present.contains(id));
+        self.unnamed_names = self.unnamed.values().map(name_count).sum();
+        self.is_incomplete = false;
+        self.rereads = false;
+    }
+
     fn absent(&self, records: &[Member]) -> Vec<Name> {
         let present: Set<&Name> = records.iter().map(|member| &member.id).collect();
         let known = self.members.keys().chain(self.returned.keys());
@@ -252,6 +374,11 @@
         self.missing.len()
     }
 
+    /// Returns the number of kept records of services that the configuration does not name.
+    pub fn unnamed_count(&self) -> usize {
+        self.unnamed.len()
+    }
+
     /// Returns the number of removed records that a copy of the store has brought back.
     pub fn returned_count(&self) -> usize {
         self.returned.len()
@@ -270,6 +397,7 @@
 
     fn remove(&mut self, id: &Name) -> Option<Change> {
         self.missing.remove(id);
+        self.older.remove(id);
         let member = self.members.remove(id)?;
         if self.removed.len() >= MAX_REMOVED {
             self.removed.pop_front();
@@ -288,3 +416,8 @@
         removed.find(|removed| removed.id == member.id && removed.born == member.born)
     }
 }
+
+/// Returns the number of names in a record, by which its size is bounded.
+fn name_count(member: &Member) -> usize {
+    1 + member.models.len() + member.adapters.len()
+}
--- a/crates/serving/tests/home_choice.rs
+++ b/crates/serving/tests/home_choice.rs
@@ -193,8 +193,8 @@
         let placement = fleet.place(now, &mut rng, &common::no_model());
         assert_ne!(&*placement.expect("some runner is eligible").runner, "r0");
     }
-    fleet.mark_replaced("r1");
-    fleet.mark_replaced("r9");
+    fleet.displace(now, "r1", "");
+    fleet.displace(now, "r9", "");
     assert!(fleet.place(now, &mut rng, &common::no_model()).is_err());
     // The membership record of an older runner may be read after that of the newer one.
     let mut older = common::member("r8");
@@ -214,10 +214,9 @@
     odd.born = 5;
     odd.addr = common::member("r0").addr;
     fleet.join(now, odd);
-    fleet.mark_replaced("r9");
-    fleet.mark_answering("r9", "r7");
+    fleet.displace(now, "r9", "r7");
     assert!(fleet.place(now, &mut rng, &common::no_model()).is_err());
-    fleet.mark_answering("r9", "r0");
+    fleet.displace(now, "r9", "r0");
     let placement = fleet.place(now, &mut rng, &common::no_model());
     assert_eq!(&*placement.expect("r0 is back").runner, "r0");
 }
