Let an agent follow only what it is told of its own runner's incarnation

The agent took over the capacity that the last link named, whichever record that came from, so that a record of another service could make it load more adapters than the runner holds; it kept an identifier for each start that was ever named, without a bound; and it counted an entry once for each of its records, so that all shares of limits shrank.

Change: serving::told_runners keeps what each link has told. The identifier and the capacity of the incarnation that the runner itself reports count; entries are counted by the links for one identifier.

There is no test of the fault on the code as it was: the decision had no module of its own.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -40,6 +40,7 @@
 use serving::load_scheduler::LoadScheduler;
 use serving::load_scheduler::Order;
 use serving::quota::Buckets;
+use serving::told_runners::ToldRunners;
 use spdlog::info;
 use spdlog::warn;
 use tokio::net::TcpStream;
@@ -91,9 +92,9 @@
     metrics: AgentMetrics,
     control: ControlClient,
     scheduler: Mutex<LoadScheduler>,
-    /// The runner's identifier by the start of its incarnation. Entries send both; the runner's
-    /// report has only the start.
-    runner_ids: Mutex<Map<u64, Name>>,
+    /// The runner's identifier and capacity, which entries send; its report has only the start of its
+    /// incarnation. Locked alone.
+    told_runners: Mutex<ToldRunners>,
     wake: Notify,
     /// The last state, from which each connection sends its updates.
     states: watch::Sender<RunnerState>,
@@ -139,14 +140,15 @@
     }
 
     fn runner_id(&self, born: u64) -> Option<Name> {
-        let runner_ids = lock(&self.runner_ids);
-        runner_ids.get(&born).cloned()
+        lock(&self.told_runners).runner(born).cloned()
     }
 
-    /// Removes the identifiers of the incarnations before the current one.
-    fn forget_earlier_runners(&self, born: u64) {
-        let mut runner_ids = lock(&self.runner_ids);
-        runner_ids.retain(|known, _| *known >= born);
+    /// Takes over what entries have told of the incarnation that the runner reports.
+    fn recognize_runner(&self, born: u64) {
+        let capacity = lock(&self.told_runners).report(born);
+        if let Some(capacity) = capacity {
+            self.scheduler().set_capacity(capacity);
+        }
     }
 
     fn record_load(&self, load: &CompletedLoad) {
@@ -164,7 +166,7 @@
     }
 
     fn entry_count(&self) -> u32 {
-        self.metrics.entries.get().try_into().unwrap_or(0)
+        lock(&self.told_runners).entry_count()
     }
 
     fn dump(&self) -> String {
@@ -202,7 +204,7 @@
         clock: RuntimeClock::start(),
         metrics: AgentMetrics::new().change_context(ProcessError::Setup)?,
         scheduler: Mutex::new(LoadScheduler::default()),
-        runner_ids: Mutex::new(Map::default()),
+        told_runners: Mutex::new(ToldRunners::default()),
         wake: Notify::new(),
         states,
         next_link: AtomicU64::new(0),
@@ -282,7 +284,7 @@
         match agent.control.read_report().await {
             Ok(report) => {
                 agent.record_runner_seen(report.born, report.draining);
-                agent.forget_earlier_runners(report.born);
+                agent.recognize_runner(report.born);
                 let completed = agent.scheduler().apply_report(agent.now(), report);
                 for load in completed {
                     agent.record_load(&load);
--- a/crates/gateway/src/agent/entries.rs
+++ b/crates/gateway/src/agent/entries.rs
@@ -18,6 +18,7 @@
 use serving::link::STATE_INTERVAL;
 use serving::link::ToAgent;
 use serving::load_scheduler::LinkId;
+use serving::told_runners::ToldRunner;
 use spdlog::info;
 use spdlog::warn;
 use tokio::net::TcpListener;
@@ -89,6 +90,7 @@
     agent.metrics.entries.dec();
     agent.admissions().remove(&link);
     agent.scheduler().remove_link(link);
+    lock(&agent.told_runners).end_link(link);
     agent.deliver_admissions();
     let lines = lock(&agent.end_lines).admit(agent.now());
     if let Some(omitted) = lines {
@@ -247,10 +249,15 @@
             crashes,
         } => {
             info!("entry connected", kv: { link, runner = &*runner, born });
-            let mut runner_ids = lock(&agent.runner_ids);
-            runner_ids.insert(born, runner);
-            drop(runner_ids);
-            agent.scheduler().set_capacity(capacity);
+            let told = ToldRunner {
+                runner,
+                born,
+                capacity,
+            };
+            let capacity = lock(&agent.told_runners).record(link, told);
+            if let Some(capacity) = capacity {
+                agent.scheduler().set_capacity(capacity);
+            }
             agent.wake.notify_one();
             Ok(Received::Hello { crashes })
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod store_era;
 pub mod table_reads;
 pub mod tenants;
+pub mod told_runners;
 pub mod usage;
 pub mod versions;
 
