Let each entry bring its part of a limit to one agent, for a term

Cause: an entry without an answer for 150 ms turned to the next agent by its own guess, the others stayed, and both buckets filled at the full rate. Only one agent grants a tenant's tokens until the loss begins; then two do, each at about the tenant's rate, and one again when it ends. Credit that is reported twice, or a bucket that grants twice, would show at one agent.

Change: an entry brings 1/N of rate and burst to one agent at a time. Each answer has a stamp by the agent's clock, each ask names the last one and a term, and the agent counts the part until stamp and term. The entry turns away only when its own end of the term, which is never earlier, has passed; or when the agent has given the part up, or has closed the connection. An answer that is late within the term is used. Agents log what they grant where a limit is short or divided; entries log where they turn.

asks_from_before_a_freeze tested how a bucket emptied itself on `moved`; terms replace that, and it tests the same failure with them. The level of Bucket is asked with the part that fills it, 1.0 in the tests of before.

--- a/crates/bench/benches/quota.rs
+++ b/crates/bench/benches/quota.rs
@@ -57,10 +57,13 @@
         };
         let tenants = Tenants::new((0..TENANTS).map(spec).collect());
         let tenants = tenants.expect("the tenants are consistent");
-        let mut accounts = Accounts::new(Shares {
-            entries: 31,
-            slack: 110_000.0,
-        });
+        // The benchmark plays all entries with one, which brings the whole limit.
+        let shares = Shares {
+            entries: 1,
+            slack: 110_000.0 / 31.0,
+            excess_s: 0.0,
+        };
+        let mut accounts = Accounts::new(1, shares);
         for agent in 0..AGENTS {
             accounts.link(&format!("i-{agent}").into());
         }
--- a/crates/cli/tests/program/mod.rs
+++ b/crates/cli/tests/program/mod.rs
@@ -145,6 +145,8 @@
             revoke_ms: None,
             strict_revoke: false,
             quota_slack: None,
+            quota_excess: None,
+            quota_window_s: None,
         },
     });
     let settings = replace_limit(settings, "memory_mb", 256, limits.memory_mb);
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -66,6 +66,8 @@
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The time limit for the refusal of a connection; the runner is on the same instance.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+/// The most log lines about buckets in a second.
+const MAX_BUCKET_LINES: u32 = 20;
 /// The most orders given in one round, before the new state is published to the entries.
 const MAX_ORDERS_PER_ROUND: usize = 8;
 /// The most messages about crashes that are queued for a slow entry, which hears of all recent crashes
@@ -110,6 +112,10 @@
     crash_news: broadcast::Sender<FromAgent>,
     /// The buckets of tenants, for all entries.
     buckets: Mutex<Buckets>,
+    /// The entry at the other end of each connection over which tokens were asked for.
+    holders: Mutex<Map<LinkId, u64>>,
+    /// The limit on log lines about buckets.
+    bucket_lines: Mutex<LineLimit>,
 }
 
 impl AgentState {
@@ -213,6 +219,8 @@
         crashes: Mutex::new(CrashReports::default()),
         crash_news: broadcast::Sender::new(MAX_QUEUED_NEWS),
         buckets: Mutex::new(Buckets::default()),
+        holders: Mutex::new(Map::default()),
+        bucket_lines: Mutex::new(LineLimit::new(MAX_BUCKET_LINES)),
         settings,
     });
     let ops = start_ops(&agent).await?;
--- a/crates/gateway/src/agent/entries.rs
+++ b/crates/gateway/src/agent/entries.rs
@@ -91,6 +91,7 @@
     agent.admissions().remove(&link);
     agent.scheduler().remove_link(link);
     lock(&agent.told_runners).end_link(link);
+    agent.end_holder(link);
     agent.deliver_admissions();
     let lines = lock(&agent.end_lines).admit(agent.now());
     if let Some(omitted) = lines {
@@ -302,6 +303,6 @@
             agent.tell_served(parts);
             Ok(Received::Other)
         }
-        ToAgent::Tokens(ask) => Ok(Received::Asked(agent.grant_tokens(now, &ask))),
+        ToAgent::Tokens(ask) => Ok(Received::Asked(agent.grant_tokens(now, link, &ask))),
     }
 }
--- a/crates/gateway/src/line_limits.rs
+++ b/crates/gateway/src/line_limits.rs
@@ -34,6 +34,8 @@
     UnknownKey,
     /// A record of the membership is not used.
     Record(UnusedCause),
+    /// The entry has turned to another agent for tokens.
+    QuotaAgent,
     /// A runner has gained or lost its address to another one.
     Address,
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,8 +1,10 @@
 //! The entry's connections to the runners' agents.
 //!
 //! Invariants: one task per runner incarnation owns the connection and reopens it after a loss; a
-//! message that cannot be queued is dropped, since the request that needs it repeats it.
+//! message that cannot be queued is dropped, since the request that needs it repeats it; a connection that is no
+//! longer needed sends what was queued, and is closed after [`LINGER_TIME`].
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -36,6 +38,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
+use tokio_util::codec::LinesCodecError;
 use tokio_util::task::TaskTracker;
 
 use crate::entry::Entry;
@@ -50,6 +53,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The pause before a lost connection is reopened.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+/// How long a connection that is no longer needed is kept for the answers to the last messages.
+const LINGER_TIME: Duration = Duration::from_millis(150);
+/// The time in which the end of a connection shows after a message could not be sent.
+const END_TIME: Duration = Duration::from_millis(20);
 /// The share of the time until an announced version binds over which the updates of the adapter's
 /// holders are spread, so that they do not all load it at once.
 const UPDATE_SPREAD: f64 = 0.7;
@@ -60,12 +67,14 @@
 /// The prompts that wait for their admission on one connection.
 type WaitingPrompts = Arc<Mutex<Map<u64, oneshot::Sender<()>>>>;
 
+/// The number of a link, unique within this process.
+pub(crate) type LinkNumber = u64;
+
 struct Link {
     queue: mpsc::Sender<ToAgent>,
     waiting: WaitingPrompts,
     /// Notified when an update changes the runner's state.
     changed: Arc<Notify>,
-    task: AbortHandle,
 }
 
 /// The connections to the agents of all runners with an engine, by runner.
@@ -73,7 +82,9 @@
 pub struct AgentLinks {
     links: Mutex<Map<Name, Link>>,
     next_prompt: AtomicU64,
+    next_link: AtomicU64,
     tasks: TaskTracker,
+    aborts: Mutex<Vec<AbortHandle>>,
 }
 
 impl AgentLinks {
@@ -95,6 +106,8 @@
         let link_task = LinkTask {
             entry: entry.clone(),
             member: member.clone(),
+            number: self.next_link.fetch_add(1, Ordering::Relaxed),
+            by_agent: false,
             messages,
             waiting: waiting.clone(),
             changed: changed.clone(),
@@ -104,23 +117,23 @@
             queue,
             waiting,
             changed,
-            task,
         };
+        let mut aborts = lock(&self.aborts);
+        aborts.retain(|task| !task.is_finished());
+        aborts.push(task);
         links.insert(member.id.clone(), link);
     }
 
-    /// Closes the connection to the agent of a runner that is gone or has restarted.
+    /// Closes the connection to the agent of a runner that is gone or has restarted, once what is queued was sent.
     pub fn close(&self, runner: &str) {
-        let link = lock(&self.links).remove(runner);
-        if let Some(link) = link {
-            link.task.abort();
-        }
+        lock(&self.links).remove(runner);
     }
 
     /// Closes all connections and waits for their tasks.
     pub async fn stop(&self) {
-        for (_, link) in lock(&self.links).drain() {
-            link.task.abort();
+        lock(&self.links).clear();
+        for task in lock(&self.aborts).drain(..) {
+            task.abort();
         }
         self.tasks.close();
         self.tasks.wait().await;
@@ -207,50 +220,92 @@
 struct LinkTask {
     entry: Arc<Entry>,
     member: Member,
+    number: LinkNumber,
+    /// Whether the agent has closed the last connection.
+    by_agent: bool,
     messages: mpsc::Receiver<ToAgent>,
     waiting: WaitingPrompts,
     changed: Arc<Notify>,
 }
 
 /// Why a connection ended.
-type DisconnectReason = String;
+struct LinkEnd {
+    reason: String,
+    /// Whether the agent's end is closed.
+    by_agent: bool,
+}
+
+impl From<String> for LinkEnd {
+    fn from(reason: String) -> LinkEnd {
+        LinkEnd {
+            reason,
+            by_agent: false,
+        }
+    }
+}
+
+impl From<&str> for LinkEnd {
+    fn from(reason: &str) -> LinkEnd {
+        reason.to_owned().into()
+    }
+}
 
 impl LinkTask {
     async fn run(mut self) {
         let mut connected = false;
         loop {
-            let reason = self.run_connection(&mut connected).await;
+            let end = self.run_connection(&mut connected).await;
+            self.by_agent = end.by_agent;
             lock(&self.waiting).clear();
-            self.entry.lose_quota_agent(&self.member.id);
-            self.entry.state().fleet.set_linked(&self.member.id, false);
             if connected {
-                info!("agent disconnected", kv: { runner = &*self.member.id, reason = reason.as_str() });
+                let reason = end.reason.as_str();
+                info!("agent disconnected", kv: { runner = &*self.member.id, reason });
                 connected = false;
             }
+            // The runner may have another link by now.
+            if self.messages.is_closed() {
+                return;
+            }
+            self.end_quotas();
+            self.entry.state().fleet.set_linked(&self.member.id, false);
             tokio::time::sleep(RECONNECT_PAUSE).await;
         }
     }
 
-    async fn run_connection(&mut self, connected: &mut bool) -> DisconnectReason {
+    fn end_quotas(&self) {
+        let runner = &self.member.id;
+        self.entry
+            .lose_quota_agent(runner, self.number, self.by_agent);
+    }
+
+    async fn run_connection(&mut self, connected: &mut bool) -> LinkEnd {
         let addr = SocketAddr::new(self.member.addr.ip(), self.entry.settings.agent_port);
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let stream = match connect {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return e.to_string(),
+            Ok(Err(e)) => return e.to_string().into(),
             Err(_) => return "connect timeout".into(),
         };
         let mut lines = match lines::frame(stream) {
             Ok(lines) => lines,
-            Err(reason) => return reason,
+            Err(reason) => return reason.into(),
         };
         let Some(hello) = self.hello() else {
             return "no engine is configured".into();
         };
         if let Err(e) = send(&mut lines, &hello).await {
-            return e;
+            return e.into();
         }
         *connected = true;
         info!("agent connected", kv: { runner = &*self.member.id });
+        let mut end = self.exchange_messages(&mut lines).await;
+        if !end.by_agent {
+            end.by_agent = has_ended(&mut lines).await;
+        }
+        end
+    }
+
+    async fn exchange_messages(&mut self, lines: &mut Lines) -> LinkEnd {
         let mut last_received = Instant::now();
         let mut last_reported = Instant::now();
         let mut usage_reporter = UsageReporter::default();
@@ -262,23 +317,38 @@
                         last_received = Instant::now();
                         self.handle_message(&line)
                     }
-                    Some(Err(e)) => Err(e.to_string()),
-                    None => Err("closed".into()),
+                    ended => return end_of(ended),
                 },
                 message = self.messages.recv() => match message {
-                    Some(message) => send(&mut lines, &message).await,
-                    None => Err("no longer needed".into()),
+                    Some(message) => send(lines, &message).await,
+                    None => return self.linger(lines).await,
                 },
                 () = tokio::time::sleep_until(due) => {
                     last_reported = Instant::now();
-                    self.report_usage(&mut lines, &mut usage_reporter).await
+                    self.report_usage(lines, &mut usage_reporter).await
                 }
-                () = tokio::time::sleep_until(last_received + SILENCE_TIMEOUT) => Err("silent".into()),
+                () = tokio::time::sleep_until(last_received + SILENCE_TIMEOUT) => return "silent".into(),
             };
             if let Err(reason) = sent {
-                return reason;
+                return reason.into();
+            }
+        }
+    }
+
+    /// Handles the last messages of the agent.
+    async fn linger(&self, lines: &mut Lines) -> LinkEnd {
+        let end = Instant::now() + LINGER_TIME;
+        while let Ok(received) = timeout_at(end, lines.next()).await {
+            match received {
+                Some(Ok(line)) => {
+                    if let Err(reason) = self.handle_message(&line) {
+                        return reason.into();
+                    }
+                }
+                ended => return end_of(ended),
             }
         }
+        "no longer needed".into()
     }
 
     fn usage_interval(&self) -> Duration {
@@ -302,7 +372,7 @@
         })
     }
 
-    fn handle_message(&self, line: &str) -> Result<(), DisconnectReason> {
+    fn handle_message(&self, line: &str) -> Result<(), String> {
         match serde_json::from_str(line).map_err(|e| e.to_string())? {
             FromAgent::Admitted { prompts } => self.mark_admitted(&prompts),
             FromAgent::Crash { crash } => self.entry.apply_crash(&self.member.id, crash),
@@ -312,9 +382,13 @@
                 id,
                 granted,
                 wait_ms,
+                stamp,
             } => {
-                let wait = Duration::from_millis(wait_ms);
-                let grant = Grant { granted, wait };
+                let grant = Grant {
+                    granted,
+                    wait: Duration::from_millis(wait_ms),
+                    stamp,
+                };
                 self.entry.apply_grant(&self.member.id, &tenant, id, grant);
             }
             FromAgent::Update(update) => self.apply_update(&update),
@@ -337,8 +411,8 @@
         if update.born > self.member.born {
             self.entry.mark_members_outdated();
         }
-        if update.quotas {
-            self.entry.add_quota_agent(&self.member.id);
+        if update.quotas && !self.messages.is_closed() {
+            self.entry.add_quota_agent(&self.member.id, self.number);
         }
         let mut state = self.entry.state();
         let changed = state.fleet.apply_update(now, &self.member.id, update);
@@ -354,7 +428,7 @@
         &mut self,
         lines: &mut Lines,
         usage_reporter: &mut UsageReporter,
-    ) -> Result<(), DisconnectReason> {
+    ) -> Result<(), String> {
         let now = self.entry.now();
         let usage = self.entry.state().fleet.take_usage(&self.member.id);
         for message in self.outdated_adapter_requests() {
@@ -395,7 +469,36 @@
 /// The task is aborted when its runner is gone, and its agent is not asked for tokens any more.
 impl Drop for LinkTask {
     fn drop(&mut self) {
-        self.entry.lose_quota_agent(&self.member.id);
+        self.end_quotas();
+    }
+}
+
+/// Returns why no further line can be read.
+fn end_of(ended: Option<Result<String, LinesCodecError>>) -> LinkEnd {
+    match ended {
+        None | Some(Ok(_)) => LinkEnd {
+            reason: "closed".into(),
+            by_agent: true,
+        },
+        Some(Err(error)) => {
+            let reset = io::ErrorKind::ConnectionReset;
+            LinkEnd {
+                by_agent: matches!(&error, LinesCodecError::Io(e) if e.kind() == reset),
+                reason: error.to_string(),
+            }
+        }
+    }
+}
+
+/// Returns whether the agent's end of a connection turns out to be closed.
+async fn has_ended(lines: &mut Lines) -> bool {
+    let end = Instant::now() + END_TIME;
+    loop {
+        match timeout_at(end, lines.next()).await {
+            Ok(Some(Ok(_))) => {}
+            Ok(ended) => return end_of(ended).by_agent,
+            Err(_) => return false,
+        }
     }
 }
 
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use serving::Name;
 use serving::config::Config;
 use serving::members::Change;
 use serving::members::Extent;
@@ -99,14 +100,15 @@
         }
     }
 
-    fn remove_runner(&self, id: &str) {
-        info!("runner gone", kv: { runner = id });
+    fn remove_runner(&self, id: &Name) {
+        info!("runner gone", kv: { runner = &**id });
         let mut state = self.state();
         state.fleet.leave(id);
         state.reconnects.remove(id);
         state.concurrency.remove(id);
         drop(state);
         self.conns.remove(id);
+        self.leave_quota_agent(id);
         self.links.close(id);
     }
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -12,6 +12,7 @@
 use decision::time::Time;
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
+use platform::settings::Bounds;
 use prometheus::IntCounter;
 use serving::Name;
 use serving::config::Route;
@@ -32,11 +33,13 @@
 use tokio::sync::oneshot;
 
 use crate::entry::Entry;
+use crate::line_limits::LineCause;
+use crate::links::LinkNumber;
 use crate::metrics::EntryMetrics;
 use crate::recover::lock;
 
 /// The interval at which limits are announced and overdue asks are repeated.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(100);
 /// The part of the latency objective that a request may wait for tokens, as a divisor.
 const GOAL_DIVISOR: u32 = 4;
 /// The most tenants with metrics and log lines of their own; the others share theirs.
@@ -53,6 +56,8 @@
 
 struct QuotaState {
     accounts: Accounts,
+    /// The number of the link to the agent of each runner that keeps buckets.
+    links: Map<Name, LinkNumber>,
     /// The requests that wait for tokens, by their tickets.
     waiting: Map<u64, Waiting>,
     reports: Map<Name, TenantReport>,
@@ -86,11 +91,18 @@
 }
 
 impl Quotas {
-    /// Creates an empty table; `slack` is what a tenant may use beyond its limit, over all entries.
-    pub(crate) fn new(entries: u32, slack: Option<f64>, rng: fastrand::Rng) -> Quotas {
-        let slack = slack.unwrap_or(0.0);
+    /// Creates an empty table for an entry that knows of this number of entries.
+    pub(crate) fn new(entries: u32, bounds: &Bounds, mut rng: fastrand::Rng) -> Quotas {
+        let excess = bounds.quota_excess.unwrap_or(0.0);
+        let shares = Shares {
+            entries,
+            slack: bounds.quota_slack.unwrap_or(0.0),
+            excess_s: excess * bounds.quota_window_s.unwrap_or(0.0),
+        };
+        let holder = rng.u64(1..);
         let state = QuotaState {
-            accounts: Accounts::new(Shares { entries, slack }),
+            accounts: Accounts::new(holder, shares),
+            links: Map::default(),
             waiting: Map::default(),
             reports: Map::default(),
             rng,
@@ -293,15 +305,31 @@
         });
     }
 
-    /// Records that a runner's agent is linked and keeps the buckets of tenants.
-    pub(crate) fn add_quota_agent(&self, runner: &Name) {
-        lock(&self.quotas.state).accounts.link(runner);
+    /// Records that a runner's agent keeps the buckets of tenants, and the link to it.
+    pub(crate) fn add_quota_agent(&self, runner: &Name, link: LinkNumber) {
+        let mut state = lock(&self.quotas.state);
+        state.links.insert(runner.clone(), link);
+        state.accounts.link(runner);
     }
 
-    /// Records that the link to a runner's agent has ended. Its buckets may have ended with it.
-    pub(crate) fn lose_quota_agent(&self, runner: &str) {
+    /// Records that a link to a runner's agent has ended; `by_agent` if the agent's end is closed. Its buckets may have
+    /// ended with it.
+    pub(crate) fn lose_quota_agent(&self, runner: &Name, link: LinkNumber, by_agent: bool) {
         let now = self.now();
-        let asks = lock(&self.quotas.state).accounts.unlink(now, runner);
+        let mut state = lock(&self.quotas.state);
+        if state.links.get(runner) != Some(&link) {
+            return;
+        }
+        state.links.remove(runner);
+        let asks = state.accounts.unlink(now, runner, by_agent);
+        drop(state);
+        self.send_asks(asks);
+    }
+
+    /// Takes this entry's parts of the limits away from a runner's agent, whose link is about to be closed.
+    pub(crate) fn leave_quota_agent(&self, runner: &Name) {
+        let now = self.now();
+        let asks = lock(&self.quotas.state).accounts.retire(now, runner);
         self.send_asks(asks);
     }
 
@@ -318,12 +346,27 @@
 
     fn send_asks(&self, asks: impl IntoIterator<Item = Ask>) {
         for ask in asks {
+            self.report_move(&ask);
             let runner = ask.agent.clone();
             self.links.tell(&runner, ToAgent::Tokens(ask.into()));
         }
     }
 }
 
+impl Entry {
+    /// Logs that this entry turns to another agent with its part of a limit.
+    fn report_move(&self, ask: &Ask) {
+        if !ask.request.moved {
+            return;
+        }
+        let line = self.lines.admit(self.now(), LineCause::QuotaAgent);
+        if let Some(omitted) = line {
+            let (tenant, runner) = (&*ask.tenant, &*ask.agent);
+            info!("turned to another agent for tokens", kv: { tenant, runner, omitted });
+        }
+    }
+}
+
 /// Announces limits to agents and repeats overdue asks, in a loop.
 pub(crate) async fn keep_quotas(entry: Arc<Entry>) {
     loop {
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -12,6 +12,7 @@
 use crate::load_profile::LoadProfile;
 use crate::quarantine::Crash;
 use crate::quota::Ask;
+use crate::quota::Membership;
 use crate::quota::TokenRequest;
 use crate::request::PartId;
 use crate::tenants::Quota;
@@ -171,6 +172,48 @@
     /// Whether the entry asked another agent for tokens of the tenant before.
     #[serde(default, skip_serializing_if = "is_false")]
     pub moved: bool,
+    /// The part of the limit that the entry brings; not sent by an entry of the release before.
+    #[serde(rename = "part", default, skip_serializing_if = "Option::is_none")]
+    pub membership: Option<MembershipAsk>,
+}
+
+/// The part of a limit that an entry brings to an agent, for a term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembershipAsk {
+    /// The number of the entry's process.
+    #[serde(rename = "h")]
+    pub holder: u64,
+    /// The number of entries that share the limit; 0 if the ask is to change nothing.
+    #[serde(rename = "n")]
+    pub entries: u32,
+    /// The stamp of the agent's last answer; 0 if there was none.
+    #[serde(rename = "s", default, skip_serializing_if = "no_tokens")]
+    pub stamp: u64,
+    /// How long after that answer the agent may count the part, in milliseconds.
+    #[serde(rename = "t")]
+    pub term_ms: u64,
+}
+
+impl From<Membership> for MembershipAsk {
+    fn from(membership: Membership) -> MembershipAsk {
+        MembershipAsk {
+            holder: membership.holder,
+            entries: membership.entries,
+            stamp: membership.stamp,
+            term_ms: membership.term.as_millis() as u64,
+        }
+    }
+}
+
+impl From<MembershipAsk> for Membership {
+    fn from(ask: MembershipAsk) -> Membership {
+        Membership {
+            holder: ask.holder,
+            entries: ask.entries,
+            stamp: ask.stamp,
+            term: Duration::from_millis(ask.term_ms),
+        }
+    }
 }
 
 impl TokenAsk {
@@ -186,6 +229,7 @@
             least: self.least,
             spent: self.spent,
             moved: self.moved,
+            membership: self.membership.map(Membership::from),
         }
     }
 }
@@ -203,6 +247,7 @@
             least: request.least,
             spent: request.spent,
             moved: request.moved,
+            membership: request.membership.map(MembershipAsk::from),
         }
     }
 }
@@ -238,6 +283,9 @@
         granted: u64,
         /// The time until the bucket has what was missing, in milliseconds; 0 if nothing was.
         wait_ms: u64,
+        /// The stamp that the next ask names; 0 from an agent of the release before.
+        #[serde(default, skip_serializing_if = "no_tokens")]
+        stamp: u64,
     },
     /// A change of the runner's state.
     Update(Box<RunnerUpdate>),
--- a/crates/serving/src/quota/accounts.rs
+++ b/crates/serving/src/quota/accounts.rs
@@ -1,7 +1,7 @@
 //! The accounts of all tenants with a limit at one entry.
 //!
 //! Invariants: a tenant with a limit has an account, or its requests are refused; each ask goes to the agent
-//! that is first in the rendezvous order of the tenant.
+//! that is first in the rendezvous order of the tenant, or to the one before, so that it gives up the account's part.
 
 use std::time::Duration;
 
@@ -12,9 +12,12 @@
 use super::Agents;
 use super::Charge;
 use super::Grant;
+use super::Membership;
 use super::Refusal;
 use super::Shares;
 use super::TokenRequest;
+use super::account::Access;
+use super::account::Holder;
 use super::account::Step;
 use crate::Name;
 use crate::tenants::Quota;
@@ -26,6 +29,11 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(20);
 /// The most limits that are announced at once, so that the queues of the links have room for them.
 const MAX_ANNOUNCED: usize = 100;
+/// The least interval at which the terms of idle accounts are renewed, and the greatest.
+const MIN_IDLE_RENEWAL: Duration = Duration::from_millis(600);
+const MAX_IDLE_RENEWAL: Duration = Duration::from_secs(30);
+/// How many idle accounts are renewed in a second, if the interval allows it.
+const IDLE_RENEWALS_PER_S: u32 = 30;
 /// `Retry-After` of a tenant for which there is no place.
 const NO_ACCOUNT_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -84,16 +92,19 @@
     accounts: Map<Name, TenantAccount>,
     agents: Agents,
     shares: Shares,
+    /// The number of this process, by which agents know it.
+    holder: u64,
     next_id: u64,
 }
 
 impl Accounts {
-    /// Creates an empty table.
-    pub fn new(shares: Shares) -> Self {
+    /// Creates an empty table. `holder` is a number that no other entry has.
+    pub fn new(holder: u64, shares: Shares) -> Self {
         Accounts {
             accounts: Map::default(),
             agents: Agents::default(),
             shares,
+            holder,
             next_id: 0,
         }
     }
@@ -136,14 +147,13 @@
         self.agents.add(runner);
     }
 
-    /// Records that the link to the agent of a runner has ended; returns the asks of waiting requests.
-    pub fn unlink(&mut self, now: Time, runner: &str) -> Vec<Ask> {
-        if !self.agents.remove(runner) {
-            return Vec::new();
-        }
+    /// Records that the link to the agent of a runner has ended; `by_agent` if the agent's end is closed, so that it
+    /// counts this entry's parts of the limits no longer. Returns the asks of waiting requests.
+    pub fn unlink(&mut self, now: Time, runner: &Name, by_agent: bool) -> Vec<Ask> {
+        self.agents.remove(runner);
         let mut waiting = Vec::new();
         for (name, entry) in &mut self.accounts {
-            entry.account.lose_agent(runner);
+            entry.account.lose_agent(runner, by_agent);
             if entry.account.is_waiting() {
                 waiting.push(name.clone());
             }
@@ -152,6 +162,56 @@
         asks.collect()
     }
 
+    /// Records that the link to the agent of a runner is about to be closed; returns the asks that take this entry's
+    /// parts of the limits away from it.
+    pub fn retire(&mut self, now: Time, runner: &Name) -> Vec<Ask> {
+        self.agents.remove(runner);
+        let holder = self.holder();
+        let mut asks = Vec::new();
+        for (name, entry) in &mut self.accounts {
+            if !entry.account.place.is_at(runner) {
+                continue;
+            }
+            if let Some((agent, request)) = entry.account.leave(now, self.next_id, &holder) {
+                asks.push(Ask {
+                    agent,
+                    tenant: name.clone(),
+                    id: self.next_id,
+                    request,
+                });
+                self.next_id += 1;
+            }
+        }
+        asks
+    }
+
+    fn holder(&self) -> Holder {
+        let accounts = u32::try_from(self.accounts.len()).unwrap_or(u32::MAX);
+        let interval = Duration::from_secs(1) * accounts / IDLE_RENEWALS_PER_S;
+        Holder {
+            id: self.holder,
+            entries: self.shares.entries.max(1),
+            idle_renewal: interval.clamp(MIN_IDLE_RENEWAL, MAX_IDLE_RENEWAL),
+        }
+    }
+
+    /// Returns whom an account may ask.
+    fn access(&self, now: Time, account: &Account) -> Access {
+        let place = &account.place;
+        let is_free = place.is_free(now);
+        match self.agents.first(account.key) {
+            Some(agent) if is_free || place.is_at(agent) => Access::Agent,
+            Some(_) if !account.is_overdue() && self.may_leave(account) => Access::Agent,
+            None if is_free => Access::Local,
+            Some(_) | None => Access::Blocked(place.bound_until()),
+        }
+    }
+
+    fn may_leave(&self, account: &Account) -> bool {
+        let agent = account.place.agent();
+        agent.is_some_and(|agent| self.agents.answers(agent))
+    }
+
     /// Charges a request of a tenant with a limit; returns with the decision what to ask for.
     pub fn charge(
         &mut self,
@@ -160,14 +220,17 @@
         cost: u64,
         rng: &mut fastrand::Rng,
     ) -> (Decision, Option<Ask>) {
+        let Some(entry) = self.accounts.get(tenant) else {
+            return (Decision::Refused(no_account()), None);
+        };
+        let access = self.access(now, &entry.account);
         let Some(entry) = self.accounts.get_mut(tenant) else {
             return (Decision::Refused(no_account()), None);
         };
         let ticket = self.next_id;
         self.next_id += 1;
         let account = &mut entry.account;
-        let has_agent = self.agents.first(account.key).is_some();
-        let step = account.charge(now, ticket, cost, has_agent, self.shares, rng);
+        let step = account.charge(now, ticket, cost, access, self.shares, rng);
         let decision = match step {
             Step::Admitted(charge) => Decision::Admitted(charge),
             Step::Waits => Decision::Waits(ticket),
@@ -198,7 +261,7 @@
             return Changes::default();
         };
         let settled = entry.account.apply(now, id, grant, self.shares, rng);
-        let ask = if entry.account.is_waiting() {
+        let ask = if entry.account.is_waiting() || entry.account.needs_ask(now) {
             self.ask(now, tenant, false)
         } else {
             None
@@ -245,7 +308,9 @@
         };
         entry.account.expire(now);
         let Some(agent) = self.agents.first(entry.account.key) else {
-            entry.account.open_locally(now, self.shares);
+            if entry.account.place.is_free(now) {
+                entry.account.open_locally(now, self.shares);
+            }
             return false;
         };
         entry.account.is_unknown_to(agent)
@@ -267,6 +332,12 @@
             least: 0,
             spent: 0,
             moved: false,
+            membership: Some(Membership {
+                holder: self.holder,
+                entries: 0,
+                stamp: 0,
+                term: Duration::ZERO,
+            }),
         };
         let id = self.next_id;
         self.next_id += 1;
@@ -286,17 +357,41 @@
         if let Some(silent) = entry.account.take_overdue(now) {
             self.agents.mark_silent(now, &silent);
         }
-        let agent = self.agents.first(entry.account.key)?;
-        if entry.account.is_unknown_to(agent) {
+        let agent = self.agents.first(entry.account.key)?.clone();
+        let id = self.next_id;
+        let is_elsewhere = entry.account.is_unknown_to(&agent);
+        if is_elsewhere && !entry.account.place.is_free(now) {
+            return self.ask_to_leave(now, tenant, id);
+        }
+        let holder = self.holder();
+        let entry = self.accounts.get_mut(tenant)?;
+        if is_elsewhere {
             // The account may turn to the agent without an ask, and is to be announced to it then.
             entry.announced_at = None;
         }
-        let id = self.next_id;
-        let request = entry.account.request(now, agent, id, forced)?;
+        let request = entry.account.request(now, &agent, id, forced, &holder)?;
         self.next_id += 1;
         entry.announced_at = Some(now);
         Some(Ask {
-            agent: agent.clone(),
+            agent,
+            tenant: tenant.clone(),
+            id,
+            request,
+        })
+    }
+
+    /// Returns the message that takes the account's part of the limit away from the agent before, if that answers.
+    fn ask_to_leave(&mut self, now: Time, tenant: &Name, id: u64) -> Option<Ask> {
+        let holder = self.holder();
+        let entry = self.accounts.get(tenant)?;
+        if !self.may_leave(&entry.account) {
+            return None;
+        }
+        let entry = self.accounts.get_mut(tenant)?;
+        let (agent, request) = entry.account.leave(now, id, &holder)?;
+        self.next_id += 1;
+        Some(Ask {
+            agent,
             tenant: tenant.clone(),
             id,
             request,
--- a/crates/serving/src/quota/agents.rs
+++ b/crates/serving/src/quota/agents.rs
@@ -71,6 +71,12 @@
             .map(|agent| &agent.runner)
     }
 
+    /// Returns whether an agent is linked and answers.
+    pub(super) fn answers(&self, runner: &str) -> bool {
+        let mut agents = self.agents.iter();
+        agents.any(|agent| &*agent.runner == runner && !agent.silent)
+    }
+
     /// Records that an agent did not answer in time. It is asked again only to see whether it answers.
     pub(super) fn mark_silent(&mut self, now: Time, runner: &str) {
         if let Some(agent) = self.find(runner)
--- a/crates/serving/tests/quota_accounts.rs
+++ b/crates/serving/tests/quota_accounts.rs
@@ -24,7 +24,14 @@
 
 impl Entry {
     fn start(slack: f64) -> Entry {
-        let mut accounts = Accounts::new(Shares { entries: 1, slack });
+        let mut accounts = Accounts::new(
+            1,
+            Shares {
+                entries: 1,
+                slack,
+                excess_s: 0.0,
+            },
+        );
         accounts.set_limits(1, Some(&tenants(&[quota(1_000.0)])));
         accounts.link(&"r0".into());
         accounts.link(&"r1".into());
@@ -40,7 +47,11 @@
 
     fn answer(&mut self, ms: u64, ask: &Ask, granted: u64, wait_ms: u64) -> Changes {
         let wait = Duration::from_millis(wait_ms);
-        let grant = Grant { granted, wait };
+        let grant = Grant {
+            granted,
+            wait,
+            ..Grant::default()
+        };
         self.accounts.apply(
             at(ms),
             &ask.agent,
@@ -112,8 +123,8 @@
     assert_eq!((again.request.spent, again.request.moved), (400, true));
     // A bucket below 0 has not been repaid.
     entry.answer(152, &again, 0, 400);
-    entry.accounts.unlink(at(153), &again.agent);
-    entry.accounts.unlink(at(153), &ask.agent);
+    entry.accounts.unlink(at(153), &again.agent, true);
+    entry.accounts.unlink(at(153), &ask.agent, true);
     entry.accounts.link(&ask.agent);
     let (_, last) = entry.charge(160, 500);
     assert_eq!(last.map(|ask| ask.request.spent), Some(400));
@@ -188,7 +199,7 @@
     let mut entry = Entry::start(0.0);
     let (_, ask) = entry.charge(0, 300);
     let ask = ask.expect("an ask");
-    let again = entry.accounts.unlink(at(10), &ask.agent);
+    let again = entry.accounts.unlink(at(10), &ask.agent, true);
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].agent, ask.agent);
     assert_eq!(entry.answer(12, &again[0], 300, 0).settled.len(), 1);
--- a/crates/serving/tests/quota_failures.rs
+++ b/crates/serving/tests/quota_failures.rs
@@ -11,8 +11,11 @@
 use quota_sim::tenants;
 use serving::quota::Accounts;
 use serving::quota::Ask;
+use serving::quota::BUSY_TERM;
 use serving::quota::Bucket;
 use serving::quota::Grant;
+use serving::quota::Membership;
+use serving::quota::SharedBucket;
 use serving::quota::Shares;
 use serving::quota::TokenRequest;
 use serving::tenants::Quota;
@@ -40,6 +43,7 @@
         least: want,
         spent: 0,
         moved: false,
+        membership: None,
     }
 }
 
@@ -126,7 +130,10 @@
         world.freeze_agent(holder, freeze_ms);
         send(&mut world, 31, 1_800_000.0, 9_000);
         let used = world.used_since("t0", frozen_at) as f64;
-        assert!(used >= 0.9 * 9.0 * 450_000.0, "used {used}");
+        assert!(
+            used >= 0.9 * 9.0 * 450_000.0,
+            "used {used} with {freeze_ms} ms"
+        );
         world.check_bound("t0", limit);
     }
 }
@@ -152,14 +159,14 @@
     let limit = quota(1_000.0);
     let mut bucket = Bucket::new(Time::from_ms(5_000), 1, limit);
     let now = Time::from_ms(6_000);
-    assert_eq!(bucket.ask(now, &request(limit, 400)).granted, 400);
-    assert_eq!(bucket.ask(now, &request(limit, 600)).granted, 600);
-    let refused = bucket.ask(Time::from_ms(1_000), &request(limit, 100));
+    assert_eq!(bucket.ask(now, 1.0, &request(limit, 400)).granted, 400);
+    assert_eq!(bucket.ask(now, 1.0, &request(limit, 600)).granted, 600);
+    let refused = bucket.ask(Time::from_ms(1_000), 1.0, &request(limit, 100));
     assert_eq!(refused.granted, 0);
     assert_eq!(refused.wait, Duration::from_millis(100));
-    assert_eq!(bucket.ask(now, &request(limit, 1)).granted, 0);
+    assert_eq!(bucket.ask(now, 1.0, &request(limit, 1)).granted, 0);
     let later = Time::from_ms(6_100);
-    assert_eq!(bucket.ask(later, &request(limit, 100)).granted, 100);
+    assert_eq!(bucket.ask(later, 1.0, &request(limit, 100)).granted, 100);
 }
 
 /// What was spent on credit must be subtracted, below zero too, and repaid before anything is granted.
@@ -172,12 +179,12 @@
         spent: 500,
         ..request(limit, 100)
     };
-    let grant = bucket.ask(now, &spent);
+    let grant = bucket.ask(now, 1.0, &spent);
     assert_eq!((grant.granted, grant.wait.as_millis()), (0, 600));
     let early = now.after(Duration::from_millis(400));
-    assert_eq!(bucket.ask(early, &request(limit, 1)).granted, 0);
+    assert_eq!(bucket.ask(early, 1.0, &request(limit, 1)).granted, 0);
     let later = now.after(Duration::from_millis(600));
-    assert_eq!(bucket.ask(later, &request(limit, 100)).granted, 100);
+    assert_eq!(bucket.ask(later, 1.0, &request(limit, 100)).granted, 100);
 }
 
 /// An agent that keeps answering too late must be left until it answers in time: each late answer that brought
@@ -185,10 +192,14 @@
 #[test]
 fn late_agent() {
     let mut rng = fastrand::Rng::with_seed(3);
-    let mut accounts = Accounts::new(Shares {
-        entries: 31,
-        slack: 0.0,
-    });
+    let mut accounts = Accounts::new(
+        1,
+        Shares {
+            entries: 31,
+            slack: 0.0,
+            excess_s: 0.0,
+        },
+    );
     accounts.set_limits(1, Some(&tenants(&[quota(29_000.0)])));
     accounts.link(&"r0".into());
     accounts.link(&"r1".into());
@@ -222,26 +233,75 @@
     }
 }
 
+/// Returns a request of the only entry, which names an answer of the agent.
+fn member_request(quota: Quota, want: u64, stamp: u64) -> TokenRequest {
+    TokenRequest {
+        membership: Some(Membership {
+            holder: 1,
+            entries: 1,
+            stamp,
+            term: BUSY_TERM,
+        }),
+        ..request(quota, want)
+    }
+}
+
 /// An agent whose clock has counted a freeze must not grant a burst to entries that were served elsewhere
 /// meanwhile, though it first answers what had been asked before.
 #[test]
 fn asks_from_before_a_freeze() {
     let limit = quota(1_000.0);
-    let mut bucket = Bucket::new(Time::from_ms(1_000), 1, limit);
-    assert_eq!(
-        bucket
-            .ask(Time::from_ms(2_000), &request(limit, 1_000))
-            .granted,
-        1_000
-    );
+    let began_at = Time::from_ms(1_000);
+    let mut bucket = SharedBucket::new(began_at, &request(limit, 0));
+    let mut stamp = 0;
+    for ms in (1_000..=2_600).step_by(200) {
+        let asked = member_request(limit, 0, stamp);
+        stamp = bucket.ask(Time::from_ms(ms), &asked).stamp;
+    }
+    assert!(bucket.level() >= 999.0, "{}", bucket.level());
     let resumed_at = Time::from_ms(5_000);
-    bucket.ask(resumed_at, &request(limit, 10));
+    let before = member_request(limit, 10, stamp);
+    assert_eq!(bucket.ask(resumed_at, &before).granted, 0);
     let moved = TokenRequest {
         moved: true,
-        ..request(limit, 500)
+        ..member_request(limit, 500, 0)
     };
-    let returned_at = Time::from_ms(5_005);
-    assert_eq!(bucket.ask(returned_at, &moved).granted, 0);
-    let later = Time::from_ms(5_505);
-    assert_eq!(bucket.ask(later, &request(limit, 500)).granted, 500);
+    let returned = bucket.ask(Time::from_ms(5_005), &moved);
+    assert_eq!(returned.granted, 0);
+    let early = member_request(limit, 500, returned.stamp);
+    let again = bucket.ask(Time::from_ms(5_010), &early);
+    assert_eq!(again.granted, 0);
+    let later = member_request(limit, 500, again.stamp);
+    assert_eq!(bucket.ask(Time::from_ms(5_515), &later).granted, 500);
+}
+
+/// Parts that are with different agents must fill their buckets by one limit together, and a part that is taken away
+/// must leave nothing behind.
+#[test]
+fn parts_of_a_limit() {
+    const TERM: Duration = Duration::from_secs(1);
+    let limit = quota(1_000.0);
+    let ask = |holder, entries, stamp, term| TokenRequest {
+        membership: Some(Membership {
+            holder,
+            entries,
+            stamp,
+            term,
+        }),
+        ..request(limit, 0)
+    };
+    let mut bucket = SharedBucket::new(Time::from_ms(1_000), &request(limit, 0));
+    for holder in 1..=3 {
+        let first = bucket.ask(Time::from_ms(1_000), &ask(holder, 4, 0, TERM));
+        bucket.ask(Time::from_ms(1_000), &ask(holder, 4, first.stamp, TERM));
+    }
+    let probe = ask(9, 0, 0, Duration::ZERO);
+    bucket.ask(Time::from_ms(1_400), &probe);
+    assert!((bucket.level() - 300.0).abs() < 1.0, "{}", bucket.level());
+    bucket.ask(Time::from_ms(1_400), &ask(1, 4, 0, Duration::ZERO));
+    bucket.ask(Time::from_ms(1_900), &probe);
+    assert!((bucket.level() - 500.0).abs() < 1.0, "{}", bucket.level());
+    // The other terms have ended.
+    bucket.ask(Time::from_ms(2_000), &probe);
+    assert!(bucket.level().abs() < 1.0, "{}", bucket.level());
 }
--- a/crates/serving/tests/quota_limits.rs
+++ b/crates/serving/tests/quota_limits.rs
@@ -41,6 +41,7 @@
         least: want,
         spent: 0,
         moved: false,
+        membership: None,
     }
 }
 
@@ -48,6 +49,7 @@
     Shares {
         entries: 1,
         slack: 0.0,
+        excess_s: 0.0,
     }
 }
 
@@ -87,17 +89,17 @@
     let (old, new) = (quota(1_000.0), quota(100.0));
     let mut bucket = Bucket::new(now, 1, old);
     let full = now.after(Duration::from_secs(2));
-    assert_eq!(bucket.ask(full, &request(2, new, 500)).granted, 500);
+    assert_eq!(bucket.ask(full, 1.0, &request(2, new, 500)).granted, 500);
     assert!(bucket.level() < 0.0);
     let mut bucket = Bucket::new(now, 1, old);
-    assert_eq!(bucket.ask(full, &request(2, new, 100)).granted, 100);
-    assert_eq!(bucket.ask(full, &request(1, old, 100)).granted, 0);
+    assert_eq!(bucket.ask(full, 1.0, &request(2, new, 100)).granted, 100);
+    assert_eq!(bucket.ask(full, 1.0, &request(1, old, 100)).granted, 0);
     let spent = TokenRequest {
         spent: 400,
         ..request(2, new, 0)
     };
-    bucket.ask(full, &spent);
-    bucket.ask(full, &request(3, quota(10.0), 0));
+    bucket.ask(full, 1.0, &spent);
+    bucket.ask(full, 1.0, &request(3, quota(10.0), 0));
     assert!(bucket.level() < -350.0);
 }
 
@@ -141,10 +143,14 @@
 #[test]
 fn given_back() {
     let mut rng = fastrand::Rng::with_seed(1);
-    let mut accounts = Accounts::new(Shares {
-        entries: 1,
-        slack: 2_000.0,
-    });
+    let mut accounts = Accounts::new(
+        1,
+        Shares {
+            entries: 1,
+            slack: 2_000.0,
+            excess_s: 0.0,
+        },
+    );
     let tenant = "t0".into();
     accounts.set_limits(1, Some(&tenants(&[quota(1_000.0)])));
     let now = Time::from_ms(1_000);
@@ -154,7 +160,7 @@
     };
     let (second, _) = accounts.charge(now, &tenant, 1_000, &mut rng);
     assert!(matches!(second, Decision::Refused(_)));
-    let mut accounts = Accounts::new(shares());
+    let mut accounts = Accounts::new(1, shares());
     accounts.set_limits(1, Some(&tenants(&[quota(1_000.0)])));
     accounts.refund(now, &tenant, charge);
     let (third, _) = accounts.charge(now, &tenant, 1_000, &mut rng);
@@ -187,6 +193,7 @@
     let shares = Shares {
         entries: 10,
         slack: 110_000.0,
+        excess_s: 0.0,
     };
     assert!(shares.credit(quota(100.0)) <= 20.0);
     assert!((shares.credit(quota(450_000.0)) - 5_500.0).abs() < 1e-6);
--- a/crates/serving/tests/quota_messages.rs
+++ b/crates/serving/tests/quota_messages.rs
@@ -2,6 +2,7 @@
 //! agent of the release before.
 
 use serving::link::FromAgent;
+use serving::link::MembershipAsk;
 use serving::link::RunnerState;
 use serving::link::ToAgent;
 use serving::link::TokenAsk;
@@ -17,6 +18,12 @@
         least: 200,
         spent: 100,
         moved: true,
+        membership: Some(MembershipAsk {
+            holder: u64::MAX,
+            entries: 31,
+            stamp: 5_001,
+            term_ms: 1_000,
+        }),
     }
 }
 
@@ -26,6 +33,7 @@
         least: 0,
         spent: 0,
         moved: false,
+        membership: None,
         ..ask()
     };
     for ask in [ask(), small] {
@@ -44,6 +52,7 @@
         panic!("another message: {decoded:?}");
     };
     assert_eq!((ask.least, ask.spent, ask.moved), (0, 0, false));
+    assert_eq!(ask.request().membership, None);
 }
 
 #[test]
@@ -53,6 +62,7 @@
         id: 3,
         granted: 5,
         wait_ms: 20,
+        stamp: 5_001,
     };
     let line = serde_json::to_string(&answer).expect("a message can be encoded");
     let decoded: FromAgent = serde_json::from_str(&line).expect("it can be decoded");
--- a/crates/serving/tests/quota_sim/mod.rs
+++ b/crates/serving/tests/quota_sim/mod.rs
@@ -27,8 +27,10 @@
 const LATENCY_MS: u64 = 2;
 /// The longest wait of a request.
 const MAX_WAIT_MS: u64 = 150;
-const TICK_MS: u64 = 250;
+const TICK_MS: u64 = 100;
 const RELINK_MS: u64 = 250;
+/// The least and the greatest delay of a message whose packet is lost.
+const RESEND_MS: (u64, u64) = (200, 600);
 /// The time in which an urgent update of an agent reaches all entries.
 const UPDATE_SPREAD_MS: u64 = 50;
 /// What a tenant may use beyond its limit in a window, over all entries.
@@ -71,6 +73,8 @@
 }
 
 struct EntrySim {
+    /// The number of its process.
+    holder: u64,
     accounts: Accounts,
     is_up: bool,
     waiting: Map<u64, (Name, u64)>,
@@ -83,6 +87,23 @@
     tokens: u64,
 }
 
+/// A direction of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Direction {
+    ToAgent,
+    ToEntry,
+}
+
+/// What happens to messages on their way. Those of one link and direction arrive in their order.
+#[derive(Default)]
+struct Network {
+    /// The share of messages of each entry that are sent again.
+    loss: Map<usize, f64>,
+    /// Until when the messages between an entry and an agent are held up.
+    cut_until: Map<(usize, usize), Time>,
+    last_arrival: Map<(usize, usize, Direction), Time>,
+}
+
 /// Entries and agents.
 pub(crate) struct World {
     pub(crate) now: Time,
@@ -97,8 +118,10 @@
     agents: Vec<AgentSim>,
     events: BTreeMap<(Time, u64), Event>,
     next_event: u64,
+    holders: u64,
     runs: Map<Name, Vec<Run>>,
     limits: (u64, Tenants),
+    network: Network,
 }
 
 /// Returns a limit whose burst is one second of its rate.
@@ -148,8 +171,10 @@
             agents: agents.collect(),
             events: BTreeMap::new(),
             next_event: 0,
+            holders: 0,
             runs: Map::default(),
             limits: (1, tenants(quotas)),
+            network: Network::default(),
         };
         for _ in 0..entry_count {
             world.start_entry(entry_count);
@@ -159,8 +184,10 @@
 
     fn start_entry(&mut self, entry_count: usize) {
         let index = self.entries.len();
+        let holder = self.new_holder();
         let mut entry = EntrySim {
-            accounts: Accounts::new(shares(entry_count)),
+            holder,
+            accounts: Accounts::new(holder, shares(entry_count)),
             is_up: true,
             waiting: Map::default(),
         };
@@ -175,6 +202,19 @@
         self.schedule(first_tick, Event::Tick(index));
     }
 
+    fn new_holder(&mut self) -> u64 {
+        self.holders += 1;
+        self.holders
+    }
+
+    /// Lets the agents see that the process of an entry has ended.
+    fn close_links(&mut self, entry: usize) {
+        let holder = self.entries[entry].holder;
+        for agent in &mut self.agents {
+            agent.buckets.close(self.now, holder);
+        }
+    }
+
     /// Puts the limits of a new version in force at all entries.
     pub(crate) fn set_limits(&mut self, quotas: &[Quota]) {
         self.limits = (self.limits.0 + 1, tenants(quotas));
@@ -188,13 +228,17 @@
     /// Stops an entry, with all that it holds.
     pub(crate) fn stop_entry(&mut self, entry: usize) {
         self.entries[entry].is_up = false;
+        self.close_links(entry);
     }
 
     /// Starts an entry in place of one that has stopped.
     pub(crate) fn restart_entry(&mut self, entry: usize) {
         let count = self.entries.len();
+        self.close_links(entry);
+        let holder = self.new_holder();
         let state = &mut self.entries[entry];
-        state.accounts = Accounts::new(shares(count));
+        state.holder = holder;
+        state.accounts = Accounts::new(holder, shares(count));
         state.waiting.clear();
         state
             .accounts
@@ -207,10 +251,10 @@
         }
     }
 
-    /// Cuts an entry off from one agent; it is linked again later.
+    /// Cuts an entry off from one agent, which does not know; it is linked again later.
     pub(crate) fn cut_link(&mut self, entry: usize, agent: usize) {
         let name = self.agents[agent].name.clone();
-        let asks = self.entries[entry].accounts.unlink(self.now, &name);
+        let asks = self.entries[entry].accounts.unlink(self.now, &name, false);
         self.send(entry, asks);
         self.relink_later(entry, agent);
     }
@@ -219,7 +263,7 @@
     pub(crate) fn cut_off(&mut self, entry: usize) {
         for agent in &self.agents {
             let state = &mut self.entries[entry];
-            state.accounts.unlink(self.now, &agent.name);
+            state.accounts.unlink(self.now, &agent.name, false);
         }
     }
 
@@ -229,7 +273,7 @@
         self.agents[agent].buckets = Buckets::default();
         let name = self.agents[agent].name.clone();
         for entry in 0..self.entries.len() {
-            let asks = self.entries[entry].accounts.unlink(self.now, &name);
+            let asks = self.entries[entry].accounts.unlink(self.now, &name, true);
             self.send(entry, asks);
         }
     }
@@ -249,6 +293,41 @@
         self.agents[agent].frozen_until = self.now.after(Duration::from_millis(ms));
     }
 
+    /// Lets this share of the messages from and to an entry be lost once and sent again.
+    pub(crate) fn set_loss(&mut self, entry: usize, share: f64) {
+        self.network.loss.insert(entry, share);
+    }
+
+    /// Holds up the messages between an entry and an agent for a while. The link stays open.
+    pub(crate) fn hold_up(&mut self, entry: usize, agent: usize, ms: u64) {
+        let until = self.now.after(Duration::from_millis(ms));
+        self.network.cut_until.insert((entry, agent), until);
+    }
+
+    /// Returns when a message that is sent now arrives.
+    fn arrival(&mut self, entry: usize, agent: usize, direction: Direction) -> Time {
+        let ms = |ms| Duration::from_millis(ms);
+        let resend = ms(self.rng.u64(RESEND_MS.0..RESEND_MS.1));
+        let mut at = self.now.after(ms(LATENCY_MS));
+        let loss = self.network.loss.get(&entry).copied().unwrap_or(0.0);
+        if loss > 0.0 && self.rng.f64() < loss {
+            at = at.after(resend);
+        }
+        let cut = self.network.cut_until.get(&(entry, agent)).copied();
+        if let Some(until) = cut.filter(|until| *until > self.now) {
+            at = at.max(until.after(resend));
+        }
+        let last = self.network.last_arrival.entry((entry, agent, direction));
+        let last = last.or_default();
+        *last = at.max(*last);
+        *last
+    }
+
+    fn agent_index(&self, name: &Name) -> usize {
+        let index = self.agents.iter().position(|agent| agent.name == *name);
+        index.expect("asked agents exist")
+    }
+
     /// Returns the agent that has the bucket of a tenant while all agents answer.
     pub(crate) fn holder(&mut self, tenant: &str) -> usize {
         let mut order = serving::quota::Agents::default();
@@ -388,8 +467,7 @@
     }
 
     fn answer(&mut self, entry: usize, ask: Ask) {
-        let index = self.agents.iter().position(|agent| agent.name == ask.agent);
-        let from = index.expect("asked agents exist");
+        let from = self.agent_index(&ask.agent);
         let agent = &mut self.agents[from];
         if !agent.is_up {
             return;
@@ -401,8 +479,9 @@
         }
         let grant = agent.buckets.ask(self.now, &ask.tenant, &ask.request);
         let (tenant, id) = (ask.tenant, ask.id);
-        self.schedule(
-            LATENCY_MS,
+        let arrival = self.arrival(entry, from, Direction::ToEntry);
+        self.schedule_at(
+            arrival,
             Event::Answered {
                 entry,
                 from,
@@ -451,7 +530,9 @@
     fn send(&mut self, entry: usize, asks: impl IntoIterator<Item = Ask>) {
         for ask in asks {
             self.asks += 1;
-            self.schedule(LATENCY_MS, Event::Asked { entry, ask });
+            let agent = self.agent_index(&ask.agent);
+            let arrival = self.arrival(entry, agent, Direction::ToAgent);
+            self.schedule_at(arrival, Event::Asked { entry, ask });
         }
     }
 
@@ -479,5 +560,6 @@
     Shares {
         entries: u32::try_from(entry_count).expect("few entries"),
         slack: SLACK,
+        excess_s: EXCESS * WINDOW.as_secs_f64(),
     }
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -97,6 +97,8 @@
         revoke_ms: None,
         strict_revoke: false,
         quota_slack: Some(BOUNDS.quota_slack),
+        quota_excess: Some(BOUNDS.quota_excess),
+        quota_window_s: Some(BOUNDS.quota_window as f64 / 1_000.0),
     }
 }
 
