Read the end of a reset connection as an error after a failed write

Cause: the kernel reports a reset once. If a write of the request takes the error, the next read of the connection finds an end like that of a closed one, and RunnerStream passed it on.

Result: reset_reads failed before, with the part read as complete, and passes. No caller saw the fault here: early_response, 128 broken uploads of four sizes, four times, two framings, two ends, whole answers and streams, passed before and passes now, since the HTTP library gives a connection up at a failed write.

--- a/crates/gateway/src/send_check.rs
+++ b/crates/gateway/src/send_check.rs
@@ -2,7 +2,8 @@
 //! closed the connection.
 //!
 //! Invariants: between the look at both connections and the first byte of a request no other task
-//! runs; a send that has ended without a byte writes none later, so that its request has not run; a
+//! runs; a send that has ended without a byte writes none later, so that its request has not run; the end
+//! of a connection on which a write has failed is never read like a proper one; a
 //! connection that is given up after a request was written is reset, so that bytes which the runner has
 //! not received yet are not delivered later.
 //!
@@ -163,6 +164,8 @@
     stream: TcpStream,
     check: SendCheck,
     reads: ReadReserve,
+    /// Whether a write has failed. The kernel reports a reset once, to a write or to a read.
+    is_broken: bool,
     /// Set while a read waits for room.
     room_check: Option<Pin<Box<Sleep>>>,
 }
@@ -174,9 +177,15 @@
             stream,
             check,
             reads,
+            is_broken: false,
             room_check: None,
         }
     }
+
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.is_broken |= matches!(written, Poll::Ready(Err(_)));
+        written
+    }
 }
 
 impl Drop for RunnerStream {
@@ -203,8 +212,12 @@
             self.room_check = None;
         }
         let before = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read = buffer.filled().len() - before;
+        if self.is_broken && has_room && read == 0 {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         let recorded = self.reads.record(read, MAX_BUFFERED_BYTES);
         Poll::Ready(recorded.map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error)))
     }
@@ -218,7 +231,8 @@
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
         let write = |stream: Pin<&mut TcpStream>| stream.poll_write(context, bytes);
-        this.check.write(&mut this.stream, write)
+        let written = this.check.write(&mut this.stream, write);
+        this.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -228,7 +242,8 @@
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
         let write = |stream: Pin<&mut TcpStream>| stream.poll_write_vectored(context, slices);
-        this.check.write(&mut this.stream, write)
+        let written = this.check.write(&mut this.stream, write);
+        this.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
