--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -4,7 +4,8 @@
 //! message that cannot be queued is dropped, since the request that needs it repeats it; a connection that is no
 //! longer needed sends what was queued, and is closed after [`LINGER_TIME`].
 
-use std::io;
+mod link_end;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -38,9 +39,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use tokio_util::codec::LinesCodecError;
 use tokio_util::task::TaskTracker;
 
+use self::link_end::LinkEnd;
+use self::link_end::end_of;
+use self::link_end::has_ended;
 use crate::entry::Entry;
 use crate::lines;
 use crate::lines::Lines;
@@ -55,8 +58,6 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
 /// How long a connection that is no longer needed is kept for the answers to the last messages.
 const LINGER_TIME: Duration = Duration::from_millis(150);
-/// The time in which the end of a connection shows after a message could not be sent.
-const END_TIME: Duration = Duration::from_millis(20);
 /// The share of the time until an announced version binds over which the updates of the adapter's
 /// holders are spread, so that they do not all load it at once.
 const UPDATE_SPREAD: f64 = 0.7;
@@ -228,28 +229,6 @@
     changed: Arc<Notify>,
 }
 
-/// Why a connection ended.
-struct LinkEnd {
-    reason: String,
-    /// Whether the agent's end is closed.
-    by_agent: bool,
-}
-
-impl From<String> for LinkEnd {
-    fn from(reason: String) -> LinkEnd {
-        LinkEnd {
-            reason,
-            by_agent: false,
-        }
-    }
-}
-
-impl From<&str> for LinkEnd {
-    fn from(reason: &str) -> LinkEnd {
-        reason.to_owned().into()
-    }
-}
-
 impl LinkTask {
     async fn run(mut self) {
         let mut connected = false;
@@ -473,35 +452,6 @@
     }
 }
 
-/// Returns why no further line can be read.
-fn end_of(ended: Option<Result<String, LinesCodecError>>) -> LinkEnd {
-    match ended {
-        None | Some(Ok(_)) => LinkEnd {
-            reason: "closed".into(),
-            by_agent: true,
-        },
-        Some(Err(error)) => {
-            let reset = io::ErrorKind::ConnectionReset;
-            LinkEnd {
-                by_agent: matches!(&error, LinesCodecError::Io(e) if e.kind() == reset),
-                reason: error.to_string(),
-            }
-        }
-    }
-}
-
-/// Returns whether the agent's end of a connection turns out to be closed.
-async fn has_ended(lines: &mut Lines) -> bool {
-    let end = Instant::now() + END_TIME;
-    loop {
-        match timeout_at(end, lines.next()).await {
-            Ok(Some(Ok(_))) => {}
-            Ok(ended) => return end_of(ended).by_agent,
-            Err(_) => return false,
-        }
-    }
-}
-
 fn capacity(engine: &Engine) -> Capacity {
     let models = engine.models.iter().map(|model| ModelSpec {
         name: model.name.clone(),
--- a/crates/serving/src/quota.rs
+++ b/crates/serving/src/quota.rs
@@ -15,6 +15,7 @@
 mod holdings;
 mod place;
 mod shared_bucket;
+mod shares;
 mod use_estimate;
 
 use std::time::Duration;
@@ -24,7 +25,6 @@
 pub use account::Account;
 pub use account::Charge;
 pub use account::Refusal;
-pub use account::Shares;
 pub use accounts::Accounts;
 pub use accounts::Ask;
 pub use accounts::Changes;
@@ -35,6 +35,7 @@
 pub use shared_bucket::BucketReport;
 pub use shared_bucket::Buckets;
 pub use shared_bucket::SharedBucket;
+pub use shares::Shares;
 
 use crate::tenants::Quota;
 
