--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -225,7 +225,7 @@
             callers,
             lines: LineLimits::default(),
             links: AgentLinks::default(),
-            quotas: Quotas::new(entries, &bounds, quota_rng),
+            quotas: Quotas::new(&settings.instance, entries, &bounds, quota_rng),
             state: Mutex::new(state),
             store_lost: Notify::new(),
             members_outdated: Notify::new(),
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use decision::collections::Map;
+use decision::hash;
 use decision::time::Time;
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
@@ -91,15 +92,21 @@
 }
 
 impl Quotas {
-    /// Creates an empty table for an entry that knows of this number of entries.
-    pub(crate) fn new(entries: u32, bounds: &Bounds, mut rng: fastrand::Rng) -> Quotas {
+    /// Creates an empty table for an entry of this name that knows of this number of entries.
+    pub(crate) fn new(
+        instance: &str,
+        entries: u32,
+        bounds: &Bounds,
+        mut rng: fastrand::Rng,
+    ) -> Quotas {
         let excess = bounds.quota_excess.unwrap_or(0.0);
         let shares = Shares {
             entries,
             slack: bounds.quota_slack.unwrap_or(0.0),
             excess_s: excess * bounds.quota_window_s.unwrap_or(0.0),
         };
-        let holder = rng.u64(1..);
+        // Entries may draw the same numbers, and an entry may start again under its name.
+        let holder = hash::combine(hash::hash_text(instance), rng.u64(..)).max(1);
         let state = QuotaState {
             accounts: Accounts::new(holder, shares),
             links: Map::default(),
