--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -39,8 +39,10 @@
 use crate::metrics::EntryMetrics;
 use crate::recover::lock;
 
-/// The interval at which limits are announced and overdue asks are repeated.
+/// The interval at which limits are announced, terms renewed and overdue asks repeated.
 const TICK: Duration = Duration::from_millis(100);
+/// The same where no tenant has a limit.
+const IDLE_TICK: Duration = Duration::from_secs(1);
 /// The part of the latency objective that a request may wait for tokens, as a divisor.
 const GOAL_DIVISOR: u32 = 4;
 /// The most tenants with metrics and log lines of their own; the others share theirs.
@@ -377,7 +379,8 @@
 /// Announces limits to agents and repeats overdue asks, in a loop.
 pub(crate) async fn keep_quotas(entry: Arc<Entry>) {
     loop {
-        tokio::time::sleep(TICK).await;
+        let is_idle = lock(&entry.quotas.state).accounts.is_empty();
+        tokio::time::sleep(if is_idle { IDLE_TICK } else { TICK }).await;
         let entries = entry.state().fleet.entries.get();
         let now = entry.now();
         let asks = {
--- a/crates/serving/src/quota/accounts.rs
+++ b/crates/serving/src/quota/accounts.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Returns whether no tenant has a limit.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
     /// Returns the account of a tenant.
     pub fn get(&self, tenant: &str) -> Option<&Account> {
         self.accounts.get(tenant).map(|entry| &entry.account)
