--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -42,7 +42,7 @@
 /// The interval at which limits are announced, terms renewed and overdue asks repeated.
 const TICK: Duration = Duration::from_millis(100);
 /// The same where no tenant has a limit.
-const IDLE_TICK: Duration = Duration::from_secs(1);
+const IDLE_TICK: Duration = Duration::from_millis(250);
 /// The part of the latency objective that a request may wait for tokens, as a divisor.
 const GOAL_DIVISOR: u32 = 4;
 /// The most tenants with metrics and log lines of their own; the others share theirs.
