Count adapters when a missing model is loaded

Callers would see a runner crash: it is ordered to load a model of its service that it lacks, checked against the memory that other models take up and not against the adapters that were loaded since, so that it may exceed `weights_mb` (LIMIT).

The room for an order is now worked out in one place (`load_scheduler/room.rs`) for models and adapters alike. A model without room has idle adapters unloaded first; while none is idle, adapters are loaded as before.

--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -4,6 +4,7 @@
 //! slots, with loading adapters counted; an adapter in use by a request is not unloaded; a version
 //! is never replaced by an older one.
 
+mod room;
 mod state;
 
 use std::time::Duration;
@@ -270,16 +271,29 @@
         if self.report.busy || self.report.draining {
             return None;
         }
-        if let Some(model) = self.missing_model(now) {
-            self.model_ordered_at = Some(now);
-            return Some(Order::LoadModel { model });
+        if let Some(order) = self.model_order(now) {
+            return Some(order);
         }
         let adapter = self.next_to_load()?;
         let request = self.requests[&adapter];
         let version = (request.version > 0).then_some(request.version);
-        let replaces = self.report.adapter(&adapter).is_some();
-        if replaces || self.fits(&adapter) {
-            return Some(Order::LoadAdapter { adapter, version });
+        self.load_or_evict(now, Order::LoadAdapter { adapter, version })
+    }
+
+    /// Returns the order to load a missing model, or to make room for it.
+    fn model_order(&mut self, now: Time) -> Option<Order> {
+        let model = self.missing_model(now)?;
+        let order = self.load_or_evict(now, Order::LoadModel { model })?;
+        if matches!(order, Order::LoadModel { .. }) {
+            self.model_ordered_at = Some(now);
+        }
+        Some(order)
+    }
+
+    /// Returns `load` if there is room for it, and otherwise the order to unload an idle adapter.
+    fn load_or_evict(&self, now: Time, load: Order) -> Option<Order> {
+        if self.has_room(&load) {
+            return Some(load);
         }
         let adapter = self.eviction_candidate(now)?;
         Some(Order::UnloadAdapter { adapter })
@@ -303,8 +317,8 @@
         });
     }
 
-    /// Returns a model of the service that the runner lacks and that fits into its memory, unless a
-    /// model was ordered recently.
+    /// Returns a model of the service that the runner lacks and that fits into its memory beside the
+    /// other models, unless a model was ordered recently.
     fn missing_model(&self, now: Time) -> Option<Name> {
         if self
             .model_ordered_at
@@ -362,35 +376,6 @@
         queue.into_iter()
     }
 
-    /// Returns whether the runner has a free slot and enough memory for another adapter.
-    fn fits(&self, adapter: &str) -> bool {
-        let count = self.report.adapters.len() + self.report.loading.len();
-        if count >= self.slots() {
-            return false;
-        }
-        let adapter_mb = self.adapter_mb(adapter);
-        let models_mb = self.models_mb();
-        let resident = self.report.adapters.iter().chain(&self.report.loading);
-        let adapters_mb: f64 = resident.map(|held| self.adapter_mb(&held.adapter)).sum();
-        models_mb + adapters_mb + adapter_mb <= self.capacity.weights_mb
-    }
-
-    /// Returns the total size of the models that the runner holds, in MB.
-    fn models_mb(&self) -> f64 {
-        let specs = self.capacity.models.iter();
-        let held = specs.filter(|spec| self.report.models.contains(&spec.name));
-        held.map(|spec| spec.weights_mb).sum()
-    }
-
-    fn adapter_mb(&self, adapter: &str) -> f64 {
-        let spec = self
-            .capacity
-            .models
-            .iter()
-            .find(|spec| belongs_to(adapter, &spec.name));
-        spec.map_or(0.0, |spec| spec.adapter_mb)
-    }
-
     /// Returns the idle adapter with the least recent demand.
     fn eviction_candidate(&self, now: Time) -> Option<Name> {
         let weight = |held: &&VersionedAdapter| self.demand.weight(now, &held.adapter);
--- a/crates/serving/tests/load_orders.rs
+++ b/crates/serving/tests/load_orders.rs
@@ -139,6 +139,30 @@
     ));
 }
 
+/// A model of the service that has to be loaded again must not exceed the memory that adapters have taken up since.
+#[test]
+fn model_is_loaded_beside_adapters_only_if_both_fit() {
+    let mut scheduler = scheduler(99, report(&[("m/a", 1), ("m/b", 1)], &[]));
+    let spec = |name: &str, weights_mb| ModelSpec {
+        name: name.into(),
+        weights_mb,
+        adapter_mb: 1.0,
+    };
+    scheduler.set_capacity(Capacity {
+        weights_mb: 100.0,
+        slots: 99,
+        models: vec![spec("m", 90.0), spec("n", 9.0)],
+    });
+    let now = Time::from_ms(0).after(LATER);
+    assert!(matches!(
+        scheduler.next_order(now),
+        Some(Order::UnloadAdapter { .. })
+    ));
+    scheduler.apply_report(now, report(&[("m/b", 1)], &[]));
+    let model = Name::from("n");
+    assert_eq!(scheduler.next_order(now), Some(Order::LoadModel { model }));
+}
+
 #[test]
 fn version_is_replaced_in_place_and_only_by_a_newer_one() {
     let mut scheduler = scheduler(1, report(&[("m/a", 2)], &[]));
