Leave room for orders that an earlier life left unanswered

Cause: an order names the runner's identifier and the number of accepted orders; both come again after a restart, and the agent forgot orders without a response.

The agent logs when slots are kept free, and leaves them out of the room that it reports.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -2,8 +2,9 @@
 //! to all entries.
 //!
 //! Invariants: one order is in progress at a time, and it is decided on a report that was read
-//! after the previous order; an order names the runner's incarnation and the number of orders that
-//! it has accepted, so that a delayed one has no effect.
+//! after the previous order; an order names the runner and the number of orders that it has
+//! accepted, so that a delayed one has no effect on the same incarnation; room is left for what a
+//! later incarnation may still load by it.
 
 mod crashes;
 mod entries;
@@ -171,6 +172,19 @@
         });
     }
 
+    /// Logs when slots begin and cease to be kept free for late orders; `last` is their number at the last call.
+    fn record_reserved(&self, last: &mut u32) {
+        let (slots, sequence) = {
+            let scheduler = self.scheduler();
+            let sequence = scheduler.last_report().sequence;
+            (scheduler.reserved_slots(self.now()), sequence)
+        };
+        if (slots > 0) != (*last > 0) {
+            info!("slots kept free for late orders", kv: { slots, sequence });
+        }
+        *last = slots;
+    }
+
     fn entry_count(&self) -> u32 {
         lock(&self.told_runners).entry_count()
     }
@@ -262,6 +276,7 @@
 /// connected entries, in a loop.
 async fn control_runner(agent: Arc<AgentState>) {
     let mut known = Reach::Ended;
+    let mut reserved = 0;
     loop {
         let reach = poll_and_order(&agent).await;
         if reach != known {
@@ -270,6 +285,7 @@
             let up = known == Reach::Answers;
             info!("runner availability changed", kv: { up, reach = reach.as_str(), addr = addr.as_str() });
         }
+        agent.record_reserved(&mut reserved);
         publish_state(&agent, reach);
         agent.expire_buckets();
         agent.deliver_admissions();
@@ -341,8 +357,13 @@
         (order, runner, sequence)
     };
     let order_result = agent.control.send_order(&runner, &order, sequence).await;
-    if order_result == OrderResult::Accepted {
-        agent.scheduler().order_accepted(agent.now(), &order);
+    match order_result {
+        OrderResult::Accepted => agent.scheduler().order_accepted(agent.now(), &order),
+        OrderResult::Unknown => {
+            let mut scheduler = agent.scheduler();
+            scheduler.order_unanswered(agent.now(), &order, sequence);
+        }
+        OrderResult::Conflict | OrderResult::Rejected(_) => {}
     }
     let result = order_result.to_string();
     agent
--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -1,9 +1,10 @@
 //! Decides which model or adapter the agent's runner loads or unloads next.
 //!
 //! Invariants: one order is in progress at a time; no order exceeds the runner's memory or adapter
-//! slots, with loading adapters counted; an adapter in use by a request is not unloaded; a version
+//! slots, with loading adapters and orders without a response counted; an adapter in use by a request is not unloaded; a version
 //! is never replaced by an older one.
 
+mod late_orders;
 mod room;
 mod state;
 
@@ -12,6 +13,7 @@
 use decision::collections::Map;
 use decision::time::Time;
 
+use self::late_orders::LateOrders;
 use crate::Name;
 use crate::admission::PrefillAdmission;
 use crate::demand::Demand;
@@ -128,6 +130,7 @@
     loads: LoadObserver,
     /// The last published rate level of each held adapter.
     rates: Map<Name, RateLevel>,
+    late_orders: LateOrders,
 }
 
 impl LoadScheduler {
@@ -217,6 +220,12 @@
         }
     }
 
+    /// Records that the runner has not answered an order, which it applies once it has accepted
+    /// `sequence` others.
+    pub fn order_unanswered(&mut self, now: Time, order: &Order, sequence: u64) {
+        self.late_orders.record(now, order, sequence);
+    }
+
     /// Records that an entry needs an adapter in `version` or a newer one; `urgent` says whether a
     /// caller's request waits for it.
     pub fn request_adapter(&mut self, now: Time, adapter: &Name, version: u64, urgent: bool) {
@@ -290,17 +299,15 @@
         Some(order)
     }
 
-    /// Returns `load` if there is room for it, and otherwise the order to unload an idle adapter.
+    /// Returns `load` if there is room for it, and otherwise the order to unload an idle adapter if
+    /// that makes room for late orders.
     fn load_or_evict(&self, now: Time, load: Order) -> Option<Order> {
-        if self.has_room(&load) {
+        if self.has_room(now, &load) {
             return Some(load);
         }
         let adapter = self.eviction_candidate(now)?;
-        Some(Order::UnloadAdapter { adapter })
-    }
-
-    fn slots(&self) -> usize {
-        self.capacity.slots as usize
+        let unload = Order::UnloadAdapter { adapter };
+        self.has_room(now, &unload).then_some(unload)
     }
 
     /// Removes requests that are satisfied or have expired.
--- a/crates/serving/src/load_scheduler/state.rs
+++ b/crates/serving/src/load_scheduler/state.rs
@@ -103,9 +103,10 @@
     /// Returns how many more adapters can be loaded now, counting idle ones that can be evicted.
     fn room(&self, now: Time) -> u32 {
         let occupied = self.report.adapters.len() + self.report.loading.len();
-        let free = self.slots().saturating_sub(occupied);
+        let occupied = occupied as u32 + self.reserved_slots(now);
+        let free = self.capacity.slots.saturating_sub(occupied);
         let idle = self.idle(now).count();
-        (free + idle) as u32
+        free + idle as u32
     }
 }
 
