Count the demand of an adapter where a request is sent

Cause: the demand for an adapter was counted when a runner was looked for, before it was known whether any has or can get it; each name stayed for 31 s, without a bound on their number or bytes.

It is now counted where a request is sent, which needs a runner that reports the adapter. An entry uses it only to replace outdated versions of adapters that runners hold. It no longer counts one request several times while it waits.

--- a/crates/gateway/src/locate.rs
+++ b/crates/gateway/src/locate.rs
@@ -197,9 +197,6 @@
             slot: held,
             wait_until,
         };
-        if let (Some(adapter), Duration::ZERO, 0) = (adapter, self.wait_time, self.sends) {
-            state.fleet.demand.record(now, adapter, 1);
-        }
         let concurrency = &state.concurrency;
         let has_room = |member: &Member| {
             let allowed = share.is_none_or(|share| concurrency.has_room(now, member, share));
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -73,7 +73,7 @@
 pub struct Fleet {
     /// The failure domain of the entry.
     pub domain: Name,
-    /// The recent demand for each adapter.
+    /// The recent demand for each adapter that a request was sent for.
     pub demand: Demand,
     /// What runners say of themselves.
     pub backpressure: Backpressure,
@@ -376,6 +376,7 @@
             let usage = runner.usage(adapter);
             usage.inflight += 1;
             usage.hits += 1;
+            self.demand.record(now, adapter, 1);
         }
         Some(InflightRequest {
             runner: id.clone(),
