Drop the request for an adapter that does not exist

Callers of adapters that exist got 503: while requests for ten adapters that do not exist waited, their runner loaded nothing else.

Cause: the agent gave the order that the runner had answered with 400 again in each round, before all others, since it had been asked for first; a rejected order also ends the round.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -363,6 +363,7 @@
             let mut scheduler = agent.scheduler();
             scheduler.order_unanswered(agent.now(), &order, sequence);
         }
+        OrderResult::Nonexistent => agent.scheduler().order_nonexistent(&order),
         OrderResult::Conflict | OrderResult::Rejected(_) => {}
     }
     let result = order_result.to_string();
@@ -376,7 +377,10 @@
         kind, subject, version, runner = &*runner, sequence, result = result.as_str()
     });
     // Without a response, the next report shows whether the order took effect.
-    matches!(order_result, OrderResult::Accepted | OrderResult::Unknown)
+    matches!(
+        order_result,
+        OrderResult::Accepted | OrderResult::Nonexistent | OrderResult::Unknown
+    )
 }
 
 fn describe_order(order: &Order) -> (&'static str, &str, u64) {
--- a/crates/serving/src/load_scheduler.rs
+++ b/crates/serving/src/load_scheduler.rs
@@ -226,6 +226,13 @@
         self.late_orders.record(now, order, sequence);
     }
 
+    /// Records that what an order names does not exist, so that the order is not given again at once.
+    pub fn order_nonexistent(&mut self, order: &Order) {
+        if let Order::LoadAdapter { adapter, .. } = order {
+            self.requests.remove(adapter);
+        }
+    }
+
     /// Records that an entry needs an adapter in `version` or a newer one; `urgent` says whether a
     /// caller's request waits for it.
     pub fn request_adapter(&mut self, now: Time, adapter: &Name, version: u64, urgent: bool) {
