Count large heads against the memory of requests in progress

Cause: a request in progress was reckoned at 64 KiB whatever its head, so that 2,080 were admitted; with a head of many fields it holds about 130 KiB, since the head is held as a read buffer, as parsed fields and as what is sent to a runner.

Heads now count eight times beyond the ordinary budget (`overload::head_excess`, `request_head_excess_bytes`) until the response ends, in the admission of requests and in the ledger of callers' memory. A refused request with a large head has its connection closed, which would keep the buffer otherwise.

--- a/crates/cli/tests/uncontrolled_callers.rs
+++ b/crates/cli/tests/uncontrolled_callers.rs
@@ -55,6 +55,11 @@
 /// The bytes of large and of small chunks.
 const LARGE_CHUNK: usize = 16 << 10;
 const SMALL_CHUNK: usize = 64;
+/// The fields of a head with many, and the length of each value.
+const FIELDS: usize = 90;
+const FIELD_BYTES: usize = 160;
+/// The time in which a slow runner works on a request.
+const WORK_TIME: Duration = Duration::from_secs(2);
 /// The pause between two tries of an ordinary request, and their number.
 const TRY_PAUSE: Duration = Duration::from_millis(100);
 const TRIES: usize = 200;
@@ -82,6 +87,8 @@
     TooLong,
     /// A head of nearly the largest size, without its end.
     Head,
+    /// A request without a body, whose head has many fields and nearly the largest size.
+    ManyFields,
 }
 
 fn request_head(framing: &str) -> String {
@@ -122,6 +129,12 @@
                 let rest = MAX_HEAD_BYTES - head.len() - 1;
                 (head + &"x".repeat(rest)).into_bytes()
             }
+            Form::ManyFields => {
+                let fields = (0..FIELDS)
+                    .map(|index| format!("x-field-{index}: {}\r\n", "x".repeat(FIELD_BYTES)));
+                let fields: String = fields.collect();
+                request_head(&format!("{fields}content-length: 0")).into_bytes()
+            }
         }
     }
 
@@ -129,9 +142,12 @@
     fn part_bytes(self) -> usize {
         match self {
             Form::Parts => PART_BYTES,
-            Form::Whole | Form::Chunks(_) | Form::Announced | Form::TooLong | Form::Head => {
-                usize::MAX
-            }
+            Form::Whole
+            | Form::Chunks(_)
+            | Form::Announced
+            | Form::TooLong
+            | Form::Head
+            | Form::ManyFields => usize::MAX,
         }
     }
 }
@@ -243,11 +259,12 @@
     runner: Runner,
 }
 
-async fn start_site() -> Site {
+async fn start_site(work_time: Duration) -> Site {
     let store = Store::start((Ipv4Addr::LOCALHOST, 0).into()).await;
     let store = store.expect("the store starts");
     let runner = Runner::start(RunnerSpec {
         slots: 900,
+        work_time,
         ..RunnerSpec::plain("i-0")
     });
     let runner = runner.await.expect("the runner starts");
@@ -258,8 +275,13 @@
 
 /// Lets a crowd call an entry, and checks the entry.
 async fn check_crowd(form: Form) {
+    check_crowd_at(form, Duration::ZERO).await;
+}
+
+/// The same at a runner that works so long on each request.
+async fn check_crowd_at(form: Form, work_time: Duration) {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let site = start_site().await;
+    let site = start_site(work_time).await;
     let (mut program, entry) = Program::start_limited(site.store.addr, CROWDED).await;
     assert!(is_served(entry).await);
     let idle_kb = program.peak_kb();
@@ -320,12 +342,17 @@
     check_crowd(Form::Head).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn heads_of_many_fields_at_a_slow_runner() {
+    check_crowd_at(Form::ManyFields, WORK_TIME).await;
+}
+
 /// Guards against answers that take memory without bound since their callers do not read them, and against callers
 /// that get no answer on account of them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_that_nobody_reads() {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let site = start_site().await;
+    let site = start_site(Duration::ZERO).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("its address");
     let runner = tokio::spawn(serve_answers(listener));
@@ -349,7 +376,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn largest_body_is_served_by_a_small_entry() {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let site = start_site().await;
+    let site = start_site(Duration::ZERO).await;
     let (_program, entry) = Program::start_limited(site.store.addr, SMALL).await;
     let status = call(entry, MAX_BODY_BYTES).await;
     assert_eq!(status.expect("an answer"), "200");
--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -19,6 +19,7 @@
 use serving::caller_memory::ConnId;
 use serving::caller_memory::Grant;
 use serving::caller_memory::Stage;
+use serving::overload::HEAD_COPIES;
 use tokio_util::sync::CancellationToken;
 
 use crate::RuntimeClock;
@@ -251,9 +252,10 @@
 impl Report {
     fn new(usage: &Usage, clock: RuntimeClock) -> Report {
         // The buffer of a head doubles, and its values stay there until the request ends.
+        let copies = if usage.busy { HEAD_COPIES } else { 2 };
         let head = match usage.head_bytes {
             0..READ_BUFFER_BYTES => 0,
-            bytes => 2 * bytes,
+            bytes => copies * bytes,
         };
         let (request, stage) = match usage.begun_at {
             _ if usage.busy => (READ_BUFFER_BYTES + REQUEST_BYTES, None),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,6 +10,8 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
 use platform::ingress;
 use platform::ingress::LocalResponse;
 use platform::ingress::RequestHead;
@@ -20,6 +22,7 @@
 use serving::attempt::Outcome;
 use serving::config::Limits;
 use serving::config::Route;
+use serving::overload;
 use serving::placement::NoRunner;
 use serving::placement::Placement;
 use serving::quarantine::Refusal;
@@ -156,6 +159,8 @@
     pub(crate) turn: Option<QueueTurn>,
     /// What it was charged.
     pub(crate) charge: Option<TokenCharge>,
+    /// What its head holds beyond the budget of a request.
+    pub(crate) _head_excess: GaugeGuard,
 }
 
 /// Serves one request of a caller. A request that is not sent to a runner gets a response of the
@@ -169,6 +174,9 @@
     let inflight = GaugeGuard::new(&entry.metrics.inflight);
     let arrival = entry.now();
     let (parts, incoming) = request.into_parts();
+    let head_excess = overload::head_excess(ingress::head_bytes(&parts));
+    let has_large_head = head_excess > 0;
+    let head_excess = GaugeGuard::of(&entry.metrics.head_excess, head_excess);
     let mut body = UnreadBody::new(&parts, incoming, memory);
     let mut head = match ingress::decode_head(&parts) {
         Ok(head) => head,
@@ -177,7 +185,7 @@
                 let error = error.to_string();
                 warn!("request rejected", kv: { error = error.as_str(), omitted });
             }
-            drop(inflight);
+            drop((inflight, head_excess));
             return body.answer(&entry, LocalResponse::BadRequest, None).await;
         }
     };
@@ -193,8 +201,14 @@
         Ok(routed) => routed,
         Err(response) => {
             let id = &*head.request.id;
-            drop(inflight);
-            return body.answer(&entry, response, Some(id)).await;
+            drop((inflight, head_excess));
+            let mut answer = body.answer(&entry, response, Some(id)).await;
+            if has_large_head {
+                // A kept connection would keep the buffer that the head was read into.
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            return answer;
         }
     };
     let timeout = head
@@ -228,6 +242,7 @@
         priority,
         place: None,
         turn: None,
+        _head_excess: head_excess,
         route,
         head,
         entry,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,6 +99,8 @@
     pub isolated_parts: IntGauge,
     /// Requests whose response has not started, but for refused ones whose bodies are being dropped.
     pub inflight: IntGauge,
+    /// Bytes by which requests with large heads exceed the budget of ordinary ones, until their responses end.
+    pub head_excess: IntGauge,
 }
 
 impl EntryMetrics {
@@ -244,6 +246,11 @@
         registry.register(Box::new(resumed_streams.clone()))?;
         registry.register(Box::new(runner_connects.clone()))?;
         registry.register(Box::new(inflight.clone()))?;
+        let head_excess = IntGauge::new(
+            "request_head_excess_bytes",
+            "Bytes of requests with large heads beyond the budget of ordinary ones",
+        )?;
+        registry.register(Box::new(head_excess.clone()))?;
         Ok(EntryMetrics {
             registry,
             requests,
@@ -283,24 +290,38 @@
             held_parts,
             isolated_parts,
             inflight,
+            head_excess,
         })
     }
 }
 
 /// Counts in a gauge until it is dropped.
 #[derive(Debug)]
-pub(crate) struct GaugeGuard(IntGauge);
+pub(crate) struct GaugeGuard {
+    gauge: IntGauge,
+    amount: i64,
+}
 
 impl GaugeGuard {
+    /// Counts one.
     pub(crate) fn new(gauge: &IntGauge) -> GaugeGuard {
-        gauge.inc();
-        GaugeGuard(gauge.clone())
+        GaugeGuard::of(gauge, 1)
+    }
+
+    /// Counts `amount`.
+    pub(crate) fn of(gauge: &IntGauge, amount: usize) -> GaugeGuard {
+        let amount = amount as i64;
+        gauge.add(amount);
+        GaugeGuard {
+            gauge: gauge.clone(),
+            amount,
+        }
     }
 }
 
 impl Drop for GaugeGuard {
     fn drop(&mut self) {
-        self.0.dec();
+        self.gauge.sub(self.amount);
     }
 }
 
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -59,8 +59,13 @@
     let tenant = find_tenant(entry, &config, &route, head)?;
     let priority = tenants::priority(tenant.as_deref(), route.priority);
     let inflight = entry.metrics.inflight.get().try_into().unwrap_or(0);
-    if !entry.state().overload.admits(inflight, priority) {
-        warn!("request refused, the entry is overloaded", kv: { id, inflight });
+    let head_excess = entry.metrics.head_excess.get().try_into().unwrap_or(0);
+    if !entry
+        .state()
+        .overload
+        .admits(inflight, head_excess, priority)
+    {
+        warn!("request refused, the entry is overloaded", kv: { id, inflight, head_excess });
         return Err(LocalResponse::Refused(OVERLOAD_RETRY_AFTER));
     }
     let draw = entry.state().rng.u64(..);
--- a/crates/serving/tests/self_overload.rs
+++ b/crates/serving/tests/self_overload.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serving::overload::OverloadDetector;
+use serving::overload::head_excess;
 
 const URGENT: u8 = 1;
 const LOW: u8 = 7;
@@ -29,7 +30,7 @@
     ];
     for (delays, urgent, low) in cases {
         let detector = detector(&delays);
-        let admitted = (detector.admits(0, URGENT), detector.admits(0, LOW));
+        let admitted = (detector.admits(0, 0, URGENT), detector.admits(0, 0, LOW));
         assert_eq!(admitted, (urgent, low), "{delays:?}");
     }
 }
@@ -38,7 +39,18 @@
 fn requests_in_progress_are_limited_by_the_memory() {
     for (memory_mb, max_inflight) in [(160, 1_280), (512, 4_096)] {
         let detector = OverloadDetector::new(memory_mb);
-        assert!(detector.admits(max_inflight - 1, URGENT));
-        assert!(!detector.admits(max_inflight, URGENT));
+        assert!(detector.admits(max_inflight - 1, 0, URGENT));
+        assert!(!detector.admits(max_inflight, 0, URGENT));
     }
 }
+
+/// Large heads are held several times over, so that fewer such requests fit.
+#[test]
+fn large_heads_count_against_the_memory() {
+    assert_eq!(head_excess(1 << 10), 0, "an ordinary head");
+    let detector = OverloadDetector::new(260);
+    let most =
+        (0..).take_while(|count| detector.admits(*count, count * head_excess(16_042), URGENT));
+    let held_mb = most.count() * 130 / 1_024;
+    assert!(held_mb <= 260 / 2, "{held_mb} MB at 130 KB each");
+}
