--- a/review/standins-3/rig.rs
+++ b/review/standins-3/rig.rs
@@ -34,6 +34,8 @@
 
 /// The interval at which runners write their records.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The most rows of one read.
+const MAX_PAGE_ROWS: usize = 500;
 /// The silence after which the store removes the record of a runner.
 pub const RECORD_LIFE: Duration = Duration::from_millis(3_600);
 
@@ -470,7 +472,11 @@
         });
         let mut wanted: Vec<&Row> = wanted.collect();
         wanted.sort_by(|a, b| a.key.cmp(&b.key));
-        (200, self.page(&wanted, rows.version))
+        let limit = call.query("limit").and_then(|text| text.parse().ok());
+        let limit: usize = limit.unwrap_or(MAX_PAGE_ROWS).min(MAX_PAGE_ROWS);
+        let has_more = wanted.len() > limit;
+        wanted.truncate(limit);
+        (200, self.page(&wanted, has_more, rows.version))
     }
 
     fn feed(&self, call: &Message) -> (u16, String) {
@@ -485,16 +491,16 @@
             let left = end.saturating_duration_since(Instant::now());
             if !wanted.is_empty() || left.is_zero() {
                 wanted.sort_by_key(|row| row.version);
-                return (200, self.page(&wanted, rows.version));
+                return (200, self.page(&wanted, false, rows.version));
             }
             rows = changed.wait_timeout(rows, left).unwrap().0;
         }
     }
 
-    fn page(&self, rows: &[&Row], version: u64) -> String {
+    fn page(&self, rows: &[&Row], has_more: bool, version: u64) -> String {
         let rows: Vec<String> = rows.iter().map(|row| row.json()).collect();
         let now_ms = self.now_ms();
-        format!(r#"{{"rows":[{}],"has_more":false,"ver":{version},"now_ms":{now_ms}}}"#, rows.join(","))
+        format!(r#"{{"rows":[{}],"has_more":{has_more},"ver":{version},"now_ms":{now_ms}}}"#, rows.join(","))
     }
 
     fn transact(&self, call: &Message) -> (u16, String) {
