--- a/review/standins-3/deadly.rs
+++ b/review/standins-3/deadly.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rig::Call;
 use rig::EntryAddrs;
@@ -31,6 +32,9 @@
 const RUNNERS: u8 = 4;
 /// When a runner is back after a crash.
 const RESTART_DELAY: Duration = Duration::from_secs(3);
+/// How long deadly requests come at a time, and the pause until they come again.
+const SPELL: Duration = Duration::from_secs(20);
+const SPELL_PAUSE: Duration = Duration::from_secs(3);
 const WARM_UP: Duration = Duration::from_secs(5);
 /// The paths of requests.
 const DEADLY_PATH: &str = "/later/deadly";
@@ -56,8 +60,8 @@
                 crash: "event",
                 read_ms: "30",
                 deadly_interval: Duration::from_millis(1_500),
-                sound_interval: Duration::from_millis(200),
-                run_time: Duration::from_secs(40),
+                sound_interval: Duration::from_millis(40),
+                run_time: SPELL,
             },
             // For comparison: it crashes after the head.
             "heads" => Plan {
@@ -70,7 +74,7 @@
                 read_ms: "700",
                 deadly_interval: Duration::from_millis(3_300),
                 sound_interval: Duration::from_micros(3_300),
-                run_time: Duration::from_secs(75),
+                run_time: (SPELL + SPELL_PAUSE) * 3,
             },
             // For comparison: few others are there.
             "few" => Plan {
@@ -155,12 +159,14 @@
         let addr = SocketAddr::new(rig::machine(number), rig::free_port());
         let (id, store) = (format!("i-{number}"), site.store.addr.to_string());
         let _agent = site.start_agent(&format!("side-{number}"), addr);
+        let mut start = "held";
         while !stop.load(Ordering::Relaxed) {
-            let args = ["runner", &id, &addr.to_string(), &store, &log, "", crash, read_ms];
+            let args = ["runner", &id, &addr.to_string(), &store, &log, "", crash, read_ms, start];
             let mut runner = site.start_standin(&format!("runner-{number}"), &args);
             while !stop.load(Ordering::Relaxed) && !runner.wait_end(Duration::from_millis(200)) {}
             if !stop.load(Ordering::Relaxed) {
                 record.line(format!("runner {id} has crashed"));
+                start = "empty";
                 thread::sleep(RESTART_DELAY);
             }
         }
@@ -178,7 +184,12 @@
     let (entries, record) = (entries.to_vec(), record.clone());
     thread::spawn(move || {
         let mut calls = Vec::new();
+        let started_at = Instant::now();
         for number in 0.. {
+            let in_cycle = started_at.elapsed().as_millis() % (SPELL + SPELL_PAUSE).as_millis();
+            if path == DEADLY_PATH && in_cycle >= SPELL.as_millis() {
+                thread::sleep(SPELL + SPELL_PAUSE - Duration::from_millis(in_cycle as u64));
+            }
             if stop.load(Ordering::Relaxed) {
                 break;
             }
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -23,6 +23,8 @@
 
 /// How long a load of an adapter takes.
 const LOAD_TIME: Duration = Duration::from_millis(250);
+/// How long a load of the model takes, as on the sheet.
+const MODEL_LOAD_TIME: Duration = Duration::from_millis(600);
 /// The requests that run at the same time, and those that wait for their turn, as on the sheet and in the site file
 /// of pinecrest-airing.
 const SLOTS: u32 = 64;
@@ -43,6 +45,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// When the model is there; `None` without an order to load it.
+    model_at: Option<Instant>,
     sequence: u64,
     adapters: BTreeMap<String, Adapter>,
     running: u32,
@@ -77,9 +81,10 @@
 }
 
 /// Runs the runner until it is killed or crashes. Arguments: ID ADDR STORE LOG ADAPTER,.. CRASH READ_MS
+/// START, which is `held` if the runner holds the model from its start, as at the start of a day, and else `empty`.
 pub fn run(args: &[String]) -> ! {
-    let [id, addr, store, log, adapters, crash, read_ms] = args else {
-        rig::cannot_run("arguments of a runner: ID ADDR STORE LOG ADAPTERS CRASH READ_MS");
+    let [id, addr, store, log, adapters, crash, read_ms, start] = args else {
+        rig::cannot_run("arguments of a runner: ID ADDR STORE LOG ADAPTERS CRASH READ_MS START");
     };
     let crash = match crash.as_str() {
         "unanswered" => Crash::Unanswered,
@@ -101,7 +106,11 @@
         crash,
         read_time: Duration::from_millis(read_ms.parse().unwrap_or_else(|_| rig::cannot_run("READ_MS"))),
         turn_ended: Condvar::new(),
-        state: Mutex::new(State { adapters: held.collect(), ..State::default() }),
+        state: Mutex::new(State {
+            model_at: (start == "held").then(Instant::now),
+            adapters: held.collect(),
+            ..State::default()
+        }),
     });
     let listener = TcpListener::bind(engine.addr).unwrap_or_else(|error| rig::cannot_run(error));
     let served = engine.clone();
@@ -158,10 +167,11 @@
         });
         let coming: Vec<String> = coming.collect();
         let body = format!(
-            r#"{{"stage":"mixed","models":{},"coming":[{}],"busy":false,"sequence":{},"queued":{},"running":{},
+            r#"{{"stage":"mixed","models":{},"coming":[{}],"busy":{},"sequence":{},"queued":{},"running":{},
             "kv_used":0,"kv_total":265730,"handles":0,"born":{}}}"#,
             state.models(),
             coming.join(","),
+            state.is_busy(),
             state.sequence,
             state.waiting.len(),
             state.running,
@@ -294,7 +304,19 @@
         }
     }
 
+    fn holds_model(&self) -> bool {
+        self.model_at.is_some_and(|at| Instant::now() >= at)
+    }
+
+    /// Returns whether the model is being loaded.
+    fn is_busy(&self) -> bool {
+        self.model_at.is_some() && !self.holds_model()
+    }
+
     fn models(&self) -> String {
+        if !self.holds_model() {
+            return "[]".into();
+        }
         let held = self.adapters.iter().filter(|(_, adapter)| adapter.version > 0);
         let held = held.map(|(name, adapter)| format!("\"{name}@{}\"", adapter.version));
         let held: Vec<String> = held.collect();
@@ -302,11 +324,18 @@
     }
 
     fn execute(&mut self, order: &str) -> u16 {
-        if rig::number_field(order, "expected") != self.sequence {
+        if self.is_busy() || rig::number_field(order, "expected") != self.sequence {
             return 409;
         }
         let name = rig::field(order, "adapter");
         match &*rig::field(order, "op_type") {
+            "load" if name.is_empty() && self.holds_model() => 200,
+            "load" if name.is_empty() => {
+                self.model_at = Some(Instant::now() + MODEL_LOAD_TIME);
+                self.sequence += 1;
+                202
+            }
+            "load" if !self.holds_model() => 400,
             "load" => {
                 let version = rig::number_field(order, "version").max(1);
                 let held = Adapter { version: 0, coming: None, runs: 0 };
@@ -330,6 +359,9 @@
     /// Begins a run; fails with the status of a rejection.
     fn begin(&mut self, name: &str, expected: Option<u64>) -> Result<u64, u16> {
         self.settle();
+        if !self.holds_model() {
+            return Err(421);
+        }
         if name.is_empty() {
             // A request for the model itself.
             return Ok(1);
--- a/review/standins-3/frozen_version.rs
+++ b/review/standins-3/frozen_version.rs
@@ -45,7 +45,7 @@
     fn start(site: &Site, log: &str, number: u8, adapters: &str) -> Side {
         let addr = SocketAddr::new(rig::machine(number), rig::free_port());
         let (id, store) = (format!("i-{number}"), site.store.addr.to_string());
-        let args = ["runner", &id, &addr.to_string(), &store, log, adapters, "never", READ_MS];
+        let args = ["runner", &id, &addr.to_string(), &store, log, adapters, "never", READ_MS, "held"];
         Side {
             runner: site.start_standin(&format!("runner-{number}"), &args),
             agent: site.start_agent(&format!("side-{number}"), addr),
