Date what a suspended entry reads from the beginning of its pause

`serving::pauses` learns of pauses from the ticks that measure the scheduling delay: half a second without one is a pause. A row of a feed that is read while it is unnoticed, or within half a second of its end, counts as written when the pause began. `process was paused` logs it.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -25,6 +25,7 @@
 use serving::idle::ConnLimits;
 use serving::members::Members;
 use serving::overload::OverloadDetector;
+use serving::pauses::Pauses;
 use serving::quarantine::Quarantine;
 use serving::reconnect::ReconnectPauses;
 use serving::request::Artifact;
@@ -83,6 +84,8 @@
     pub(crate) response_times: ResponseTimes,
     /// Decides which requests to refuse while the entry itself is short of CPU or memory.
     pub overload: OverloadDetector,
+    /// The last time in which this process did not run.
+    pub(crate) pauses: Pauses,
     /// The evidence about prompt parts on which runners crash.
     pub quarantine: Quarantine,
     /// Changes of held prompt parts that are not in the store yet.
@@ -205,6 +208,7 @@
             retry_budget: RetryBudget::new(allowance, entries),
             response_times: ResponseTimes::default(),
             overload: OverloadDetector::new(settings.memory_mb),
+            pauses: Pauses::default(),
             quarantine: Quarantine::default(),
             hold_changes: HoldChanges::default(),
             crash_watch: CrashWatch::default(),
--- a/crates/gateway/src/outdated.rs
+++ b/crates/gateway/src/outdated.rs
@@ -1,7 +1,9 @@
 //! Withdraws requests that would begin on an adapter version which is too old by then.
 //!
-//! Invariants: a request whose answer has begun is never withdrawn, since it runs already; one of which a part
-//! was written may have run, and is treated so.
+//! Invariants: a request is never withdrawn after the head of its answer has arrived, since it runs already; one of
+//! which a part was written may have run, and is treated so.
+//!
+//! Boundary: [`Versions`](serving::versions::Versions) decides; this module waits, closes and logs.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -221,12 +221,20 @@
     }
 }
 
-/// Samples how late a timer of this process fires, which shows whether it gets enough CPU.
+/// Samples how late a timer of this process fires, which shows whether it gets enough CPU, and whether it was
+/// suspended.
 async fn measure_delay(entry: Arc<Entry>) {
     loop {
         let due = Instant::now() + DELAY_SAMPLE_INTERVAL;
         tokio::time::sleep_until(due).await;
-        entry.state().overload.record_delay(due.elapsed());
+        let now = entry.now();
+        let mut state = entry.state();
+        state.overload.record_delay(due.elapsed());
+        let paused = state.pauses.record_tick(now);
+        drop(state);
+        if let Some(length) = paused {
+            info!("process was paused", kv: { paused_ms = length.as_millis() as u64 });
+        }
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -171,7 +171,7 @@
             restores,
             // What is new in a full read was written after the answer before it.
             written_at: match extent {
-                Extent::Changes => Some(now),
+                Extent::Changes => Some(self.entry.state().pauses.received_since(now)),
                 Extent::All | Extent::Copy => self.answered_at,
             },
         };
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod load_scheduler;
 pub mod members;
 pub mod overload;
+pub mod pauses;
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
